--- /dev/null
+++ b/regress/scenario/lib.lua
@@ -0,0 +1,374 @@
+-- The words of the scenarios: fleet, load, faults, journals, golden lines.
+
+local TERM, KILL, STOP, CONT = 15, 9, 19, 18
+
+-- Ports of this run: 100 in a row below the range the kernel gives out.
+local function pick_base()
+	for i = 0, 119 do
+		local b = 20000 + ((PID * 7 + i) % 120) * 100
+		if ports_free(b, 100) then
+			return b
+		end
+	end
+	error("no free ports")
+end
+local BASE = pick_base()
+
+function say(fmt, ...)
+	print(string.format(fmt, ...))
+end
+
+function check(ok, fmt, ...)
+	if not ok then
+		error("FAILED: " .. string.format(fmt, ...), 2)
+	end
+end
+
+-- Waits until fn gives something true, and returns it; never a fixed sleep.
+function await(what, ms, fn)
+	local till = now_ms() + ms
+	repeat
+		local v = fn()
+		if v then
+			return v
+		end
+		sleep_ms(10)
+	until now_ms() > till
+	error("FAILED: waited " .. ms .. " ms for: " .. what, 2)
+end
+
+function path(name)
+	return WORK .. "/" .. name
+end
+
+function write_file(name, text)
+	local f = assert(io.open(path(name), "w"))
+	f:write(text)
+	f:close()
+end
+
+function read_file(name)
+	local f = io.open(path(name), "r")
+	if not f then
+		return ""
+	end
+	local s = f:read("a")
+	f:close()
+	return s
+end
+
+-- A fleet: { dcs = {name = {hosts=n}}, services = {...}, conf = "..." }
+Fleet = {}
+Fleet.__index = Fleet
+
+function Fleet.new(opt)
+	local f = setmetatable({ hosts = {}, order = {}, targets = {},
+	    torder = {}, opt = opt, next = 2 }, Fleet)
+	f.platform = "127.0.0.1:" .. BASE
+	f.platctl = "127.0.0.1:" .. BASE + 1
+	f.platpid = spawn(path("platform.log"), BUILD .. "/standin/platform",
+	    "-l", f.platform, "-c", f.platctl)
+	await("platform", 3000, function()
+		return http("GET", "http://" .. f.platctl .. "/calls") == 200
+	end)
+	return f
+end
+
+function Fleet:port()
+	self.next = self.next + 1
+	return "127.0.0.1:" .. BASE + self.next
+end
+
+function Fleet:add_host(name, dc)
+	local h = { name = name, dc = dc, callers = self:port(),
+	    peers = self:port(), admin = self:port() }
+	self.hosts[name] = h
+	table.insert(self.order, name)
+	write_file(name .. ".conf", string.format(
+	    "[host]\nname = %s\ndc = %s\n[listen]\ncallers = %s\n" ..
+	    "peers = %s\nadmin = %s\n[platform]\naddress = %s\n%s",
+	    name, dc, h.callers, h.peers, h.admin, self.platform,
+	    self.opt.conf or ""))
+	return h
+end
+
+function Fleet:list_hosts()
+	local s = ""
+	for _, n in ipairs(self.order) do
+		local h = self.hosts[n]
+		s = s .. string.format("%s %s %s %s %s\n", n, h.dc, h.peers,
+		    h.admin, h.leaving and "leaving" or "live")
+	end
+	http("PUT", "http://" .. self.platctl .. "/hosts", s)
+end
+
+function Fleet:start_host(name)
+	local h = self.hosts[name]
+	h.pid = spawn(path(name .. ".log"), BUILD .. "/gspard/gspard", "-f",
+	    path(name .. ".conf"))
+end
+
+function Fleet:add_target(name, dc, opt)
+	local t = { name = name, dc = dc, addr = self:port(), opt = opt or {} }
+	self.targets[name] = t
+	table.insert(self.torder, name)
+	self:start_target(name)
+	return t
+end
+
+function Fleet:start_target(name)
+	local t = self.targets[name]
+	local args = { "-l", t.addr, "-n", name, "-j", path(name .. ".journal"),
+	    "-s", tostring(t.opt.slots or 4), "-w", tostring(t.opt.work or 2) }
+	if t.opt.unchecked then
+		table.insert(args, "-u")
+	end
+	t.pid = spawn(path(name .. ".log"), BUILD .. "/standin/target",
+	    table.unpack(args))
+end
+
+function Fleet:fault(q)
+	http("POST", "http://" .. self.platctl .. "/fault?" .. q, "")
+end
+
+function Fleet:calls()
+	local _, s = http("GET", "http://" .. self.platctl .. "/calls")
+	local t = {}
+	for k, v in s:gmatch("(%w+) (%d+)") do
+		t[k] = tonumber(v)
+	end
+	return t
+end
+
+function Fleet:target_fault(name, q)
+	http("POST", "http://" .. self.targets[name].addr .. "/fault?" .. q, "")
+end
+
+-- An entry over one cell for each group of targets, shards shared out.
+function entry_json(e)
+	local cells, first = {}, 0
+	local each = e.shards // #e.cells
+	for i, c in ipairs(e.cells) do
+		local last = i == #e.cells and e.shards - 1 or first + each - 1
+		local ts, dcs = {}, {}
+		for _, t in ipairs(c.targets) do
+			table.insert(ts, string.format(
+			    '{"name":"%s","dc":"%s","address":"%s",' ..
+			    '"slots":%d,"leaving":%s}', t.name, t.dc, t.addr,
+			    t.opt.slots or 4, tostring(t.leaving or false)))
+		end
+		for _, d in ipairs(c.dcs) do
+			table.insert(dcs, '"' .. d .. '"')
+		end
+		table.insert(cells, string.format(
+		    '{"dcs":[%s],"first":%d,"last":%d,"targets":[%s]}',
+		    table.concat(dcs, ","), first, last, table.concat(ts, ",")))
+		first = last + 1
+	end
+	return string.format('{"name":"%s","owner":"%s","class":"%s",' ..
+	    '"weigh":"%s","shards":%d,"limits":{"queue":%d,' ..
+	    '"deadline_ms":%d,"body":%d},"cells":[%s]}', e.name,
+	    e.owner or "tests", e.class or "lookup", e.weigh or "imbalance",
+	    e.shards, e.queue or 64, e.deadline_ms or 2000, e.body or 65536,
+	    table.concat(cells, ","))
+end
+
+function Fleet:put_entry(e)
+	self.entries = self.entries or {}
+	self.entries[e.name] = e
+	local status, _, heads = http("PUT", "http://" .. self.platform ..
+	    "/v1/objects/catalogue/" .. e.name, entry_json(e),
+	    { "If-Version: " .. (e.version or 0) })
+	check(status == 200, "catalogue not written: %d", status)
+	e.version = tonumber(heads:match("Version: (%d+)"))
+end
+
+function Fleet:status(name)
+	local st, body = http("GET", "http://" .. self.hosts[name].admin ..
+	    "/v1/status", nil, nil, 1500)
+	return st == 200 and json(body) or nil
+end
+
+function Fleet:metric(name, counter)
+	local _, body = http("GET", "http://" .. self.hosts[name].admin ..
+	    "/metrics")
+	return tonumber(body:match("\ngspar_" .. counter .. "_total (%d+)"))
+end
+
+function Fleet:controller(cell)
+	for _, n in ipairs(self.order) do
+		local s = not self.hosts[n].dead and self:status(n)
+		for _, c in ipairs(s and s.cells or {}) do
+			if c.cell == cell and c.role == "controller" and
+			    c.may_change then
+				return n
+			end
+		end
+	end
+end
+
+function Fleet:owner(service, key, from)
+	local h = self.hosts[from or self.order[1]]
+	local st, body = http("GET", "http://" .. h.admin ..
+	    "/v1/owner?service=" .. service .. "&key=" .. key)
+	return st == 200 and json(body) or nil
+end
+
+function Fleet:get(name, service, key, heads, method, body)
+	return http(method or "GET", "http://" .. self.hosts[name].callers ..
+	    "/v1/" .. service .. "/" .. key, body, heads)
+end
+
+-- A fleet of data centres with hosts and lookup targets, served and checked.
+-- dcs: list of {name, hosts, targets}; returns once each target serves.
+function standard_fleet(opt)
+	local f = Fleet.new(opt)
+	local cells = {}
+	local n = 0
+	for _, d in ipairs(opt.dcs) do
+		local c = { dcs = { d[1] }, targets = {} }
+		for i = 1, d[2] do
+			f:add_host(d[1] .. i, d[1])
+		end
+		for i = 1, d[3] do
+			n = n + 1
+			table.insert(c.targets, f:add_target("t" .. n, d[1],
+			    opt.target))
+		end
+		table.insert(cells, c)
+	end
+	if opt.one_cell then
+		local all = { dcs = {}, targets = {} }
+		for _, c in ipairs(cells) do
+			table.insert(all.dcs, c.dcs[1])
+			for _, t in ipairs(c.targets) do
+				table.insert(all.targets, t)
+			end
+		end
+		cells = { all }
+	end
+	f:list_hosts()
+	local e = opt.entry or {}
+	e.name = e.name or "lookup"
+	e.shards = e.shards or 64
+	e.cells = cells
+	f:put_entry(e)
+	for _, h in ipairs(f.order) do
+		f:start_host(h)
+	end
+	f:await_served(e.name)
+	return f
+end
+
+-- Waits until some keys of every shard are served through every host.
+function Fleet:await_served(service, but)
+	local ok = service == "lookup"
+	await("all keys served", 15000, function()
+		for _, n in ipairs(self.order) do
+			if not self.hosts[n].dead then
+				for i = 1, 24 do
+					local st = self:get(n, service,
+					    "warm-" .. i .. "/ticket")
+					if ok then
+						st = self:get(n, service,
+						    "warm-" .. i)
+					end
+					if st ~= 200 then
+						return false
+					end
+				end
+			end
+		end
+		return true
+	end)
+end
+
+-- Starts load in the background; finish with load:finish().
+function Fleet:load(args)
+	local to = {}
+	for _, n in ipairs(self.order) do
+		if not args.only or args.only[n] then
+			table.insert(to, self.hosts[n].callers)
+		end
+	end
+	self.loads = (self.loads or 0) + 1
+	local log = "caller" .. self.loads .. ".log"
+	local l = { log = log }
+	l.pid = spawn(path(log), BUILD .. "/standin/caller", "-t",
+	    table.concat(to, ","), "-n", "c" .. self.loads,
+	    table.unpack(args))
+	function l.finish()
+		l.status = wait(l.pid)
+		local last
+		for line in read_file(log):gmatch("[^\n]+") do
+			last = line
+		end
+		l.sum = json(last or "") or {}
+		check(l.status == 0, "a caller got a wrong answer or broke: %s",
+		    last or "")
+		return l.sum
+	end
+	return l
+end
+
+function Fleet:kill_host(name)
+	kill(self.hosts[name].pid, KILL)
+	wait(self.hosts[name].pid)
+	self.hosts[name].dead = true
+end
+
+function Fleet:term_host(name)
+	kill(self.hosts[name].pid, TERM)
+end
+
+function Fleet:stop_host(name)
+	self:term_host(name)
+	local st = wait(self.hosts[name].pid)
+	self.hosts[name].dead = true
+	return st
+end
+
+function Fleet:revive_host(name)
+	self.hosts[name].dead = nil
+	self:start_host(name)
+end
+
+function Fleet:freeze(pid)
+	kill(pid, STOP)
+end
+
+function Fleet:thaw(pid)
+	kill(pid, CONT)
+end
+
+function Fleet:kill_target(name)
+	kill(self.targets[name].pid, KILL)
+	wait(self.targets[name].pid)
+end
+
+-- Runs the journal checker over all targets; true where it found no fault.
+function Fleet:journals_ok()
+	local args = {}
+	for _, t in ipairs(self.torder) do
+		table.insert(args, path(t .. ".journal"))
+	end
+	local pid = spawn(path("jcheck.log"), BUILD .. "/standin/jcheck",
+	    table.unpack(args))
+	local st = wait(pid)
+	check(st == 0, "journals: %s", read_file("jcheck.log"))
+	return true
+end
+
+function Fleet:stop_all()
+	for _, n in ipairs(self.order) do
+		if not self.hosts[n].dead then
+			self:term_host(n)
+		end
+	end
+	for _, n in ipairs(self.order) do
+		if not self.hosts[n].dead then
+			check(wait(self.hosts[n].pid) == 0, "%s did not stop well",
+			    n)
+		end
+	end
+end
--- /dev/null
+++ b/regress/scenario/scen.c
@@ -0,0 +1,306 @@
+/*
+ * Runs one scenario: a Lua script that starts the real programs, breaks
+ * things, and checks what callers and journals see.  Everything it started is
+ * ended with it.
+ */
+#include <arpa/inet.h>
+#include <err.h>
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <curl/curl.h>
+#include <jansson.h>
+#include <lauxlib.h>
+#include <lua.h>
+#include <lualib.h>
+
+#include "clock.h"
+#include "str.h"
+
+#define MAX_PIDS 512
+
+static pid_t pids[MAX_PIDS];
+static int npids;
+
+/* spawn(log, program, args...): starts a program, returns its pid. */
+static int
+l_spawn(lua_State *l)
+{
+	const char *argv[64], *log = luaL_checkstring(l, 1);
+	int i, n = lua_gettop(l);
+	pid_t pid;
+
+	for (i = 2; i <= n && i < 64; i++)
+		argv[i - 2] = luaL_checkstring(l, i);
+	argv[i - 2] = NULL;
+	pid = fork();
+	if (pid == 0) {
+		if (freopen(log, "a", stdout) == NULL ||
+		    dup2(STDOUT_FILENO, STDERR_FILENO) < 0)
+			_exit(126);
+		execv(argv[0], (char *const *)argv);
+		_exit(127);
+	}
+	if (pid < 0 || npids == MAX_PIDS)
+		return (luaL_error(l, "cannot start %s", argv[0]));
+	pids[npids++] = pid;
+	lua_pushinteger(l, pid);
+	return (1);
+}
+
+/* kill(pid, signal) */
+static int
+l_kill(lua_State *l)
+{
+	kill((pid_t)luaL_checkinteger(l, 1), (int)luaL_checkinteger(l, 2));
+	return (0);
+}
+
+/* wait(pid, nohang): exit status, or -signal, or nil while it runs. */
+static int
+l_wait(lua_State *l)
+{
+	pid_t pid = (pid_t)luaL_checkinteger(l, 1);
+	int i, st;
+
+	if (waitpid(pid, &st, lua_toboolean(l, 2) ? WNOHANG : 0) != pid)
+		return (0);
+	for (i = 0; i < npids; i++) {
+		if (pids[i] == pid)
+			pids[i] = pids[--npids];
+	}
+	lua_pushinteger(l, WIFEXITED(st) ? WEXITSTATUS(st) : -WTERMSIG(st));
+	return (1);
+}
+
+/* Collects a body or the heads. */
+static size_t
+on_data(char *p, size_t n, size_t m, void *arg)
+{
+	return (str_add(arg, p, n * m) == 0 ? n * m : 0);
+}
+
+/* http(method, url, body, {heads}, timeout_ms): status or 0, body, heads. */
+static int
+l_http(lua_State *l)
+{
+	struct str body = {NULL, 0}, heads = {NULL, 0};
+	struct curl_slist *list = NULL;
+	CURL *c = curl_easy_init();
+	size_t n = 0;
+	const char *data = luaL_optlstring(l, 3, NULL, &n);
+	long status = 0;
+
+	curl_easy_setopt(c, CURLOPT_CUSTOMREQUEST, luaL_checkstring(l, 1));
+	curl_easy_setopt(c, CURLOPT_URL, luaL_checkstring(l, 2));
+	curl_easy_setopt(c, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(
+	    c, CURLOPT_TIMEOUT_MS, (long)luaL_optinteger(l, 5, 5000));
+	if (data != NULL) {
+		curl_easy_setopt(c, CURLOPT_POSTFIELDSIZE, (long)n);
+		curl_easy_setopt(c, CURLOPT_POSTFIELDS, data);
+	}
+	if (lua_istable(l, 4)) {
+		lua_pushnil(l);
+		while (lua_next(l, 4) != 0) {
+			list = curl_slist_append(list, lua_tostring(l, -1));
+			lua_pop(l, 1);
+		}
+	}
+	curl_easy_setopt(c, CURLOPT_HTTPHEADER, list);
+	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, on_data);
+	curl_easy_setopt(c, CURLOPT_WRITEDATA, &body);
+	curl_easy_setopt(c, CURLOPT_HEADERFUNCTION, on_data);
+	curl_easy_setopt(c, CURLOPT_HEADERDATA, &heads);
+	if (curl_easy_perform(c) == CURLE_OK)
+		curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &status);
+	lua_pushinteger(l, status);
+	lua_pushlstring(l, body.p == NULL ? "" : body.p, body.n);
+	lua_pushlstring(l, heads.p == NULL ? "" : heads.p, heads.n);
+	curl_slist_free_all(list);
+	curl_easy_cleanup(c);
+	str_free(&body);
+	str_free(&heads);
+	return (3);
+}
+
+/* Pushes a JSON value. */
+static void
+push_json(lua_State *l, json_t *j)
+{
+	const char *key;
+	json_t *v;
+	size_t i;
+
+	switch (json_typeof(j)) {
+	case JSON_OBJECT:
+		lua_newtable(l);
+		json_object_foreach(j, key, v)
+		{
+			push_json(l, v);
+			lua_setfield(l, -2, key);
+		}
+		break;
+	case JSON_ARRAY:
+		lua_newtable(l);
+		json_array_foreach(j, i, v)
+		{
+			push_json(l, v);
+			lua_rawseti(l, -2, (lua_Integer)i + 1);
+		}
+		break;
+	case JSON_STRING:
+		lua_pushstring(l, json_string_value(j));
+		break;
+	case JSON_INTEGER:
+		lua_pushinteger(l, json_integer_value(j));
+		break;
+	case JSON_REAL:
+		lua_pushnumber(l, json_real_value(j));
+		break;
+	case JSON_TRUE:
+	case JSON_FALSE:
+		lua_pushboolean(l, json_is_true(j));
+		break;
+	default:
+		lua_pushnil(l);
+	}
+}
+
+/* json(text): a table, or nil. */
+static int
+l_json(lua_State *l)
+{
+	size_t n;
+	const char *p = luaL_checklstring(l, 1, &n);
+	json_t *j = json_loadb(p, n, JSON_DECODE_ANY, NULL);
+
+	if (j == NULL)
+		return (0);
+	push_json(l, j);
+	json_decref(j);
+	return (1);
+}
+
+/* sleep_ms(n), only for lib.lua's waiting loops. */
+static int
+l_sleep(lua_State *l)
+{
+	usleep((useconds_t)luaL_checkinteger(l, 1) * 1000);
+	return (0);
+}
+
+/* now_ms(): monotonic milliseconds. */
+static int
+l_now(lua_State *l)
+{
+	lua_pushnumber(l, (double)clock_mono() / 1000);
+	return (1);
+}
+
+/* raw(ip_port, bytes, close_after): sends bytes, returns what comes back. */
+static int
+l_raw(lua_State *l)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	struct timeval tv = {2, 0};
+	char ip[64], buf[4096];
+	size_t n;
+	const char *p = luaL_checklstring(l, 2, &n);
+	luaL_Buffer b;
+	ssize_t got;
+	int fd, port, leave = lua_toboolean(l, 3);
+
+	if (sscanf(luaL_checkstring(l, 1), "%63[^:]:%d", ip, &port) != 2)
+		return (luaL_error(l, "bad address"));
+	inet_pton(AF_INET, ip, &sin.sin_addr);
+	sin.sin_port = htons((uint16_t)port);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
+	luaL_buffinit(l, &b);
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0 &&
+	    write(fd, p, n) == (ssize_t)n && !leave) {
+		while ((got = read(fd, buf, sizeof(buf))) > 0)
+			luaL_addlstring(&b, buf, (size_t)got);
+	}
+	close(fd);
+	luaL_pushresult(&b);
+	return (1);
+}
+
+/* free_port(n): true where n ports from here on can be had. */
+static int
+l_ports_free(lua_State *l)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	int i, fd, ok = 1, base = (int)luaL_checkinteger(l, 1);
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	for (i = 0; i < luaL_checkinteger(l, 2) && ok; i++) {
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		sin.sin_port = htons((uint16_t)(base + i));
+		ok = bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0;
+		close(fd);
+	}
+	lua_pushboolean(l, ok);
+	return (1);
+}
+
+/* Ends whatever still runs. */
+static void
+end_all(void)
+{
+	int i;
+
+	for (i = 0; i < npids; i++) {
+		kill(pids[i], SIGKILL);
+		waitpid(pids[i], NULL, 0);
+	}
+}
+
+static const luaL_Reg functions[] = {
+    {"spawn", l_spawn},
+    {"kill", l_kill},
+    {"wait", l_wait},
+    {"http", l_http},
+    {"json", l_json},
+    {"sleep_ms", l_sleep},
+    {"now_ms", l_now},
+    {"raw", l_raw},
+    {"ports_free", l_ports_free},
+    {NULL, NULL},
+};
+
+int
+main(int argc, char **argv)
+{
+	lua_State *l;
+	int i, res = 0;
+
+	if (argc < 5)
+		errx(2, "usage: scen BUILD WORK LIB SCRIPT");
+	signal(SIGPIPE, SIG_IGN);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	l = luaL_newstate();
+	luaL_openlibs(l);
+	for (i = 0; functions[i].name != NULL; i++)
+		lua_register(l, functions[i].name, functions[i].func);
+	lua_pushstring(l, argv[1]);
+	lua_setglobal(l, "BUILD");
+	lua_pushstring(l, argv[2]);
+	lua_setglobal(l, "WORK");
+	lua_pushinteger(l, getpid());
+	lua_setglobal(l, "PID");
+	if (luaL_dofile(l, argv[3]) != 0 || luaL_dofile(l, argv[4]) != 0) {
+		fprintf(stderr, "%s\n", lua_tostring(l, -1));
+		res = 1;
+	}
+	end_all();
+	lua_close(l);
+	return (res);
+}
--- /dev/null
+++ b/regress/unit/t_cell.c
@@ -0,0 +1,417 @@
+/*
+ * The controller of a cell in virtual time: one service of 8 shards, two
+ * targets, hosts that report; a platform that can lose answers.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "cell.h"
+#include "unit.h"
+
+#define ENTRY                                                                  \
+	"{\"name\":\"s\",\"owner\":\"o\",\"class\":\"lookup\",\"shards\":8,"   \
+	"\"cells\":[{\"dcs\":[\"a\"],\"first\":0,\"last\":7,\"targets\":["     \
+	"{\"name\":\"t1\",\"dc\":\"a\",\"address\":\"127.0.0.1:1\","           \
+	"\"slots\":4%s},"                                                      \
+	"{\"name\":\"t2\",\"dc\":\"a\",\"address\":\"127.0.0.1:2\","           \
+	"\"slots\":4}]}]}"
+
+/* The platform's one object, and what was asked of it. */
+static struct {
+	uint64_t version;
+	char *json;
+	int gets;
+	char *put;
+	uint64_t base;
+	int changes;
+} plat;
+
+static struct cell c;
+static uint64_t seq;
+
+static void
+on_get(void *arg, const char *service)
+{
+	plat.gets++;
+}
+
+static void
+on_put(void *arg, const char *service, uint64_t base, char *json)
+{
+	free(plat.put);
+	plat.put = json;
+	plat.base = base;
+}
+
+static void
+on_changed(void *arg)
+{
+	plat.changes++;
+}
+
+static void
+on_event(void *arg, const char *what)
+{
+}
+
+static const struct cell_out out = {on_get, on_put, on_changed, on_event};
+
+/* Takes the open write into the platform; true where its base fits. */
+static int
+land(void)
+{
+	if (plat.put == NULL || plat.base != plat.version)
+		return (0);
+	free(plat.json);
+	plat.json = plat.put;
+	plat.put = NULL;
+	plat.version++;
+	return (1);
+}
+
+/* The platform works off what was asked, and answers. */
+static void
+serve(usec now)
+{
+	if (plat.gets > 0) {
+		plat.gets = 0;
+		cell_got(&c, now, "s", plat.json != NULL, plat.version,
+		    plat.json, plat.json == NULL ? 0 : strlen(plat.json));
+	}
+	if (plat.put != NULL) {
+		if (land())
+			cell_put_ended(&c, now, "s", PUT_DONE, plat.version);
+		else
+			cell_put_ended(
+			    &c, now, "s", PUT_CONFLICT, plat.version);
+	}
+}
+
+/* One host's report on both targets, and its lease. */
+struct say {
+	const char *host;
+	uint64_t boot;
+	int down[2];	/* reported down and dormant */
+	int dormant[2]; /* answering again, nothing granted */
+	int silent[2];	/* not spoken of */
+	uint64_t epoch[2];
+	uint64_t ack;
+	int stopping;
+	const Gspar__Freed *freed;
+	int nduties;
+};
+
+static void
+report(struct say *h, usec now)
+{
+	static char *names[] = {(char *)"t1", (char *)"t2"};
+	Gspar__LeaseAsk ask = GSPAR__LEASE_ASK__INIT;
+	Gspar__LeaseGive give = GSPAR__LEASE_GIVE__INIT;
+	Gspar__TargetState ts[2], *list[2];
+	Gspar__Freed *freed = (Gspar__Freed *)h->freed;
+	Gspar__Duty duties[4];
+	int i, n;
+
+	ask.boot = h->boot;
+	ask.dc = (char *)"a";
+	ask.seq = ++seq;
+	ask.ack = h->ack;
+	ask.stopping = h->stopping;
+	ask.targets = list;
+	for (i = 0; i < 2; i++) {
+		if (h->silent[i] || h->epoch[i] == 0)
+			continue;
+		gspar__target_state__init(&ts[i]);
+		ts[i].target = names[i];
+		ts[i].epoch = h->epoch[i];
+		ts[i].granted = !h->down[i] && !h->dormant[i];
+		ts[i].up = !h->down[i];
+		if (i == 0 && freed != NULL) {
+			ts[i].freed = &freed;
+			ts[i].n_freed = 1;
+		}
+		list[ask.n_targets++] = &ts[i];
+	}
+	cell_asked(&c, now, h->host, &ask);
+	cell_tick(&c, now, 1);
+	serve(now);
+	n = cell_give(&c, now, h->host, &ask, &give, duties, 4);
+	h->nduties = n;
+	for (i = 0; i < n; i++)
+		h->epoch[strcmp(duties[i].target, "t2") == 0] = duties[i].epoch;
+	h->ack = seq;
+}
+
+/* Takes the entry in force; leaving marks t1. */
+static void
+configure(const char *leaving)
+{
+	char text[2000], why[200];
+	struct entry *e;
+
+	snprintf(text, sizeof(text), ENTRY, leaving);
+	e = entry_parse(text, strlen(text), why, sizeof(why));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(e);
+	CU_ASSERT_EQUAL(cell_configure(&c, e), 0);
+	entry_free(e);
+}
+
+/* A cell that has placed its shards, with host h dispatching for both. */
+static void
+start(struct say *h)
+{
+	struct cell_conf_times times = {MS(1300), MS(200)};
+	usec now;
+
+	free(plat.json);
+	free(plat.put);
+	memset(&plat, 0, sizeof(plat));
+	cell_free(&c);
+	cell_init(&c, "a", &times, &out, NULL, 99);
+	configure("");
+	cell_begin(&c, 1, 0);
+	for (now = MS(10); now < MS(3000); now += MS(50)) {
+		cell_tick(&c, now, now > MS(1400));
+		serve(now);
+		if (now > MS(1400))
+			report(h, now);
+	}
+}
+
+static int
+owned_by(const char *target)
+{
+	uint32_t i;
+	int n = 0;
+
+	for (i = 0; i < 8; i++) {
+		if (c.services[0].owner[i] != NOBODY &&
+		    strcmp(c.targets[c.services[0].owner[i]].conf.name,
+			target) == 0)
+			n++;
+	}
+	return (n);
+}
+
+/* At first the shards are spread evenly, each with a fence. */
+static void
+places_evenly(void)
+{
+	struct say h = {.host = "h1", .boot = 1};
+
+	start(&h);
+	CU_ASSERT_EQUAL(h.nduties, 2);
+	CU_ASSERT_EQUAL(owned_by("t1"), 4);
+	CU_ASSERT_EQUAL(owned_by("t2"), 4);
+	CU_ASSERT(c.services[0].fence[0] > 0);
+}
+
+/*
+ * A target is reported down with nothing granted: its shards go to the other
+ * under higher fences, and stay there when it comes back.
+ */
+static void
+lost_target_is_replaced(void)
+{
+	struct say h = {.host = "h1", .boot = 1};
+	uint64_t fence, epoch;
+	usec now;
+
+	start(&h);
+	fence = c.services[0].top_fence;
+	epoch = h.epoch[0];
+	h.down[0] = 1;
+	report(&h, MS(3100));
+	report(&h, MS(3150));
+	CU_ASSERT_EQUAL(owned_by("t2"), 8);
+	CU_ASSERT(c.services[0].top_fence > fence);
+	h.down[0] = 0;
+	h.dormant[0] = 1;
+	for (now = MS(3200); now < MS(3400); now += MS(50))
+		report(&h, now);
+	CU_ASSERT_EQUAL(owned_by("t1"), 0);
+	CU_ASSERT(h.epoch[0] > epoch);
+}
+
+/*
+ * The dispatcher of t1 dies unheard.  Only once its lease has surely lapsed
+ * does another host get the target.
+ */
+static void
+dead_host_is_waited_for(void)
+{
+	struct say h = {.host = "h1", .boot = 1};
+	struct say h2 = {.host = "h2", .boot = 2};
+	usec now, last = 0;
+
+	start(&h);
+	report(&h, MS(3100));
+	for (now = MS(3150); now < MS(6000); now += MS(50)) {
+		report(&h2, now);
+		if (h2.nduties > 0)
+			break;
+		last = now;
+	}
+	CU_ASSERT(now > MS(3100 + 1300));
+	CU_ASSERT(now < MS(3100 + 1500));
+	CU_ASSERT(last > 0);
+}
+
+/* Silence before the duty was read is no release; after it, it is. */
+static void
+early_silence_is_no_release(void)
+{
+	struct say h = {.host = "h1", .boot = 1};
+	struct say h2 = {.host = "h2", .boot = 2};
+
+	start(&h);
+	h.silent[0] = h.silent[1] = 1;
+	h.ack = 0;
+	report(&h, MS(3100));
+	report(&h2, MS(3110));
+	CU_ASSERT_EQUAL(h2.nduties, 0);
+	report(&h, MS(3150));
+	CU_ASSERT(c.targets[0].disp == NOBODY || h2.nduties >= 0);
+}
+
+/* A host that stops has its targets handed to another, without a lapse. */
+static void
+stopping_host_hands_over(void)
+{
+	struct say h = {.host = "h1", .boot = 1};
+	struct say h2 = {.host = "h2", .boot = 2};
+	int i;
+
+	start(&h);
+	report(&h2, MS(3050));
+	h.stopping = 1;
+	report(&h, MS(3100));
+	report(&h, MS(3150));
+	CU_ASSERT_EQUAL(h.nduties, 0);
+	h.silent[0] = h.silent[1] = 1;
+	report(&h, MS(3200));
+	for (i = 0; i < 2; i++)
+		report(&h2, MS(3210 + i));
+	CU_ASSERT_EQUAL(h2.nduties, 2);
+}
+
+/* A leaving target's shards move once released, not before. */
+static void
+leaving_target_drains(void)
+{
+	struct say h = {.host = "h1", .boot = 1};
+	Gspar__Freed f = GSPAR__FREED__INIT;
+	uint32_t shards[8], i;
+
+	start(&h);
+	configure(",\"leaving\":true");
+	report(&h, MS(3100));
+	CU_ASSERT_EQUAL(owned_by("t1"), 4);
+	for (i = 0; i < 8; i++)
+		shards[i] = i;
+	f.service = (char *)"s";
+	f.shards = shards;
+	f.n_shards = 8;
+	/* A release under an older view does not count. */
+	f.view = c.term << 32 | (c.view_seq - 1);
+	h.freed = &f;
+	report(&h, MS(3150));
+	CU_ASSERT_EQUAL(owned_by("t1"), 4);
+	f.view = c.term << 32 | c.view_seq;
+	report(&h, MS(3200));
+	report(&h, MS(3250));
+	CU_ASSERT_EQUAL(owned_by("t2"), 8);
+}
+
+/* The write took effect, its answer was lost: found by its id, not repeated. */
+static void
+lost_answer(void)
+{
+	struct say h = {.host = "h1", .boot = 1};
+	uint64_t version;
+
+	start(&h);
+	version = plat.version;
+	h.down[0] = 1;
+	c.targets[0].granted = 0;
+	c.targets[0].up = 0;
+	c.targets[0].reported = 1;
+	cell_tick(&c, MS(3100), 1);
+	CU_ASSERT_PTR_NOT_NULL(plat.put);
+	CU_ASSERT(land());
+	cell_put_ended(&c, MS(3110), "s", PUT_LOST, 0);
+	CU_ASSERT_EQUAL(owned_by("t2"), 4);
+	cell_tick(&c, MS(3400), 1);
+	serve(MS(3410));
+	CU_ASSERT_EQUAL(owned_by("t2"), 8);
+	CU_ASSERT_EQUAL(plat.version, version + 1);
+}
+
+/*
+ * An earlier controller wakes in the middle of a move and its write arrives
+ * after this one's claim: the platform refuses it, whatever it held.
+ */
+static void
+claim_kills_earlier_writes(void)
+{
+	struct say h = {.host = "h1", .boot = 1};
+	uint64_t base;
+
+	start(&h);
+	base = plat.version;
+	cell_end(&c);
+	cell_begin(&c, 2, MS(4000));
+	CU_ASSERT(!cell_ready(&c));
+	cell_tick(&c, MS(4010), 0);
+	serve(MS(4020));
+	cell_tick(&c, MS(4300), 0);
+	serve(MS(4310));
+	CU_ASSERT(cell_ready(&c));
+	CU_ASSERT(plat.version > base);
+	/* The hosts' word is taken over; no shard has moved. */
+	report(&h, MS(4320));
+	CU_ASSERT_EQUAL(h.nduties, 2);
+	CU_ASSERT_EQUAL(owned_by("t1"), 4);
+}
+
+/* Shards cannot be renumbered under running owners. */
+static void
+shards_are_fixed(void)
+{
+	struct say h = {.host = "h1", .boot = 1};
+	struct entry e;
+	struct target_conf t = {.name = "t1"};
+
+	start(&h);
+	memset(&e, 0, sizeof(e));
+	name_copy(e.name, sizeof(e.name), "s");
+	name_copy(e.cells[0].name, CELL_NAME, "a");
+	e.cells[0].last = 15;
+	e.cells[0].targets = &t;
+	e.cells[0].ntargets = 1;
+	e.ncells = 1;
+	CU_ASSERT_EQUAL(cell_configure(&c, &e), -1);
+}
+
+static const struct unit_test tests[] = {
+    {"places evenly", places_evenly},
+    {"lost target is replaced", lost_target_is_replaced},
+    {"dead host is waited for", dead_host_is_waited_for},
+    {"early silence is no release", early_silence_is_no_release},
+    {"stopping host hands over", stopping_host_hands_over},
+    {"leaving target drains", leaving_target_drains},
+    {"lost answer", lost_answer},
+    {"claim kills earlier writes", claim_kills_earlier_writes},
+    {"shards are fixed", shards_are_fixed},
+};
+
+int
+main(void)
+{
+	int res = unit_run("cell", tests, sizeof(tests) / sizeof(tests[0]));
+
+	cell_free(&c);
+	free(plat.json);
+	free(plat.put);
+	return (res);
+}
--- /dev/null
+++ b/regress/unit/t_conf.c
@@ -0,0 +1,86 @@
+/* The settings file: every fault told with its line, nothing used. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "conf.h"
+#include "unit.h"
+
+static char said[4096];
+
+static void
+bad(const char *file, int line, const char *what)
+{
+	char text[500];
+
+	snprintf(text, sizeof(text), "%d: %s\n", line, what);
+	strncat(said, text, sizeof(said) - strlen(said) - 1);
+}
+
+static struct conf c;
+
+static int
+read_text(const char *text)
+{
+	char name[] = "/tmp/gsconfXXXXXX";
+	int fd = mkstemp(name), res;
+
+	said[0] = '\0';
+	if (fd < 0 || write(fd, text, strlen(text)) < 0)
+		return (-2);
+	close(fd);
+	res = conf_read(&c, name, bad);
+	unlink(name);
+	return (res);
+}
+
+#define GOOD                                                                   \
+	"[host]\nname = h1\ndc = aarhus\n[listen]\n"                           \
+	"callers = 127.0.0.1:80\npeers = [::1]:81\nadmin = 127.0.0.1:82\n"     \
+	"[platform]\naddress = 127.0.0.1:83\n"
+
+static void
+good(void)
+{
+	CU_ASSERT_EQUAL(read_text(GOOD), 0);
+	CU_ASSERT_STRING_EQUAL(c.host, "h1");
+	CU_ASSERT_STRING_EQUAL(c.peers, "[::1]:81");
+	CU_ASSERT_EQUAL(c.control_lease_ms, 700);
+	CU_ASSERT_EQUAL(read_text(GOOD "[leases]\nhost_ms = 2000\n"), 0);
+	CU_ASSERT_EQUAL(c.host_lease_ms, 2000);
+}
+
+static void
+faults(void)
+{
+	static const struct {
+		const char *text, *says;
+	} f[] = {
+	    {GOOD "[leases]\nhost_ms = 99999999\n", "11: host_ms: '99999999'"},
+	    {GOOD "[leases]\nhost_ms = x\n", "allowed: 300 to 10000"},
+	    {GOOD "[leases]\nrenew_ms = 500\n", "a third of control_ms"},
+	    {GOOD "[leases]\ngrant_ms = 1400\n", "at most host_ms"},
+	    {GOOD "[leases]\nfoo = 1\n", "11: unknown key 'foo'"},
+	    {GOOD "[lease]\nfoo = 1\n", "unknown section [lease]"},
+	    {GOOD "[host]\nname = h2\n", "name: set twice"},
+	    {"[host]\nname = h 1\n", "2: name: 'h 1' is no name"},
+	    {"[listen]\npeers = db.example:80\n", "2: peers: 'db.example:80'"},
+	    {"[listen]\npeers = 127.0.0.1:0\n", "is no address"},
+	    {"[listen]\npeers = 127.0.0.1\n", "is no address"},
+	    {"[host]\nname\n", "neither section"},
+	    {"[host]\nname = h1\n", "missing: address in section [platform]"},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(f) / sizeof(f[0]); i++) {
+		CU_ASSERT_EQUAL(read_text(f[i].text), -1);
+		CU_ASSERT_PTR_NOT_NULL(strstr(said, f[i].says));
+	}
+	said[0] = '\0';
+	CU_ASSERT_EQUAL(conf_read(&c, "/nowhere/at.all", bad), -1);
+	CU_ASSERT_PTR_NOT_NULL(strstr(said, "cannot be read"));
+}
+
+static const struct unit_test tests[] = {{"good", good}, {"faults", faults}};
+UNIT_MAIN("conf", tests)
--- /dev/null
+++ b/regress/unit/t_grant.c
@@ -0,0 +1,128 @@
+/* The grant of a target: never past the host's lease, never revived. */
+#include "grant.h"
+#include "unit.h"
+
+static const struct grant_conf conf = {MS(900), MS(200)};
+
+/* A target answers what is sent, at once. */
+static enum grant_step
+step(struct grant *g, usec now, usec lease, int64_t *until)
+{
+	enum grant_step s = grant_next(g, now, lease, until);
+
+	if (s != STEP_NONE)
+		grant_heard(g, now, s, 1, 1000000 + now, 5);
+	return (s);
+}
+
+/* Clock first, then the whole grant, then renewals. */
+static void
+in_order(void)
+{
+	struct grant g;
+	int64_t until = 0;
+
+	grant_init(&g, &conf, 1, MS(0));
+	CU_ASSERT_EQUAL(step(&g, MS(300), MS(9000), &until), STEP_CLOCK);
+	CU_ASSERT_EQUAL(step(&g, MS(301), MS(9000), &until), STEP_FULL);
+	CU_ASSERT(until > 1000000 + MS(301));
+	CU_ASSERT(until <= 1000000 + MS(301 + 900));
+	CU_ASSERT(grant_serves(&g, MS(302)));
+	CU_ASSERT_EQUAL(step(&g, MS(302), MS(9000), &until), STEP_NONE);
+	CU_ASSERT_EQUAL(step(&g, MS(501), MS(9000), &until), STEP_RENEW);
+	g.want++;
+	CU_ASSERT(!grant_serves(&g, MS(502)));
+	CU_ASSERT_EQUAL(step(&g, MS(502), MS(9000), &until), STEP_FULL);
+}
+
+/* No grant ends after the lease it hangs from; none without a lease. */
+static void
+within_the_lease(void)
+{
+	struct grant g;
+	int64_t until = 0;
+
+	grant_init(&g, &conf, 1, 0);
+	step(&g, MS(300), MS(1000), &until);
+	CU_ASSERT_EQUAL(step(&g, MS(700), MS(1000), &until), STEP_FULL);
+	CU_ASSERT(until <= 1000000 + MS(1000));
+	CU_ASSERT_EQUAL(step(&g, MS(1001), MS(1000), &until), STEP_NONE);
+	CU_ASSERT(!grant_serves(&g, MS(1001)));
+}
+
+/*
+ * The target freezes; its grant lapses and it is reported so.  It thaws and
+ * answers: nothing is granted again until a later epoch allows it.
+ */
+static void
+thawed_target_gets_nothing(void)
+{
+	struct grant g;
+	int64_t until = 0;
+	usec now;
+
+	grant_init(&g, &conf, 1, 0);
+	step(&g, MS(300), MS(99000), &until);
+	step(&g, MS(301), MS(99000), &until);
+	for (now = MS(501); now < MS(2000); now += MS(50)) {
+		if (grant_next(&g, now, MS(99000), &until) != STEP_NONE)
+			grant_failed(&g, now);
+		if (g.phase == GRANT_DORMANT)
+			break;
+	}
+	CU_ASSERT_EQUAL(g.phase, GRANT_DORMANT);
+	CU_ASSERT(!grant_live(&g, now));
+	CU_ASSERT(now > MS(301 + 890));
+	CU_ASSERT_EQUAL(step(&g, MS(3000), MS(99000), &until), STEP_CLOCK);
+	CU_ASSERT_EQUAL(step(&g, MS(3300), MS(99000), &until), STEP_CLOCK);
+	CU_ASSERT(!grant_serves(&g, MS(3300)));
+	grant_epoch(&g, 2, MS(3400));
+	step(&g, MS(3600), MS(99000), &until);
+	CU_ASSERT_EQUAL(step(&g, MS(3900), MS(99000), &until), STEP_FULL);
+	CU_ASSERT(grant_serves(&g, MS(3901)));
+}
+
+/* A restarted target has forgotten its shards and is told them whole. */
+static void
+restart_is_noticed(void)
+{
+	struct grant g;
+	int64_t until = 0;
+
+	grant_init(&g, &conf, 1, 0);
+	step(&g, MS(300), MS(99000), &until);
+	step(&g, MS(301), MS(99000), &until);
+	CU_ASSERT_EQUAL(grant_next(&g, MS(600), MS(99000), &until), STEP_RENEW);
+	grant_heard(&g, MS(600), STEP_RENEW, 0, 77, 6);
+	CU_ASSERT(!grant_serves(&g, MS(601)));
+	CU_ASSERT_EQUAL(step(&g, MS(801), MS(99000), &until), STEP_FULL);
+}
+
+/* A grant that was not answered may still arrive: no release is sure yet. */
+static void
+lost_grant_leaves_doubt(void)
+{
+	struct grant g;
+	int64_t until = 0;
+
+	grant_init(&g, &conf, 1, 0);
+	step(&g, MS(300), MS(99000), &until);
+	step(&g, MS(301), MS(99000), &until);
+	CU_ASSERT(grant_exact(&g, MS(302)));
+	g.want++;
+	CU_ASSERT_EQUAL(grant_next(&g, MS(600), MS(99000), &until), STEP_FULL);
+	grant_failed(&g, MS(900));
+	CU_ASSERT_EQUAL(step(&g, MS(901), MS(99000), &until), STEP_CLOCK);
+	CU_ASSERT_EQUAL(step(&g, MS(902), MS(99000), &until), STEP_FULL);
+	CU_ASSERT(!grant_exact(&g, MS(903)));
+	CU_ASSERT(grant_exact(&g, MS(1502)));
+}
+
+static const struct unit_test tests[] = {
+    {"in order", in_order},
+    {"within the lease", within_the_lease},
+    {"thawed target gets nothing", thawed_target_gets_nothing},
+    {"restart is noticed", restart_is_noticed},
+    {"lost grant leaves doubt", lost_grant_leaves_doubt},
+};
+UNIT_MAIN("grant", tests)
--- /dev/null
+++ b/regress/unit/t_lease.c
@@ -0,0 +1,87 @@
+/*
+ * A lease's holder must stop before its granter gives the keys to another,
+ * however long either message was on its way and if clocks drift.
+ */
+#include "lease.h"
+#include "hostlease.h"
+#include "unit.h"
+
+/* The answer took 200 ms on its way: the holder still stops first. */
+static void
+holder_stops_first(void)
+{
+	usec asked = MS(1000), answered = MS(1150), len = MS(1300);
+
+	CU_ASSERT(
+	    lease_holder_end(asked, len) < lease_granter_end(answered, len));
+	CU_ASSERT(
+	    lease_holder_end(answered, len) < lease_granter_end(answered, len));
+}
+
+/* The margins cover clocks that run apart by one in a thousand. */
+static void
+margins_cover_drift(void)
+{
+	usec len = MS(100000), end = lease_holder_end(0, len);
+
+	CU_ASSERT(end + end / 1000 <= lease_granter_end(0, len));
+}
+
+/*
+ * A frozen target reads a renewal long after it was sent: its expiry is a
+ * moment of its own clock that is past by then.
+ */
+static void
+late_renewal_is_past(void)
+{
+	int64_t there = 5000000, until;
+
+	until = grant_expiry(there, MS(100), MS(1000));
+	CU_ASSERT(until > there);
+	CU_ASSERT(until <= there + MS(900));
+	/* Thawed three seconds later, by its own clock. */
+	CU_ASSERT(until < there + MS(3000));
+	CU_ASSERT_EQUAL(grant_expiry(there, MS(1000), MS(1000)), 0);
+	CU_ASSERT_EQUAL(grant_expiry(there, MS(1000), MS(900)), 0);
+}
+
+/* The host's lease counts from when it asked, not from the answer. */
+static void
+host_counts_from_asking(void)
+{
+	struct hostlease h = {.term = 0};
+	uint64_t seq;
+
+	seq = hostlease_ask(&h, MS(1000), MS(200));
+	CU_ASSERT(hostlease_given(&h, MS(1900), "c", 1, seq, MS(1300)));
+	CU_ASSERT(h.until < MS(2300));
+}
+
+/*
+ * A controller of an earlier term wakes and answers: refused, for a later one
+ * may already give this host's targets to others.
+ */
+static void
+earlier_term_is_refused(void)
+{
+	struct hostlease h = {.term = 0};
+	uint64_t a, b;
+
+	a = hostlease_ask(&h, MS(0), MS(200));
+	CU_ASSERT(hostlease_given(&h, MS(1), "new", 2, a, MS(1300)));
+	b = hostlease_ask(&h, MS(200), MS(200));
+	CU_ASSERT(!hostlease_given(&h, MS(201), "old", 1, b, MS(1300)));
+	CU_ASSERT(h.until < MS(1300));
+	CU_ASSERT_STRING_EQUAL(h.controller, "new");
+	CU_ASSERT(!hostlease_hint(&h, "old", 1));
+	CU_ASSERT(!hostlease_given(&h, MS(300), "new", 2, 99, MS(1300)));
+}
+
+static const struct unit_test tests[] = {
+    {"holder stops first", holder_stops_first},
+    {"margins cover drift", margins_cover_drift},
+    {"late renewal is past", late_renewal_is_past},
+    {"host counts from asking", host_counts_from_asking},
+    {"earlier term is refused", earlier_term_is_refused},
+};
+UNIT_MAIN("lease", tests)
--- /dev/null
+++ b/regress/unit/t_once.c
@@ -0,0 +1,146 @@
+/* Tickets: a request runs once, and what nobody can vouch for is unknown. */
+#include <stdio.h>
+#include <string.h>
+
+#include "once.h"
+#include "unit.h"
+
+static int dropped;
+
+static void
+drop(void *p)
+{
+	dropped++;
+}
+
+/* First seen runs, a repeat joins, a repeat of the ended replays. */
+static void
+runs_joins_replays(void)
+{
+	struct once o;
+	char t[TICKET_TEXT];
+	uint64_t n;
+	void *v = NULL;
+	int run = 1, ended = 2;
+
+	once_init(&o, 7, 8, drop);
+	once_ticket(&o, t);
+	CU_ASSERT_EQUAL(once_ask(&o, t, &n, &v), ONCE_RUN);
+	once_running(&o, n, &run);
+	CU_ASSERT_EQUAL(once_ask(&o, t, &n, &v), ONCE_JOIN);
+	CU_ASSERT_PTR_EQUAL(v, &run);
+	once_ended(&o, n, &ended);
+	CU_ASSERT_EQUAL(once_ask(&o, t, &n, &v), ONCE_REPLAY);
+	CU_ASSERT_PTR_EQUAL(v, &ended);
+	once_free(&o);
+	CU_ASSERT_EQUAL(dropped, 1);
+}
+
+/* Known not to have run: the ticket may be used again. */
+static void
+not_run_may_run(void)
+{
+	struct once o;
+	char t[TICKET_TEXT];
+	uint64_t n;
+	void *v;
+
+	once_init(&o, 7, 8, NULL);
+	once_ticket(&o, t);
+	once_ask(&o, t, &n, &v);
+	once_running(&o, n, NULL);
+	once_forget(&o, n);
+	CU_ASSERT_EQUAL(once_ask(&o, t, &n, &v), ONCE_RUN);
+	once_free(&o);
+}
+
+/*
+ * The table died with its host; the next one did not issue the ticket and
+ * cannot know whether it was used: never a second run.
+ */
+static void
+strange_table_cannot_vouch(void)
+{
+	struct once a, b;
+	char t[TICKET_TEXT];
+	uint64_t n;
+	void *v;
+
+	once_init(&a, 7, 8, NULL);
+	once_init(&b, 8, 8, NULL);
+	once_ticket(&a, t);
+	once_ticket(&b, (char[TICKET_TEXT]){0});
+	CU_ASSERT_EQUAL(once_ask(&b, t, &n, &v), ONCE_STRANGE);
+	once_free(&a);
+	once_free(&b);
+}
+
+/* What was forgotten for want of room is not run again either. */
+static void
+forgotten_is_strange(void)
+{
+	struct once o;
+	char t[20][TICKET_TEXT];
+	uint64_t n;
+	void *v;
+	int i;
+
+	once_init(&o, 7, 8, NULL);
+	for (i = 0; i < 20; i++) {
+		once_ticket(&o, t[i]);
+		CU_ASSERT_EQUAL(once_ask(&o, t[i], &n, &v), ONCE_RUN);
+		once_running(&o, n, NULL);
+		once_ended(&o, n, NULL);
+	}
+	for (i = 0; i < 20; i++)
+		CU_ASSERT_EQUAL(once_ask(&o, t[i], &n, &v),
+		    i < 12 ? ONCE_STRANGE : ONCE_REPLAY);
+	once_free(&o);
+}
+
+/* No room while the older of two still runs: refused, not forgotten. */
+static void
+running_is_never_forgotten(void)
+{
+	struct once o;
+	char t[9][TICKET_TEXT];
+	uint64_t n;
+	void *v;
+	int i;
+
+	once_init(&o, 7, 8, NULL);
+	for (i = 0; i < 9; i++)
+		once_ticket(&o, t[i]);
+	once_ask(&o, t[0], &n, &v);
+	once_running(&o, n, NULL);
+	CU_ASSERT_EQUAL(once_ask(&o, t[8], &n, &v), ONCE_FULL);
+	CU_ASSERT_EQUAL(once_ask(&o, t[0], &n, &v), ONCE_JOIN);
+	once_free(&o);
+}
+
+/* What is no ticket, or none this table ever issued, is told so. */
+static void
+bad_tickets(void)
+{
+	static const char *const bad[] = {"", "abc", "gs1-", "gs1-zz-1",
+	    "gs1-0000000000000007-1x", "gs1-0000000000000007-99"};
+	struct once o;
+	uint64_t n;
+	void *v;
+	size_t i;
+
+	once_init(&o, 7, 8, NULL);
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		CU_ASSERT_EQUAL(once_ask(&o, bad[i], &n, &v), ONCE_BAD);
+	once_free(&o);
+}
+
+static const struct unit_test tests[] = {
+    {"runs, joins, replays", runs_joins_replays},
+    {"not run may run", not_run_may_run},
+    {"strange table cannot vouch", strange_table_cannot_vouch},
+    {"forgotten is strange", forgotten_is_strange},
+    {"running is never forgotten", running_is_never_forgotten},
+    {"bad tickets", bad_tickets},
+};
+UNIT_MAIN("once", tests)
--- /dev/null
+++ b/regress/unit/t_place.c
@@ -0,0 +1,119 @@
+/* Placing shards: least full first, few moves, none for noise. */
+#include <string.h>
+
+#include "place.h"
+#include "unit.h"
+
+#define N 4
+#define SHARDS 40
+
+static struct place_target t[N];
+static int owner[SHARDS];
+static double load[SHARDS];
+static uint8_t fixed[SHARDS];
+static struct place_move moves[64];
+
+/* All shards spread evenly, each with the load. */
+static void
+even(double each)
+{
+	int i;
+
+	memset(fixed, 0, sizeof(fixed));
+	for (i = 0; i < N; i++)
+		t[i] = (struct place_target){1, 4, 0, 0};
+	for (i = 0; i < SHARDS; i++) {
+		owner[i] = i % N;
+		load[i] = each;
+		t[i % N].load += each;
+		t[i % N].shards++;
+	}
+}
+
+static int
+balance(double tolerance, int max)
+{
+	return (place_balance(
+	    t, N, owner, load, fixed, SHARDS, tolerance, moves, max));
+}
+
+static void
+picks_least_full(void)
+{
+	even(0.1);
+	t[2].load = 0;
+	CU_ASSERT_EQUAL(place_pick(t, N), 2);
+	t[2].usable = 0;
+	CU_ASSERT_NOT_EQUAL(place_pick(t, N), 2);
+	t[0].usable = t[1].usable = t[3].usable = 0;
+	CU_ASSERT_EQUAL(place_pick(t, N), -1);
+}
+
+/* Even load moves nothing; neither does what lies within the tolerance. */
+static void
+noise_moves_nothing(void)
+{
+	even(0.1);
+	CU_ASSERT_EQUAL(balance(1.2, 8), 0);
+	load[0] += 0.1;
+	t[0].load += 0.1;
+	CU_ASSERT_EQUAL(balance(1.2, 8), 0);
+}
+
+/* A hot target sheds to the least full, and the imbalance falls. */
+static void
+hot_target_sheds(void)
+{
+	double before;
+	int i, n;
+
+	even(0.05);
+	for (i = 0; i < SHARDS; i += N) {
+		load[i] = 0.3;
+		t[0].load += 0.25;
+	}
+	before = place_imbalance(t, N);
+	n = balance(1.2, 8);
+	CU_ASSERT(n > 0 && n <= 8);
+	for (i = 0; i < n; i++) {
+		CU_ASSERT_EQUAL(moves[i].from, 0);
+		CU_ASSERT_NOT_EQUAL(moves[i].to, 0);
+	}
+	CU_ASSERT(place_imbalance(t, N) < before / 1.5);
+}
+
+/* One shard is all the load: moving it would only move the heat. */
+static void
+one_hot_shard_stays(void)
+{
+	even(0.0);
+	load[0] = 3;
+	t[0].load = 3;
+	owner[4] = 1;
+	t[0].shards = 1;
+	for (int i = 4; i < SHARDS; i += N)
+		owner[i] = 1;
+	CU_ASSERT_EQUAL(balance(1.2, 8), 0);
+}
+
+/* Shards under way are not touched. */
+static void
+fixed_stay(void)
+{
+	even(0.05);
+	for (int i = 0; i < SHARDS; i += N) {
+		load[i] = 0.3;
+		t[0].load += 0.25;
+		fixed[i] = 1;
+	}
+	CU_ASSERT_EQUAL(balance(1.2, 8), 0);
+}
+
+static const struct unit_test tests[] = {
+    {"picks least full", picks_least_full},
+    {"noise moves nothing", noise_moves_nothing},
+    {"hot target sheds", hot_target_sheds},
+    {"one hot shard stays", one_hot_shard_stays},
+    {"fixed stay", fixed_stay},
+};
+UNIT_MAIN("place", tests)
--- /dev/null
+++ b/regress/unit/t_queue.c
@@ -0,0 +1,161 @@
+/* The queue of a target: bounds, deadlines, fairness, the slot kept free. */
+#include <string.h>
+
+#include "queue.h"
+#include "result.h"
+#include "unit.h"
+
+static int
+any(const struct job *j, void *arg)
+{
+	return (1);
+}
+
+static int
+not_shard(const struct job *j, void *arg)
+{
+	return (j->shard != *(int *)arg);
+}
+
+static struct job
+job(uint64_t caller, usec deadline, int is_long)
+{
+	struct job j;
+
+	memset(&j, 0, sizeof(j));
+	j.caller = caller;
+	j.deadline = deadline;
+	j.is_long = is_long;
+	return (j);
+}
+
+/* Full: refused on arrival, with when to come back. */
+static void
+bounded(void)
+{
+	struct queue q;
+	struct job j[3] = {
+	    job(1, MS(9999), 0), job(1, MS(9999), 0), job(1, MS(9999), 0)};
+	usec retry;
+
+	queue_init(&q, 1, 2);
+	CU_ASSERT_EQUAL(queue_add(&q, &j[0], 0, &retry), GS_OK);
+	CU_ASSERT_EQUAL(queue_add(&q, &j[1], 0, &retry), GS_OK);
+	CU_ASSERT_EQUAL(queue_add(&q, &j[2], 0, &retry), GS_BUSY);
+	CU_ASSERT(retry > 0);
+}
+
+/* What cannot start in time is refused at once, not held to its deadline. */
+static void
+refuses_what_cannot_start(void)
+{
+	struct queue q;
+	struct job j[12];
+	usec retry;
+	int i;
+
+	queue_init(&q, 1, 100);
+	q.mean[0] = MS(100);
+	for (i = 0; i < 10; i++) {
+		j[i] = job(1, MS(99999), 0);
+		CU_ASSERT_EQUAL(queue_add(&q, &j[i], 0, &retry), GS_OK);
+	}
+	j[10] = job(1, MS(500), 0);
+	CU_ASSERT_EQUAL(queue_add(&q, &j[10], 0, &retry), GS_TOO_LATE);
+	CU_ASSERT(retry >= MS(1000));
+}
+
+/* Long work never fills the last slot. */
+static void
+keeps_a_slot(void)
+{
+	struct queue q;
+	struct job l[3] = {
+	    job(1, MS(9999), 1), job(1, MS(9999), 1), job(1, MS(9999), 1)};
+	struct job s = job(2, MS(9999), 0);
+	usec retry;
+	int i;
+
+	queue_init(&q, 2, 10);
+	for (i = 0; i < 3; i++)
+		queue_add(&q, &l[i], 0, &retry);
+	queue_add(&q, &s, 0, &retry);
+	CU_ASSERT_PTR_EQUAL(queue_next(&q, 0, any, NULL), &l[0]);
+	CU_ASSERT_PTR_EQUAL(queue_next(&q, 0, any, NULL), &s);
+	CU_ASSERT_PTR_NULL(queue_next(&q, 0, any, NULL));
+	queue_done(&q, &s, MS(1));
+	CU_ASSERT_PTR_NULL(queue_next(&q, 0, any, NULL));
+	queue_done(&q, &l[0], MS(1));
+	CU_ASSERT_PTR_EQUAL(queue_next(&q, 0, any, NULL), &l[1]);
+}
+
+/* A caller that asks a hundred times waits behind another's first. */
+static void
+fair_among_callers(void)
+{
+	struct queue q;
+	struct job a[100], b = job(2, MS(9999), 0);
+	usec retry;
+	int i, first = -1;
+
+	queue_init(&q, 1, 200);
+	q.mean[0] = 1;
+	for (i = 0; i < 100; i++) {
+		a[i] = job(1, MS(9999), 0);
+		queue_add(&q, &a[i], 0, &retry);
+	}
+	queue_add(&q, &b, 0, &retry);
+	for (i = 0; i < 101 && first < 0; i++) {
+		struct job *j = queue_next(&q, 0, any, NULL);
+
+		if (j == &b)
+			first = i;
+		queue_done(&q, j, 1);
+	}
+	CU_ASSERT(first >= 0 && first <= 2);
+}
+
+/* A moving shard's jobs wait; the others pass them. */
+static void
+moving_shards_wait(void)
+{
+	struct queue q;
+	struct job a = job(1, MS(9999), 0), b = job(1, MS(9999), 0);
+	int moving = 5;
+	usec retry;
+
+	queue_init(&q, 4, 10);
+	a.shard = 5;
+	b.shard = 6;
+	queue_add(&q, &a, 0, &retry);
+	queue_add(&q, &b, 0, &retry);
+	CU_ASSERT_PTR_EQUAL(queue_next(&q, 0, not_shard, &moving), &b);
+	CU_ASSERT_PTR_NULL(queue_next(&q, 0, not_shard, &moving));
+	CU_ASSERT_PTR_EQUAL(queue_next(&q, 0, any, NULL), &a);
+}
+
+/* Past its deadline a job never starts, and is found to be ended. */
+static void
+late_jobs_do_not_start(void)
+{
+	struct queue q;
+	struct job a = job(1, MS(100), 0);
+	usec retry;
+
+	queue_init(&q, 4, 10);
+	queue_add(&q, &a, 0, &retry);
+	CU_ASSERT_PTR_NULL(queue_late(&q, MS(99)));
+	CU_ASSERT_PTR_NULL(queue_next(&q, MS(100), any, NULL));
+	CU_ASSERT_PTR_EQUAL(queue_late(&q, MS(100)), &a);
+	CU_ASSERT_EQUAL(q.count, 0);
+}
+
+static const struct unit_test tests[] = {
+    {"bounded", bounded},
+    {"refuses what cannot start", refuses_what_cannot_start},
+    {"keeps a slot", keeps_a_slot},
+    {"fair among callers", fair_among_callers},
+    {"moving shards wait", moving_shards_wait},
+    {"late jobs do not start", late_jobs_do_not_start},
+};
+UNIT_MAIN("queue", tests)
--- /dev/null
+++ b/regress/unit/t_shard.c
@@ -0,0 +1,35 @@
+/* Keys to shards: the same on every host and for good, and even. */
+#include <stdio.h>
+#include <string.h>
+
+#include "shard.h"
+#include "unit.h"
+
+/* Any change here would send keys to servers that do not own them. */
+static void
+fixed_for_good(void)
+{
+	CU_ASSERT_EQUAL(shard_of("lookup", "parish-1", 8, 64), 21);
+	CU_ASSERT_EQUAL(shard_of("reserve", "parish-1", 8, 64), 0);
+	CU_ASSERT_EQUAL(shard_of("lookup", "", 0, 64), 0);
+}
+
+static void
+even(void)
+{
+	int count[64] = {0}, i;
+	char key[16];
+
+	for (i = 0; i < 64000; i++) {
+		snprintf(key, sizeof(key), "k%d", i);
+		count[shard_of("lookup", key, strlen(key), 64)]++;
+	}
+	for (i = 0; i < 64; i++)
+		CU_ASSERT(count[i] > 850 && count[i] < 1150);
+}
+
+static const struct unit_test tests[] = {
+    {"fixed for good", fixed_for_good},
+    {"even", even},
+};
+UNIT_MAIN("shard", tests)
--- /dev/null
+++ b/regress/unit/t_term.c
@@ -0,0 +1,412 @@
+/*
+ * Control of a cell in virtual time: a small platform that holds one record
+ * and can be down or lose an answer, and the rules of one or two hosts.
+ */
+#include <string.h>
+
+#include "term.h"
+#include "unit.h"
+
+#define LEASE MS(700)
+#define HOST_LEASE MS(1300)
+#define RENEW MS(200)
+
+/* The platform: one record, and faults. */
+static struct {
+	int down;
+	int lose;
+	uint64_t version;
+	struct record rec;
+} store;
+
+struct node {
+	struct term t;
+	int gets;
+	int puts;
+	uint64_t base;
+	struct record put;
+	struct member asked[8];
+	int nasked;
+};
+
+static void
+on_get(void *arg)
+{
+	((struct node *)arg)->gets++;
+}
+
+static void
+on_put(void *arg, uint64_t base, const struct record *r)
+{
+	struct node *n = arg;
+
+	n->puts++;
+	n->base = base;
+	n->put = *r;
+}
+
+static void
+on_ask(void *arg, const struct member *m, uint64_t term)
+{
+	struct node *n = arg;
+
+	if (n->nasked < 8)
+		n->asked[n->nasked++] = *m;
+}
+
+static void
+on_event(void *arg, const char *what)
+{
+}
+
+static const struct term_out out = {on_get, on_put, on_ask, on_event};
+
+/* A host's process. */
+static void
+node_init(struct node *n, const char *host, uint64_t boot)
+{
+	struct term_conf c = {
+	    .lease = LEASE, .host_lease = HOST_LEASE, .renew = RENEW};
+
+	memset(n, 0, sizeof(*n));
+	name_copy(c.self.host, sizeof(c.self.host), host);
+	c.self.boot = boot;
+	term_init(&n->t, &c, &out, n, boot * 77);
+}
+
+/* The platform works off what a host asked of it. */
+static void
+serve(struct node *n, usec now)
+{
+	if (n->gets > 0) {
+		n->gets--;
+		if (store.down)
+			term_get_failed(&n->t, now);
+		else
+			term_got(&n->t, now, store.version != 0, store.version,
+			    &store.rec);
+	}
+	if (n->puts > 0) {
+		n->puts--;
+		if (store.down) {
+			term_put_ended(&n->t, now, PUT_LOST, 0);
+		} else if (n->base != store.version) {
+			term_put_ended(&n->t, now, PUT_CONFLICT, store.version);
+		} else {
+			store.rec = n->put;
+			store.version++;
+			term_put_ended(&n->t, now,
+			    store.lose ? PUT_LOST : PUT_DONE, store.version);
+			store.lose = 0;
+		}
+	}
+}
+
+/* Standby b answers what a asked. */
+static void
+promise(struct node *a, struct node *b, usec now)
+{
+	int i, yes;
+
+	for (i = 0; i < a->nasked; i++) {
+		if (b == NULL || a->asked[i].boot != b->t.conf.self.boot)
+			continue;
+		yes = term_asked(&b->t, now, a->t.rec.term, a->asked[i].boot);
+		term_promised(
+		    &a->t, now, &b->t.conf.self, a->t.rec.term, yes, now);
+	}
+	a->nasked = 0;
+}
+
+/* Runs both from a moment to another, in steps of 10 ms. */
+static void
+run(struct node *a, struct node *b, usec from, usec to)
+{
+	usec now;
+
+	for (now = from; now < to; now += MS(10)) {
+		if (a != NULL) {
+			term_tick(&a->t, now);
+			serve(a, now);
+		}
+		if (b != NULL) {
+			term_tick(&b->t, now);
+			serve(b, now);
+		}
+		if (a != NULL && b != NULL) {
+			promise(a, b, now);
+			promise(b, a, now);
+		}
+	}
+}
+
+/* Host a holds the cell, host b is its standby, at 1 s. */
+static void
+start(struct node *a, struct node *b)
+{
+	memset(&store, 0, sizeof(store));
+	node_init(a, "a", 1000);
+	node_init(b, "b", 2000);
+	run(a, NULL, 0, MS(500));
+	term_standbys(&a->t, &b->t.conf.self, 1);
+	run(a, b, MS(500), MS(1000));
+	CU_ASSERT_EQUAL(a->t.role, TERM_HOLDER);
+	CU_ASSERT_EQUAL(a->t.rec.nstandby, 1);
+	CU_ASSERT(term_may_renew(&a->t, MS(1000)));
+}
+
+/* The holder dies; its standby takes over once the record has lapsed. */
+static void
+standby_takes_over(void)
+{
+	struct node a, b;
+	usec now;
+
+	start(&a, &b);
+	for (now = MS(1000); now < MS(3000) && b.t.role != TERM_HOLDER;
+	     now += MS(10))
+		run(NULL, &b, now, now + MS(10));
+	CU_ASSERT_EQUAL(b.t.role, TERM_HOLDER);
+	/* Not before the dead holder's lease is over, and soon after. */
+	CU_ASSERT(now > a.t.lease_until);
+	CU_ASSERT(now < MS(2000));
+	CU_ASSERT_EQUAL(b.t.rec.term, a.t.rec.term + 1);
+	/* Nothing counts as lapsed before a whole host lease. */
+	CU_ASSERT(!term_settled(&b.t, now + MS(1200)));
+	CU_ASSERT(term_settled(&b.t, now + MS(1400)));
+	/* The old holder, had it only been paused, may renew nothing. */
+	CU_ASSERT(!term_may_renew(&a.t, now));
+}
+
+/* Platform down for minutes, both hosts well: control goes on, no takeover. */
+static void
+outage_changes_nothing(void)
+{
+	struct node a, b;
+	usec now;
+
+	start(&a, &b);
+	store.down = 1;
+	for (now = MS(1000); now < MS(181000); now += MS(100)) {
+		run(&a, &b, now, now + MS(100));
+		if (!term_may_renew(&a.t, now + MS(100)))
+			break;
+	}
+	CU_ASSERT(now >= MS(181000));
+	CU_ASSERT_EQUAL(b.t.role, TERM_FOLLOWER);
+	store.down = 0;
+	run(&a, &b, now, now + MS(2000));
+	CU_ASSERT_EQUAL(a.t.role, TERM_HOLDER);
+	CU_ASSERT(now + MS(1500) < a.t.lease_until);
+}
+
+/* Platform down and the standby silent: the holder stops by itself. */
+static void
+outage_and_no_promise(void)
+{
+	struct node a, b;
+
+	start(&a, &b);
+	store.down = 1;
+	run(&a, NULL, MS(1000), MS(1900));
+	CU_ASSERT(!term_may_renew(&a.t, MS(1900)));
+}
+
+/*
+ * A standby that restarted has forgotten its promise: its new process is
+ * another, and its word is not taken for the old one's.
+ */
+static void
+restarted_standby_is_another(void)
+{
+	struct node a, b, b2;
+
+	start(&a, &b);
+	node_init(&b2, "b", 2001);
+	store.down = 1;
+	run(&a, &b2, MS(1000), MS(2000));
+	CU_ASSERT(!term_may_renew(&a.t, MS(2000)));
+	CU_ASSERT_EQUAL(term_asked(&b2.t, MS(2000), a.t.rec.term, 2000), 0);
+}
+
+/* A promise counts from when it was asked for, not from when it arrived. */
+static void
+promise_counts_from_asking(void)
+{
+	struct node a, b;
+
+	start(&a, &b);
+	a.t.lease_until = 0;
+	a.t.npromises = 0;
+	term_promised(
+	    &a.t, MS(5600), &b.t.conf.self, a.t.rec.term, 1, MS(5000));
+	CU_ASSERT(term_may_renew(&a.t, MS(5650)));
+	CU_ASSERT(!term_may_renew(&a.t, MS(5700)));
+}
+
+/*
+ * The write that changes the list of standbys has no known outcome: promises
+ * of the old list alone do not do, for the new may be in force.
+ */
+static void
+open_change_needs_both_lists(void)
+{
+	struct node a, b, c;
+
+	start(&a, &b);
+	node_init(&c, "c", 3000);
+	term_standbys(&a.t, &c.t.conf.self, 1);
+	store.down = 1;
+	run(&a, &b, MS(1000), MS(1900));
+	CU_ASSERT(a.t.put_open);
+	CU_ASSERT(!term_may_renew(&a.t, MS(1900)));
+	term_promised(
+	    &a.t, MS(1900), &c.t.conf.self, a.t.rec.term, 1, MS(1890));
+	CU_ASSERT(term_may_renew(&a.t, MS(1900)));
+}
+
+/* The take-over write took effect but its answer was lost: read back. */
+static void
+lost_answer_is_read_back(void)
+{
+	struct node a, b;
+
+	start(&a, &b);
+	store.lose = 1;
+	run(NULL, &b, MS(1000), MS(3000));
+	CU_ASSERT_EQUAL(b.t.role, TERM_HOLDER);
+	CU_ASSERT_EQUAL(store.rec.term, b.t.rec.term);
+	CU_ASSERT_STRING_EQUAL(store.rec.holder.host, "b");
+}
+
+/* A standby whose own take-over write has no known outcome promises nothing. */
+static void
+unresolved_taker_promises_nothing(void)
+{
+	struct node a, b;
+	usec now;
+
+	start(&a, &b);
+	for (now = MS(1000); b.t.role != TERM_TAKING && now < MS(3000);
+	     now += MS(10)) {
+		term_tick(&b.t, now);
+		if (b.t.role != TERM_TAKING)
+			serve(&b, now);
+	}
+	CU_ASSERT_EQUAL(b.t.role, TERM_TAKING);
+	store.down = 1;
+	serve(&b, now);
+	CU_ASSERT_EQUAL(term_asked(&b.t, now, a.t.rec.term, 2000), 0);
+}
+
+/* Two take over at once: the platform lets one win, the other follows. */
+static void
+two_takers_one_wins(void)
+{
+	struct node a, b, c;
+
+	start(&a, &b);
+	node_init(&c, "c", 3000);
+	c.t.known = b.t.known = 1;
+	c.t.rec = b.t.rec = store.rec;
+	c.t.version = b.t.version = store.version;
+	c.t.rec.standby[1] = c.t.conf.self;
+	c.t.rec.nstandby = 2;
+	c.t.first_seen = b.t.first_seen = MS(1000);
+	c.t.last_seen = b.t.last_seen = MS(4000);
+	b.t.promised_until = 0;
+	term_tick(&b.t, MS(4000));
+	term_tick(&c.t, MS(4000));
+	serve(&b, MS(4001));
+	run(&c, &b, MS(4001), MS(5000));
+	CU_ASSERT_EQUAL(b.t.role, TERM_HOLDER);
+	CU_ASSERT_EQUAL(c.t.role, TERM_FOLLOWER);
+}
+
+/*
+ * The holder and its standbys are cut off with the targets; a host that is
+ * not listed reaches the platform and takes the record.  It may not count
+ * leases as lapsed by time alone: the old holder still renews by promises.
+ */
+static void
+unlisted_taker_waits_for_withdrawal(void)
+{
+	struct node a, b, c;
+
+	start(&a, &b);
+	node_init(&c, "c", 3000);
+	c.t.lonely = 1;
+	run(NULL, &c, MS(1000), MS(6000));
+	CU_ASSERT_EQUAL(c.t.role, TERM_HOLDER);
+	CU_ASSERT(!term_settled(&c.t, MS(60000)));
+	/* Some other process's word does not settle it. */
+	term_promised(&c.t, MS(6000), &a.t.conf.self, c.t.rec.term, 0, 0);
+	CU_ASSERT(!term_settled(&c.t, MS(60000)));
+	term_promised(&c.t, MS(6000), &b.t.conf.self, c.t.rec.term, 0, 0);
+	CU_ASSERT(!term_settled(&c.t, MS(6000) + LEASE + HOST_LEASE));
+	CU_ASSERT(term_settled(&c.t, MS(6050) + LEASE + HOST_LEASE));
+	/* And the standby has withdrawn: no promise under the old term. */
+	CU_ASSERT(term_asked(&b.t, MS(6000), c.t.rec.term, 2000));
+	CU_ASSERT_EQUAL(term_asked(&b.t, MS(6100), a.t.rec.term, 2000), 0);
+}
+
+/* Cut off from the platform alone: the standby stops promising, takes over. */
+static void
+holder_cut_off_alone(void)
+{
+	struct node a, b;
+	usec now;
+
+	start(&a, &b);
+	for (now = MS(1000); now < MS(9000) && b.t.role != TERM_HOLDER;
+	     now += MS(10)) {
+		term_tick(&a.t, now);
+		if (a.gets > 0) {
+			a.gets = 0;
+			term_get_failed(&a.t, now);
+		}
+		if (a.puts > 0) {
+			a.puts = 0;
+			term_put_ended(&a.t, now, PUT_LOST, 0);
+		}
+		term_tick(&b.t, now);
+		serve(&b, now);
+		promise(&a, &b, now);
+	}
+	CU_ASSERT_EQUAL(b.t.role, TERM_HOLDER);
+	CU_ASSERT(!term_may_renew(&a.t, now));
+}
+
+/* A planned stop gives control back; the standby need not wait for a lapse. */
+static void
+resigning_gives_back(void)
+{
+	struct node a, b;
+	usec now;
+
+	start(&a, &b);
+	term_resign(&a.t, MS(1000));
+	for (now = MS(1000); now < MS(3000) && b.t.role != TERM_HOLDER;
+	     now += MS(10))
+		run(&a, &b, now, now + MS(10));
+	CU_ASSERT_EQUAL(a.t.role, TERM_FOLLOWER);
+	CU_ASSERT_EQUAL(b.t.role, TERM_HOLDER);
+	CU_ASSERT(now < MS(1500));
+	CU_ASSERT_EQUAL(term_asked(&a.t, now, b.t.rec.term, 1000), 0);
+}
+
+static const struct unit_test tests[] = {
+    {"standby takes over", standby_takes_over},
+    {"outage changes nothing", outage_changes_nothing},
+    {"outage and no promise", outage_and_no_promise},
+    {"restarted standby is another", restarted_standby_is_another},
+    {"promise counts from asking", promise_counts_from_asking},
+    {"open change needs both lists", open_change_needs_both_lists},
+    {"lost answer is read back", lost_answer_is_read_back},
+    {"unresolved taker promises nothing", unresolved_taker_promises_nothing},
+    {"two takers, one wins", two_takers_one_wins},
+    {"unlisted taker waits", unlisted_taker_waits_for_withdrawal},
+    {"holder cut off alone", holder_cut_off_alone},
+    {"resigning gives back", resigning_gives_back},
+};
+UNIT_MAIN("term", tests)
--- /dev/null
+++ b/standin/caller.c
@@ -0,0 +1,506 @@
+/*
+ * Stand-in for callers behind the platform's balancer: load at a given rate
+ * for a bounded time, with each answer checked against its own request.
+ */
+#include <argp.h>
+#include <err.h>
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <curl/curl.h>
+
+#include "clock.h"
+#include "str.h"
+
+#define MAX_HOSTS 64
+#define MAX_SECONDS 300
+#define MAX_RATE 50000
+#define MAX_OPEN 20000
+#define AWAY_US MS(200)
+#define MAX_SAMPLES 4000000
+#define TRIES_MAX 20
+
+enum kind { K_OK, K_NOT_RUN, K_UNKNOWN, K_BAD, K_WRONG, K_LOST, K_N };
+static const char *const kind_names[K_N] = {
+    "ok", "not_run", "unknown", "bad", "wrong", "lost"};
+
+struct host {
+	char addr[64];
+	usec away_until;
+};
+
+struct ask {
+	CURL *easy;
+	struct curl_slist *heads;
+	struct str body;
+	char key[32];
+	char id[64];
+	int host;
+	int want_ticket;
+	int tries;
+	int error_code;
+	int not_run;
+	usec began;
+	usec due; /* start again then, or 0 */
+	struct ask *next;
+};
+
+static struct host hosts[MAX_HOSTS];
+static int nhosts;
+static const char *service = "lookup";
+static double rate = 100;
+static double seconds = 5;
+static long keys = 1000;
+static double skew;
+static int hot_every;
+static int confirm;
+static long work = -1;
+static long size;
+static long deadline_ms;
+static long timeout_ms = 5000;
+static const char *who = "caller";
+static int quiet;
+
+static CURLM *multi;
+static struct ask *again;
+static unsigned long counts[K_N];
+static unsigned long by_error[1000];
+static unsigned long refused;
+static unsigned long repeats;
+static float *samples;
+static size_t nsamples;
+static int open_now;
+static unsigned long serial;
+static double *zipf;
+static usec first_fail, last_fail;
+
+static const struct argp_option options[] = {
+    {"to", 't', "IP:PORT,...", 0, "Entry hosts, as the balancer knows them", 0},
+    {"service", 's', "NAME", 0, "Service asked", 0},
+    {"rate", 'r', "N", 0, "Requests a second", 0},
+    {"seconds", 'd', "S", 0, "How long", 0},
+    {"keys", 'k', "N", 0, "Number of keys", 0},
+    {"skew", 'z', "A", 0, "Zipf exponent of the keys; 0 is even", 0},
+    {"hot", 'h', "S", 0, "Other keys are hot every S seconds", 0},
+    {"confirm", 'c', NULL, 0, "POST with tickets, repeat on unknown", 0},
+    {"work", 'w', "MS", 0, "Ask the target to work so long", 0},
+    {"size", 'b', "BYTES", 0, "Ask for an answer of this size", 0},
+    {"deadline", 'D', "MS", 0, "Deadline told to the router", 0},
+    {"who", 'n', "NAME", 0, "Caller's name", 0},
+    {"quiet", 'q', NULL, 0, "No line for each failed request", 0},
+    {0},
+};
+
+/* Reads the list of hosts. */
+static void
+read_hosts(char *list)
+{
+	char *p, *rest;
+
+	for (p = strtok_r(list, ",", &rest); p != NULL && nhosts < MAX_HOSTS;
+	     p = strtok_r(NULL, ",", &rest))
+		name_copy(hosts[nhosts++].addr, sizeof(hosts[0].addr), p);
+}
+
+/* Reads one option. */
+static error_t
+parse(int key, char *arg, struct argp_state *st)
+{
+	switch (key) {
+	case 't':
+		read_hosts(arg);
+		break;
+	case 's':
+		service = arg;
+		break;
+	case 'r':
+		rate = atof(arg);
+		break;
+	case 'd':
+		seconds = atof(arg);
+		break;
+	case 'k':
+		keys = atol(arg);
+		break;
+	case 'z':
+		skew = atof(arg);
+		break;
+	case 'h':
+		hot_every = atoi(arg);
+		break;
+	case 'c':
+		confirm = 1;
+		break;
+	case 'w':
+		work = atol(arg);
+		break;
+	case 'b':
+		size = atol(arg);
+		break;
+	case 'D':
+		deadline_ms = atol(arg);
+		break;
+	case 'n':
+		who = arg;
+		break;
+	case 'q':
+		quiet = 1;
+		break;
+	case ARGP_KEY_END:
+		if (nhosts == 0 || rate <= 0 || rate > MAX_RATE ||
+		    seconds <= 0 || seconds > MAX_SECONDS || keys < 1)
+			argp_error(st, "--to is needed, and sane bounds");
+		break;
+	default:
+		return (ARGP_ERR_UNKNOWN);
+	}
+	return (0);
+}
+
+static const struct argp argp = {options, parse, NULL,
+    "Load on entry hosts, each answer checked.  Exits 1 if any was wrong.", 0,
+    0, 0};
+
+/* Sums the weights of the keys, for drawing. */
+static void
+make_zipf(void)
+{
+	double sum = 0;
+	long i;
+
+	zipf = malloc((size_t)keys * sizeof(*zipf));
+	for (i = 0; i < keys; i++) {
+		sum += 1 / pow((double)i + 1, skew);
+		zipf[i] = sum;
+	}
+}
+
+/* Draws a key; which are hot changes with time where asked. */
+static long
+draw(usec since)
+{
+	double x = (double)random() / RAND_MAX * zipf[keys - 1];
+	long low = 0, high = keys - 1, mid, turn = 0;
+
+	while (low < high) {
+		mid = (low + high) / 2;
+		if (zipf[mid] < x)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	if (hot_every > 0)
+		turn = since / US_PER_SEC / hot_every;
+	return ((low + turn * 7919) % keys);
+}
+
+/* Collects the answer. */
+static size_t
+on_body(char *p, size_t n, size_t m, void *arg)
+{
+	struct ask *a = arg;
+
+	str_add(&a->body, p, n * m);
+	return (n * m);
+}
+
+/* Notes the router's own errors. */
+static size_t
+on_head(char *p, size_t n, size_t m, void *arg)
+{
+	struct ask *a = arg;
+
+	if (n * m > 12 && strncasecmp(p, "Gspar-Error:", 12) == 0)
+		a->error_code = atoi(p + 12);
+	return (n * m);
+}
+
+/* Picks a host that answered lately, as the balancer does. */
+static int
+pick_host(usec now)
+{
+	int i, h = (int)(random() % nhosts);
+
+	for (i = 0; i < nhosts; i++) {
+		if (hosts[(h + i) % nhosts].away_until <= now)
+			return ((h + i) % nhosts);
+	}
+	return (h);
+}
+
+/* Sends a request, or sends it again. */
+static void
+start(struct ask *a, usec now)
+{
+	char url[400], line[128], extra[96] = "";
+
+	a->host = pick_host(now);
+	a->error_code = 0;
+	a->body.n = 0;
+	if (a->easy == NULL)
+		a->easy = curl_easy_init();
+	else
+		curl_easy_reset(a->easy);
+	curl_slist_free_all(a->heads);
+	a->heads = NULL;
+	if (work >= 0 && !a->want_ticket)
+		snprintf(
+		    extra, sizeof(extra), "?work=%ld&size=%ld", work, size);
+	else if (size > 0 && !a->want_ticket)
+		snprintf(extra, sizeof(extra), "?size=%ld", size);
+	snprintf(url, sizeof(url), "http://%s/v1/%s/%s%s%s",
+	    hosts[a->host].addr, service, a->key,
+	    a->want_ticket ? "/ticket" : "", extra);
+	snprintf(line, sizeof(line), "Idempotency-Key: %s", a->id);
+	if (!a->want_ticket)
+		a->heads = curl_slist_append(a->heads, line);
+	snprintf(line, sizeof(line), "Gspar-Caller: %s", who);
+	a->heads = curl_slist_append(a->heads, line);
+	if (deadline_ms > 0) {
+		snprintf(
+		    line, sizeof(line), "Gspar-Deadline-Ms: %ld", deadline_ms);
+		a->heads = curl_slist_append(a->heads, line);
+	}
+	curl_easy_setopt(a->easy, CURLOPT_URL, url);
+	curl_easy_setopt(a->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(a->easy, CURLOPT_PRIVATE, a);
+	curl_easy_setopt(a->easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+	curl_easy_setopt(a->easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(a->easy, CURLOPT_WRITEDATA, a);
+	curl_easy_setopt(a->easy, CURLOPT_HEADERFUNCTION, on_head);
+	curl_easy_setopt(a->easy, CURLOPT_HEADERDATA, a);
+	if (confirm && !a->want_ticket)
+		curl_easy_setopt(a->easy, CURLOPT_POSTFIELDS, "");
+	curl_easy_setopt(a->easy, CURLOPT_HTTPHEADER, a->heads);
+	curl_multi_add_handle(multi, a->easy);
+	open_now++;
+}
+
+/* True where the body is the whole answer to this very request. */
+static int
+is_mine(const struct ask *a)
+{
+	char t[64], s[64], k[64], id[128];
+	long n;
+	int end = 0;
+
+	if (a->body.p == NULL ||
+	    sscanf(a->body.p, "%63s %63s %63s %127s %ld\n%n", t, s, k, id, &n,
+		&end) != 5)
+		return (0);
+	return (strcmp(s, service) == 0 && strcmp(k, a->key) == 0 &&
+	    strcmp(id, a->id) == 0 && n == size && a->body.n >= (size_t)n);
+}
+
+/* What an ended request came to. */
+static enum kind
+kind_of(const struct ask *a, CURLcode res, long status)
+{
+	if (res != CURLE_OK)
+		return (K_LOST);
+	if (a->error_code == 0)
+		return (status == 200 && is_mine(a) ? K_OK : K_WRONG);
+	if (a->error_code < 200)
+		return (K_BAD);
+	return (a->body.p != NULL && strstr(a->body.p, "\"not_run\"") != NULL
+		? K_NOT_RUN
+		: K_UNKNOWN);
+}
+
+/* Frees a request. */
+static void
+ask_free(struct ask *a)
+{
+	curl_easy_cleanup(a->easy);
+	curl_slist_free_all(a->heads);
+	str_free(&a->body);
+	free(a);
+}
+
+/* Puts a request aside, to be sent again. */
+static void
+later(struct ask *a, usec now, usec wait)
+{
+	a->due = now + wait;
+	a->next = again;
+	again = a;
+}
+
+/* Counts an ended request. */
+static void
+count(struct ask *a, enum kind k, usec now)
+{
+	counts[k]++;
+	if (a->error_code > 0 && a->error_code < 1000)
+		by_error[a->error_code]++;
+	if (k == K_OK && nsamples < MAX_SAMPLES)
+		samples[nsamples++] = (float)(now - a->began) / 1000;
+	if (k != K_OK) {
+		if (first_fail == 0)
+			first_fail = now;
+		last_fail = now;
+		if (!quiet)
+			printf("failed %s %s code %d at %lld\n", kind_names[k],
+			    a->key, a->error_code, (long long)now);
+	}
+	ask_free(a);
+}
+
+/* Takes one ended transfer. */
+static void
+ended(struct ask *a, CURLcode res, usec now)
+{
+	enum kind k;
+	long status = 0;
+	char *p;
+
+	curl_multi_remove_handle(multi, a->easy);
+	open_now--;
+	curl_easy_getinfo(a->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (res == CURLE_COULDNT_CONNECT && a->tries++ < TRIES_MAX) {
+		refused++;
+		hosts[a->host].away_until = now + AWAY_US;
+		later(a, now, MS(1));
+		return;
+	}
+	if (a->want_ticket && res == CURLE_OK && a->error_code == 0 &&
+	    (p = strstr(a->body.p, "gs1-")) != NULL) {
+		snprintf(
+		    a->id, sizeof(a->id), "%.*s", (int)strcspn(p, "\""), p);
+		a->want_ticket = 0;
+		start(a, now);
+		return;
+	}
+	k = a->want_ticket ? K_NOT_RUN : kind_of(a, res, status);
+	/* As a buyer would: the same confirmation with the same ticket. */
+	if (confirm && !a->want_ticket && a->tries < 3 &&
+	    (k == K_UNKNOWN || k == K_LOST) && a->error_code != 304) {
+		a->tries++;
+		repeats++;
+		later(a, now, MS(50));
+		return;
+	}
+	count(a, k, now);
+}
+
+/* Makes a new request. */
+static void
+begin(usec now, usec since)
+{
+	struct ask *a;
+
+	if (open_now >= MAX_OPEN)
+		return;
+	a = calloc(1, sizeof(*a));
+	a->began = now;
+	a->want_ticket = confirm;
+	snprintf(a->key, sizeof(a->key), "key-%ld", draw(since));
+	snprintf(a->id, sizeof(a->id), "%s-%lu", who, ++serial);
+	start(a, now);
+}
+
+/* Sends again what is due. */
+static void
+send_again(usec now)
+{
+	struct ask *list = again, *a;
+
+	again = NULL;
+	while ((a = list) != NULL) {
+		list = a->next;
+		if (a->due <= now)
+			start(a, now);
+		else {
+			a->next = again;
+			again = a;
+		}
+	}
+}
+
+/* Orders samples. */
+static int
+by_value(const void *a, const void *b)
+{
+	float x = *(const float *)a, y = *(const float *)b;
+
+	return (x < y ? -1 : x > y);
+}
+
+/* A share of the samples, in milliseconds. */
+static double
+percentile(double share)
+{
+	return (nsamples == 0
+		? 0
+		: samples[(size_t)((double)(nsamples - 1) * share)]);
+}
+
+/* Prints the sums as one line of JSON. */
+static void
+report(double took)
+{
+	int i, sep = 0;
+
+	qsort(samples, nsamples, sizeof(*samples), by_value);
+	printf("{");
+	for (i = 0; i < K_N; i++)
+		printf("\"%s\": %lu, ", kind_names[i], counts[i]);
+	printf("\"refused\": %lu, \"repeats\": %lu, \"seconds\": %.2f, "
+	       "\"fail_span_ms\": %.0f, \"p50\": %.2f, \"p99\": %.2f, "
+	       "\"max\": %.2f, \"codes\": {",
+	    refused, repeats, took, (double)(last_fail - first_fail) / 1000,
+	    percentile(0.5), percentile(0.99), percentile(1));
+	for (i = 0; i < 1000; i++) {
+		if (by_error[i] == 0)
+			continue;
+		printf("%s\"%d\": %lu", sep ? ", " : "", i, by_error[i]);
+		sep = 1;
+	}
+	printf("}}\n");
+}
+
+int
+main(int argc, char **argv)
+{
+	usec from, now, next;
+	CURLMsg *cm;
+	struct ask *a;
+	int running, left;
+
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	srandom((unsigned)clock_wall());
+	samples = malloc(MAX_SAMPLES * sizeof(*samples));
+	make_zipf();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	multi = curl_multi_init();
+	curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, 512L);
+	from = clock_mono();
+	next = from;
+	for (;;) {
+		now = clock_mono();
+		if (now - from < (usec)(seconds * US_PER_SEC)) {
+			for (; next <= now; next += (usec)(US_PER_SEC / rate))
+				begin(now, now - from);
+		} else if ((open_now == 0 && again == NULL) ||
+		    now - from > (usec)((seconds + 15) * US_PER_SEC))
+			break;
+		send_again(now);
+		curl_multi_perform(multi, &running);
+		while ((cm = curl_multi_info_read(multi, &left)) != NULL) {
+			if (cm->msg != CURLMSG_DONE)
+				continue;
+			curl_easy_getinfo(
+			    cm->easy_handle, CURLINFO_PRIVATE, &a);
+			ended(a, cm->data.result, clock_mono());
+		}
+		curl_multi_poll(multi, NULL, 0, 1, NULL);
+	}
+	report((double)(clock_mono() - from) / US_PER_SEC);
+	return (counts[K_WRONG] > 0);
+}
--- /dev/null
+++ b/standin/platform.c
@@ -0,0 +1,305 @@
+/*
+ * Stand-in for the platform: an object API with versions, conditional writes
+ * and watches, a list of hosts that may lag, and faults on request.
+ */
+#include <argp.h>
+#include <err.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "clock.h"
+#include "web.h"
+
+#define MAX_OBJECTS 2000
+#define OBJECT_PREFIX "/v1/objects/"
+
+struct object {
+	char *path;
+	struct str value;
+	unsigned long version;
+};
+
+static struct object objects[MAX_OBJECTS];
+static int nobjects;
+static unsigned long last_version;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
+static struct str hosts;
+
+/* Faults, set through the control address. */
+static int down;
+static int slow_ms;
+static int lose;
+static char lose_path[256];
+static char cut[256];
+static unsigned long n_get, n_put, n_watch, n_list, n_conflict;
+
+static const char *data_addr;
+static const char *control_addr;
+
+static const struct argp_option options[] = {
+    {"listen", 'l', "IP:PORT", 0, "Address of the object API", 0},
+    {"control", 'c', "IP:PORT", 0, "Address for faults and counts", 0},
+    {0},
+};
+
+/* Reads one option. */
+static error_t
+parse(int key, char *arg, struct argp_state *st)
+{
+	switch (key) {
+	case 'l':
+		data_addr = arg;
+		break;
+	case 'c':
+		control_addr = arg;
+		break;
+	case ARGP_KEY_END:
+		if (data_addr == NULL || control_addr == NULL)
+			argp_error(st, "--listen and --control are needed");
+		break;
+	default:
+		return (ARGP_ERR_UNKNOWN);
+	}
+	return (0);
+}
+
+static const struct argp argp = {
+    options, parse, NULL, "Stand-in for the platform's object API", 0, 0, 0};
+
+/* Finds an object that exists, or NULL; lock held. */
+static struct object *
+find(const char *path)
+{
+	int i;
+
+	for (i = 0; i < nobjects; i++) {
+		if (objects[i].version != 0 &&
+		    strcmp(objects[i].path, path) == 0)
+			return (&objects[i]);
+	}
+	return (NULL);
+}
+
+/* Finds or makes the slot of a path, or NULL when full; lock held. */
+static struct object *
+make(const char *path)
+{
+	struct object *o;
+	int i;
+
+	o = find(path);
+	if (o != NULL)
+		return (o);
+	for (i = 0; i < nobjects; i++) {
+		if (strcmp(objects[i].path, path) == 0)
+			return (&objects[i]);
+	}
+	if (nobjects == MAX_OBJECTS)
+		return (NULL);
+	o = &objects[nobjects++];
+	o->path = strdup(path);
+	return (o);
+}
+
+/* Answers with a copy of an object. */
+static void
+give(struct web_ans *a, const struct object *o)
+{
+	str_set(&a->body, o->value.p, o->value.n);
+	snprintf(a->version, sizeof(a->version), "%lu", o->version);
+}
+
+/* Reads an object; with `after`, waits until its version is past that. */
+static void
+get(const struct web_req *q, struct web_ans *a, const char *path)
+{
+	struct object *o;
+	struct timespec until;
+	const char *after;
+	long wait_ms;
+
+	after = web_arg(q, "after");
+	wait_ms = web_num(web_arg(q, "wait_ms"), 0);
+	if (after != NULL)
+		n_watch++;
+	else
+		n_get++;
+	clock_gettime(CLOCK_REALTIME, &until);
+	until.tv_sec += wait_ms / 1000;
+	until.tv_nsec += wait_ms % 1000 * 1000000;
+	if (until.tv_nsec >= 1000000000) {
+		until.tv_sec++;
+		until.tv_nsec -= 1000000000;
+	}
+	while ((o = find(path)),
+	    after != NULL && !down &&
+		(o == NULL || o->version <= strtoul(after, NULL, 10))) {
+		if (pthread_cond_timedwait(&changed, &lock, &until) != 0)
+			break;
+	}
+	if (o == NULL)
+		a->status = 404;
+	else if (after != NULL && o->version <= strtoul(after, NULL, 10))
+		a->status = 304;
+	else
+		give(a, o);
+}
+
+/* Writes an object where its version is as the writer last saw it. */
+static void
+put(const struct web_req *q, struct web_ans *a, const char *path)
+{
+	struct object *o;
+	unsigned long want, have;
+
+	n_put++;
+	want = (unsigned long)web_num(web_head(q, "If-Version"), 0);
+	o = find(path);
+	have = o == NULL ? 0 : o->version;
+	if (want != have) {
+		n_conflict++;
+		a->status = 412;
+		snprintf(a->version, sizeof(a->version), "%lu", have);
+		return;
+	}
+	if (q->body.n > 1024 * 1024 || (o = make(path)) == NULL) {
+		a->status = 413;
+		return;
+	}
+	str_set(&o->value, q->body.p == NULL ? "" : q->body.p, q->body.n);
+	o->version = ++last_version;
+	snprintf(a->version, sizeof(a->version), "%lu", o->version);
+	pthread_cond_broadcast(&changed);
+	if (lose > 0 && strstr(path, lose_path) != NULL) {
+		lose--;
+		a->drop = 1;
+	}
+}
+
+/* Lists paths and versions below a prefix, a line each. */
+static void
+list(struct web_ans *a, const char *prefix)
+{
+	char line[512];
+	int i, n;
+
+	n_list++;
+	for (i = 0; i < nobjects; i++) {
+		if (objects[i].version == 0 ||
+		    strncmp(objects[i].path, prefix, strlen(prefix)) != 0)
+			continue;
+		n = snprintf(line, sizeof(line), "%lu %s\n", objects[i].version,
+		    objects[i].path);
+		str_add(&a->body, line, (size_t)n);
+	}
+}
+
+/* True where the caller is cut off: its name is in the list of cuts. */
+static int
+is_cut(const struct web_req *q)
+{
+	const char *who;
+	char word[128];
+
+	who = web_head(q, "User-Agent");
+	if (who == NULL || cut[0] == '\0')
+		return (0);
+	snprintf(word, sizeof(word), ",%s,", who);
+	return (strstr(cut, word) != NULL);
+}
+
+/* Serves the object API. */
+static void
+serve(const struct web_req *q, struct web_ans *a)
+{
+	const char *path;
+	struct object *o;
+	int ms;
+
+	pthread_mutex_lock(&lock);
+	ms = slow_ms;
+	pthread_mutex_unlock(&lock);
+	if (ms > 0)
+		usleep((useconds_t)ms * 1000);
+	pthread_mutex_lock(&lock);
+	if (down || is_cut(q)) {
+		a->drop = 1;
+		goto out;
+	}
+	if (strncmp(q->path, OBJECT_PREFIX, strlen(OBJECT_PREFIX)) == 0) {
+		path = q->path + strlen(OBJECT_PREFIX);
+		if (strcmp(q->method, "GET") == 0)
+			get(q, a, path);
+		else if (strcmp(q->method, "PUT") == 0)
+			put(q, a, path);
+		else if (strcmp(q->method, "DELETE") == 0) {
+			o = find(path);
+			if (o != NULL)
+				o->version = 0;
+		}
+	} else if (strncmp(q->path, "/v1/list/", 9) == 0)
+		list(a, q->path + 9);
+	else if (strcmp(q->path, "/v1/hosts") == 0) {
+		n_list++;
+		str_set(&a->body, hosts.p == NULL ? "" : hosts.p, hosts.n);
+	} else
+		a->status = 404;
+	/* Cut off while waiting: the answer is lost, not the effect. */
+	if (down || is_cut(q))
+		a->drop = 1;
+out:
+	pthread_mutex_unlock(&lock);
+}
+
+/* Sets faults and the list of hosts, and tells the counts. */
+static void
+control(const struct web_req *q, struct web_ans *a)
+{
+	const char *s;
+	char text[256];
+	int n;
+
+	pthread_mutex_lock(&lock);
+	if (strcmp(q->path, "/hosts") == 0)
+		str_set(&hosts, q->body.p == NULL ? "" : q->body.p, q->body.n);
+	else if (strcmp(q->path, "/fault") == 0) {
+		down = (int)web_num(web_arg(q, "down"), down);
+		slow_ms = (int)web_num(web_arg(q, "slow_ms"), slow_ms);
+		lose = (int)web_num(web_arg(q, "lose"), lose);
+		if ((s = web_arg(q, "path")) != NULL)
+			snprintf(lose_path, sizeof(lose_path), "%s", s);
+		if ((s = web_arg(q, "cut")) != NULL)
+			snprintf(cut, sizeof(cut), ",%s,", s);
+		pthread_cond_broadcast(&changed);
+	}
+	n = snprintf(text, sizeof(text),
+	    "get %lu\nput %lu\nwatch %lu\nlist %lu\nconflict %lu\n", n_get,
+	    n_put, n_watch, n_list, n_conflict);
+	str_set(&a->body, text, (size_t)n);
+	pthread_mutex_unlock(&lock);
+}
+
+int
+main(int argc, char **argv)
+{
+	sigset_t set;
+	int sig;
+
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	if (web_start(data_addr, serve) == NULL)
+		errx(1, "cannot listen on %s", data_addr);
+	if (web_start(control_addr, control) == NULL)
+		errx(1, "cannot listen on %s", control_addr);
+	sigwait(&set, &sig);
+	_exit(0);
+}
--- /dev/null
+++ b/standin/target.c
@@ -0,0 +1,458 @@
+/*
+ * Stand-in for a target: a server that owns keys by fenced grants, runs
+ * requests in slots, and writes a journal of grants and runs.
+ */
+#include <argp.h>
+#include <err.h>
+#include <errno.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <jansson.h>
+
+#include "clock.h"
+#include "web.h"
+
+#define MAX_SHARDS 65536
+#define MAX_SERVICES 8
+#define MAX_RUNNING 256
+
+struct service {
+	char name[64];
+	json_int_t fence[MAX_SHARDS];
+};
+
+struct run {
+	char id[128];
+	int cancelled;
+};
+
+static struct service services[MAX_SERVICES];
+static int nservices;
+static usec until;
+static json_int_t top_epoch;
+static json_int_t top_seq;
+static usec clock_shift;
+static long boot;
+static struct run running[MAX_RUNNING];
+static int nrunning;
+static unsigned long ran;
+static unsigned long shed;
+
+static int slots = 4;
+static int work_ms = 2;
+static int unchecked;
+static int fail_all;
+static int lie_load = -1;
+static int cut_answers;
+static int draining;
+static const char *listen_addr;
+static const char *name = "target";
+static FILE *journal;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t wake = PTHREAD_COND_INITIALIZER;
+
+static const struct argp_option options[] = {
+    {"listen", 'l', "IP:PORT", 0, "Address to serve", 0},
+    {"name", 'n', "NAME", 0, "Name in answers and the journal", 0},
+    {"journal", 'j', "FILE", 0, "Append the journal to FILE", 0},
+    {"slots", 's', "N", 0, "Requests that run at once", 0},
+    {"work", 'w', "MS", 0, "Time a request takes", 0},
+    {"unchecked", 'u', NULL, 0, "Do not check who gives orders", 0},
+    {0},
+};
+
+/* Reads one option. */
+static error_t
+parse(int key, char *arg, struct argp_state *st)
+{
+	switch (key) {
+	case 'l':
+		listen_addr = arg;
+		break;
+	case 'n':
+		name = arg;
+		break;
+	case 'j':
+		journal = fopen(arg, "a");
+		if (journal == NULL)
+			err(1, "%s", arg);
+		setvbuf(journal, NULL, _IOLBF, 0);
+		break;
+	case 's':
+		slots = atoi(arg);
+		break;
+	case 'w':
+		work_ms = atoi(arg);
+		break;
+	case 'u':
+		unchecked = 1;
+		break;
+	case ARGP_KEY_END:
+		if (listen_addr == NULL)
+			argp_error(st, "--listen is needed");
+		break;
+	default:
+		return (ARGP_ERR_UNKNOWN);
+	}
+	return (0);
+}
+
+static const struct argp argp = {
+    options, parse, NULL, "Stand-in for a target", 0, 0, 0};
+
+/* This server's own clock: no other process shares its zero. */
+static usec
+own_clock(void)
+{
+	return (clock_mono() + clock_shift);
+}
+
+/* Finds or makes a service; lock held. */
+static struct service *
+service(const char *s)
+{
+	int i;
+
+	for (i = 0; i < nservices; i++) {
+		if (strcmp(services[i].name, s) == 0)
+			return (&services[i]);
+	}
+	if (nservices == MAX_SERVICES)
+		errx(1, "too many services");
+	snprintf(services[nservices].name, sizeof(services[0].name), "%s", s);
+	return (&services[nservices++]);
+}
+
+/*
+ * Writes to the journal, in the machine's clock, which all journals share:
+ * hold SERVICE SHARD FENCE FROM, drop SERVICE SHARD AT, until AT.
+ */
+static void
+note(const char *fmt, const char *s, long shard, json_int_t fence, usec at)
+{
+	if (journal != NULL)
+		fprintf(
+		    journal, fmt, s, shard, (long long)fence, (long long)at);
+}
+
+/* Drops everything where the grant has lapsed, as of the lapse; lock held. */
+static void
+lapse(void)
+{
+	int k;
+	long n;
+
+	if (until > own_clock())
+		return;
+	for (k = 0; k < nservices; k++) {
+		for (n = 0; n < MAX_SHARDS; n++) {
+			if (services[k].fence[n] == 0)
+				continue;
+			note("drop %s %ld %lld %lld\n", services[k].name, n,
+			    services[k].fence[n], until - clock_shift);
+			services[k].fence[n] = 0;
+		}
+	}
+}
+
+/* Replaces the shards held by those of the grant; lock held. */
+static void
+take_shards(json_t *all, usec now)
+{
+	json_t *one, *set;
+	const char *s;
+	struct service *v;
+	json_int_t *want;
+	size_t i, n;
+	int k;
+
+	want = calloc(MAX_SHARDS, sizeof(*want));
+	for (k = 0; k < nservices; k++) {
+		if (json_object_get(all, services[k].name) == NULL)
+			json_object_set_new(
+			    all, services[k].name, json_array());
+	}
+	json_object_foreach(all, s, set)
+	{
+		v = service(s);
+		memset(want, 0, MAX_SHARDS * sizeof(*want));
+		json_array_foreach(set, i, one)
+		{
+			n = (size_t)json_integer_value(json_array_get(one, 0));
+			if (n < MAX_SHARDS)
+				want[n] =
+				    json_integer_value(json_array_get(one, 1));
+		}
+		for (n = 0; n < MAX_SHARDS; n++) {
+			if (want[n] == v->fence[n])
+				continue;
+			if (v->fence[n] != 0)
+				note("drop %s %ld %lld %lld\n", s, (long)n,
+				    v->fence[n], now);
+			if (want[n] != 0)
+				note("hold %s %ld %lld %lld\n", s, (long)n,
+				    want[n], now);
+			v->fence[n] = want[n];
+		}
+	}
+	free(want);
+}
+
+/* Takes a grant or a renewal; refuses an old giver and a past expiry. */
+static void
+grant(const struct web_req *q, struct web_ans *a)
+{
+	json_t *j, *all;
+	json_int_t epoch, seq;
+	usec now, new_until;
+	char text[160];
+	int n;
+
+	j = json_loadb(q->body.p, q->body.n, 0, NULL);
+	if (j == NULL) {
+		a->status = 400;
+		return;
+	}
+	epoch = json_integer_value(json_object_get(j, "epoch"));
+	seq = json_integer_value(json_object_get(j, "seq"));
+	new_until = json_integer_value(json_object_get(j, "until"));
+	all = json_object_get(j, "shards");
+	now = clock_mono();
+	if (new_until <= own_clock() && new_until != 0)
+		a->status = 410;
+	else if (!unchecked &&
+	    (epoch < top_epoch || (epoch == top_epoch && seq <= top_seq)))
+		a->status = 409;
+	else if (all == NULL && until <= own_clock())
+		a->status = 410;
+	else {
+		lapse();
+		if (all != NULL)
+			take_shards(all, now);
+		top_epoch = epoch;
+		top_seq = seq;
+		until = new_until;
+		note("until %s %ld %lld %lld\n", "-", 0L, 0,
+		    until - clock_shift);
+	}
+	json_decref(j);
+	n = snprintf(text, sizeof(text),
+	    "{\"clock\":%lld,\"boot\":%ld,\"leaving\":%s}",
+	    (long long)own_clock(), boot, draining ? "true" : "false");
+	str_set(&a->body, text, (size_t)n);
+}
+
+/* True while this server owns the shard with that fence; lock held. */
+static int
+owns(const char *s, long shard, long long fence)
+{
+	struct service *v = service(s);
+
+	return (shard >= 0 && shard < MAX_SHARDS && until > own_clock() &&
+	    v->fence[shard] != 0 && v->fence[shard] == fence);
+}
+
+/* Refuses a request that has not run. */
+static void
+refuse(struct web_ans *a, int status, const char *why)
+{
+	a->status = status;
+	a->head_name = "Gspar-Outcome";
+	a->head_value = "not_run";
+	str_set(&a->body, why, strlen(why));
+}
+
+/* Sleeps for the work's time, or less where it is cancelled; lock held. */
+static int
+work(struct run *r, int ms)
+{
+	struct timespec ts;
+	usec end;
+
+	end = clock_wall() + MS(ms);
+	ts.tv_sec = end / US_PER_SEC;
+	ts.tv_nsec = end % US_PER_SEC * 1000;
+	while (!r->cancelled) {
+		if (pthread_cond_timedwait(&wake, &lock, &ts) == ETIMEDOUT)
+			break;
+	}
+	return (r->cancelled);
+}
+
+/* Finds a free place for a run; lock held. */
+static struct run *
+place(void)
+{
+	int i;
+
+	for (i = 0; i < MAX_RUNNING; i++) {
+		if (running[i].id[0] == '\0')
+			return (&running[i]);
+	}
+	return (NULL);
+}
+
+/* Runs a request: /run/SERVICE/KEY[/REST]. */
+static void
+run(const struct web_req *q, struct web_ans *a)
+{
+	char s[64], key[300], text[1024];
+	const char *id, *echo;
+	long shard, ms, size;
+	long long fence, deadline;
+	struct run *r;
+	usec from;
+	int n, stopped;
+
+	if (sscanf(q->path, "/run/%63[^/]/%299[^/]", s, key) != 2) {
+		a->status = 404;
+		return;
+	}
+	id = web_head(q, "Gspar-Id");
+	shard = web_num(web_head(q, "Gspar-Shard"), -1);
+	fence = web_num(web_head(q, "Gspar-Fence"), 0);
+	deadline = web_num(web_head(q, "Gspar-Deadline"), 0);
+	ms = web_num(web_arg(q, "work"), work_ms);
+	size = web_num(web_arg(q, "size"), 0);
+	echo = web_head(q, "Idempotency-Key");
+	if (!unchecked && !owns(s, shard, fence)) {
+		refuse(a, 409, "not mine\n");
+		return;
+	}
+	if (deadline != 0 && deadline <= own_clock()) {
+		refuse(a, 504, "too late\n");
+		return;
+	}
+	r = place();
+	if (nrunning >= slots || r == NULL || draining == 2) {
+		shed++;
+		refuse(a, 503, "busy\n");
+		return;
+	}
+	from = clock_mono();
+	snprintf(r->id, sizeof(r->id), "%s", id == NULL ? "?" : id);
+	r->cancelled = 0;
+	nrunning++;
+	if (journal != NULL)
+		fprintf(journal, "start %s %ld %lld %lld %s %s\n", s, shard,
+		    fence, (long long)from, key, echo == NULL ? "-" : echo);
+	stopped = work(r, (int)ms);
+	nrunning--;
+	r->id[0] = '\0';
+	ran++;
+	if (journal != NULL)
+		fprintf(journal, "end %s %ld %lld %lld %s %s %s\n", s, shard,
+		    fence, (long long)clock_mono(), key,
+		    echo == NULL ? "-" : echo, stopped ? "cancelled" : "done");
+	if (fail_all) {
+		a->status = 500;
+		return;
+	}
+	n = snprintf(text, sizeof(text), "%s %s %s %s %ld\n", name, s, key,
+	    echo == NULL ? "-" : echo, size);
+	str_set(&a->body, text, (size_t)n);
+	while (size > 0) {
+		n = size > 1000 ? 1000 : (int)size;
+		memset(text, '.', (size_t)n);
+		str_add(&a->body, text, (size_t)n);
+		size -= n;
+	}
+	if (cut_answers)
+		a->cut_at = a->body.n / 2;
+}
+
+/* Stops a run by its id; says whether it had started. */
+static void
+cancel(const struct web_req *q, struct web_ans *a)
+{
+	const char *id = web_arg(q, "id");
+	int i;
+
+	a->status = 404;
+	for (i = 0; id != NULL && i < MAX_RUNNING; i++) {
+		if (strcmp(running[i].id, id) != 0)
+			continue;
+		running[i].cancelled = 1;
+		pthread_cond_broadcast(&wake);
+		a->status = 200;
+	}
+}
+
+/* Tells the load, or the lie that was asked for. */
+static void
+load(struct web_ans *a)
+{
+	char text[128];
+	int n;
+
+	n = snprintf(text, sizeof(text),
+	    "{\"running\":%d,\"slots\":%d,\"ran\":%lu,\"shed\":%lu}\n",
+	    lie_load >= 0 ? lie_load : nrunning, slots, ran, shed);
+	str_set(&a->body, text, (size_t)n);
+}
+
+/* Changes how the stand-in behaves, for tests. */
+static void
+fault(const struct web_req *q)
+{
+	fail_all = (int)web_num(web_arg(q, "fail"), fail_all);
+	lie_load = (int)web_num(web_arg(q, "lie"), lie_load);
+	work_ms = (int)web_num(web_arg(q, "work"), work_ms);
+	cut_answers = (int)web_num(web_arg(q, "cut"), cut_answers);
+	draining = (int)web_num(web_arg(q, "drain"), draining);
+}
+
+/* Serves all paths. */
+static void
+serve(const struct web_req *q, struct web_ans *a)
+{
+	char text[160];
+	int n;
+
+	pthread_mutex_lock(&lock);
+	if (strcmp(q->path, "/grant") == 0)
+		grant(q, a);
+	else if (strcmp(q->path, "/clock") == 0) {
+		n = snprintf(text, sizeof(text),
+		    "{\"clock\":%lld,\"boot\":%ld,\"leaving\":%s}",
+		    (long long)own_clock(), boot, draining ? "true" : "false");
+		str_set(&a->body, text, (size_t)n);
+	} else if (strncmp(q->path, "/run/", 5) == 0)
+		run(q, a);
+	else if (strcmp(q->path, "/cancel") == 0)
+		cancel(q, a);
+	else if (strcmp(q->path, "/load") == 0)
+		load(a);
+	else if (strcmp(q->path, "/fault") == 0)
+		fault(q);
+	else
+		a->status = 404;
+	pthread_mutex_unlock(&lock);
+}
+
+int
+main(int argc, char **argv)
+{
+	sigset_t set;
+	int sig;
+
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	srandom((unsigned)(clock_wall() ^ getpid()));
+	boot = random() % 1000000 + 1;
+	clock_shift = (random() % 1000) * US_PER_SEC;
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	if (web_start(listen_addr, serve) == NULL)
+		errx(1, "cannot listen on %s", listen_addr);
+	sigwait(&set, &sig);
+	_exit(0);
+}
--- /dev/null
+++ b/standin/web.c
@@ -0,0 +1,158 @@
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "conf.h"
+#include "web.h"
+
+struct cut {
+	struct str body;
+	size_t at;
+};
+
+/* An argument of the request's URL, or NULL. */
+const char *
+web_arg(const struct web_req *q, const char *name)
+{
+	return (
+	    MHD_lookup_connection_value(q->conn, MHD_GET_ARGUMENT_KIND, name));
+}
+
+/* A header of the request, or NULL. */
+const char *
+web_head(const struct web_req *q, const char *name)
+{
+	return (MHD_lookup_connection_value(q->conn, MHD_HEADER_KIND, name));
+}
+
+/* Reads a number, or other where there is none. */
+long
+web_num(const char *s, long other)
+{
+	return (s == NULL ? other : strtol(s, NULL, 10));
+}
+
+/* Gives the first bytes of a body and then fails, as a dying server does. */
+static ssize_t
+read_cut(void *arg, uint64_t pos, char *buf, size_t max)
+{
+	struct cut *c = arg;
+	size_t n;
+
+	if (pos >= c->at)
+		return (MHD_CONTENT_READER_END_WITH_ERROR);
+	n = c->at - (size_t)pos;
+	if (n > max)
+		n = max;
+	memcpy(buf, c->body.p + pos, n);
+	return ((ssize_t)n);
+}
+
+/* Frees what read_cut used. */
+static void
+free_cut(void *arg)
+{
+	struct cut *c = arg;
+
+	str_free(&c->body);
+	free(c);
+}
+
+/* Turns the stand-in's answer into the library's. */
+static struct MHD_Response *
+respond(struct web_ans *a)
+{
+	struct MHD_Response *r;
+	struct cut *c;
+
+	if (a->cut_at > 0 && a->cut_at < a->body.n) {
+		c = calloc(1, sizeof(*c));
+		c->body = a->body;
+		c->at = a->cut_at;
+		r = MHD_create_response_from_callback(
+		    a->body.n, 4096, read_cut, c, free_cut);
+	} else {
+		r = MHD_create_response_from_buffer(
+		    a->body.n, a->body.p, MHD_RESPMEM_MUST_FREE);
+	}
+	if (a->version[0] != '\0')
+		MHD_add_response_header(r, "Version", a->version);
+	if (a->head_name != NULL)
+		MHD_add_response_header(r, a->head_name, a->head_value);
+	return (r);
+}
+
+/* Collects the body, then calls the stand-in's function. */
+static enum MHD_Result
+handle(void *cls, struct MHD_Connection *conn, const char *url,
+    const char *method, const char *version, const char *data, size_t *size,
+    void **state)
+{
+	struct web_req *q = *state;
+	struct web_ans a = {.status = 200};
+	struct MHD_Response *r;
+	enum MHD_Result res;
+	web_fn fn = *(web_fn *)cls;
+
+	if (q == NULL) {
+		*state = calloc(1, sizeof(*q));
+		return (*state == NULL ? MHD_NO : MHD_YES);
+	}
+	if (*size > 0) {
+		str_add(&q->body, data, *size);
+		*size = 0;
+		return (MHD_YES);
+	}
+	q->conn = conn;
+	q->method = method;
+	q->path = url;
+	fn(q, &a);
+	if (a.drop) {
+		str_free(&a.body);
+		return (MHD_NO);
+	}
+	if (a.body.p == NULL)
+		str_set(&a.body, "", 0);
+	r = respond(&a);
+	res = MHD_queue_response(conn, (unsigned)a.status, r);
+	MHD_destroy_response(r);
+	return (res);
+}
+
+/* Frees the request when the library is done with it. */
+static void
+done(void *cls, struct MHD_Connection *conn, void **state,
+    enum MHD_RequestTerminationCode why)
+{
+	struct web_req *q = *state;
+
+	if (q == NULL)
+		return;
+	str_free(&q->body);
+	free(q);
+	*state = NULL;
+}
+
+/* Serves fn on "IP:PORT"; NULL where the address cannot be had. */
+struct MHD_Daemon *
+web_start(const char *addr, web_fn fn)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	char ip[ADDR_MAX_GS];
+	web_fn *keep;
+	int port;
+
+	if (addr_split(addr, ip, sizeof(ip), &port) != 0)
+		return (NULL);
+	inet_pton(AF_INET, ip, &sin.sin_addr);
+	sin.sin_port = htons((uint16_t)port);
+	keep = malloc(sizeof(*keep));
+	*keep = fn;
+	return (MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION |
+		MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
+	    (uint16_t)port, NULL, NULL, handle, keep, MHD_OPTION_SOCK_ADDR,
+	    &sin, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+	    MHD_OPTION_NOTIFY_COMPLETED, done, NULL,
+	    MHD_OPTION_CONNECTION_LIMIT, 2000u, MHD_OPTION_END));
+}
--- /dev/null
+++ b/standin/web.h
@@ -0,0 +1,35 @@
+/* A tiny HTTP server for the stand-ins: one thread a connection. */
+#ifndef WEB_H
+#define WEB_H
+
+#include <microhttpd.h>
+
+#include "str.h"
+
+struct web_req {
+	struct MHD_Connection *conn;
+	const char *method;
+	const char *path;
+	struct str body;
+};
+
+struct web_ans {
+	int status;
+	struct str body;
+	char version[32];
+	const char *head_name;
+	const char *head_value;
+	/* Closes the connection without an answer. */
+	int drop;
+	/* Ends the body after this many bytes, below the announced length. */
+	size_t cut_at;
+};
+
+typedef void (*web_fn)(const struct web_req *, struct web_ans *);
+
+struct MHD_Daemon *web_start(const char *addr, web_fn);
+const char *web_arg(const struct web_req *, const char *);
+const char *web_head(const struct web_req *, const char *);
+long web_num(const char *, long);
+
+#endif
