--- a/decide/cell.c
+++ b/decide/cell.c
@@ -7,6 +7,8 @@
 #include "cell_plan.h"
 #include "lease.h"
 
+/* Weight of a new measure of a shard's load in the mean. */
+#define LOAD_WEIGHT 0.3
 /* How much longer than a host lease the first placement waits. */
 #define PATIENCE MS(700)
 /* A host unheard for so many renewals gets no new duty. */
@@ -38,12 +40,15 @@
 		s = &c->services[i];
 		free(s->owner);
 		free(s->fence);
-		free(s->moving_to);
+		free(s->next);
+		free(s->next_fence);
 		free(s->flag_seq);
 		free(s->freed);
 		free(s->load);
 		free(s->write.owner);
 		free(s->write.fence);
+		free(s->write.next);
+		free(s->write.next_fence);
 	}
 	c->nservices = 0;
 }
@@ -61,6 +66,20 @@
 	return (NULL);
 }
 
+/*
+ * The target that serves a shard by what is in force, or NOBODY, and the
+ * fence it serves under (where fence is not NULL).
+ */
+int
+cell_serves(const struct cell_service *s, uint32_t n, uint64_t *fence)
+{
+	int moved = s->next[n] != NOBODY && s->freed[n];
+
+	if (fence != NULL)
+		*fence = moved ? s->next_fence[n] : s->fence[n];
+	return (moved ? s->next[n] : s->owner[n]);
+}
+
 /* The index of a target of a service by name, or NOBODY. */
 static int
 find_target(const struct cell *c, int service, const char *name)
@@ -122,19 +141,24 @@
 	s->shards = shards;
 	s->owner = calloc(shards, sizeof(*s->owner));
 	s->fence = calloc(shards, sizeof(*s->fence));
-	s->moving_to = calloc(shards, sizeof(*s->moving_to));
+	s->next = calloc(shards, sizeof(*s->next));
+	s->next_fence = calloc(shards, sizeof(*s->next_fence));
 	s->flag_seq = calloc(shards, sizeof(*s->flag_seq));
 	s->freed = calloc(shards, sizeof(*s->freed));
 	s->load = calloc(shards, sizeof(*s->load));
 	s->write.owner = calloc(shards, sizeof(*s->write.owner));
 	s->write.fence = calloc(shards, sizeof(*s->write.fence));
-	if (s->owner == NULL || s->fence == NULL || s->moving_to == NULL ||
-	    s->flag_seq == NULL || s->freed == NULL || s->load == NULL ||
-	    s->write.owner == NULL || s->write.fence == NULL)
+	s->write.next = calloc(shards, sizeof(*s->write.next));
+	s->write.next_fence = calloc(shards, sizeof(*s->write.next_fence));
+	if (s->owner == NULL || s->fence == NULL || s->next == NULL ||
+	    s->next_fence == NULL || s->flag_seq == NULL || s->freed == NULL ||
+	    s->load == NULL || s->write.owner == NULL ||
+	    s->write.fence == NULL || s->write.next == NULL ||
+	    s->write.next_fence == NULL)
 		return (-1);
 	for (i = 0; i < shards; i++) {
 		s->owner[i] = NOBODY;
-		s->moving_to[i] = NOBODY;
+		s->next[i] = NOBODY;
 	}
 	return (0);
 }
@@ -209,6 +233,7 @@
 		t->handed = 0;
 		t->epoch = 0;
 		t->reported = 0;
+		t->confirmed = 0;
 		t->granted = 1;
 		t->up = 0;
 		t->leaving = 0;
@@ -224,11 +249,8 @@
 		s->next_try = now;
 		s->write.open = 0;
 		s->write.lost = 0;
-		for (k = 0; k < s->shards; k++) {
-			s->moving_to[k] = NOBODY;
-			s->flag_seq[k] = 0;
+		for (k = 0; k < s->shards; k++)
 			s->freed[k] = 0;
-		}
 	}
 }
 
@@ -329,7 +351,8 @@
 
 	for (i = 0; i < c->nhosts; i++) {
 		h = &c->hosts[i];
-		if (h->who.boot == boot && strcmp(h->who.host, host) == 0)
+		if (h->seen && h->who.boot == boot &&
+		    strcmp(h->who.host, host) == 0)
 			return (i);
 		if (!h->seen)
 			spare = i;
@@ -354,15 +377,21 @@
 	return (c->term << EPOCH_BITS | ++c->epochs);
 }
 
-/* Notes the shards a dispatcher confirmed released. */
-static void
-note_freed(struct cell *c, int t, const Gspar__TargetState *ts)
+/*
+ * Notes the shards a dispatcher confirmed released; true if any is new.  What
+ * an earlier dispatcher granted must have lapsed too.
+ */
+static int
+note_freed(struct cell *c, int t, const Gspar__TargetState *ts, usec now)
 {
 	struct cell_service *s;
 	const Gspar__Freed *f;
 	uint32_t k;
 	size_t i, n;
+	int any = 0;
 
+	if (now < c->targets[t].clear_at)
+		return (0);
 	for (i = 0; i < ts->n_freed; i++) {
 		f = ts->freed[i];
 		s = cell_service(c, f->service);
@@ -371,32 +400,62 @@
 		for (n = 0; n < f->n_shards; n++) {
 			k = f->shards[n] - s->first;
 			if (k >= s->shards || s->owner[k] != t ||
-			    s->moving_to[k] == NOBODY)
+			    s->next[k] == NOBODY || s->freed[k])
 				continue;
 			/*
-			 * A release under an older view may have been undone
-			 * since: the move was called off and begun again, and
-			 * the dispatcher granted the shard in between.
+			 * A release under a view that does not tell of this
+			 * move is of an earlier one, and may have been undone
+			 * by a grant in between.
 			 */
-			if ((f->view & 0xffffffff) >= s->flag_seq[k])
-				s->freed[k] = 1;
+			if ((f->view & 0xffffffff) < s->flag_seq[k])
+				continue;
+			s->freed[k] = 1;
+			any = 1;
 		}
 	}
+	return (any);
 }
 
-/* Notes what a dispatcher says of one target. */
+/*
+ * Takes the busy times of a target's shards: the busiest by name, the rest of
+ * its time shared out evenly.  Smoothed, or noise would move shards.
+ */
 static void
-note_target(struct cell *c, int h, const Gspar__TargetState *ts)
+note_loads(struct cell *c, int t, const Gspar__TargetState *ts)
 {
-	struct cell_target *t;
-	struct cell_service *s;
-	int i;
+	struct cell_service *s = &c->services[c->targets[t].service];
+	uint32_t i, n, others = 0;
+	double rest;
 	size_t k;
-	uint32_t n;
+
+	for (i = 0; i < s->shards; i++) {
+		if (cell_serves(s, i, NULL) == t)
+			others++;
+	}
+	others -= ts->n_loads < others ? (uint32_t)ts->n_loads : others;
+	rest = others > 0 ? ts->rest_busy / 1000.0 / others : 0;
+	for (i = 0; i < s->shards; i++) {
+		if (cell_serves(s, i, NULL) == t)
+			s->load[i] += (rest - s->load[i]) * LOAD_WEIGHT;
+	}
+	for (k = 0; k < ts->n_loads; k++) {
+		n = ts->loads[k]->shard - s->first;
+		if (n < s->shards)
+			s->load[n] +=
+			    (ts->loads[k]->busy / 1000.0 - rest) * LOAD_WEIGHT;
+	}
+}
+
+/* Notes what a dispatcher says of one target; true where the view changes. */
+static int
+note_target(struct cell *c, int h, const Gspar__TargetState *ts, usec now)
+{
+	struct cell_target *t;
+	int i, changed = 0;
 
 	i = any_target(c, ts->target);
 	if (i == NOBODY)
-		return;
+		return (0);
 	t = &c->targets[i];
 	if (t->disp == NOBODY && t->epoch == 0) {
 		/*
@@ -406,22 +465,19 @@
 		t->disp = h;
 		t->epoch = ts->epoch;
 		t->given_seq = 0;
+		changed = 1;
 	}
 	if (t->disp != h || t->epoch != ts->epoch)
-		return;
+		return (0);
 	t->granted = ts->granted;
 	t->up = ts->up;
 	t->leaving = ts->leaving;
 	t->reported = 1;
-	for (k = 0; k < ts->n_loads; k++) {
-		s = cell_service(c, ts->loads[k]->service);
-		if (s == NULL)
-			continue;
-		n = ts->loads[k]->shard - s->first;
-		if (n < s->shards)
-			s->load[n] = ts->loads[k]->busy / 1000.0;
-	}
-	note_freed(c, i, ts);
+	if (ts->granted && ts->up)
+		t->confirmed = 1;
+	if (ts->has_loads)
+		note_loads(c, i, ts);
+	return (note_freed(c, i, ts, now) || changed);
 }
 
 /* True where the ask speaks of the target. */
@@ -444,7 +500,7 @@
 {
 	struct cell_target *t;
 	size_t i;
-	int h, k;
+	int h, k, changed = 0;
 
 	h = find_host(c, host, ask->boot);
 	if (h == NOBODY)
@@ -454,7 +510,9 @@
 	name_copy(c->hosts[h].dc, sizeof(c->hosts[h].dc), ask->dc);
 	name_copy(c->hosts[h].addr, sizeof(c->hosts[h].addr), ask->addr);
 	for (i = 0; i < ask->n_targets; i++)
-		note_target(c, h, ask->targets[i]);
+		changed |= note_target(c, h, ask->targets[i], now);
+	if (changed)
+		plan_changed(c);
 	for (k = 0; k < c->ntargets; k++) {
 		t = &c->targets[k];
 		/*
@@ -468,6 +526,7 @@
 		t->disp = NOBODY;
 		t->handed = 0;
 		t->reported = 0;
+		t->confirmed = 0;
 		/* What it granted the target may hold a while yet. */
 		t->clear_at = lease_granter_end(now, c->times.host_lease);
 	}
@@ -558,6 +617,7 @@
 			c->targets[k].disp = NOBODY;
 			c->targets[k].handed = 0;
 			c->targets[k].reported = 0;
+			c->targets[k].confirmed = 0;
 			c->targets[k].granted = 0;
 			c->targets[k].clear_at = now;
 		}
@@ -571,7 +631,7 @@
 
 /* Gives a target without dispatcher to a host. */
 static void
-tick_dispatch(struct cell *c, int i, usec now, int settled, int *changed)
+tick_dispatch(struct cell *c, int i, usec now, int may_dispatch, int *changed)
 {
 	struct cell_target *t = &c->targets[i];
 	char text[300];
@@ -583,8 +643,8 @@
 			t->handed = 1;
 		return;
 	}
-	/* Unsettled, a host not heard yet may dispatch for it. */
-	if ((t->epoch == 0 && !settled) || t->gone)
+	/* Until then, a host not heard yet may dispatch for it. */
+	if ((t->epoch == 0 && !may_dispatch) || t->gone)
 		return;
 	h = pick_host(c, t->conf.dc, now);
 	if (h == NOBODY)
@@ -645,9 +705,12 @@
 		plan_write(c, s);
 }
 
-/* Does what is due; settled is term_settled() of this moment. */
+/*
+ * Does what is due; settled and may_dispatch are term_settled() and
+ * term_may_dispatch() of this moment.
+ */
 void
-cell_tick(struct cell *c, usec now, int settled)
+cell_tick(struct cell *c, usec now, int settled, int may_dispatch)
 {
 	int i, changed = 0;
 
@@ -660,11 +723,9 @@
 	c->settled = settled;
 	tick_hosts(c, now);
 	for (i = 0; i < c->ntargets; i++)
-		tick_dispatch(c, i, now, settled, &changed);
-	for (i = 0; i < c->nservices; i++) {
-		if (plan_tick(c, &c->services[i], now))
-			changed = 1;
-	}
+		tick_dispatch(c, i, now, may_dispatch, &changed);
+	for (i = 0; i < c->nservices; i++)
+		plan_tick(c, &c->services[i], now);
 	for (i = 0; i < c->ntargets; i++)
 		tick_dormant(c, i);
 	if (changed)
--- a/decide/cell.h
+++ b/decide/cell.h
@@ -42,6 +42,7 @@
 	int up;
 	int leaving;
 	int reported;
+	int confirmed; /* answered its dispatcher's grant in this term */
 	usec clear_at; /* grants of earlier dispatchers have lapsed by then */
 };
 
@@ -52,8 +53,16 @@
 	uint64_t id;
 	int *owner;
 	uint64_t *fence;
+	int *next;
+	uint64_t *next_fence;
 };
 
+/*
+ * The shards of a service in this cell.  owner, fence, next and next_fence
+ * are as the platform holds them.  A shard with a next is on its way: once
+ * its owner has let go it is the next's, whether or not the platform can be
+ * written at that moment.
+ */
 struct cell_service {
 	char name[NAME_MAX_GS];
 	uint32_t first;
@@ -61,9 +70,10 @@
 	enum weigh weigh;
 	int *owner; /* target index or NOBODY, per shard of the cell */
 	uint64_t *fence;
-	int *moving_to;	    /* target index or NOBODY */
-	uint64_t *flag_seq; /* first view that tells of the last change */
-	uint8_t *freed;
+	int *next; /* target index or NOBODY */
+	uint64_t *next_fence;
+	uint64_t *flag_seq; /* first view that tells of the move */
+	uint8_t *freed;	    /* the owner has let go, in this term */
 	double *load;
 	uint64_t version;
 	uint64_t top_fence;
@@ -95,7 +105,7 @@
 	const struct cell_out *out;
 	void *arg;
 	int active;
-	int settled;
+	int settled;	    /* leases of earlier controllers have lapsed */
 	usec patient_until; /* first placement waits for targets till then */
 	uint64_t term;
 	uint64_t view_seq;
@@ -124,10 +134,11 @@
     struct cell *, usec now, const char *host, const Gspar__LeaseAsk *);
 int cell_give(struct cell *, usec now, const char *host,
     const Gspar__LeaseAsk *, Gspar__LeaseGive *, Gspar__Duty *, int max);
-void cell_tick(struct cell *, usec now, int settled);
+void cell_tick(struct cell *, usec now, int settled, int may_dispatch);
 int cell_ready(const struct cell *);
 int cell_live_hosts(
     const struct cell *, usec now, struct member *, int max, const char *but);
 struct cell_service *cell_service(struct cell *, const char *);
+int cell_serves(const struct cell_service *, uint32_t n, uint64_t *fence);
 
 #endif
--- a/decide/cell_plan.c
+++ b/decide/cell_plan.c
@@ -64,58 +64,91 @@
 	return (id);
 }
 
+/* One number of an array in an assignment. */
+static uint64_t
+number_at(json_t *o, const char *key, size_t i)
+{
+	return ((uint64_t)json_integer_value(
+	    json_array_get(json_object_get(o, key), i)));
+}
+
 /* Takes over an assignment as read; json NULL is none: nobody owns a shard. */
 void
 plan_load(struct cell *c, struct cell_service *s, const char *json, size_t n,
     uint64_t *id)
 {
-	json_t *o, *names, *owner, *fence;
+	json_t *o, *names;
 	int *map;
 	size_t i, k;
 
 	for (i = 0; i < s->shards; i++) {
 		s->owner[i] = NOBODY;
+		s->next[i] = NOBODY;
 		s->fence[i] = 0;
+		s->next_fence[i] = 0;
+		s->freed[i] = 0;
 	}
 	s->top_fence = 0;
 	if (json == NULL)
 		return;
 	o = json_loadb(json, n, 0, NULL);
 	names = json_object_get(o, "targets");
-	owner = json_object_get(o, "owner");
-	fence = json_object_get(o, "fence");
 	s->top_fence =
 	    (uint64_t)json_integer_value(json_object_get(o, "top_fence"));
-	map = calloc(json_array_size(names) + 1, sizeof(*map));
+	k = json_array_size(names);
+	map = calloc(k + 1, sizeof(*map));
 	map[0] = NOBODY;
-	for (i = 0; i < json_array_size(names); i++)
+	for (i = 0; i < k; i++)
 		map[i + 1] = target_index(
 		    c, s, json_string_value(json_array_get(names, i)));
 	for (i = 0; i < s->shards; i++) {
-		k = (size_t)json_integer_value(json_array_get(owner, i));
-		if (k <= json_array_size(names))
-			s->owner[i] = map[k];
-		s->fence[i] =
-		    (uint64_t)json_integer_value(json_array_get(fence, i));
+		s->owner[i] = map[number_at(o, "owner", i) % (k + 1)];
+		s->next[i] = map[number_at(o, "next", i) % (k + 1)];
+		s->fence[i] = number_at(o, "fence", i);
+		s->next_fence[i] = number_at(o, "next_fence", i);
+		/* Any view of this term tells of a move begun before it. */
+		s->flag_seq[i] = 0;
 	}
 	*id = plan_write_id(json, n);
 	free(map);
 	json_decref(o);
 }
 
+/* An array of target numbers as the assignment's JSON holds them. */
+static json_t *
+places(const int *target, const int *place, uint32_t n)
+{
+	json_t *a = json_array();
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		json_array_append_new(a,
+		    json_integer(target[i] == NOBODY ? 0 : place[target[i]]));
+	return (a);
+}
+
+/* An array of fences. */
+static json_t *
+fences(const uint64_t *fence, uint32_t n)
+{
+	json_t *a = json_array();
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		json_array_append_new(a, json_integer((json_int_t)fence[i]));
+	return (a);
+}
+
 /* The JSON of the open write; the caller frees it. */
 char *
 plan_json(struct cell *c, struct cell_service *s)
 {
-	json_t *o, *names, *owner, *fence;
+	const struct cell_write *w = &s->write;
+	json_t *o, *names;
 	char id[20], *text;
 	int *place, i, k = (int)(s - c->services);
-	uint32_t n;
 
-	o = json_object();
 	names = json_array();
-	owner = json_array();
-	fence = json_array();
 	place = calloc((size_t)c->ntargets + 1, sizeof(*place));
 	for (i = 0; i < c->ntargets; i++) {
 		if (c->targets[i].service != k)
@@ -124,21 +157,14 @@
 		    names, json_string(c->targets[i].conf.name));
 		place[i] = (int)json_array_size(names);
 	}
-	for (n = 0; n < s->shards; n++) {
-		i = s->write.owner[n];
-		json_array_append_new(
-		    owner, json_integer(i == NOBODY ? 0 : place[i]));
-		json_array_append_new(
-		    fence, json_integer((json_int_t)s->write.fence[n]));
-	}
-	snprintf(id, sizeof(id), "%016" PRIx64, s->write.id);
-	json_object_set_new(o, "term", json_integer((json_int_t)c->term));
-	json_object_set_new(o, "write", json_string(id));
-	json_object_set_new(
-	    o, "top_fence", json_integer((json_int_t)s->top_fence + 1));
-	json_object_set_new(o, "targets", names);
-	json_object_set_new(o, "owner", owner);
-	json_object_set_new(o, "fence", fence);
+	snprintf(id, sizeof(id), "%016" PRIx64, w->id);
+	o = json_pack("{s:I, s:s, s:I, s:o, s:o, s:o, s:o, s:o}", "term",
+	    (json_int_t)c->term, "write", id, "top_fence",
+	    (json_int_t)s->top_fence + 1, "targets", names, "owner",
+	    places(w->owner, place, s->shards), "next",
+	    places(w->next, place, s->shards), "fence",
+	    fences(w->fence, s->shards), "next_fence",
+	    fences(w->next_fence, s->shards));
 	text = json_dumps(o, JSON_COMPACT);
 	free(place);
 	json_decref(o);
@@ -162,6 +188,9 @@
 {
 	memcpy(s->write.owner, s->owner, s->shards * sizeof(*s->owner));
 	memcpy(s->write.fence, s->fence, s->shards * sizeof(*s->fence));
+	memcpy(s->write.next, s->next, s->shards * sizeof(*s->next));
+	memcpy(s->write.next_fence, s->next_fence,
+	    s->shards * sizeof(*s->next_fence));
 }
 
 /* Writes the assignment as it is, under this term. */
@@ -184,28 +213,37 @@
 void
 plan_commit(struct cell *c, struct cell_service *s, uint64_t version)
 {
+	struct cell_write *w = &s->write;
+	uint32_t i, moved = 0, begun = 0;
 	char text[200];
-	uint32_t i, n = 0;
 
 	for (i = 0; i < s->shards; i++) {
-		if (s->write.owner[i] != s->owner[i]) {
-			n++;
-			s->moving_to[i] = NOBODY;
-			s->freed[i] = 0;
+		if (w->owner[i] != cell_serves(s, i, NULL))
+			moved++;
+		if (w->next[i] != NOBODY && w->next[i] != s->next[i]) {
+			begun++;
+			s->flag_seq[i] = c->view_seq + 1;
 		}
+		if (w->next[i] != s->next[i])
+			s->freed[i] = 0;
 	}
-	memcpy(s->owner, s->write.owner, s->shards * sizeof(*s->owner));
-	memcpy(s->fence, s->write.fence, s->shards * sizeof(*s->fence));
+	memcpy(s->owner, w->owner, s->shards * sizeof(*s->owner));
+	memcpy(s->fence, w->fence, s->shards * sizeof(*s->fence));
+	memcpy(s->next, w->next, s->shards * sizeof(*s->next));
+	memcpy(
+	    s->next_fence, w->next_fence, s->shards * sizeof(*s->next_fence));
 	s->version = version;
 	s->top_fence++;
-	s->write.open = 0;
-	s->write.lost = 0;
-	s->moved += n;
-	snprintf(text, sizeof(text), "%s: %s, %" PRIu32 " shards placed",
+	w->open = 0;
+	w->lost = 0;
+	s->moved += moved;
+	snprintf(text, sizeof(text),
+	    "%s: %s, %" PRIu32 " shards placed, %" PRIu32 " begin to move",
 	    s->name, s->claimed ? "assignment written" : "assignment claimed",
-	    n);
+	    moved, begun);
+	if (!s->claimed || moved + begun > 0)
+		c->out->event(c->arg, text);
 	s->claimed = 1;
-	c->out->event(c->arg, text);
 	plan_changed(c);
 }
 
@@ -231,8 +269,15 @@
 
 	if (now < t->clear_at)
 		return (0);
+	/*
+	 * Until all earlier leases have surely lapsed, only a target that
+	 * checks orders and has taken one of this term is known to refuse
+	 * those of dispatchers that this controller has not heard of.
+	 */
+	if (!c->settled && !(t->confirmed && t->conf.checks))
+		return (0);
 	if (t->disp == NOBODY)
-		return (t->gone && c->settled);
+		return (t->gone);
 	return (t->reported && !t->granted && (!t->up || t->gone));
 }
 
@@ -250,7 +295,7 @@
 		pt[i].usable = c->targets[i].service == k && usable(c, i);
 	}
 	for (n = 0; n < s->shards; n++) {
-		o = s->moving_to[n] != NOBODY ? s->moving_to[n] : s->owner[n];
+		o = s->next[n] != NOBODY ? s->next[n] : s->owner[n];
 		if (o == NOBODY)
 			continue;
 		pt[o].shards++;
@@ -277,45 +322,64 @@
 	return (1);
 }
 
-/* Plans new owners for shards that may be placed now; true if any. */
+/* Plans a shard straight onto the least full target; true where there is one.
+ */
+static int
+put_on(
+    struct cell *c, struct cell_service *s, struct place_target *pt, uint32_t n)
+{
+	int to = place_pick(pt, c->ntargets);
+
+	if (to == NOBODY)
+		return (0);
+	pt[to].shards++;
+	pt[to].load += s->load[n];
+	s->write.owner[n] = to;
+	s->write.fence[n] = s->top_fence + 1;
+	s->write.next[n] = NOBODY;
+	return (1);
+}
+
+/*
+ * Plans one shard that is on its way.  A move only ever goes forward: the
+ * next target may have been granted the shard under an earlier controller, so
+ * the owner never gets it back.
+ */
+static int
+plan_moving(struct cell *c, struct cell_service *s, struct place_target *pt,
+    uint32_t n, usec now)
+{
+	if (!s->freed[n] && lost(c, s->owner[n], now))
+		s->freed[n] = 1;
+	if (!s->freed[n])
+		return (0);
+	if (lost(c, s->next[n], now))
+		return (put_on(c, s, pt, n));
+	s->write.owner[n] = s->next[n];
+	s->write.fence[n] = s->next_fence[n];
+	s->write.next[n] = NOBODY;
+	return (1);
+}
+
+/* Plans owners for shards that have none or lost theirs; true if any. */
 static int
 plan_owners(
     struct cell *c, struct cell_service *s, struct place_target *pt, usec now)
 {
 	uint32_t n;
-	int o, to, any = 0, fill = may_fill(c, s, now);
+	int o, any = 0, fill = may_fill(c, s, now);
 
-	start_write(s);
 	for (n = 0; n < s->shards; n++) {
 		o = s->owner[n];
-		if (o != NOBODY && s->freed[n])
-			to = s->moving_to[n];
-		else if (o == NOBODY ? fill : lost(c, o, now))
-			to = place_pick(pt, c->ntargets);
-		else
-			continue;
-		if (to == NOBODY ||
-		    (!usable(c, to) &&
-			(to = place_pick(pt, c->ntargets)) == NOBODY))
-			continue;
-		pt[to].shards++;
-		pt[to].load += s->load[n];
-		s->write.owner[n] = to;
-		s->write.fence[n] = s->top_fence + 1;
-		any = 1;
+		if (o == NOBODY ? fill
+				: s->next[n] == NOBODY && lost(c, o, now))
+			any |= put_on(c, s, pt, n);
+		else if (s->next[n] != NOBODY)
+			any |= plan_moving(c, s, pt, n, now);
 	}
 	return (any);
 }
 
-/* Marks a shard as on its way to a target, or no more, from the next view. */
-static void
-flag(struct cell *c, struct cell_service *s, uint32_t n, int to)
-{
-	s->moving_to[n] = to;
-	s->freed[n] = 0;
-	s->flag_seq[n] = c->view_seq + 1;
-}
-
 /* How many shards are on their way. */
 static int
 moving(const struct cell_service *s)
@@ -324,10 +388,22 @@
 	int k = 0;
 
 	for (n = 0; n < s->shards; n++)
-		k += s->moving_to[n] != NOBODY;
+		k += s->write.next[n] != NOBODY;
 	return (k);
 }
 
+/*
+ * Plans the start of a move.  It is written before the owner is asked to let
+ * go: were the platform to go down in between, the shard would otherwise be
+ * neither here nor there for the whole outage.
+ */
+static void
+begin_move(struct cell_service *s, uint32_t n, int to)
+{
+	s->write.next[n] = to;
+	s->write.next_fence[n] = s->top_fence + 1;
+}
+
 /*
  * Starts moves away from targets that leave, all at once: a leaving target is
  * to get no new work within seconds.  True if any.
@@ -340,16 +416,16 @@
 	int to, any = 0;
 
 	for (n = 0; n < s->shards; n++) {
-		if (s->owner[n] == NOBODY || s->moving_to[n] != NOBODY)
+		if (s->write.owner[n] == NOBODY || s->write.next[n] != NOBODY)
 			continue;
-		t = &c->targets[s->owner[n]];
+		t = &c->targets[s->write.owner[n]];
 		if (!t->gone && !t->conf.leaving && !t->leaving)
 			continue;
 		to = place_pick(pt, c->ntargets);
 		if (to == NOBODY)
 			break;
 		pt[to].shards++;
-		flag(c, s, n, to);
+		begin_move(s, n, to);
 		any = 1;
 	}
 	return (any);
@@ -376,57 +452,32 @@
 		return (0);
 	fixed = calloc(s->shards, 1);
 	for (k = 0; k < s->shards; k++)
-		fixed[k] = s->moving_to[k] != NOBODY;
-	n = place_balance(pt, c->ntargets, s->owner, s->load, fixed, s->shards,
-	    w->tolerance, moves, room);
-	for (i = 0; i < n; i++) {
-		flag(c, s, moves[i].shard, moves[i].to);
-	}
+		fixed[k] = s->write.next[k] != NOBODY;
+	n = place_balance(pt, c->ntargets, s->write.owner, s->load, fixed,
+	    s->shards, w->tolerance, moves, room);
+	for (i = 0; i < n; i++)
+		begin_move(s, moves[i].shard, moves[i].to);
 	s->budget -= n;
 	free(fixed);
 	return (n > 0);
 }
 
-/*
- * Calls off moves to a target that can no longer take them; true if any.  The
- * shards stay where they are: their dispatcher is told by the next view.
- */
-static int
-call_off(struct cell *c, struct cell_service *s)
-{
-	uint32_t n;
-	int any = 0;
-
-	for (n = 0; n < s->shards; n++) {
-		if (s->moving_to[n] == NOBODY || s->freed[n] ||
-		    usable(c, s->moving_to[n]))
-			continue;
-		flag(c, s, n, NOBODY);
-		any = 1;
-	}
-	return (any);
-}
-
-/* Plans for one service and opens a write where one is due; true where a
- * view must tell of it. */
-int
+/* Plans for one service, and opens a write where anything is to change. */
+void
 plan_tick(struct cell *c, struct cell_service *s, usec now)
 {
 	struct place_target pt[CELL_TARGETS];
-	int changed, room;
+	int any, room;
 
 	if (s->write.open)
-		return (0);
+		return;
 	survey(c, s, pt);
-	if (plan_owners(c, s, pt, now)) {
-		open_write(c, s);
-		return (0);
-	}
-	changed = call_off(c, s);
-	if (plan_leaving(c, s, pt))
-		return (1);
+	start_write(s);
+	any = plan_owners(c, s, pt, now);
+	any |= plan_leaving(c, s, pt);
 	room = MOVES_AT_ONCE - moving(s);
-	if (room <= 0)
-		return (changed);
-	return (plan_balance(c, s, pt, now, room) || changed);
+	if (!any && room > 0)
+		any = plan_balance(c, s, pt, now, room);
+	if (any)
+		open_write(c, s);
 }
--- a/decide/cell_plan.h
+++ b/decide/cell_plan.h
@@ -10,7 +10,7 @@
 char *plan_json(struct cell *, struct cell_service *);
 void plan_write(struct cell *, struct cell_service *);
 void plan_commit(struct cell *, struct cell_service *, uint64_t version);
-int plan_tick(struct cell *, struct cell_service *, usec now);
+void plan_tick(struct cell *, struct cell_service *, usec now);
 void plan_changed(struct cell *);
 
 #endif
--- a/decide/entry.c
+++ b/decide/entry.c
@@ -110,12 +110,23 @@
 	name_copy(dst, size, json_string_value(v));
 }
 
+/* Reads true or false; false where absent. */
+static int
+flag(struct check *c, json_t *o, const char *at, const char *key)
+{
+	json_t *v = json_object_get(o, key);
+
+	if (v != NULL && !json_is_boolean(v))
+		bad(c, "%s.%s: allowed: true or false", at, key);
+	return (json_is_true(v));
+}
+
 /* Reads one target. */
 static void
 target(struct check *c, json_t *o, const char *at, struct target_conf *t)
 {
 	static const char *const keys[] = {
-	    "name", "dc", "address", "slots", "leaving", NULL};
+	    "name", "dc", "address", "slots", "leaving", "checks", NULL};
 	json_t *v;
 	char ip[64];
 	int port;
@@ -130,10 +141,8 @@
 	else
 		name_copy(t->addr, sizeof(t->addr), json_string_value(v));
 	t->slots = number(c, o, at, "slots", 1, 1024, -1);
-	v = json_object_get(o, "leaving");
-	if (v != NULL && !json_is_boolean(v))
-		bad(c, "%s.leaving: allowed: true or false", at);
-	t->leaving = json_is_true(v);
+	t->leaving = flag(c, o, at, "leaving");
+	t->checks = flag(c, o, at, "checks");
 }
 
 /* Reads the data centres of a cell; their names joined name the cell. */
--- a/decide/entry.h
+++ b/decide/entry.h
@@ -27,6 +27,7 @@
 	char addr[64];
 	int slots;
 	int leaving;
+	int checks; /* refuses orders of an earlier epoch */
 };
 
 /* A run of the service's shards, and the targets they may be on. */
--- a/decide/place.c
+++ b/decide/place.c
@@ -2,6 +2,8 @@
 
 /* What holding an idle shard counts for, in busy slots: a tie-breaker. */
 #define IDLE_SHARD 0.0005
+/* A target less full than this needs no relief, whatever the others are. */
+#define WORTH_MOVING 0.1
 
 /* How full a target is: busy time over its slots. */
 double
@@ -77,6 +79,7 @@
 		from = fullest(t, n);
 		to = place_pick(t, n);
 		if (from < 0 || to < 0 || from == to ||
+		    (place_cost(&t[from]) < WORTH_MOVING && t[to].shards > 0) ||
 		    place_imbalance(t, n) <= tolerance)
 			break;
 		best = place_cost(&t[from]);
--- a/decide/term.c
+++ b/decide/term.c
@@ -145,6 +145,19 @@
 	    t->role == TERM_HOLDER && !t->must_withdraw && now >= t->settle_at);
 }
 
+/*
+ * True once targets that no host has spoken of may be given a dispatcher.
+ * Where standbys have not withdrawn, an old controller cut off with them may
+ * still keep a dispatcher for a target: both would grant it the same shards,
+ * for the assignments are claimed, so no key has two owners; and no ticket
+ * runs twice, for each is known to one dispatcher's table only.
+ */
+int
+term_may_dispatch(const struct term *t, usec now)
+{
+	return (t->role == TERM_HOLDER && now >= t->dispatch_at);
+}
+
 /* Stops being holder or taker. */
 static void
 follow(struct term *t, const char *why)
@@ -176,6 +189,7 @@
 		 */
 		t->must_withdraw = !listed;
 		t->settle_at = lease_granter_end(now, t->conf.host_lease);
+		t->dispatch_at = t->settle_at;
 		t->npromises = 0;
 	}
 	t->role = TERM_HOLDER;
@@ -220,7 +234,13 @@
 static void
 see(struct term *t, usec now, uint64_t version, const struct record *r)
 {
-	if (!t->known || t->version != version)
+	/*
+	 * Two looks far apart say nothing of the time between: after an outage
+	 * of the platform the record stands as it did before, and the holder,
+	 * which has not had a chance to write, would be taken for stuck.
+	 */
+	if (!t->known || t->version != version ||
+	    now - t->last_seen > 2 * t->conf.lease)
 		t->first_seen = now;
 	t->known = 1;
 	t->version = version;
--- a/decide/term.h
+++ b/decide/term.h
@@ -84,6 +84,7 @@
 	int npromises;
 	usec next_ask;
 	usec settle_at;
+	usec dispatch_at;
 	struct record taken_from;
 	int must_withdraw;
 	struct member want[STANDBYS];
@@ -112,5 +113,6 @@
 void term_resign(struct term *, usec now);
 int term_may_renew(const struct term *, usec now);
 int term_settled(const struct term *, usec now);
+int term_may_dispatch(const struct term *, usec now);
 
 #endif
--- a/gspard/call.h
+++ b/gspard/call.h
@@ -48,5 +48,6 @@
 int call_gone(const struct call *);
 int call_parse(struct call *, const struct catalogue *);
 int door_inflight(void);
+void door_shut(struct kernel *);
 
 #endif
--- a/gspard/control.c
+++ b/gspard/control.c
@@ -8,6 +8,8 @@
 #define TICK_US MS(10)
 #define HOSTS_EVERY MS(10000)
 #define HOSTS_RETRY MS(300)
+/* A stopping host that is alone for so long waits for nobody. */
+#define ALONE_AFTER MS(1500)
 
 /* A cell by name, or NULL. */
 struct ccell *
@@ -248,6 +250,7 @@
 		break;
 	case MSG_STOP:
 		c->stopping = 1;
+		c->alone_since = now;
 		for (i = 0; i < c->ncells; i++)
 			c->cells[i]->ask_now = 1;
 		break;
@@ -286,6 +289,29 @@
 	return (1);
 }
 
+/*
+ * True where nobody can take a cell over from this host: it controls the cell
+ * and hears no other host, or hears no controller at all.
+ */
+static int
+is_alone(const struct control *c, usec now)
+{
+	struct member m;
+	const struct ccell *cell;
+	int i;
+
+	for (i = 0; i < c->ncells; i++) {
+		cell = c->cells[i];
+		if (!cell->member)
+			continue;
+		if (cell->cell->active ? cell_live_hosts(cell->cell, now, &m, 1,
+					     cell->term.conf.self.host) > 0
+				       : now - cell->lease.heard < ALONE_AFTER)
+			return (0);
+	}
+	return (1);
+}
+
 /*
  * Stops in order: targets are handed over first, while control still runs,
  * then control itself is given back so that a standby takes it at once.
@@ -296,7 +322,11 @@
 	struct control *c = s->state;
 	int i, held = 0;
 
-	if (!c->stopping || c->told_stop || !holds_nothing(c))
+	if (!c->stopping || c->told_stop)
+		return;
+	if (!is_alone(c, now))
+		c->alone_since = now;
+	if (!holds_nothing(c) && now - c->alone_since < ALONE_AFTER)
 		return;
 	for (i = 0; i < c->ncells; i++) {
 		if (!c->cells[i]->term.resigned)
--- a/gspard/control.h
+++ b/gspard/control.h
@@ -50,6 +50,7 @@
 	usec next_hosts;
 	int stopping;
 	int told_stop;
+	usec alone_since;
 	int stop;
 };
 
--- a/gspard/ctl_cell.c
+++ b/gspard/ctl_cell.c
@@ -219,10 +219,10 @@
 		place[i] = (int)sv->n_targets;
 	}
 	for (n = 0; n < s->shards; n++) {
-		if (s->owner[n] != NOBODY)
-			sv->owner[n] = (uint32_t)place[s->owner[n]];
-		sv->fence[n] = s->fence[n];
-		if (s->moving_to[n] != NOBODY)
+		i = cell_serves(s, n, &sv->fence[n]);
+		if (i != NOBODY)
+			sv->owner[n] = (uint32_t)place[i];
+		if (s->next[n] != NOBODY && !s->freed[n])
 			sv->moving[sv->n_moving++] = s->first + n;
 	}
 	free(place);
@@ -466,7 +466,8 @@
 	term_tick(&c->term, now);
 	follow_term(c, now);
 	if (term_may_renew(&c->term, now))
-		cell_tick(c->cell, now, term_settled(&c->term, now));
+		cell_tick(c->cell, now, term_settled(&c->term, now),
+		    term_may_dispatch(&c->term, now));
 	if (c->lease.controller[0] != '\0' &&
 	    (c->ask_now || now >= c->lease.next_ask))
 		ask_lease(c, now);
@@ -494,7 +495,8 @@
 	if (c->cell->active && ask->term <= c->cell->term &&
 	    term_may_renew(&c->term, now) && cell_ready(c->cell)) {
 		cell_asked(c->cell, now, m->host, ask);
-		cell_tick(c->cell, now, term_settled(&c->term, now));
+		cell_tick(c->cell, now, term_settled(&c->term, now),
+		    term_may_dispatch(&c->term, now));
 		/*
 		 * Read the clock once more: a controller paused since `now`
 		 * must not give a lease that outlives its own.
--- a/gspard/dispatch.c
+++ b/gspard/dispatch.c
@@ -8,7 +8,7 @@
 #define REPORT_EVERY MS(100)
 #define LOADS_EVERY MS(1000)
 /* Busiest shards reported for each target. */
-#define LOADS_TOLD 8
+#define LOADS_TOLD 16
 
 /* What is known of a cell, made where there is none; NULL without room. */
 struct dcell *
@@ -70,6 +70,7 @@
 	if (t == NULL)
 		return;
 	t->dropping = 0;
+	t->lapsed = 0;
 	if (c->view != NULL)
 		target_view(t, c->view->p, view_number(c));
 }
@@ -184,27 +185,37 @@
 	return (best);
 }
 
+/* Busy milliseconds a second, from microseconds busy in a span. */
+static uint32_t
+per_second(uint64_t busy, usec span)
+{
+	return ((uint32_t)(busy * 1000 / (uint64_t)span));
+}
+
 /* Adds the busiest shards' loads, and starts counting anew. */
 static void
 tell_loads(struct target *t, Gspar__TargetState *ts, usec now)
 {
 	Gspar__ShardLoad *l;
+	uint64_t rest = 0;
 	uint32_t i;
 	usec span = now - t->loads_at;
 
 	if (span < LOADS_EVERY)
 		return;
+	ts->has_loads = 1;
 	ts->loads = calloc(LOADS_TOLD, sizeof(*ts->loads));
 	while (ts->n_loads < LOADS_TOLD && (i = busiest(t)) < t->shards) {
 		l = malloc(sizeof(*l));
 		gspar__shard_load__init(l);
-		l->service = strdup(t->service);
 		l->shard = t->first + i;
-		l->busy =
-		    (uint32_t)((uint64_t)t->busy[i] * 1000 / (uint64_t)span);
+		l->busy = per_second(t->busy[i], span);
 		t->busy[i] = 0;
 		ts->loads[ts->n_loads++] = l;
 	}
+	for (i = 0; i < t->shards; i++)
+		rest += t->busy[i];
+	ts->rest_busy = per_second(rest, span);
 	memset(t->busy, 0, t->shards * sizeof(*t->busy));
 	t->loads_at = now;
 }
@@ -258,9 +269,13 @@
 		n = 0;
 		for (t = d->targets; t != NULL; t = t->next)
 			n += strcmp(t->cell, ask->cell) == 0;
+		/*
+		 * A target held under a lapsed lease is not told: it may have
+		 * been given to another host, whose word must not be crossed.
+		 */
 		ask->targets = calloc(n + 1, sizeof(*ask->targets));
 		for (t = d->targets; t != NULL; t = t->next) {
-			if (strcmp(t->cell, ask->cell) == 0)
+			if (strcmp(t->cell, ask->cell) == 0 && !t->lapsed)
 				ask->targets[ask->n_targets++] =
 				    state_of(t, now);
 		}
@@ -343,6 +358,13 @@
 	struct target *t;
 
 	for (t = d->targets; t != NULL; t = t->next) {
+		if (!t->lapsed && now >= dcell(d, t->cell)->lease_until) {
+			t->lapsed = 1;
+			t->dropping = 1;
+			d->report = 1;
+			event_add(
+			    "dispatch", 0, "lease lapsed, %s let go", t->name);
+		}
 		target_sets(t);
 		target_tick(s, t, now);
 		run_pump(s, t, now);
--- a/gspard/dispatch.h
+++ b/gspard/dispatch.h
@@ -72,6 +72,7 @@
 	struct queue queue;
 	struct once once;
 	int dropping;
+	int lapsed;
 	int leaving;
 	uint64_t min_view;
 	uint64_t view; /* the view that the arrays below are of */
--- a/gspard/door.c
+++ b/gspard/door.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <apr_thread_mutex.h>
 
@@ -15,6 +16,7 @@
 /* A connection that says nothing for so many seconds is closed. */
 #define IDLE_SECONDS 10u
 #define CONNECTIONS_MAX 4096u
+#define LISTEN_BACKLOG 512
 /* Bytes over the limit that are still read, to answer instead of cutting. */
 #define SPILL_MAX (1u << 20)
 
@@ -23,8 +25,10 @@
 	apr_pool_t *pool;
 	apr_thread_mutex_t *lock;
 	struct shared *catalogue;
+	int sock;
 	int stop;
 	int stopping;
+	int closed;
 };
 
 static _Atomic int inflight;
@@ -266,6 +270,24 @@
 	return (c->fd >= 0 && recv(c->fd, &b, 1, MSG_PEEK | MSG_DONTWAIT) == 0);
 }
 
+/*
+ * Takes no new connections and no new calls.  Connections kept open have been
+ * told to close with each answer since the stop began.
+ */
+void
+door_shut(struct kernel *k)
+{
+	struct door *d = kernel_find(k, "door")->state;
+	MHD_socket fd;
+
+	if (d->daemon == NULL)
+		return;
+	fd = MHD_quiesce_daemon(d->daemon);
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+	__atomic_store_n(&d->closed, 1, __ATOMIC_RELAXED);
+}
+
 /* Called by the library for each step of each request. */
 static enum MHD_Result
 handle(void *cls, struct MHD_Connection *conn, const char *url,
@@ -300,10 +322,33 @@
 	}
 	if (c->too_large)
 		return (refuse(d, c, GS_TOO_LARGE));
+	if (__atomic_load_n(&d->closed, __ATOMIC_RELAXED))
+		return (refuse(d, c, GS_STOPPING));
 	return (submit(s, c));
 }
 
-/* The thread: takes the catalogue, and the order to stop. */
+/* Starts serving on the socket bound at the start. */
+static void
+start_serving(struct service *s)
+{
+	struct door *d = s->state;
+
+	if (d->daemon != NULL || listen(d->sock, LISTEN_BACKLOG) != 0)
+		return;
+	d->daemon = MHD_start_daemon(
+	    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
+	    NULL, handle, s, MHD_OPTION_LISTEN_SOCKET, d->sock,
+	    MHD_OPTION_URI_LOG_CALLBACK, keep_uri, NULL,
+	    MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
+	    MHD_OPTION_CONNECTION_TIMEOUT, IDLE_SECONDS,
+	    MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, MHD_OPTION_END);
+	if (d->daemon == NULL)
+		log_line(LOG_ERR, "door", "Cannot serve callers.");
+	else
+		log_line(LOG_INFO, "door", "Serving callers.");
+}
+
+/* The thread: takes the catalogue, and the orders to start and stop. */
 static void
 door_run(struct service *s)
 {
@@ -322,6 +367,9 @@
 			m->data = NULL;
 			apr_thread_mutex_unlock(d->lock);
 			break;
+		case MSG_READY:
+			start_serving(s);
+			break;
 		case MSG_STOP:
 			__atomic_store_n(&d->stopping, 1, __ATOMIC_RELAXED);
 			break;
@@ -335,44 +383,59 @@
 	}
 }
 
-/* Listens for callers. */
+/* Binds a socket to "IP:PORT"; it, or -1. */
 static int
-door_open(struct service *s)
+bind_to(const char *at)
 {
-	const char *at = kernel_conf(s->kernel)->callers;
 	struct sockaddr_in sin = {.sin_family = AF_INET};
 	struct sockaddr_in6 sin6 = {.sin6_family = AF_INET6};
 	char ip[ADDR_MAX_GS];
-	struct door *d;
-	int port, six;
+	int fd, port, six, on = 1, res;
 
-	d = calloc(1, sizeof(*d));
-	if (d == NULL)
-		return (-1);
-	s->state = d;
-	if (apr_pool_create(&d->pool, NULL) != APR_SUCCESS)
-		goto bad;
-	apr_thread_mutex_create(&d->lock, APR_THREAD_MUTEX_DEFAULT, d->pool);
 	addr_split(at, ip, sizeof(ip), &port);
 	six = inet_pton(AF_INET, ip, &sin.sin_addr) != 1;
 	if (six)
 		inet_pton(AF_INET6, ip, &sin6.sin6_addr);
 	sin.sin_port = htons((uint16_t)port);
 	sin6.sin6_port = htons((uint16_t)port);
-	d->daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD |
-		MHD_ALLOW_SUSPEND_RESUME | (six ? MHD_USE_IPv6 : 0),
-	    (uint16_t)port, NULL, NULL, handle, s, MHD_OPTION_SOCK_ADDR,
-	    six ? (void *)&sin6 : (void *)&sin,
-	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_URI_LOG_CALLBACK,
-	    keep_uri, NULL, MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
-	    MHD_OPTION_CONNECTION_TIMEOUT, IDLE_SECONDS,
-	    MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, MHD_OPTION_END);
-	if (d->daemon != NULL)
+	fd = socket(six ? AF_INET6 : AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return (-1);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	res = six ? bind(fd, (struct sockaddr *)&sin6, sizeof(sin6))
+		  : bind(fd, (struct sockaddr *)&sin, sizeof(sin));
+	if (res == 0)
+		return (fd);
+	close(fd);
+	return (-1);
+}
+
+/*
+ * Takes the callers' address.  It is only listened on once the router knows
+ * its way: a host that answers before that would refuse what others could
+ * serve, and the balancer would go on sending.
+ */
+static int
+door_open(struct service *s)
+{
+	const char *at = kernel_conf(s->kernel)->callers;
+	struct door *d;
+
+	d = calloc(1, sizeof(*d));
+	if (d == NULL)
+		return (-1);
+	s->state = d;
+	d->sock = bind_to(at);
+	if (d->sock < 0) {
+		log_line(LOG_ERR, "door", "Cannot listen on %s.", at);
+		free(d);
+		return (-1);
+	}
+	if (apr_pool_create(&d->pool, NULL) == APR_SUCCESS &&
+	    apr_thread_mutex_create(
+		&d->lock, APR_THREAD_MUTEX_DEFAULT, d->pool) == APR_SUCCESS)
 		return (0);
-	log_line(LOG_ERR, "door", "Cannot listen on %s.", at);
-bad:
-	if (d->pool != NULL)
-		apr_pool_destroy(d->pool);
+	close(d->sock);
 	free(d);
 	return (-1);
 }
@@ -383,7 +446,10 @@
 {
 	struct door *d = s->state;
 
-	MHD_stop_daemon(d->daemon);
+	if (d->daemon != NULL)
+		MHD_stop_daemon(d->daemon);
+	else
+		close(d->sock);
 	shared_unref(d->catalogue);
 	apr_pool_destroy(d->pool);
 	free(d);
--- a/gspard/gspard.c
+++ b/gspard/gspard.c
@@ -15,6 +15,9 @@
 /* How long a stop waits for handing over, and then for calls to end. */
 #define HAND_OVER_MS 8000
 #define CALLS_END_MS 10000
+/* How long kept connections are served on, each told to close. */
+#define LINGER_MS 300
+#define SETTLE_MS 50
 
 static const char *file;
 static int check_only;
@@ -107,9 +110,13 @@
 	if (kernel_wait(k, "control", HAND_OVER_MS) != 0)
 		log_line(LOG_WARNING, "kernel",
 		    "Nobody took this host's targets over.");
+	apr_sleep(MS(LINGER_MS));
+	door_shut(k);
 	for (waited = 0; door_inflight() > 0 && waited < CALLS_END_MS;
 	     waited += 10)
 		apr_sleep(MS(10));
+	/* The library needs a moment to write the last answers. */
+	apr_sleep(MS(SETTLE_MS));
 	log_line(LOG_NOTICE, "kernel", "Stopped.");
 }
 
--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -30,6 +30,7 @@
 	MSG_LEASE,     /* control to dispatch: lease and duties */
 	MSG_TARGETS,   /* dispatch to control: what it holds */
 	MSG_STATUS,    /* admin to control: a question */
+	MSG_READY,     /* router to door: callers can be served */
 	MSG_STOP,      /* kernel to all: stop in order */
 	MSG_QUIT       /* kernel to all: end the thread now */
 };
--- a/gspard/router.c
+++ b/gspard/router.c
@@ -19,6 +19,7 @@
 #define RETRY_BURST 20
 /* How much earlier a deadline passes at the dispatcher. */
 #define HEAD_START_MS 5
+#define READY_PATIENCE MS(3000)
 #define MAX_VIEWS 32
 /* What is told where nothing is known of when a key comes back. */
 #define LOST_RETRY_MS 1000
@@ -47,6 +48,8 @@
 	struct shared *views[MAX_VIEWS];
 	int nviews;
 	struct budget budget;
+	usec catalogue_at;
+	int ready;
 	int stop;
 };
 
@@ -402,6 +405,41 @@
 	}
 }
 
+/* True where each cell of the catalogue has a view. */
+static int
+sees_all(const struct router *r)
+{
+	const struct catalogue *cat = r->catalogue->p;
+	int i, k;
+
+	for (i = 0; i < cat->n; i++) {
+		for (k = 0; k < cat->entries[i]->ncells; k++) {
+			if (view_of(r, cat->entries[i]->cells[k].name) == NULL)
+				return (0);
+		}
+	}
+	return (cat->n > 0);
+}
+
+/*
+ * Tells the door to let callers in: once all cells are known, or some while
+ * after the catalogue is, for a cell that is cut off must not keep this host
+ * from serving the others.
+ */
+static void
+maybe_ready(struct service *s, usec now)
+{
+	struct router *r = s->state;
+
+	if (r->ready || r->catalogue == NULL)
+		return;
+	if (r->catalogue_at == 0)
+		r->catalogue_at = now;
+	if (!sees_all(r) && now - r->catalogue_at < READY_PATIENCE)
+		return;
+	r->ready = msg_post(s->kernel, "door", MSG_READY, NULL, NULL) == 0;
+}
+
 /* Takes one message. */
 static void
 take(struct service *s, struct msg *m, usec now)
@@ -456,6 +494,7 @@
 		if (now - ticked >= TICK_US) {
 			ticked = now;
 			tick(s, now);
+			maybe_ready(s, now);
 		}
 	}
 	while (r->all != NULL)
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -1029,7 +1029,7 @@
   (ProtobufCMessageInit) gspar__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__target_state__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gspar__target_state__field_descriptors[10] =
 {
   {
     "target",
@@ -1127,21 +1127,47 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_loads",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetState, has_loads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rest_busy",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetState, rest_busy),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__target_state__field_indices_by_name[] = {
   5,   /* field[5] = busy */
   1,   /* field[1] = epoch */
   6,   /* field[6] = freed */
   2,   /* field[2] = granted */
+  8,   /* field[8] = has_loads */
   4,   /* field[4] = leaving */
   7,   /* field[7] = loads */
+  9,   /* field[9] = rest_busy */
   0,   /* field[0] = target */
   3,   /* field[3] = up */
 };
 static const ProtobufCIntRange gspar__target_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gspar__target_state__descriptor =
 {
@@ -1151,7 +1177,7 @@
   "Gspar__TargetState",
   "gspar",
   sizeof(Gspar__TargetState),
-  8,
+  10,
   gspar__target_state__field_descriptors,
   gspar__target_state__field_indices_by_name,
   1,  gspar__target_state__number_ranges,
@@ -1222,20 +1248,8 @@
   (ProtobufCMessageInit) gspar__freed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__shard_load__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gspar__shard_load__field_descriptors[2] =
 {
-  {
-    "service",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gspar__ShardLoad, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "shard",
     2,
@@ -1262,14 +1276,13 @@
   },
 };
 static const unsigned gspar__shard_load__field_indices_by_name[] = {
-  2,   /* field[2] = busy */
-  0,   /* field[0] = service */
-  1,   /* field[1] = shard */
+  1,   /* field[1] = busy */
+  0,   /* field[0] = shard */
 };
 static const ProtobufCIntRange gspar__shard_load__number_ranges[1 + 1] =
 {
-  { 1, 0 },
-  { 0, 3 }
+  { 2, 0 },
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor gspar__shard_load__descriptor =
 {
@@ -1279,7 +1292,7 @@
   "Gspar__ShardLoad",
   "gspar",
   sizeof(Gspar__ShardLoad),
-  3,
+  2,
   gspar__shard_load__field_descriptors,
   gspar__shard_load__field_indices_by_name,
   1,  gspar__shard_load__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -76,12 +76,17 @@
   uint32_t busy;
   size_t n_freed;
   Gspar__Freed **freed;
+  /*
+   * Loads are told once a second: the busiest shards, and all others.
+   */
+  protobuf_c_boolean has_loads;
   size_t n_loads;
   Gspar__ShardLoad **loads;
+  uint32_t rest_busy;
 };
 #define GSPAR__TARGET_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__target_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
@@ -106,13 +111,12 @@
 struct  Gspar__ShardLoad
 {
   ProtobufCMessage base;
-  char *service;
   uint32_t shard;
   uint32_t busy;
 };
 #define GSPAR__SHARD_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__shard_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0 }
 
 
 struct  Gspar__CatalogueSeen
--- a/regress/scenario/lib.lua
+++ b/regress/scenario/lib.lua
@@ -154,8 +154,10 @@
 		for _, t in ipairs(c.targets) do
 			table.insert(ts, string.format(
 			    '{"name":"%s","dc":"%s","address":"%s",' ..
-			    '"slots":%d,"leaving":%s}', t.name, t.dc, t.addr,
-			    t.opt.slots or 4, tostring(t.leaving or false)))
+			    '"slots":%d,"leaving":%s,"checks":%s}', t.name,
+			    t.dc, t.addr, t.opt.slots or 4,
+			    tostring(t.leaving or false),
+			    tostring(not t.opt.unchecked)))
 		end
 		for _, d in ipairs(c.dcs) do
 			table.insert(dcs, '"' .. d .. '"')
@@ -372,3 +374,50 @@
 		end
 	end
 end
+
+-- Sum of what callers were told other than a whole answer.
+function failures(sum)
+	return sum.not_run + sum.unknown + sum.bad + sum.wrong + sum.lost
+end
+
+-- Waits until some requests of a load have been answered.
+function Fleet:await_load()
+	local n = self.order[1]
+	for _, h in ipairs(self.order) do
+		if not self.hosts[h].dead then
+			n = h
+			break
+		end
+	end
+	local before = self:metric(n, "caller_answers")
+	await("load", 5000, function()
+		return self:metric(n, "caller_answers") > before + 20
+	end)
+end
+
+-- A host of the cell that dispatches for a target and has no other duty.
+function Fleet:plain_dispatcher(cell)
+	local ctl = self:controller(cell)
+	for _, n in ipairs(self.order) do
+		local s = n ~= ctl and not self.hosts[n].dead and self:status(n)
+		for _, c in ipairs(s and s.cells or {}) do
+			if c.cell == cell then
+				for t, h in pairs(c.dispatch) do
+					if h == n then
+						return n, t
+					end
+				end
+			end
+		end
+	end
+end
+
+-- Which target owns each of some keys, as one line.
+function Fleet:owners(service, from)
+	local s = {}
+	for i = 1, 60 do
+		local o = self:owner(service, "key-" .. i, from)
+		s[i] = o and o.target or "?"
+	end
+	return table.concat(s, " ")
+end
--- /dev/null
+++ b/regress/scenario/once.lua
@@ -0,0 +1,23 @@
+-- Confirmations under kills.  Buyers repeat with the same ticket whenever the
+-- outcome is unknown, at any host; a target dies in the middle of its work, a
+-- dispatcher dies with its table of tickets, an answer is cut short.  The
+-- journals show no ticket run twice.
+local f = standard_fleet { dcs = { { "souq", 3, 3 } }, target = { work = 20 },
+	entry = { name = "ledger", class = "reserve" } }
+local l = f:load { "-r", "60", "-d", "10", "-c", "-s", "ledger" }
+f:await_load()
+f:kill_target("t1")
+await("t1's keys given to others", 6000, function()
+	return not f:owners("ledger"):find("t1")
+end)
+f:target_fault("t2", "cut=1")
+sleep_ms(300)
+f:target_fault("t2", "cut=0")
+f:kill_host((f:plain_dispatcher("souq")))
+local s = l:finish()
+check(s.wrong == 0, "wrong answers")
+check(s.ok > 250, "confirmed: %d", s.ok)
+check(s.repeats > 0, "nobody repeated: the test shows nothing")
+f:stop_all()
+f:journals_ok()
+say("repeated confirmations, none ran twice")
--- /dev/null
+++ b/regress/scenario/outage.lua
@@ -0,0 +1,49 @@
+-- The platform is down for a while, the data centre whole.  The controller
+-- cannot renew its record but its standbys promise not to take over, so it
+-- goes on renewing and changes nothing: no caller notices.  Then a host dies
+-- during an outage: its targets wait, all other keys are served.
+local f = standard_fleet { dcs = { { "aarhus", 5, 3 } } }
+local before = f:owners("lookup")
+await("standbys", 5000, function()
+	local n = 0
+	for _, h in ipairs(f.order) do
+		n = n + (f:status(h).cells[1].role == "standby" and 1 or 0)
+	end
+	return n == 2
+end)
+local ctl = f:controller("aarhus")
+local l = f:load { "-r", "300", "-d", "7" }
+f:await_load()
+f:fault("down=1")
+local s = l:finish()
+check(failures(s) == 0, "failures while the platform was down: %d", failures(s))
+check(f:controller("aarhus") == ctl, "the controller changed")
+check(f:owners("lookup") == before, "shards moved")
+f:fault("down=0")
+say("platform down: nobody noticed")
+
+f:fault("slow_ms=1000")
+l = f:load { "-r", "300", "-d", "6" }
+s = l:finish()
+check(failures(s) == 0, "failures while the platform was slow: %d", failures(s))
+check(f:controller("aarhus") == ctl, "the controller changed")
+check(f:owners("lookup") == before, "shards moved")
+f:fault("slow_ms=0")
+say("platform slow: nobody noticed")
+
+-- A plain host dies during an outage; its target waits for the platform.
+f:fault("down=1")
+local n
+for _, h in ipairs(f.order) do
+	n = f:status(h).cells[1].role == "member" and h or n
+end
+f:kill_host(n)
+l = f:load { "-r", "300", "-d", "5" }
+s = l:finish()
+check(s.ok > 800, "others not served: %d", s.ok)
+f:fault("down=0")
+f:await_served("lookup")
+check(f:owners("lookup", ctl) == before, "shards moved")
+f:stop_all()
+f:journals_ok()
+say("host lost while the platform was down: healed, one owner throughout")
--- /dev/null
+++ b/regress/scenario/pause_host.lua
@@ -0,0 +1,26 @@
+-- A dispatcher is paused well over its lease and wakes as though nothing had
+-- happened, with requests in its sockets.  Another host has its target by
+-- then; the woken one looks at its lease before it sends anything, finds it
+-- lapsed, and gives all it held back as not run.
+local f = standard_fleet { dcs = { { "aarhus", 3, 3 } } }
+local n = f:plain_dispatcher("aarhus")
+local l = f:load { "-r", "300", "-d", "7" }
+f:await_load()
+f:freeze(f.hosts[n].pid)
+f.hosts[n].dead = true
+await("another host dispatches", 5000, function()
+	for t, h in pairs(f:status(f:controller("aarhus")).cells[1].dispatch) do
+		if h == n then
+			return false
+		end
+	end
+	return true
+end)
+f:thaw(f.hosts[n].pid)
+f.hosts[n].dead = nil
+local s = l:finish()
+check(s.wrong == 0, "wrong answers")
+f:await_served("lookup")
+f:stop_all()
+f:journals_ok()
+say("a paused dispatcher woke, one owner throughout")
--- a/regress/unit/t_cell.c
+++ b/regress/unit/t_cell.c
@@ -133,7 +133,7 @@
 		list[ask.n_targets++] = &ts[i];
 	}
 	cell_asked(&c, now, h->host, &ask);
-	cell_tick(&c, now, 1);
+	cell_tick(&c, now, 1, 1);
 	serve(now);
 	n = cell_give(&c, now, h->host, &ask, &give, duties, 4);
 	h->nduties = n;
@@ -171,7 +171,7 @@
 	configure("");
 	cell_begin(&c, 1, 0);
 	for (now = MS(10); now < MS(3000); now += MS(50)) {
-		cell_tick(&c, now, now > MS(1400));
+		cell_tick(&c, now, now > MS(1400), now > MS(1400));
 		serve(now);
 		if (now > MS(1400))
 			report(h, now);
@@ -257,6 +257,20 @@
 	CU_ASSERT(last > 0);
 }
 
+/* A host whose lease lapsed in an outage is given work again afterwards. */
+static void
+lapsed_host_comes_back(void)
+{
+	struct say h = {.host = "h1", .boot = 1};
+
+	start(&h);
+	cell_tick(&c, MS(9000), 1, 1);
+	CU_ASSERT_EQUAL(c.targets[0].disp, NOBODY);
+	h.silent[0] = h.silent[1] = 1;
+	report(&h, MS(9100));
+	CU_ASSERT_EQUAL(h.nduties, 2);
+}
+
 /* Silence before the duty was read is no release; after it, it is. */
 static void
 early_silence_is_no_release(void)
@@ -336,12 +350,12 @@
 	c.targets[0].granted = 0;
 	c.targets[0].up = 0;
 	c.targets[0].reported = 1;
-	cell_tick(&c, MS(3100), 1);
+	cell_tick(&c, MS(3100), 1, 1);
 	CU_ASSERT_PTR_NOT_NULL(plat.put);
 	CU_ASSERT(land());
 	cell_put_ended(&c, MS(3110), "s", PUT_LOST, 0);
 	CU_ASSERT_EQUAL(owned_by("t2"), 4);
-	cell_tick(&c, MS(3400), 1);
+	cell_tick(&c, MS(3400), 1, 1);
 	serve(MS(3410));
 	CU_ASSERT_EQUAL(owned_by("t2"), 8);
 	CU_ASSERT_EQUAL(plat.version, version + 1);
@@ -362,14 +376,17 @@
 	cell_end(&c);
 	cell_begin(&c, 2, MS(4000));
 	CU_ASSERT(!cell_ready(&c));
-	cell_tick(&c, MS(4010), 0);
+	cell_tick(&c, MS(4010), 0, 0);
 	serve(MS(4020));
-	cell_tick(&c, MS(4300), 0);
+	cell_tick(&c, MS(4300), 0, 0);
 	serve(MS(4310));
 	CU_ASSERT(cell_ready(&c));
 	CU_ASSERT(plat.version > base);
 	/* The hosts' word is taken over; no shard has moved. */
+	plat.changes = 0;
 	report(&h, MS(4320));
+	/* And routers are told: without a view they would know no way. */
+	CU_ASSERT(plat.changes > 0);
 	CU_ASSERT_EQUAL(h.nduties, 2);
 	CU_ASSERT_EQUAL(owned_by("t1"), 4);
 }
@@ -397,6 +414,7 @@
     {"places evenly", places_evenly},
     {"lost target is replaced", lost_target_is_replaced},
     {"dead host is waited for", dead_host_is_waited_for},
+    {"lapsed host comes back", lapsed_host_comes_back},
     {"early silence is no release", early_silence_is_no_release},
     {"stopping host hands over", stopping_host_hands_over},
     {"leaving target drains", leaving_target_drains},
--- a/regress/unit/t_term.c
+++ b/regress/unit/t_term.c
@@ -200,6 +200,28 @@
 	CU_ASSERT(now + MS(1500) < a.t.lease_until);
 }
 
+/*
+ * The platform comes back and the standby reads before the holder can write:
+ * the record is old, but the holder is not to be taken for stuck.
+ */
+static void
+after_an_outage_promises_go_on(void)
+{
+	struct node a, b;
+	usec now;
+
+	start(&a, &b);
+	store.down = 1;
+	run(&a, &b, MS(1000), MS(9000));
+	store.down = 0;
+	for (now = MS(9000); now < MS(9500); now += MS(10)) {
+		term_tick(&b.t, now);
+		serve(&b, now);
+	}
+	CU_ASSERT_EQUAL(b.t.role, TERM_FOLLOWER);
+	CU_ASSERT(term_asked(&b.t, now, a.t.rec.term, 2000));
+}
+
 /* Platform down and the standby silent: the holder stops by itself. */
 static void
 outage_and_no_promise(void)
@@ -398,6 +420,7 @@
 static const struct unit_test tests[] = {
     {"standby takes over", standby_takes_over},
     {"outage changes nothing", outage_changes_nothing},
+    {"after an outage promises go on", after_an_outage_promises_go_on},
     {"outage and no promise", outage_and_no_promise},
     {"restarted standby is another", restarted_standby_is_another},
     {"promise counts from asking", promise_counts_from_asking},
--- a/standin/jcheck.c
+++ b/standin/jcheck.c
@@ -110,6 +110,18 @@
 	r->file = file;
 }
 
+/* Ends all spells that are open in a file when its grant ends. */
+static void
+end_all(const char *file, usec until)
+{
+	size_t i;
+
+	for (i = 0; i < nspells; i++) {
+		if (spells[i].open && spells[i].file == file)
+			end_spell(&spells[i], until, until);
+	}
+}
+
 /* Reads one journal. */
 static void
 read_journal(const char *file)
@@ -118,7 +130,6 @@
 	long shard;
 	long long fence, at;
 	usec until = 0;
-	size_t i;
 	FILE *f;
 	int n;
 
@@ -136,14 +147,13 @@
 			end_spell(find_open(file, service, shard), until, at);
 		else if (strcmp(word, "until") == 0)
 			until = at;
+		else if (strcmp(word, "boot") == 0)
+			end_all(file, until);
 		else if (strcmp(word, "start") == 0 && n == 7)
 			note_run(file, service, shard, fence, at, id);
 	}
 	fclose(f);
-	for (i = 0; i < nspells; i++) {
-		if (spells[i].open && spells[i].file == file)
-			end_spell(&spells[i], until, until);
-	}
+	end_all(file, until);
 }
 
 /* Orders spells by shard and start. */
--- a/standin/target.c
+++ b/standin/target.c
@@ -451,6 +451,7 @@
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	note("boot %s %ld %lld %lld\n", "-", 0L, 0, clock_mono());
 	if (web_start(listen_addr, serve) == NULL)
 		errx(1, "cannot listen on %s", listen_addr);
 	sigwait(&set, &sig);
