--- a/decide/route.c
+++ b/decide/route.c
@@ -28,6 +28,15 @@
 		return (ROUTE_END);
 	switch (code) {
 	case GS_PEER_LOST:
+		/*
+		 * A connection between hosts is lost with all that is on it at
+		 * once, more than a budget's burst.  Sending each again once
+		 * is bounded by what was in flight, and says nothing of a
+		 * server in distress.
+		 */
+		if (t->tries == 1)
+			return (ROUTE_AGAIN);
+		return (budget_retry(b) ? ROUTE_AGAIN : ROUTE_END);
 	case GS_TARGET_LOST:
 	case GS_CUT_SHORT:
 		return (budget_retry(b) ? ROUTE_AGAIN : ROUTE_END);
--- a/gspard/ctl_cell.c
+++ b/gspard/ctl_cell.c
@@ -275,7 +275,7 @@
 	v.term = cell->term;
 	v.seq = cell->view_seq;
 	v.controller = (char *)conf_of(c)->host;
-	v.controller_addr = (char *)conf_of(c)->peers;
+	v.controller_addr = (char *)conf_of(c)->reached;
 	v.services = svp;
 	v.dispatch = dvp;
 	for (i = 0; i < cell->nservices; i++) {
@@ -371,7 +371,7 @@
 	ask.stopping = ctl->stopping;
 	ask.boot = kernel_boot(c->s->kernel);
 	ask.dc = (char *)conf_of(c)->dc;
-	ask.addr = (char *)conf_of(c)->peers;
+	ask.addr = (char *)conf_of(c)->reached;
 	ask.seq = hostlease_ask(&c->lease, now, MS(conf_of(c)->renew_ms));
 	f.body_case = GSPAR__FRAME__BODY_LEASE_ASK;
 	f.lease_ask = &ask;
--- a/gspard/run.c
+++ b/gspard/run.c
@@ -390,6 +390,8 @@
 	curl_free(key);
 	curl_easy_setopt(r->easy, CURLOPT_URL, url);
 	curl_easy_setopt(r->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(
+	    r->easy, CURLOPT_USERAGENT, kernel_conf(s->kernel)->host);
 	curl_easy_setopt(r->easy, CURLOPT_PRIVATE, r);
 	curl_easy_setopt(r->easy, CURLOPT_TIMEOUT_MS,
 	    (long)((r->job.deadline - now) / 1000 + 1));
--- a/gspard/target.c
+++ b/gspard/target.c
@@ -248,6 +248,8 @@
 	snprintf(url, sizeof(url), "http://%s%s", t->addr, path);
 	curl_easy_setopt(n->easy, CURLOPT_URL, url);
 	curl_easy_setopt(n->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(
+	    n->easy, CURLOPT_USERAGENT, kernel_conf(s->kernel)->host);
 	curl_easy_setopt(n->easy, CURLOPT_TIMEOUT_MS, (long)NOTE_MS);
 	curl_easy_setopt(n->easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(n->easy, CURLOPT_WRITEDATA, n);
--- a/lib/conf.c
+++ b/lib/conf.c
@@ -28,6 +28,7 @@
     {"host", "dc", K_NAME, AT(dc), 0, 0},
     {"listen", "callers", K_ADDR, AT(callers), 0, 0},
     {"listen", "peers", K_ADDR, AT(peers), 0, 0},
+    {"listen", "reached", K_ADDR, AT(reached), 0, 0},
     {"listen", "admin", K_ADDR, AT(admin), 0, 0},
     {"platform", "address", K_ADDR, AT(platform), 0, 0},
     {"leases", "control_ms", K_INT, AT(control_lease_ms), 200, 10000},
@@ -194,10 +195,13 @@
 	size_t i;
 
 	for (i = 0; i < NKEYS; i++) {
-		if (keys[i].kind != K_INT && !r->seen[i])
+		if (keys[i].kind != K_INT && !r->seen[i] &&
+		    keys[i].at != AT(reached))
 			fault(r, 0, "missing: %s in section [%s]", keys[i].name,
 			    keys[i].section);
 	}
+	if (c->reached[0] == '\0')
+		name_copy(c->reached, sizeof(c->reached), c->peers);
 	if (c->renew_ms * 3 > c->control_lease_ms ||
 	    c->renew_ms * 3 > c->grant_ms)
 		fault(r, 0,
--- a/lib/conf.h
+++ b/lib/conf.h
@@ -12,6 +12,7 @@
 	char dc[NAME_MAX_GS];
 	char callers[ADDR_MAX_GS];
 	char peers[ADDR_MAX_GS];
+	char reached[ADDR_MAX_GS]; /* peers, as other hosts reach it */
 	char admin[ADDR_MAX_GS];
 	char platform[ADDR_MAX_GS];
 	int control_lease_ms;
--- /dev/null
+++ b/regress/scenario/cut_move.lua
@@ -0,0 +1,29 @@
+-- A data centre is cut off from the others and from the platform; the cell
+-- spans both (its keys move).  The cut-off hosts lose their leases and stop,
+-- their targets' grants lapse, and the keys are served in the other data
+-- centre within 3 s.  At no moment do both serve a key.
+local f = standard_fleet { dcs = { { "falaj", 2, 2 }, { "souq", 3, 2 } },
+	wires = true, one_cell = true }
+await("a controller in souq", 8000, function()
+	local n = f:controller("falaj+souq")
+	if n and f.hosts[n].dc == "falaj" then
+		f:stop_host(n)
+		f:revive_host(n)
+		f:await_served("lookup")
+	end
+	return n and f.hosts[n].dc == "souq"
+end)
+local l = f:load { "-r", "200", "-d", "8",
+	only = { souq1 = true, souq2 = true, souq3 = true } }
+f:await_load("souq1")
+f:cut_dc("falaj", true)
+local s = l:finish()
+check(s.wrong == 0, "wrong answers")
+check(s.fail_span_ms < 3000, "not served for %d ms", s.fail_span_ms)
+check(not f:owners("lookup", "souq1"):find("t[12]"), "cut-off targets own keys")
+say("keys of the cut-off data centre served elsewhere within 3 s")
+f:cut_dc("falaj", false)
+f:await_served("lookup")
+f:stop_all()
+f:journals_ok()
+say("healed, one owner throughout")
--- a/regress/scenario/lib.lua
+++ b/regress/scenario/lib.lua
@@ -84,10 +84,17 @@
 	    peers = self:port(), admin = self:port() }
 	self.hosts[name] = h
 	table.insert(self.order, name)
+	h.reached = h.peers
+	if self.opt.wires then
+		h.reached, h.wire = self:port(), self:port()
+		spawn(path(name .. ".wire.log"), BUILD .. "/standin/wire",
+		    "-l", h.reached, "-t", h.peers, "-c", h.wire)
+	end
 	write_file(name .. ".conf", string.format(
 	    "[host]\nname = %s\ndc = %s\n[listen]\ncallers = %s\n" ..
-	    "peers = %s\nadmin = %s\n[platform]\naddress = %s\n%s",
-	    name, dc, h.callers, h.peers, h.admin, self.platform,
+	    "peers = %s\nreached = %s\nadmin = %s\n[platform]\n" ..
+	    "address = %s\n%s", name, dc, h.callers, h.peers, h.reached,
+	    h.admin, self.platform,
 	    self.opt.conf or ""))
 	return h
 end
@@ -96,7 +103,7 @@
 	local s = ""
 	for _, n in ipairs(self.order) do
 		local h = self.hosts[n]
-		s = s .. string.format("%s %s %s %s %s\n", n, h.dc, h.peers,
+		s = s .. string.format("%s %s %s %s %s\n", n, h.dc, h.reached,
 		    h.admin, h.leaving and "leaving" or "live")
 	end
 	http("PUT", "http://" .. self.platctl .. "/hosts", s)
@@ -110,6 +117,12 @@
 
 function Fleet:add_target(name, dc, opt)
 	local t = { name = name, dc = dc, addr = self:port(), opt = opt or {} }
+	t.own = t.addr
+	if self.opt.wires then
+		t.addr, t.wire = self:port(), self:port()
+		spawn(path(name .. ".wire.log"), BUILD .. "/standin/wire",
+		    "-l", t.addr, "-t", t.own, "-c", t.wire)
+	end
 	self.targets[name] = t
 	table.insert(self.torder, name)
 	self:start_target(name)
@@ -118,7 +131,7 @@
 
 function Fleet:start_target(name)
 	local t = self.targets[name]
-	local args = { "-l", t.addr, "-n", name, "-j", path(name .. ".journal"),
+	local args = { "-l", t.own, "-n", name, "-j", path(name .. ".journal"),
 	    "-s", tostring(t.opt.slots or 4), "-w", tostring(t.opt.work or 2) }
 	if t.opt.unchecked then
 		table.insert(args, "-u")
@@ -381,10 +394,10 @@
 end
 
 -- Waits until some requests of a load have been answered.
-function Fleet:await_load()
-	local n = self.order[1]
+function Fleet:await_load(name)
+	local n = name or self.order[1]
 	for _, h in ipairs(self.order) do
-		if not self.hosts[h].dead then
+		if not name and not self.hosts[h].dead then
 			n = h
 			break
 		end
@@ -421,3 +434,27 @@
 	end
 	return table.concat(s, " ")
 end
+
+-- What the network between hosts does; needs wires = true.
+function Fleet:wire(name, q)
+	http("POST", "http://" .. self.hosts[name].wire .. "/fault?" .. q, "")
+end
+
+-- Cuts a data centre off from the others, and from the platform too.
+function Fleet:cut_dc(dc, on)
+	local mine, others = {}, {}
+	for _, n in ipairs(self.order) do
+		table.insert(self.hosts[n].dc == dc and mine or others, n)
+	end
+	for _, n in ipairs(self.order) do
+		local from = self.hosts[n].dc == dc and others or mine
+		self:wire(n, "cut=" .. (on and table.concat(from, ",") or ""))
+	end
+	for _, n in ipairs(self.torder) do
+		local t = self.targets[n]
+		local from = t.dc == dc and others or mine
+		http("POST", "http://" .. t.wire .. "/fault?cut=" ..
+		    (on and table.concat(from, ",") or ""), "")
+	end
+	self:fault("cut=" .. (on and table.concat(mine, ",") or ""))
+end
--- a/regress/unit/t_route.c
+++ b/regress/unit/t_route.c
@@ -30,10 +30,16 @@
 	struct budget b;
 
 	budget_init(&b, 0.1, 1);
+	CU_ASSERT_EQUAL(route_after(&idem, GS_TARGET_LOST, OUT_UNKNOWN, 0, &b),
+	    ROUTE_AGAIN);
+	CU_ASSERT_EQUAL(
+	    route_after(&idem, GS_TARGET_LOST, OUT_UNKNOWN, 0, &b), ROUTE_END);
+	/* A lost connection's requests go once more without the budget. */
 	CU_ASSERT_EQUAL(
 	    route_after(&idem, GS_PEER_LOST, OUT_UNKNOWN, 0, &b), ROUTE_AGAIN);
+	many.tries = 2;
 	CU_ASSERT_EQUAL(
-	    route_after(&idem, GS_PEER_LOST, OUT_UNKNOWN, 0, &b), ROUTE_END);
+	    route_after(&many, GS_PEER_LOST, OUT_UNKNOWN, 0, &b), ROUTE_END);
 	budget_init(&b, 0.1, 10);
 	CU_ASSERT_EQUAL(
 	    route_after(&idem, GS_PEER_LOST, OUT_UNKNOWN, MS(5000), &b),
--- /dev/null
+++ b/standin/wire.c
@@ -0,0 +1,232 @@
+/*
+ * Stand-in for the network between hosts: passes connections on, and on
+ * request lets those that are open go silent, or cuts some hosts off.
+ */
+#include <argp.h>
+#include <arpa/inet.h>
+#include <err.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "conf.h"
+#include "web.h"
+
+#define NAME_AREA 1024
+
+struct link {
+	int fd[2];
+	int silent;
+	int ends;
+	unsigned char first[NAME_AREA]; /* the hello names the host */
+	size_t nfirst;
+	struct link *next;
+};
+
+struct way {
+	struct link *link;
+	int from;
+};
+
+static struct link *links;
+static char cut[512];
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static const char *listen_addr, *to_addr, *control_addr;
+
+static const struct argp_option options[] = {
+    {"listen", 'l', "IP:PORT", 0, "Address to take connections on", 0},
+    {"to", 't', "IP:PORT", 0, "Address to pass them on to", 0},
+    {"control", 'c', "IP:PORT", 0, "Address for faults", 0},
+    {0},
+};
+
+/* Reads one option. */
+static error_t
+parse(int key, char *arg, struct argp_state *st)
+{
+	switch (key) {
+	case 'l':
+		listen_addr = arg;
+		break;
+	case 't':
+		to_addr = arg;
+		break;
+	case 'c':
+		control_addr = arg;
+		break;
+	case ARGP_KEY_END:
+		if (!listen_addr || !to_addr || !control_addr)
+			argp_error(st, "all three addresses are needed");
+		break;
+	default:
+		return (ARGP_ERR_UNKNOWN);
+	}
+	return (0);
+}
+
+static const struct argp argp = {
+    options, parse, NULL, "Stand-in for the network", 0, 0, 0};
+
+/* Reads "IP:PORT". */
+static struct sockaddr_in
+address(const char *at)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	char ip[ADDR_MAX_GS];
+	int port;
+
+	if (addr_split(at, ip, sizeof(ip), &port) != 0)
+		errx(1, "bad address %s", at);
+	inet_pton(AF_INET, ip, &sin.sin_addr);
+	sin.sin_port = htons((uint16_t)port);
+	return (sin);
+}
+
+/* True where the link is of a host that is cut off; lock held. */
+static int
+is_cut(const struct link *l)
+{
+	char name[64], agent[96], *word, *rest, list[sizeof(cut)];
+
+	memcpy(list, cut, sizeof(cut));
+	for (word = strtok_r(list, ",", &rest); word != NULL;
+	     word = strtok_r(NULL, ",", &rest)) {
+		/* A host is named in its hello, or to targets by HTTP. */
+		snprintf(name, sizeof(name), "%c%s", (int)strlen(word), word);
+		snprintf(agent, sizeof(agent), "User-Agent: %s\r", word);
+		if (strcmp(word, "*") == 0 ||
+		    memmem(l->first, l->nfirst, name, strlen(name)) != NULL ||
+		    memmem(l->first, l->nfirst, agent, strlen(agent)) != NULL)
+			return (1);
+	}
+	return (0);
+}
+
+/* Notes the first bytes from the side that opened the link; lock held. */
+static void
+note_first(struct link *l, const char *buf, size_t n)
+{
+	if (n > NAME_AREA - l->nfirst)
+		n = NAME_AREA - l->nfirst;
+	memcpy(l->first + l->nfirst, buf, n);
+	l->nfirst += n;
+}
+
+/* Passes bytes one way; what is silent or cut is swallowed. */
+static void *
+pass(void *arg)
+{
+	struct way *w = arg;
+	struct link *l = w->link;
+	char buf[65536];
+	ssize_t n;
+	int drop;
+
+	while ((n = recv(l->fd[w->from], buf, sizeof(buf), 0)) > 0) {
+		pthread_mutex_lock(&lock);
+		if (w->from == 0)
+			note_first(l, buf, (size_t)n);
+		drop = l->silent || is_cut(l);
+		/* A connection that lost bytes can never be whole again. */
+		l->silent = drop;
+		pthread_mutex_unlock(&lock);
+		if (!drop &&
+		    send(l->fd[!w->from], buf, (size_t)n, MSG_NOSIGNAL) != n)
+			break;
+	}
+	pthread_mutex_lock(&lock);
+	drop = l->silent || is_cut(l);
+	pthread_mutex_unlock(&lock);
+	if (!drop)
+		shutdown(l->fd[!w->from], SHUT_RDWR);
+	free(w);
+	return (NULL);
+}
+
+/* Starts passing one way. */
+static void
+start(struct link *l, int from)
+{
+	struct way *w = malloc(sizeof(*w));
+	pthread_t t;
+
+	w->link = l;
+	w->from = from;
+	pthread_create(&t, NULL, pass, w);
+	pthread_detach(t);
+}
+
+/* Takes connections in. */
+static void *
+take(void *arg)
+{
+	int fd = *(int *)arg, one;
+	struct sockaddr_in to = address(to_addr);
+	struct link *l;
+
+	while ((one = accept(fd, NULL, NULL)) >= 0) {
+		l = calloc(1, sizeof(*l));
+		l->fd[0] = one;
+		l->fd[1] = socket(AF_INET, SOCK_STREAM, 0);
+		if (connect(l->fd[1], (struct sockaddr *)&to, sizeof(to)) !=
+		    0) {
+			close(l->fd[0]);
+			close(l->fd[1]);
+			free(l);
+			continue;
+		}
+		pthread_mutex_lock(&lock);
+		l->next = links;
+		links = l;
+		pthread_mutex_unlock(&lock);
+		start(l, 0);
+		start(l, 1);
+	}
+	return (NULL);
+}
+
+/* Sets faults: silent=1 for open links; cut=NAME,... or * or nothing. */
+static void
+control(const struct web_req *q, struct web_ans *a)
+{
+	const char *s;
+	struct link *l;
+
+	pthread_mutex_lock(&lock);
+	if (web_num(web_arg(q, "silent"), 0)) {
+		for (l = links; l != NULL; l = l->next)
+			l->silent = 1;
+	}
+	if ((s = web_arg(q, "cut")) != NULL)
+		snprintf(cut, sizeof(cut), "%s", s);
+	pthread_mutex_unlock(&lock);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct sockaddr_in at;
+	pthread_t t;
+	sigset_t set;
+	int fd, sig, on = 1;
+
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	at = address(listen_addr);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&at, sizeof(at)) != 0 ||
+	    listen(fd, 64) != 0)
+		err(1, "%s", listen_addr);
+	pthread_create(&t, NULL, take, &fd);
+	if (web_start(control_addr, control) == NULL)
+		errx(1, "cannot listen on %s", control_addr);
+	sigwait(&set, &sig);
+	_exit(0);
+}
