--- a/bench/control.lua
+++ b/bench/control.lua
@@ -7,18 +7,6 @@
 sleep_ms(2000)
 local ctl = f:controller("aarhus")
 
-local function cpu(pid)
-	local s = io.open("/proc/" .. pid .. "/stat"):read("a")
-	local n, t = 0, 0
-	for w in s:gsub("^.*%) ", ""):gmatch("%S+") do
-		n = n + 1
-		if n == 12 or n == 13 then
-			t = t + tonumber(w)
-		end
-	end
-	return t * 10
-end
-
 local function rss(pid)
 	return tonumber(io.open("/proc/" .. pid .. "/status"):read("a")
 	    :match("VmRSS:%s+(%d+)")) / 1024
@@ -30,7 +18,7 @@
 		s.host[n] = { bytes = f:metric(n, "control_bytes"),
 			frames = f:metric(n, "control_frames"),
 			grants = f:metric(n, "grants"),
-			cpu = cpu(f.hosts[n].pid) }
+			cpu = cpu_seconds(f.hosts[n].pid) }
 	end
 	return s
 end
@@ -45,7 +33,7 @@
 	local x, y = a.host[n], b.host[n]
 	local frames = (y.frames - x.frames) / secs
 	return (y.bytes - x.bytes) / secs + frames * 104, frames,
-	    (y.cpu - x.cpu) / secs / 10
+	    (y.cpu - x.cpu) / secs * 100
 end
 local sum, most = { 0, 0, 0 }, 0
 for _, n in ipairs(f.order) do
--- a/bench/load.lua
+++ b/bench/load.lua
@@ -3,25 +3,14 @@
 local f = standard_fleet { dcs = { { "aarhus", 2, 2 } }, target = { slots = 64,
 	work = 0, unchecked = true }, entry = { queue = 1000 } }
 sleep_ms(1000)
-local function cpu(pid)
-	local s = io.open("/proc/" .. pid .. "/stat"):read("a")
-	local n, t = 0, 0
-	for w in s:gsub("^.*%) ", ""):gmatch("%S+") do
-		n = n + 1
-		if n == 12 or n == 13 then
-			t = t + tonumber(w)
-		end
-	end
-	return t / 100
-end
 local rate = tonumber(ARG) or 1000
 local function run(what, to)
-	local before = cpu(f.hosts.aarhus1.pid) + cpu(f.hosts.aarhus2.pid)
+	local before = cpu_seconds(f.hosts.aarhus1.pid) + cpu_seconds(f.hosts.aarhus2.pid)
 	local pid = spawn(path(what), BUILD .. "/standin/caller", "-t", to,
 	    "-r", tostring(rate), "-d", "6", "-q", "-w", "0")
 	wait(pid)
 	local s = json(read_file(what):match("{.*"))
-	local used = cpu(f.hosts.aarhus1.pid) + cpu(f.hosts.aarhus2.pid) - before
+	local used = cpu_seconds(f.hosts.aarhus1.pid) + cpu_seconds(f.hosts.aarhus2.pid) - before
 	say("%-8s rate %d ok %d p50 %.2f ms p99 %.2f ms, routers %.2f core-s, %s",
 	    what, rate, s.ok, s.p50, s.p99, used, used > 0.05 and
 	    string.format("%.0f requests per core-s", s.ok / used) or "-")
--- a/bench/losses.lua
+++ b/bench/losses.lua
@@ -7,7 +7,7 @@
 	f = standard_fleet { dcs = { { "falaj", 2, 2 }, { "souq", 3, 3 } },
 		one_cell = true }
 else
-	f = standard_fleet { dcs = { { "aarhus", 6, 4 } } }
+	f = standard_fleet { dcs = { { "aarhus", 5, 8 } } }
 end
 local cell = kind == "dc" and "falaj+souq" or "aarhus"
 
@@ -33,7 +33,7 @@
 for i = 1, count do
 	local key, undo
 	if kind == "target" then
-		local t = "t" .. (i % 4 + 1)
+		local t = "t" .. (i % 8 + 1)
 		key = await("a key of " .. t, 20000, function()
 			return key_of("target", t)
 		end)
@@ -70,9 +70,9 @@
 				return (f:plain_dispatcher(cell))
 			end)
 		end
-		key = await("a key", 9000, function()
-			return key_of("dispatcher", n)
-		end)
+		-- A controller that dispatches for nobody interrupts nobody:
+		-- then the time is any key's.
+		key = key_of("dispatcher", n) or "key-1"
 		f:kill_host(n)
 		undo = function()
 			f:revive_host(n)
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -28,12 +28,13 @@
 	cat "$work"/*.out
 }
 
-for what in ${*:-overload balance control losses load}; do
+for what in ${*:-overload balance control losses load inforce}; do
 	echo "== $what"
 	case $what in
 	overload | balance) "build/plain/bench/$what" ;;
 	control) control ;;
 	losses) losses ;;
+	inforce) for h in 4 8 12 24; do scen inforce "$h 10" "$h"; done ;;
 	load) for r in 500 1000 2000 4000; do scen load "$r" "$r"; done ;;
 	esac | tee "bench/results/$what.txt"
 done
--- a/decide/cell.h
+++ b/decide/cell.h
@@ -11,6 +11,7 @@
 #include "entry.h"
 #include "gspar.pb-c.h"
 #include "place.h"
+#include "share.h"
 #include "str.h"
 #include "term.h"
 
@@ -43,6 +44,7 @@
 	int leaving;
 	int reported;
 	int confirmed; /* answered its dispatcher's grant in this term */
+	struct share share;
 	usec clear_at; /* grants of earlier dispatchers have lapsed by then */
 };
 
@@ -68,7 +70,8 @@
 	uint32_t first;
 	uint32_t shards;
 	enum weigh weigh;
-	int *owner; /* target index or NOBODY, per shard of the cell */
+	double limit; /* requests a second in this cell; 0 is none */
+	int *owner;   /* target index or NOBODY, per shard of the cell */
 	uint64_t *fence;
 	int *next; /* target index or NOBODY */
 	uint64_t *next_fence;
@@ -123,6 +126,7 @@
     const struct cell_out *, void *, uint64_t seed);
 void cell_free(struct cell *);
 int cell_configure(struct cell *, const struct entry *);
+int cell_add_target(struct cell *, int service, const char *name);
 void cell_begin(struct cell *, uint64_t term, usec now);
 void cell_end(struct cell *);
 void cell_got(struct cell *, usec now, const char *service, int found,
--- /dev/null
+++ b/decide/cell_host.c
@@ -0,0 +1,256 @@
+/* Hosts of a cell: what they report, and the leases they are given. */
+#include <string.h>
+
+#include "cell.h"
+#include "cell_plan.h"
+#include "lease.h"
+
+/* Weight of a new measure of a shard's load in the mean. */
+#define LOAD_WEIGHT 0.3
+
+/* The index of any target by name, or NOBODY; names are of one service. */
+static int
+any_target(const struct cell *c, const char *name)
+{
+	int i;
+
+	for (i = 0; i < c->ntargets; i++) {
+		if (strcmp(c->targets[i].conf.name, name) == 0)
+			return (i);
+	}
+	return (NOBODY);
+}
+
+/* Finds a host's process, or adds it; NOBODY where there is no room. */
+static int
+find_host(struct cell *c, const char *host, uint64_t boot)
+{
+	struct cell_host *h;
+	int i, spare = NOBODY;
+
+	for (i = 0; i < c->nhosts; i++) {
+		h = &c->hosts[i];
+		if (h->seen && h->who.boot == boot &&
+		    strcmp(h->who.host, host) == 0)
+			return (i);
+		if (!h->seen)
+			spare = i;
+	}
+	if (spare == NOBODY) {
+		if (c->nhosts == CELL_HOSTS)
+			return (NOBODY);
+		spare = c->nhosts++;
+	}
+	h = &c->hosts[spare];
+	memset(h, 0, sizeof(*h));
+	name_copy(h->who.host, sizeof(h->who.host), host);
+	h->who.boot = boot;
+	h->seen = 1;
+	return (spare);
+}
+
+/*
+ * Notes the shards a dispatcher confirmed released; true if any is new.  What
+ * an earlier dispatcher granted must have lapsed too.
+ */
+static int
+note_freed(struct cell *c, int t, const Gspar__TargetState *ts, usec now)
+{
+	struct cell_service *s;
+	const Gspar__Freed *f;
+	uint32_t k;
+	size_t i, n;
+	int any = 0;
+
+	if (now < c->targets[t].clear_at)
+		return (0);
+	for (i = 0; i < ts->n_freed; i++) {
+		f = ts->freed[i];
+		s = cell_service(c, f->service);
+		if (s == NULL || f->view >> 32 != (c->term & 0xffffffff))
+			continue;
+		for (n = 0; n < f->n_shards; n++) {
+			k = f->shards[n] - s->first;
+			if (k >= s->shards || s->owner[k] != t ||
+			    s->next[k] == NOBODY || s->freed[k])
+				continue;
+			/*
+			 * A release under a view that does not tell of this
+			 * move is of an earlier one, and may have been undone
+			 * by a grant in between.
+			 */
+			if ((f->view & 0xffffffff) < s->flag_seq[k])
+				continue;
+			s->freed[k] = 1;
+			any = 1;
+		}
+	}
+	return (any);
+}
+
+/*
+ * Takes the busy times of a target's shards: the busiest by name, the rest of
+ * its time shared out evenly.  Smoothed, or noise would move shards.
+ */
+static void
+note_loads(struct cell *c, int t, const Gspar__TargetState *ts)
+{
+	struct cell_service *s = &c->services[c->targets[t].service];
+	uint32_t i, n, others = 0;
+	double rest;
+	size_t k;
+
+	for (i = 0; i < s->shards; i++) {
+		if (cell_serves(s, i, NULL) == t)
+			others++;
+	}
+	others -= ts->n_loads < others ? (uint32_t)ts->n_loads : others;
+	rest = others > 0 ? ts->rest_busy / 1000.0 / others : 0;
+	for (i = 0; i < s->shards; i++) {
+		if (cell_serves(s, i, NULL) == t)
+			s->load[i] += (rest - s->load[i]) * LOAD_WEIGHT;
+	}
+	for (k = 0; k < ts->n_loads; k++) {
+		n = ts->loads[k]->shard - s->first;
+		if (n < s->shards)
+			s->load[n] +=
+			    (ts->loads[k]->busy / 1000.0 - rest) * LOAD_WEIGHT;
+	}
+}
+
+/*
+ * Takes the rate a dispatcher uses, which an answer on its way may still
+ * raise to what was given, and the demand it met.
+ */
+static void
+note_share(struct share *s, const Gspar__TargetState *ts)
+{
+	double rate = ts->rate / 1000.0;
+
+	s->held = rate > s->given ? rate : s->given;
+	if (ts->has_loads)
+		s->demand += (ts->demand / 1000.0 - s->demand) * LOAD_WEIGHT;
+}
+
+/* Notes what a dispatcher says of one target; true where the view changes. */
+static int
+note_target(struct cell *c, int h, const Gspar__TargetState *ts, usec now)
+{
+	struct cell_target *t;
+	int i, changed = 0;
+
+	i = any_target(c, ts->target);
+	if (i == NOBODY)
+		return (0);
+	t = &c->targets[i];
+	if (t->disp == NOBODY && t->epoch == 0) {
+		/*
+		 * The first word of it in this term: its dispatcher keeps it,
+		 * so that a new controller interrupts no request.
+		 */
+		t->disp = h;
+		t->epoch = ts->epoch;
+		t->given_seq = 0;
+		t->share.given = ts->rate / 1000.0;
+		changed = 1;
+	}
+	if (t->disp != h || t->epoch != ts->epoch)
+		return (0);
+	t->granted = ts->granted;
+	t->up = ts->up;
+	t->leaving = ts->leaving;
+	note_share(&t->share, ts);
+	t->reported = 1;
+	if (ts->granted && ts->up)
+		t->confirmed = 1;
+	if (ts->has_loads)
+		note_loads(c, i, ts);
+	return (note_freed(c, i, ts, now) || changed);
+}
+
+/* True where the ask speaks of the target. */
+static int
+speaks_of(const Gspar__LeaseAsk *ask, const char *target)
+{
+	size_t i;
+
+	for (i = 0; i < ask->n_targets; i++) {
+		if (strcmp(ask->targets[i]->target, target) == 0)
+			return (1);
+	}
+	return (0);
+}
+
+/* A host asked for renewal and reports what it holds. */
+void
+cell_asked(
+    struct cell *c, usec now, const char *host, const Gspar__LeaseAsk *ask)
+{
+	struct cell_target *t;
+	size_t i;
+	int h, k, changed = 0;
+
+	h = find_host(c, host, ask->boot);
+	if (h == NOBODY)
+		return;
+	c->hosts[h].heard = now;
+	c->hosts[h].stopping = ask->stopping;
+	name_copy(c->hosts[h].dc, sizeof(c->hosts[h].dc), ask->dc);
+	name_copy(c->hosts[h].addr, sizeof(c->hosts[h].addr), ask->addr);
+	for (i = 0; i < ask->n_targets; i++)
+		changed |= note_target(c, h, ask->targets[i], now);
+	if (changed)
+		plan_changed(c);
+	for (k = 0; k < c->ntargets; k++) {
+		t = &c->targets[k];
+		/*
+		 * Silence about a target means released only where the host
+		 * has read the answer that gave it: an ask sent before that
+		 * answer came is silent too.
+		 */
+		if (t->disp != h || t->given_seq == 0 ||
+		    ask->ack < t->given_seq || speaks_of(ask, t->conf.name))
+			continue;
+		t->disp = NOBODY;
+		t->handed = 0;
+		t->reported = 0;
+		t->confirmed = 0;
+		/* What it granted the target may hold a while yet. */
+		t->clear_at = lease_granter_end(now, c->times.host_lease);
+	}
+}
+
+/*
+ * Fills the answer to an ask: the lease and the duties.  Returns how many
+ * duties; the host's lease counts from now on.
+ */
+int
+cell_give(struct cell *c, usec now, const char *host,
+    const Gspar__LeaseAsk *ask, Gspar__LeaseGive *give, Gspar__Duty *duties,
+    int max)
+{
+	struct cell_target *t;
+	int h, i, n = 0;
+
+	h = find_host(c, host, ask->boot);
+	if (h == NOBODY)
+		return (-1);
+	for (i = 0; i < c->ntargets && n < max; i++) {
+		t = &c->targets[i];
+		if (t->disp != h || t->handed)
+			continue;
+		if (t->given_seq == 0)
+			t->given_seq = ask->seq;
+		gspar__duty__init(&duties[n]);
+		duties[n].target = t->conf.name;
+		duties[n].epoch = t->epoch;
+		duties[n].min_view = t->min_view;
+		duties[n].limited = c->services[t->service].limit > 0;
+		duties[n].rate = (uint32_t)(t->share.given * 1000);
+		n++;
+	}
+	c->hosts[h].lease_end = lease_granter_end(now, c->times.host_lease);
+	give->lease_ms = (uint32_t)(c->times.host_lease / 1000);
+	give->given = 1;
+	return (n);
+}
--- a/decide/cell_plan.c
+++ b/decide/cell_plan.c
@@ -23,31 +23,6 @@
     [WEIGH_UNAVAILABLE] = {1.5, 0.25, 4},
 };
 
-/* The index of a target of the service, added as gone if not known. */
-static int
-target_index(struct cell *c, struct cell_service *s, const char *name)
-{
-	struct cell_target *t;
-	int i, k = (int)(s - c->services);
-
-	for (i = 0; i < c->ntargets; i++) {
-		t = &c->targets[i];
-		if (t->service == k && strcmp(t->conf.name, name) == 0)
-			return (i);
-	}
-	if (c->ntargets == CELL_TARGETS)
-		return (NOBODY);
-	t = &c->targets[c->ntargets];
-	memset(t, 0, sizeof(*t));
-	name_copy(t->conf.name, sizeof(t->conf.name), name);
-	t->conf.slots = 1;
-	t->service = k;
-	t->gone = 1;
-	t->disp = NOBODY;
-	t->granted = 1;
-	return (c->ntargets++);
-}
-
 /* Reads the write id of an assignment's JSON; 0 where there is none. */
 uint64_t
 plan_write_id(const char *json, size_t n)
@@ -99,8 +74,8 @@
 	map = calloc(k + 1, sizeof(*map));
 	map[0] = NOBODY;
 	for (i = 0; i < k; i++)
-		map[i + 1] = target_index(
-		    c, s, json_string_value(json_array_get(names, i)));
+		map[i + 1] = cell_add_target(c, (int)(s - c->services),
+		    json_string_value(json_array_get(names, i)));
 	for (i = 0; i < s->shards; i++) {
 		s->owner[i] = map[number_at(o, "owner", i) % (k + 1)];
 		s->next[i] = map[number_at(o, "next", i) % (k + 1)];
--- a/decide/grant.c
+++ b/decide/grant.c
@@ -3,9 +3,11 @@
 #include "grant.h"
 #include "lease.h"
 
-/* A new target that has not answered this long after a grant's length is
- * taken for down. */
-#define PROBE_EXTRA MS(300)
+/*
+ * A new target that has not answered for so long is taken for down.  What an
+ * earlier dispatcher granted it may still run; the controller counts that.
+ */
+#define PROBE_PATIENCE MS(320)
 
 /* Starts a duty for a target. */
 void
@@ -15,6 +17,11 @@
 	memset(g, 0, sizeof(*g));
 	g->conf = *conf;
 	g->want = 1;
+	/*
+	 * A duty let go and taken on again may keep its epoch.  Counting its
+	 * messages from nought again, the target would refuse them all as old.
+	 */
+	g->seq = (uint64_t)now;
 	grant_epoch(g, epoch, now);
 }
 
@@ -46,8 +53,7 @@
 {
 	if (grant_live(g, now))
 		return;
-	if (g->phase == GRANT_PROBE &&
-	    now - g->began < g->conf.length + PROBE_EXTRA)
+	if (g->phase == GRANT_PROBE && now - g->began < PROBE_PATIENCE)
 		return;
 	if (g->phase == GRANT_ACTIVE && g->up)
 		return;
--- /dev/null
+++ b/decide/share.c
@@ -0,0 +1,71 @@
+#include "share.h"
+
+/* Part of a limit that is shared out evenly, whatever the demand: a target
+ * that nobody asked for a while must not have to wait for its first share. */
+#define EVEN_PART 0.2
+/* A bucket holds this much of a second's rate, and one request at least. */
+#define BURST_SECONDS 0.2
+
+/* What each would get by demand. */
+static double
+wish(const struct share *s, double sum, int n, double limit)
+{
+	double even = limit * EVEN_PART / n;
+
+	if (sum <= 0)
+		return (limit / n);
+	return (even + limit * (1 - EVEN_PART) * s->demand / sum);
+}
+
+/*
+ * Gives shares anew.  Lowered shares are given at once, but what they free is
+ * only given on after their holders have said that they use less: until then
+ * both would use it and the sum pass the limit.  may_raise is 0 while some
+ * holder may not have been heard yet.
+ */
+void
+share_plan(struct share **s, int n, double limit, int may_raise)
+{
+	double sum = 0, used = 0, w, room;
+	int i;
+
+	for (i = 0; i < n; i++)
+		sum += s[i]->demand;
+	for (i = 0; i < n; i++) {
+		w = wish(s[i], sum, n, limit);
+		if (w < s[i]->given)
+			s[i]->given = w;
+		if (s[i]->held < s[i]->given)
+			s[i]->held = s[i]->given;
+		used += s[i]->held;
+	}
+	for (i = 0; i < n && may_raise; i++) {
+		w = wish(s[i], sum, n, limit);
+		room = limit - used;
+		if (w <= s[i]->held || room <= 0)
+			continue;
+		if (w - s[i]->held > room)
+			w = s[i]->held + room;
+		used += w - s[i]->held;
+		s[i]->given = w;
+		s[i]->held = w;
+	}
+}
+
+/* True where one more request is within the rate. */
+int
+bucket_take(struct bucket *b, double rate, usec now)
+{
+	double max = rate * BURST_SECONDS;
+
+	if (max < 1)
+		max = 1;
+	b->tokens += rate * (double)(now - b->at) / US_PER_SEC;
+	b->at = now;
+	if (b->tokens > max)
+		b->tokens = max;
+	if (b->tokens < 1)
+		return (0);
+	b->tokens -= 1;
+	return (1);
+}
--- /dev/null
+++ b/decide/share.h
@@ -0,0 +1,22 @@
+/* Shares of a service's rate limit: one for each target's dispatcher. */
+#ifndef SHARE_H
+#define SHARE_H
+
+#include "clock.h"
+
+/* Rates are requests a second; a limit of 0 is none. */
+struct share {
+	double demand; /* requests that arrived, smoothed */
+	double held;   /* the most its holder may be using now */
+	double given;  /* what it is to use from the next answer on */
+};
+
+struct bucket {
+	double tokens;
+	usec at;
+};
+
+void share_plan(struct share **, int n, double limit, int may_raise);
+int bucket_take(struct bucket *, double rate, usec now);
+
+#endif
--- a/gsparctl/timeline.c
+++ b/gsparctl/timeline.c
@@ -5,6 +5,8 @@
 
 #include "gsparctl.h"
 
+#define MAX_HOSTS 1024
+
 /* One event of one host, in the merged line. */
 struct item {
 	json_t *event;
@@ -13,9 +15,18 @@
 	long long seq;
 };
 
+/* The items of the hosts, one host after the other. */
 static struct item *items;
 static size_t nitems;
 
+/* Where the items of a host begin and end. */
+struct run {
+	size_t at;
+	size_t end;
+};
+static struct run runs[MAX_HOSTS];
+static size_t nruns;
+
 /* Adds a host's events, and a mark where some are gone. */
 static void
 add_host(json_t *page)
@@ -24,8 +35,10 @@
 	const char *host = json_string_value(json_object_get(page, "host"));
 	struct item *it;
 	long long last = 0;
-	size_t i;
+	size_t i, from = nitems;
 
+	if (nruns == MAX_HOSTS)
+		return;
 	json_array_foreach(list, i, e)
 	{
 		it = realloc(items, (nitems + 2) * sizeof(*items));
@@ -46,22 +59,8 @@
 		last = it[it->event == NULL].seq;
 		nitems++;
 	}
-}
-
-/*
- * Orders events: within a host by their numbers, so that what follows from
- * something comes after it; between hosts by the wall clock.
- */
-static int
-by_time(const void *a, const void *b)
-{
-	const struct item *x = a, *y = b;
-
-	if (strcmp(x->host, y->host) == 0)
-		return (x->seq < y->seq ? -1 : x->seq > y->seq);
-	if (x->wall != y->wall)
-		return (x->wall < y->wall ? -1 : 1);
-	return (strcmp(x->host, y->host));
+	runs[nruns].at = from;
+	runs[nruns++].end = nitems;
 }
 
 /* Prints one event as a line. */
@@ -93,6 +92,31 @@
 	putchar('\n');
 }
 
+/*
+ * Prints all hosts' events merged: of each host in the order of its numbers,
+ * so that what follows from something comes after it, whatever the wall clock
+ * did; between hosts by the wall clock, for they share no other.
+ */
+static void
+print_merged(const char *match)
+{
+	struct run *first;
+	size_t i;
+
+	for (;;) {
+		first = NULL;
+		for (i = 0; i < nruns; i++) {
+			if (runs[i].at < runs[i].end &&
+			    (first == NULL ||
+				items[runs[i].at].wall < items[first->at].wall))
+				first = &runs[i];
+		}
+		if (first == NULL)
+			return;
+		print_item(&items[first->at++], match);
+	}
+}
+
 /* Prints the events of all hosts as one line of time. */
 int
 cmd_timeline(const struct options *o)
@@ -121,9 +145,7 @@
 		json_dumpf(pages, stdout, JSON_INDENT(1));
 		putchar('\n');
 	} else {
-		qsort(items, nitems, sizeof(*items), by_time);
-		for (i = 0; i < nitems; i++)
-			print_item(&items[i], o->match);
+		print_merged(o->match);
 	}
 	free(items);
 	json_decref(pages);
--- a/gspard/control.h
+++ b/gspard/control.h
@@ -73,9 +73,19 @@
 void ccell_free(struct ccell *);
 void ccell_tick(struct ccell *, usec now);
 void ccell_frame(struct ccell *, const struct msg *, usec now);
-void ccell_stored(struct ccell *, const struct store *, usec now);
 int ccell_controls(const struct ccell *);
 
+/* ctl_store.c */
+void cell_read_record(void *);
+void cell_write_record(void *, uint64_t base, const struct record *);
+void cell_read_assignment(void *, const char *service);
+void cell_write_assignment(
+    void *, const char *service, uint64_t base, char *json);
+void ccell_stored(struct ccell *, const struct store *, usec now);
+
+/* ctl_view.c */
+void cell_spread_view(void *);
+
 /* ctl_catalogue.c */
 void cat_tick(struct service *, usec now);
 void cat_stored(struct service *, const struct store *, usec now);
--- a/gspard/ctl_cell.c
+++ b/gspard/ctl_cell.c
@@ -1,11 +1,8 @@
-/* One cell: carries messages to and from the rules in decide/. */
-#include <inttypes.h>
+/* One cell: carries messages between hosts and the rules in decide/. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include <jansson.h>
-
 #include <apr_general.h>
 
 #include "control.h"
@@ -23,107 +20,6 @@
 	return (kernel_conf(c->s->kernel));
 }
 
-/* The path of the cell's control record. */
-static void
-record_path(const struct ccell *c, char *path, size_t size)
-{
-	snprintf(path, size, "control/%s", c->name);
-}
-
-/* Asks the platform for the control record. */
-static void
-term_get(void *arg)
-{
-	struct ccell *c = arg;
-	struct store *st;
-	char path[CELL_NAME + 16];
-
-	record_path(c, path, sizeof(path));
-	st = store_new(STORE_GET, "control", path);
-	snprintf(st->tag, sizeof(st->tag), "term %s", c->name);
-	store_send(c->s->kernel, st);
-}
-
-/* One process as JSON. */
-static json_t *
-member_json(const struct member *m)
-{
-	char boot[24];
-
-	snprintf(boot, sizeof(boot), "%016" PRIx64, m->boot);
-	return (json_pack("{s:s, s:s}", "host", m->host, "boot", boot));
-}
-
-/* Reads one process. */
-static void
-member_read(json_t *o, struct member *m)
-{
-	const char *s = json_string_value(json_object_get(o, "host"));
-
-	memset(m, 0, sizeof(*m));
-	if (s != NULL)
-		name_copy(m->host, sizeof(m->host), s);
-	s = json_string_value(json_object_get(o, "boot"));
-	if (s != NULL)
-		m->boot = strtoull(s, NULL, 16);
-}
-
-/* Writes the control record where its version is still base. */
-static void
-term_put(void *arg, uint64_t base, const struct record *r)
-{
-	struct ccell *c = arg;
-	struct store *st;
-	char path[CELL_NAME + 16], id[24], *text;
-	json_t *o, *standbys;
-	int i;
-
-	record_path(c, path, sizeof(path));
-	st = store_new(STORE_PUT, "control", path);
-	snprintf(st->tag, sizeof(st->tag), "term %s", c->name);
-	st->base = base;
-	st->gen = r->write_id;
-	snprintf(id, sizeof(id), "%016" PRIx64, r->write_id);
-	standbys = json_array();
-	for (i = 0; i < r->nstandby; i++)
-		json_array_append_new(standbys, member_json(&r->standby[i]));
-	o = json_pack("{s:I, s:s, s:o, s:o}", "term", (json_int_t)r->term,
-	    "write", id, "holder", member_json(&r->holder), "standbys",
-	    standbys);
-	text = json_dumps(o, JSON_COMPACT);
-	str_set(&st->body, text, strlen(text));
-	free(text);
-	json_decref(o);
-	store_send(c->s->kernel, st);
-}
-
-/* Reads a control record; 0, or -1 where it makes no sense. */
-static int
-record_read(const struct str *body, struct record *r)
-{
-	json_t *o, *standbys, *v;
-	const char *id;
-	size_t i;
-
-	memset(r, 0, sizeof(*r));
-	o = json_loadb(body->p == NULL ? "" : body->p, body->n, 0, NULL);
-	if (o == NULL)
-		return (-1);
-	r->term = (uint64_t)json_integer_value(json_object_get(o, "term"));
-	id = json_string_value(json_object_get(o, "write"));
-	if (id != NULL)
-		r->write_id = strtoull(id, NULL, 16);
-	member_read(json_object_get(o, "holder"), &r->holder);
-	standbys = json_object_get(o, "standbys");
-	json_array_foreach(standbys, i, v)
-	{
-		if (r->nstandby < STANDBYS)
-			member_read(v, &r->standby[r->nstandby++]);
-	}
-	json_decref(o);
-	return (0);
-}
-
 /* Asks a standby for its promise. */
 static void
 term_ask(void *arg, const struct member *m, uint64_t term)
@@ -153,39 +49,7 @@
 }
 
 static const struct term_out term_out = {
-    term_get, term_put, term_ask, term_event};
-
-/* Asks the platform for an assignment. */
-static void
-cell_get(void *arg, const char *service)
-{
-	struct ccell *c = arg;
-	struct store *st;
-	char path[CELL_NAME + NAME_MAX_GS + 16];
-
-	snprintf(path, sizeof(path), "assign/%s/%s", c->name, service);
-	st = store_new(STORE_GET, "control", path);
-	snprintf(st->tag, sizeof(st->tag), "assign %s %s", c->name, service);
-	store_send(c->s->kernel, st);
-}
-
-/* Writes an assignment; takes the text over. */
-static void
-cell_put(void *arg, const char *service, uint64_t base, char *json)
-{
-	struct ccell *c = arg;
-	struct store *st;
-	char path[CELL_NAME + NAME_MAX_GS + 16];
-
-	snprintf(path, sizeof(path), "assign/%s/%s", c->name, service);
-	st = store_new(STORE_PUT, "control", path);
-	snprintf(st->tag, sizeof(st->tag), "assign %s %s", c->name, service);
-	st->base = base;
-	st->gen = c->cell->term;
-	st->body.p = json;
-	st->body.n = strlen(json);
-	store_send(c->s->kernel, st);
-}
+    cell_read_record, cell_write_record, term_ask, term_event};
 
 /* Records what the controller decided. */
 static void
@@ -197,112 +61,8 @@
 	log_line(LOG_INFO, "control", "Cell %s: %s.", c->name, what);
 }
 
-/* Fills one service's part of a view; the arrays are freed by free_view. */
-static void
-service_view(const struct cell *c, int k, Gspar__ServiceView *sv)
-{
-	const struct cell_service *s = &c->services[k];
-	int *place, i;
-	uint32_t n;
-
-	gspar__service_view__init(sv);
-	sv->service = (char *)s->name;
-	sv->version = s->version;
-	sv->targets = calloc((size_t)c->ntargets + 1, sizeof(char *));
-	sv->owner = calloc(s->shards, sizeof(*sv->owner));
-	sv->fence = calloc(s->shards, sizeof(*sv->fence));
-	sv->moving = calloc(s->shards, sizeof(*sv->moving));
-	sv->n_owner = s->shards;
-	sv->n_fence = s->shards;
-	place = calloc((size_t)c->ntargets + 1, sizeof(*place));
-	for (i = 0; i < c->ntargets; i++) {
-		if (c->targets[i].service != k)
-			continue;
-		sv->targets[sv->n_targets++] = (char *)c->targets[i].conf.name;
-		place[i] = (int)sv->n_targets;
-	}
-	for (n = 0; n < s->shards; n++) {
-		i = cell_serves(s, n, &sv->fence[n]);
-		if (i != NOBODY)
-			sv->owner[n] = (uint32_t)place[i];
-		if (s->next[n] != NOBODY && !s->freed[n])
-			sv->moving[sv->n_moving++] = s->first + n;
-	}
-	free(place);
-}
-
-/* Frees what service_view made. */
-static void
-free_service_view(Gspar__ServiceView *sv)
-{
-	free(sv->targets);
-	free(sv->owner);
-	free(sv->fence);
-	free(sv->moving);
-}
-
-/* Sends a view to every host on the list, and takes it here. */
-static void
-spread(struct ccell *c, const Gspar__View *v)
-{
-	struct control *ctl = c->s->state;
-	const struct peers *l = ctl->peers == NULL ? NULL : ctl->peers->p;
-	Gspar__Frame f = GSPAR__FRAME__INIT;
-	int i;
-
-	f.body_case = GSPAR__FRAME__BODY_VIEW;
-	f.view = (Gspar__View *)v;
-	for (i = 0; l != NULL && i < l->n; i++) {
-		if (strcmp(l->list[i].host, conf_of(c)->host) != 0)
-			send_frame(c->s->kernel, l->list[i].host, 0, &f);
-	}
-	ccell_view(c, v, clock_mono());
-}
-
-/* Makes the view of what is in force, and spreads it. */
-static void
-cell_changed(void *arg)
-{
-	struct ccell *c = arg;
-	struct cell *cell = c->cell;
-	Gspar__View v = GSPAR__VIEW__INIT;
-	Gspar__ServiceView sv[CELL_SERVICES], *svp[CELL_SERVICES];
-	Gspar__DispatchView *dv, **dvp;
-	int i;
-
-	if (!cell_ready(cell))
-		return;
-	dv = calloc(CELL_TARGETS, sizeof(*dv));
-	dvp = calloc(CELL_TARGETS, sizeof(*dvp));
-	v.cell = c->name;
-	v.term = cell->term;
-	v.seq = cell->view_seq;
-	v.controller = (char *)conf_of(c)->host;
-	v.controller_addr = (char *)conf_of(c)->reached;
-	v.services = svp;
-	v.dispatch = dvp;
-	for (i = 0; i < cell->nservices; i++) {
-		service_view(cell, i, &sv[i]);
-		svp[v.n_services++] = &sv[i];
-	}
-	for (i = 0; i < cell->ntargets; i++) {
-		if (cell->targets[i].disp == NOBODY)
-			continue;
-		gspar__dispatch_view__init(&dv[i]);
-		dv[i].target = cell->targets[i].conf.name;
-		dv[i].host = cell->hosts[cell->targets[i].disp].who.host;
-		dv[i].addr = cell->hosts[cell->targets[i].disp].addr;
-		dvp[v.n_dispatch++] = &dv[i];
-	}
-	spread(c, &v);
-	for (i = 0; i < cell->nservices; i++)
-		free_service_view(&sv[i]);
-	free(dv);
-	free(dvp);
-}
-
 static const struct cell_out cell_out = {
-    cell_get, cell_put, cell_changed, cell_event};
+    cell_read_assignment, cell_write_assignment, cell_spread_view, cell_event};
 
 /* A cell as seen from here; member where this host is one of its own. */
 struct ccell *
@@ -544,6 +304,8 @@
 		    l->duties[i].target, NAME_MAX_GS, give->duties[i]->target);
 		l->duties[i].epoch = give->duties[i]->epoch;
 		l->duties[i].min_view = give->duties[i]->min_view;
+		l->duties[i].limited = give->duties[i]->limited;
+		l->duties[i].rate = give->duties[i]->rate;
 		l->n++;
 	}
 	msg_post(c->s->kernel, "dispatch", MSG_LEASE, l, lease_free);
@@ -654,59 +416,3 @@
 		break;
 	}
 }
-
-/* What came of a write, by its HTTP status. */
-static enum put_result
-put_result(int status)
-{
-	if (status == 200)
-		return (PUT_DONE);
-	return (status == 412 ? PUT_CONFLICT : PUT_LOST);
-}
-
-/* Takes the outcome of a call about the control record. */
-static void
-term_stored(struct ccell *c, const struct store *st, usec now)
-{
-	struct record r;
-
-	if (st->op == STORE_PUT) {
-		if (st->gen == c->term.put_rec.write_id)
-			term_put_ended(
-			    &c->term, now, put_result(st->status), st->version);
-		return;
-	}
-	if (st->status == 404)
-		term_got(&c->term, now, 0, 0, NULL);
-	else if (st->status == 200 && record_read(&st->body, &r) == 0)
-		term_got(&c->term, now, 1, st->version, &r);
-	else
-		term_get_failed(&c->term, now);
-}
-
-/* Takes the outcome of a platform call of this cell. */
-void
-ccell_stored(struct ccell *c, const struct store *st, usec now)
-{
-	const char *service;
-
-	if (strncmp(st->tag, "term ", 5) == 0) {
-		term_stored(c, st, now);
-		return;
-	}
-	service = strrchr(st->tag, ' ') + 1;
-	/*
-	 * An outcome of an earlier term must not be taken for the one that is
-	 * open now: it would put in force what the platform does not hold.
-	 */
-	if (st->op == STORE_PUT && st->gen != c->cell->term)
-		return;
-	if (st->op == STORE_PUT)
-		cell_put_ended(
-		    c->cell, now, service, put_result(st->status), st->version);
-	else if (st->status == 200 || st->status == 404)
-		cell_got(c->cell, now, service, st->status == 200, st->version,
-		    st->body.p, st->body.n);
-	else
-		cell_get_failed(c->cell, service);
-}
--- /dev/null
+++ b/gspard/ctl_store.c
@@ -0,0 +1,198 @@
+/* A cell's objects in the platform: its control record and assignments. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "control.h"
+
+/* The path of the cell's control record. */
+static void
+record_path(const struct ccell *c, char *path, size_t size)
+{
+	snprintf(path, size, "control/%s", c->name);
+}
+
+/* Asks the platform for the control record. */
+void
+cell_read_record(void *arg)
+{
+	struct ccell *c = arg;
+	struct store *st;
+	char path[CELL_NAME + 16];
+
+	record_path(c, path, sizeof(path));
+	st = store_new(STORE_GET, "control", path);
+	snprintf(st->tag, sizeof(st->tag), "term %s", c->name);
+	store_send(c->s->kernel, st);
+}
+
+/* One process as JSON. */
+static json_t *
+member_json(const struct member *m)
+{
+	char boot[24];
+
+	snprintf(boot, sizeof(boot), "%016" PRIx64, m->boot);
+	return (json_pack("{s:s, s:s}", "host", m->host, "boot", boot));
+}
+
+/* Reads one process. */
+static void
+member_read(json_t *o, struct member *m)
+{
+	const char *s = json_string_value(json_object_get(o, "host"));
+
+	memset(m, 0, sizeof(*m));
+	if (s != NULL)
+		name_copy(m->host, sizeof(m->host), s);
+	s = json_string_value(json_object_get(o, "boot"));
+	if (s != NULL)
+		m->boot = strtoull(s, NULL, 16);
+}
+
+/* Writes the control record where its version is still base. */
+void
+cell_write_record(void *arg, uint64_t base, const struct record *r)
+{
+	struct ccell *c = arg;
+	struct store *st;
+	char path[CELL_NAME + 16], id[24], *text;
+	json_t *o, *standbys;
+	int i;
+
+	record_path(c, path, sizeof(path));
+	st = store_new(STORE_PUT, "control", path);
+	snprintf(st->tag, sizeof(st->tag), "term %s", c->name);
+	st->base = base;
+	st->gen = r->write_id;
+	snprintf(id, sizeof(id), "%016" PRIx64, r->write_id);
+	standbys = json_array();
+	for (i = 0; i < r->nstandby; i++)
+		json_array_append_new(standbys, member_json(&r->standby[i]));
+	o = json_pack("{s:I, s:s, s:o, s:o}", "term", (json_int_t)r->term,
+	    "write", id, "holder", member_json(&r->holder), "standbys",
+	    standbys);
+	text = json_dumps(o, JSON_COMPACT);
+	str_set(&st->body, text, strlen(text));
+	free(text);
+	json_decref(o);
+	store_send(c->s->kernel, st);
+}
+
+/* Reads a control record; 0, or -1 where it makes no sense. */
+static int
+record_read(const struct str *body, struct record *r)
+{
+	json_t *o, *standbys, *v;
+	const char *id;
+	size_t i;
+
+	memset(r, 0, sizeof(*r));
+	o = json_loadb(body->p == NULL ? "" : body->p, body->n, 0, NULL);
+	if (o == NULL)
+		return (-1);
+	r->term = (uint64_t)json_integer_value(json_object_get(o, "term"));
+	id = json_string_value(json_object_get(o, "write"));
+	if (id != NULL)
+		r->write_id = strtoull(id, NULL, 16);
+	member_read(json_object_get(o, "holder"), &r->holder);
+	standbys = json_object_get(o, "standbys");
+	json_array_foreach(standbys, i, v)
+	{
+		if (r->nstandby < STANDBYS)
+			member_read(v, &r->standby[r->nstandby++]);
+	}
+	json_decref(o);
+	return (0);
+}
+
+/* Asks the platform for an assignment. */
+void
+cell_read_assignment(void *arg, const char *service)
+{
+	struct ccell *c = arg;
+	struct store *st;
+	char path[CELL_NAME + NAME_MAX_GS + 16];
+
+	snprintf(path, sizeof(path), "assign/%s/%s", c->name, service);
+	st = store_new(STORE_GET, "control", path);
+	snprintf(st->tag, sizeof(st->tag), "assign %s %s", c->name, service);
+	store_send(c->s->kernel, st);
+}
+
+/* Writes an assignment; takes the text over. */
+void
+cell_write_assignment(void *arg, const char *service, uint64_t base, char *json)
+{
+	struct ccell *c = arg;
+	struct store *st;
+	char path[CELL_NAME + NAME_MAX_GS + 16];
+
+	snprintf(path, sizeof(path), "assign/%s/%s", c->name, service);
+	st = store_new(STORE_PUT, "control", path);
+	snprintf(st->tag, sizeof(st->tag), "assign %s %s", c->name, service);
+	st->base = base;
+	st->gen = c->cell->term;
+	st->body.p = json;
+	st->body.n = strlen(json);
+	store_send(c->s->kernel, st);
+}
+
+/* What came of a write, by its HTTP status. */
+static enum put_result
+put_result(int status)
+{
+	if (status == 200)
+		return (PUT_DONE);
+	return (status == 412 ? PUT_CONFLICT : PUT_LOST);
+}
+
+/* Takes the outcome of a call about the control record. */
+static void
+term_stored(struct ccell *c, const struct store *st, usec now)
+{
+	struct record r;
+
+	if (st->op == STORE_PUT) {
+		if (st->gen == c->term.put_rec.write_id)
+			term_put_ended(
+			    &c->term, now, put_result(st->status), st->version);
+		return;
+	}
+	if (st->status == 404)
+		term_got(&c->term, now, 0, 0, NULL);
+	else if (st->status == 200 && record_read(&st->body, &r) == 0)
+		term_got(&c->term, now, 1, st->version, &r);
+	else
+		term_get_failed(&c->term, now);
+}
+
+/* Takes the outcome of a platform call of this cell. */
+void
+ccell_stored(struct ccell *c, const struct store *st, usec now)
+{
+	const char *service;
+
+	if (strncmp(st->tag, "term ", 5) == 0) {
+		term_stored(c, st, now);
+		return;
+	}
+	service = strrchr(st->tag, ' ') + 1;
+	/*
+	 * An outcome of an earlier term must not be taken for the one that is
+	 * open now: it would put in force what the platform does not hold.
+	 */
+	if (st->op == STORE_PUT && st->gen != c->cell->term)
+		return;
+	if (st->op == STORE_PUT)
+		cell_put_ended(
+		    c->cell, now, service, put_result(st->status), st->version);
+	else if (st->status == 200 || st->status == 404)
+		cell_got(c->cell, now, service, st->status == 200, st->version,
+		    st->body.p, st->body.n);
+	else
+		cell_get_failed(c->cell, service);
+}
--- /dev/null
+++ b/gspard/ctl_view.c
@@ -0,0 +1,110 @@
+/* Makes the view of a cell that its controller spreads. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "control.h"
+
+/* Fills one service's part of a view; the arrays are freed by free_view. */
+static void
+service_view(const struct cell *c, int k, Gspar__ServiceView *sv)
+{
+	const struct cell_service *s = &c->services[k];
+	int *place, i;
+	uint32_t n;
+
+	gspar__service_view__init(sv);
+	sv->service = (char *)s->name;
+	sv->version = s->version;
+	sv->targets = calloc((size_t)c->ntargets + 1, sizeof(char *));
+	sv->owner = calloc(s->shards, sizeof(*sv->owner));
+	sv->fence = calloc(s->shards, sizeof(*sv->fence));
+	sv->moving = calloc(s->shards, sizeof(*sv->moving));
+	sv->n_owner = s->shards;
+	sv->n_fence = s->shards;
+	place = calloc((size_t)c->ntargets + 1, sizeof(*place));
+	for (i = 0; i < c->ntargets; i++) {
+		if (c->targets[i].service != k)
+			continue;
+		sv->targets[sv->n_targets++] = (char *)c->targets[i].conf.name;
+		place[i] = (int)sv->n_targets;
+	}
+	for (n = 0; n < s->shards; n++) {
+		i = cell_serves(s, n, &sv->fence[n]);
+		if (i != NOBODY)
+			sv->owner[n] = (uint32_t)place[i];
+		if (s->next[n] != NOBODY && !s->freed[n])
+			sv->moving[sv->n_moving++] = s->first + n;
+	}
+	free(place);
+}
+
+/* Frees what service_view made. */
+static void
+free_service_view(Gspar__ServiceView *sv)
+{
+	free(sv->targets);
+	free(sv->owner);
+	free(sv->fence);
+	free(sv->moving);
+}
+
+/* Sends a view to every host on the list, and takes it here. */
+static void
+spread(struct ccell *c, const Gspar__View *v)
+{
+	struct control *ctl = c->s->state;
+	const struct peers *l = ctl->peers == NULL ? NULL : ctl->peers->p;
+	Gspar__Frame f = GSPAR__FRAME__INIT;
+	int i;
+
+	f.body_case = GSPAR__FRAME__BODY_VIEW;
+	f.view = (Gspar__View *)v;
+	for (i = 0; l != NULL && i < l->n; i++) {
+		if (strcmp(l->list[i].host, kernel_conf(c->s->kernel)->host) !=
+		    0)
+			send_frame(c->s->kernel, l->list[i].host, 0, &f);
+	}
+	ccell_view(c, v, clock_mono());
+}
+
+/* Makes the view of what is in force, and spreads it. */
+void
+cell_spread_view(void *arg)
+{
+	struct ccell *c = arg;
+	struct cell *cell = c->cell;
+	Gspar__View v = GSPAR__VIEW__INIT;
+	Gspar__ServiceView sv[CELL_SERVICES], *svp[CELL_SERVICES];
+	Gspar__DispatchView *dv, **dvp;
+	int i;
+
+	if (!cell_ready(cell))
+		return;
+	dv = calloc(CELL_TARGETS, sizeof(*dv));
+	dvp = calloc(CELL_TARGETS, sizeof(*dvp));
+	v.cell = c->name;
+	v.term = cell->term;
+	v.seq = cell->view_seq;
+	v.controller = (char *)kernel_conf(c->s->kernel)->host;
+	v.controller_addr = (char *)kernel_conf(c->s->kernel)->reached;
+	v.services = svp;
+	v.dispatch = dvp;
+	for (i = 0; i < cell->nservices; i++) {
+		service_view(cell, i, &sv[i]);
+		svp[v.n_services++] = &sv[i];
+	}
+	for (i = 0; i < cell->ntargets; i++) {
+		if (cell->targets[i].disp == NOBODY)
+			continue;
+		gspar__dispatch_view__init(&dv[i]);
+		dv[i].target = cell->targets[i].conf.name;
+		dv[i].host = cell->hosts[cell->targets[i].disp].who.host;
+		dv[i].addr = cell->hosts[cell->targets[i].disp].addr;
+		dvp[v.n_dispatch++] = &dv[i];
+	}
+	spread(c, &v);
+	for (i = 0; i < cell->nservices; i++)
+		free_service_view(&sv[i]);
+	free(dv);
+	free(dvp);
+}
--- a/gspard/dispatch.c
+++ b/gspard/dispatch.c
@@ -73,6 +73,8 @@
 		return;
 	t->dropping = 0;
 	t->lapsed = 0;
+	t->limited = duty->limited;
+	t->rate = duty->rate;
 	if (c->view != NULL)
 		target_view(t, c->view->p, view_number(c));
 }
@@ -218,6 +220,9 @@
 	for (i = 0; i < t->shards; i++)
 		rest += t->busy[i];
 	ts->rest_busy = per_second(rest, span);
+	ts->demand = (uint32_t)((uint64_t)t->arrived * 1000 * US_PER_SEC /
+	    (uint64_t)span);
+	t->arrived = 0;
 	memset(t->busy, 0, t->shards * sizeof(*t->busy));
 	t->loads_at = now;
 }
@@ -238,6 +243,7 @@
 	    (t->grant.phase == GRANT_DORMANT || t->grant.held != 0);
 	ts->leaving = t->leaving;
 	ts->busy = t->queue.busy;
+	ts->rate = t->rate;
 	tell_freed(t, ts, now);
 	tell_loads(t, ts, now);
 	return (ts);
--- a/gspard/dispatch.h
+++ b/gspard/dispatch.h
@@ -8,11 +8,14 @@
 #include "gspard.h"
 #include "once.h"
 #include "queue.h"
+#include "share.h"
 
 #define MAX_TARGETS 512
 #define MAX_VIEWS 32
 #define TICKETS_KEPT 16384
 #define MAX_JOINED 8
+/* When to come back to a key whose owner was lost, in milliseconds. */
+#define LOST_RETRY_MS 1000
 
 struct target;
 
@@ -74,6 +77,10 @@
 	int dropping;
 	int lapsed;
 	int leaving;
+	int limited;
+	uint32_t rate; /* thousandths of a request a second */
+	struct bucket bucket;
+	uint32_t arrived; /* since loads_at */
 	uint64_t min_view;
 	uint64_t view; /* the view that the arrays below are of */
 	uint64_t *fence;
@@ -128,9 +135,15 @@
 void run_cancel(
     struct service *, const char *host, uint64_t conn, uint64_t corr, usec now);
 void run_gone(struct service *, const char *host, uint64_t conn, usec now);
-void run_done(struct service *, struct run *, CURLcode, usec now);
 void run_pump(struct service *, struct target *, usec now);
 void run_flush(struct service *, struct target *, int code, usec now);
 void run_free(struct service *, struct run *);
+void run_end(
+    struct service *, struct run *, int code, int outcome, uint32_t retry_ms);
+void run_answer(struct service *, const struct asker *, Gspar__Answer *);
+
+/* send.c */
+void run_done(struct service *, struct run *, CURLcode, usec now);
+void run_send(struct service *, struct run *, usec now);
 
 #endif
--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -91,6 +91,8 @@
 	char target[NAME_MAX_GS];
 	uint64_t epoch;
 	uint64_t min_view;
+	int limited;
+	uint32_t rate; /* thousandths of a request a second */
 };
 
 struct lease {
--- a/gspard/run.c
+++ b/gspard/run.c
@@ -2,20 +2,18 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "dispatch.h"
-#include "shard.h"
 
-/* When to come back to a key whose owner was lost, in milliseconds. */
-#define LOST_RETRY_MS 1000
+/* When to come back where the entry's limit was reached, in milliseconds. */
+#define OVER_RETRY_MS 500
 /* In a class of long work, what must end within this is taken for short: an
  * item description beside the exports of whole registers. */
 #define LONG_AFTER_MS 5000
 
 /* Sends an answer to one asker. */
-static void
-answer_one(struct service *s, const struct asker *a, Gspar__Answer *ans)
+void
+run_answer(struct service *s, const struct asker *a, Gspar__Answer *ans)
 {
 	Gspar__Frame f = GSPAR__FRAME__INIT;
 
@@ -35,7 +33,7 @@
 	ans.code = (uint32_t)code;
 	ans.outcome = (uint32_t)outcome;
 	ans.retry_ms = retry_ms;
-	answer_one(s, a, &ans);
+	run_answer(s, a, &ans);
 }
 
 /* Frees a run, giving nobody an answer. */
@@ -60,8 +58,8 @@
 }
 
 /* Answers all who wait for a run with a code of ours, and frees it. */
-static void
-end_with(
+void
+run_end(
     struct service *s, struct run *r, int code, int outcome, uint32_t retry_ms)
 {
 	struct target *t = r->target;
@@ -131,7 +129,7 @@
 	ans.type = (char *)"application/json";
 	ans.body.data = (uint8_t *)text;
 	ans.body.len = (size_t)n;
-	answer_one(s, a, &ans);
+	run_answer(s, a, &ans);
 }
 
 /* Answers a repeat with what its first request got. */
@@ -148,7 +146,7 @@
 	ans = gspar__answer__unpack(NULL, kept->n, kept->p);
 	if (ans == NULL)
 		return;
-	answer_one(s, a, ans);
+	run_answer(s, a, ans);
 	gspar__answer__free_unpacked(ans, NULL);
 }
 
@@ -273,6 +271,11 @@
 		give_ticket(s, t, &a);
 		goto drop;
 	}
+	t->arrived++;
+	if (t->limited && !bucket_take(&t->bucket, t->rate / 1000.0, now)) {
+		refuse(s, &a, GS_OVER_LIMIT, OUT_NOT_RUN, OVER_RETRY_MS);
+		goto drop;
+	}
 	if (!t->class->idempotent && !first_time(s, t, q, &a, &ticket))
 		goto drop;
 	enqueue(s, t, f, &a, ticket, now);
@@ -281,147 +284,6 @@
 	frame_free(f);
 }
 
-/* Collects the answer's body, up to its limit. */
-static size_t
-on_body(char *p, size_t size, size_t n, void *arg)
-{
-	struct run *r = arg;
-
-	if (r->body.n + size * n > r->answer_max) {
-		r->too_large = 1;
-		return (0);
-	}
-	return (str_add(&r->body, p, size * n) == 0 ? size * n : 0);
-}
-
-/* Picks out of the answer's head what matters here. */
-static size_t
-on_head(char *p, size_t size, size_t n, void *arg)
-{
-	static const char type[] = "Content-Type:";
-	static const char outcome[] = "Gspar-Outcome:";
-	struct run *r = arg;
-	size_t len = size * n, k = sizeof(type) - 1;
-
-	if (len > k && strncasecmp(p, type, k) == 0) {
-		while (k < len && p[k] == ' ')
-			k++;
-		while (len > k && (p[len - 1] == '\r' || p[len - 1] == '\n'))
-			len--;
-		if (len - k < sizeof(r->type)) {
-			memcpy(r->type, p + k, len - k);
-			r->type[len - k] = '\0';
-		}
-	} else if (len >= sizeof(outcome) - 1 &&
-	    strncasecmp(p, outcome, sizeof(outcome) - 1) == 0 &&
-	    memmem(p, len, "not_run", 7) != NULL)
-		r->refused = 1;
-	return (size * n);
-}
-
-/* Adds one header of the request to the target. */
-static void
-head(struct run *r, const char *name, const char *value)
-{
-	char line[400];
-
-	snprintf(line, sizeof(line), "%s: %s", name, value);
-	r->heads = curl_slist_append(r->heads, line);
-}
-
-/* Adds one numeric header. */
-static void
-head_num(struct run *r, const char *name, long long value)
-{
-	char text[32];
-
-	snprintf(text, sizeof(text), "%lld", value);
-	head(r, name, text);
-}
-
-/* Sets the request's headers: who orders, until when, and the caller's. */
-static void
-set_heads(struct run *r, usec now)
-{
-	const Gspar__Request *q = r->frame->request;
-	const struct target *t = r->target;
-
-	head_num(r, "Gspar-Shard", q->shard);
-	head_num(r, "Gspar-Fence", (long long)t->fence[r->job.shard]);
-	/* In the target's clock: a request that waited in a frozen target's
-	 * socket is then refused instead of run. */
-	head_num(r, "Gspar-Deadline",
-	    (long long)(t->grant.clock_there + r->job.deadline -
-		t->grant.heard));
-	head_num(r, "Gspar-Id", (long long)r->id);
-	if (q->idkey[0] != '\0')
-		head(r, "Idempotency-Key", q->idkey);
-	if (q->type[0] != '\0')
-		head(r, "Content-Type", q->type);
-	head(r, "Expect", "");
-	curl_easy_setopt(r->easy, CURLOPT_HTTPHEADER, r->heads);
-}
-
-/* Sends a run to its target, or ends it where that cannot be. */
-static void
-send_run(struct service *s, struct run *r, usec now)
-{
-	struct dispatch *d = s->state;
-	struct target *t = r->target;
-	const Gspar__Request *q = r->frame->request;
-	char url[2048], *key;
-
-	r->easy = curl_easy_init();
-	if (r->easy == NULL) {
-		queue_done(&t->queue, &r->job, 0);
-		end_with(s, r, GS_NOMEM, OUT_NOT_RUN, 0);
-		return;
-	}
-	r->id = ++d->next_id;
-	r->sent = now;
-	r->next = t->runs;
-	r->link = &t->runs;
-	if (r->next != NULL)
-		r->next->link = &r->next;
-	t->runs = r;
-	t->nruns++;
-	t->inflight[r->job.shard]++;
-	count_add(C_SENT, 1);
-	key = curl_easy_escape(r->easy, q->key, 0);
-	snprintf(url, sizeof(url), "http://%s/run/%s/%s%s", t->addr, t->service,
-	    key, q->rest);
-	curl_free(key);
-	curl_easy_setopt(r->easy, CURLOPT_URL, url);
-	curl_easy_setopt(r->easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(
-	    r->easy, CURLOPT_USERAGENT, kernel_conf(s->kernel)->host);
-	curl_easy_setopt(r->easy, CURLOPT_PRIVATE, r);
-	curl_easy_setopt(r->easy, CURLOPT_TIMEOUT_MS,
-	    (long)((r->job.deadline - now) / 1000 + 1));
-	curl_easy_setopt(r->easy, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(r->easy, CURLOPT_WRITEDATA, r);
-	curl_easy_setopt(r->easy, CURLOPT_HEADERFUNCTION, on_head);
-	curl_easy_setopt(r->easy, CURLOPT_HEADERDATA, r);
-	curl_easy_setopt(r->easy, CURLOPT_CUSTOMREQUEST, q->method);
-	if (strcmp(q->method, "GET") != 0) {
-		curl_easy_setopt(
-		    r->easy, CURLOPT_POSTFIELDSIZE, (long)q->body.len);
-		curl_easy_setopt(r->easy, CURLOPT_POSTFIELDS,
-		    q->body.data == NULL ? "" : (char *)q->body.data);
-	}
-	if (!t->class->idempotent) {
-		/*
-		 * On a kept connection that dies without an answer the library
-		 * sends the request a second time by itself; the target may
-		 * have run the first.  A new connection it never repeats on.
-		 */
-		curl_easy_setopt(r->easy, CURLOPT_FRESH_CONNECT, 1L);
-		curl_easy_setopt(r->easy, CURLOPT_FORBID_REUSE, 1L);
-	}
-	set_heads(r, now);
-	curl_multi_add_handle(d->multi, r->easy);
-}
-
 /* True where a job may be sent now. */
 static int
 may_start(const struct job *j, void *arg)
@@ -457,9 +319,9 @@
 	struct job *j;
 
 	while ((j = queue_late(&t->queue, now)) != NULL)
-		end_with(s, j->what, GS_TOO_LATE, OUT_NOT_RUN, LOST_RETRY_MS);
+		run_end(s, j->what, GS_TOO_LATE, OUT_NOT_RUN, LOST_RETRY_MS);
 	while ((j = queue_pull(&t->queue, moved_away, t)) != NULL)
-		end_with(s, j->what, GS_MOVED, OUT_NOT_RUN, 20);
+		run_end(s, j->what, GS_MOVED, OUT_NOT_RUN, 20);
 	/*
 	 * Checked just before each send: a dispatcher that was paused past
 	 * its lease must not order a target that another may serve for.
@@ -468,7 +330,7 @@
 		j = queue_next(&t->queue, now, may_start, t);
 		if (j == NULL)
 			break;
-		send_run(s, j->what, now);
+		run_send(s, j->what, now);
 	}
 	if (now >= c->lease_until)
 		run_flush(s, t, GS_MOVED, now);
@@ -481,127 +343,10 @@
 	struct job *j;
 
 	while ((j = queue_pull(&t->queue, any_job, NULL)) != NULL)
-		end_with(s, j->what, code, OUT_NOT_RUN,
+		run_end(s, j->what, code, OUT_NOT_RUN,
 		    code == GS_MOVED ? 20 : LOST_RETRY_MS);
 }
 
-/* Keeps an ended run's answer for repeats of its ticket. */
-static void
-remember(struct run *r, const Gspar__Answer *ans)
-{
-	struct bytes *kept;
-
-	kept = calloc(1, sizeof(*kept));
-	if (kept != NULL) {
-		kept->n = gspar__answer__get_packed_size(ans);
-		kept->p = malloc(kept->n + 1);
-		if (kept->p != NULL)
-			gspar__answer__pack(ans, kept->p);
-	}
-	once_ended(&r->target->once, r->ticket, kept);
-}
-
-/* Passes a whole answer on to all who wait for it. */
-static void
-end_whole(struct service *s, struct run *r, long status)
-{
-	Gspar__Answer ans = GSPAR__ANSWER__INIT;
-	int i;
-
-	ans.status = (uint32_t)status;
-	ans.outcome = OUT_RAN;
-	ans.type = r->type;
-	ans.body.data = (uint8_t *)r->body.p;
-	ans.body.len = r->body.n;
-	ans.target = r->target->name;
-	ans.fence = r->target->fence[r->job.shard];
-	if (r->ticket != 0)
-		remember(r, &ans);
-	for (i = 0; i < r->naskers; i++)
-		answer_one(s, &r->askers[i], &ans);
-	run_free(s, r);
-}
-
-/* The code for a transfer that failed. */
-static int
-failure_code(const struct run *r, CURLcode res)
-{
-	if (r->too_large)
-		return (GS_ANSWER_LARGE);
-	switch (res) {
-	case CURLE_OPERATION_TIMEDOUT:
-		return (GS_DEADLINE);
-	case CURLE_PARTIAL_FILE:
-		return (GS_CUT_SHORT);
-	default:
-		return (r->body.n > 0 ? GS_CUT_SHORT : GS_TARGET_LOST);
-	}
-}
-
-/* Ends a run whose transfer failed. */
-static void
-end_failed(struct service *s, struct run *r, CURLcode res)
-{
-	long sent = 0;
-	int code;
-
-	curl_easy_getinfo(r->easy, CURLINFO_REQUEST_SIZE, &sent);
-	code = failure_code(r, res);
-	if (code == GS_DEADLINE && sent > 0)
-		note_cancel(s, r->target, r->id);
-	/* No byte left this host, so it has not run for sure. */
-	if (sent == 0)
-		end_with(s, r, code == GS_DEADLINE ? GS_TOO_LATE : GS_NO_OWNER,
-		    OUT_NOT_RUN, LOST_RETRY_MS);
-	else
-		end_with(s, r, code, OUT_UNKNOWN, 0);
-}
-
-/* Ends a run that the target refused before running it. */
-static void
-end_refused(struct service *s, struct run *r, long status)
-{
-	switch (status) {
-	case 409:
-		end_with(s, r, GS_MOVED, OUT_NOT_RUN, 20);
-		break;
-	case 504:
-		end_with(s, r, GS_TOO_LATE, OUT_NOT_RUN, LOST_RETRY_MS);
-		break;
-	default:
-		end_with(s, r, GS_SHED, OUT_NOT_RUN,
-		    (uint32_t)(queue_wait(&r->target->queue, r->job.is_long) /
-			    1000 +
-			50));
-		break;
-	}
-}
-
-/* Takes the outcome of a transfer. */
-void
-run_done(struct service *s, struct run *r, CURLcode res, usec now)
-{
-	struct target *t = r->target;
-	long status = 0;
-
-	t->nruns--;
-	t->inflight[r->job.shard]--;
-	t->busy[r->job.shard] += (uint32_t)(now - r->sent);
-	queue_done(&t->queue, &r->job,
-	    res == CURLE_OK && !r->refused ? now - r->sent : 0);
-	curl_easy_getinfo(r->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (res != CURLE_OK)
-		end_failed(s, r, res);
-	else if (r->refused)
-		end_refused(s, r, status);
-	else
-		end_whole(s, r, status);
-	if (t->moving[0] || t->grant.want != 0)
-		target_sets(t);
-	run_pump(s, t, now);
-	target_tick(s, t, now);
-}
-
 /* Takes an asker off a run; true where nobody waits for it any more. */
 static int
 unasked(struct run *r, const char *host, uint64_t conn, uint64_t corr)
@@ -652,7 +397,7 @@
 
 	for (t = d->targets; t != NULL; t = t->next) {
 		while ((j = queue_pull(&t->queue, job_unasked, &w)) != NULL)
-			end_with(s, j->what, GS_CANCELLED, OUT_NOT_RUN, 0);
+			run_end(s, j->what, GS_CANCELLED, OUT_NOT_RUN, 0);
 		for (r = t->runs; r != NULL; r = r->next) {
 			if (r->ticket != 0 || r->cancelled ||
 			    !unasked(r, host, conn, corr))
--- /dev/null
+++ b/gspard/send.c
@@ -0,0 +1,265 @@
+/* Requests between the dispatcher and its targets: one transfer each. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "dispatch.h"
+
+/* Collects the answer's body, up to its limit. */
+static size_t
+on_body(char *p, size_t size, size_t n, void *arg)
+{
+	struct run *r = arg;
+
+	if (r->body.n + size * n > r->answer_max) {
+		r->too_large = 1;
+		return (0);
+	}
+	return (str_add(&r->body, p, size * n) == 0 ? size * n : 0);
+}
+
+/* Picks out of the answer's head what matters here. */
+static size_t
+on_head(char *p, size_t size, size_t n, void *arg)
+{
+	static const char type[] = "Content-Type:";
+	static const char outcome[] = "Gspar-Outcome:";
+	struct run *r = arg;
+	size_t len = size * n, k = sizeof(type) - 1;
+
+	if (len > k && strncasecmp(p, type, k) == 0) {
+		while (k < len && p[k] == ' ')
+			k++;
+		while (len > k && (p[len - 1] == '\r' || p[len - 1] == '\n'))
+			len--;
+		if (len - k < sizeof(r->type)) {
+			memcpy(r->type, p + k, len - k);
+			r->type[len - k] = '\0';
+		}
+	} else if (len >= sizeof(outcome) - 1 &&
+	    strncasecmp(p, outcome, sizeof(outcome) - 1) == 0 &&
+	    memmem(p, len, "not_run", 7) != NULL)
+		r->refused = 1;
+	return (size * n);
+}
+
+/* Adds one header of the request to the target. */
+static void
+head(struct run *r, const char *name, const char *value)
+{
+	char line[400];
+
+	snprintf(line, sizeof(line), "%s: %s", name, value);
+	r->heads = curl_slist_append(r->heads, line);
+}
+
+/* Adds one numeric header. */
+static void
+head_num(struct run *r, const char *name, long long value)
+{
+	char text[32];
+
+	snprintf(text, sizeof(text), "%lld", value);
+	head(r, name, text);
+}
+
+/* Sets the request's headers: who orders, until when, and the caller's. */
+static void
+set_heads(struct run *r, usec now)
+{
+	const Gspar__Request *q = r->frame->request;
+	const struct target *t = r->target;
+
+	head_num(r, "Gspar-Shard", q->shard);
+	head_num(r, "Gspar-Fence", (long long)t->fence[r->job.shard]);
+	/* In the target's clock: a request that waited in a frozen target's
+	 * socket is then refused instead of run. */
+	head_num(r, "Gspar-Deadline",
+	    (long long)(t->grant.clock_there + r->job.deadline -
+		t->grant.heard));
+	head_num(r, "Gspar-Id", (long long)r->id);
+	if (q->idkey[0] != '\0')
+		head(r, "Idempotency-Key", q->idkey);
+	if (q->type[0] != '\0')
+		head(r, "Content-Type", q->type);
+	head(r, "Expect", "");
+	curl_easy_setopt(r->easy, CURLOPT_HTTPHEADER, r->heads);
+}
+
+/* Sends a run to its target, or ends it where that cannot be. */
+void
+run_send(struct service *s, struct run *r, usec now)
+{
+	struct dispatch *d = s->state;
+	struct target *t = r->target;
+	const Gspar__Request *q = r->frame->request;
+	char url[2048], *key;
+
+	r->easy = curl_easy_init();
+	if (r->easy == NULL) {
+		queue_done(&t->queue, &r->job, 0);
+		run_end(s, r, GS_NOMEM, OUT_NOT_RUN, 0);
+		return;
+	}
+	r->id = ++d->next_id;
+	r->sent = now;
+	r->next = t->runs;
+	r->link = &t->runs;
+	if (r->next != NULL)
+		r->next->link = &r->next;
+	t->runs = r;
+	t->nruns++;
+	t->inflight[r->job.shard]++;
+	count_add(C_SENT, 1);
+	key = curl_easy_escape(r->easy, q->key, 0);
+	snprintf(url, sizeof(url), "http://%s/run/%s/%s%s", t->addr, t->service,
+	    key, q->rest);
+	curl_free(key);
+	curl_easy_setopt(r->easy, CURLOPT_URL, url);
+	curl_easy_setopt(r->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(
+	    r->easy, CURLOPT_USERAGENT, kernel_conf(s->kernel)->host);
+	curl_easy_setopt(r->easy, CURLOPT_PRIVATE, r);
+	curl_easy_setopt(r->easy, CURLOPT_TIMEOUT_MS,
+	    (long)((r->job.deadline - now) / 1000 + 1));
+	curl_easy_setopt(r->easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(r->easy, CURLOPT_WRITEDATA, r);
+	curl_easy_setopt(r->easy, CURLOPT_HEADERFUNCTION, on_head);
+	curl_easy_setopt(r->easy, CURLOPT_HEADERDATA, r);
+	curl_easy_setopt(r->easy, CURLOPT_CUSTOMREQUEST, q->method);
+	if (strcmp(q->method, "GET") != 0) {
+		curl_easy_setopt(
+		    r->easy, CURLOPT_POSTFIELDSIZE, (long)q->body.len);
+		curl_easy_setopt(r->easy, CURLOPT_POSTFIELDS,
+		    q->body.data == NULL ? "" : (char *)q->body.data);
+	}
+	if (!t->class->idempotent) {
+		/*
+		 * On a kept connection that dies without an answer the library
+		 * sends the request a second time by itself; the target may
+		 * have run the first.  A new connection it never repeats on.
+		 */
+		curl_easy_setopt(r->easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(r->easy, CURLOPT_FORBID_REUSE, 1L);
+	}
+	set_heads(r, now);
+	curl_multi_add_handle(d->multi, r->easy);
+}
+
+/* Keeps an ended run's answer for repeats of its ticket. */
+static void
+remember(struct run *r, const Gspar__Answer *ans)
+{
+	struct bytes *kept;
+
+	kept = calloc(1, sizeof(*kept));
+	if (kept != NULL) {
+		kept->n = gspar__answer__get_packed_size(ans);
+		kept->p = malloc(kept->n + 1);
+		if (kept->p != NULL)
+			gspar__answer__pack(ans, kept->p);
+	}
+	once_ended(&r->target->once, r->ticket, kept);
+}
+
+/* Passes a whole answer on to all who wait for it. */
+static void
+end_whole(struct service *s, struct run *r, long status)
+{
+	Gspar__Answer ans = GSPAR__ANSWER__INIT;
+	int i;
+
+	ans.status = (uint32_t)status;
+	ans.outcome = OUT_RAN;
+	ans.type = r->type;
+	ans.body.data = (uint8_t *)r->body.p;
+	ans.body.len = r->body.n;
+	ans.target = r->target->name;
+	ans.fence = r->target->fence[r->job.shard];
+	if (r->ticket != 0)
+		remember(r, &ans);
+	for (i = 0; i < r->naskers; i++)
+		run_answer(s, &r->askers[i], &ans);
+	run_free(s, r);
+}
+
+/* The code for a transfer that failed. */
+static int
+failure_code(const struct run *r, CURLcode res)
+{
+	if (r->too_large)
+		return (GS_ANSWER_LARGE);
+	switch (res) {
+	case CURLE_OPERATION_TIMEDOUT:
+		return (GS_DEADLINE);
+	case CURLE_PARTIAL_FILE:
+		return (GS_CUT_SHORT);
+	default:
+		return (r->body.n > 0 ? GS_CUT_SHORT : GS_TARGET_LOST);
+	}
+}
+
+/* Ends a run whose transfer failed. */
+static void
+end_failed(struct service *s, struct run *r, CURLcode res)
+{
+	long sent = 0;
+	int code;
+
+	curl_easy_getinfo(r->easy, CURLINFO_REQUEST_SIZE, &sent);
+	code = failure_code(r, res);
+	if (code == GS_DEADLINE && sent > 0)
+		note_cancel(s, r->target, r->id);
+	/* No byte left this host, so it has not run for sure. */
+	if (sent == 0)
+		run_end(s, r, code == GS_DEADLINE ? GS_TOO_LATE : GS_NO_OWNER,
+		    OUT_NOT_RUN, LOST_RETRY_MS);
+	else
+		run_end(s, r, code, OUT_UNKNOWN, 0);
+}
+
+/* Ends a run that the target refused before running it. */
+static void
+end_refused(struct service *s, struct run *r, long status)
+{
+	switch (status) {
+	case 409:
+		run_end(s, r, GS_MOVED, OUT_NOT_RUN, 20);
+		break;
+	case 504:
+		run_end(s, r, GS_TOO_LATE, OUT_NOT_RUN, LOST_RETRY_MS);
+		break;
+	default:
+		run_end(s, r, GS_SHED, OUT_NOT_RUN,
+		    (uint32_t)(queue_wait(&r->target->queue, r->job.is_long) /
+			    1000 +
+			50));
+		break;
+	}
+}
+
+/* Takes the outcome of a transfer. */
+void
+run_done(struct service *s, struct run *r, CURLcode res, usec now)
+{
+	struct target *t = r->target;
+	long status = 0;
+
+	t->nruns--;
+	t->inflight[r->job.shard]--;
+	t->busy[r->job.shard] += (uint32_t)(now - r->sent);
+	queue_done(&t->queue, &r->job,
+	    res == CURLE_OK && !r->refused ? now - r->sent : 0);
+	curl_easy_getinfo(r->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (res != CURLE_OK)
+		end_failed(s, r, res);
+	else if (r->refused)
+		end_refused(s, r, status);
+	else
+		end_whole(s, r, status);
+	if (t->moving[0] || t->grant.want != 0)
+		target_sets(t);
+	run_pump(s, t, now);
+	target_tick(s, t, now);
+}
--- a/lib/conf.c
+++ b/lib/conf.c
@@ -222,8 +222,8 @@
 	int bad_line;
 
 	memset(c, 0, sizeof(*c));
-	c->control_lease_ms = 700;
-	c->host_lease_ms = 1300;
+	c->control_lease_ms = 600;
+	c->host_lease_ms = 1400;
 	c->renew_ms = 200;
 	c->grant_ms = 900;
 	r.in = fopen(file, "r");
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -1029,7 +1029,7 @@
   (ProtobufCMessageInit) gspar__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__target_state__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gspar__target_state__field_descriptors[12] =
 {
   {
     "target",
@@ -1151,15 +1151,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "demand",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetState, demand),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetState, rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__target_state__field_indices_by_name[] = {
   5,   /* field[5] = busy */
+  10,   /* field[10] = demand */
   1,   /* field[1] = epoch */
   6,   /* field[6] = freed */
   2,   /* field[2] = granted */
   8,   /* field[8] = has_loads */
   4,   /* field[4] = leaving */
   7,   /* field[7] = loads */
+  11,   /* field[11] = rate */
   9,   /* field[9] = rest_busy */
   0,   /* field[0] = target */
   3,   /* field[3] = up */
@@ -1167,7 +1193,7 @@
 static const ProtobufCIntRange gspar__target_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor gspar__target_state__descriptor =
 {
@@ -1177,7 +1203,7 @@
   "Gspar__TargetState",
   "gspar",
   sizeof(Gspar__TargetState),
-  10,
+  12,
   gspar__target_state__field_descriptors,
   gspar__target_state__field_indices_by_name,
   1,  gspar__target_state__number_ranges,
@@ -1607,7 +1633,7 @@
   (ProtobufCMessageInit) gspar__lease_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__duty__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gspar__duty__field_descriptors[5] =
 {
   {
     "target",
@@ -1645,16 +1671,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rate",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Duty, rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limited",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Duty, limited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__duty__field_indices_by_name[] = {
   1,   /* field[1] = epoch */
+  4,   /* field[4] = limited */
   2,   /* field[2] = min_view */
+  3,   /* field[3] = rate */
   0,   /* field[0] = target */
 };
 static const ProtobufCIntRange gspar__duty__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gspar__duty__descriptor =
 {
@@ -1664,7 +1716,7 @@
   "Gspar__Duty",
   "gspar",
   sizeof(Gspar__Duty),
-  3,
+  5,
   gspar__duty__field_descriptors,
   gspar__duty__field_indices_by_name,
   1,  gspar__duty__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -83,10 +83,15 @@
   size_t n_loads;
   Gspar__ShardLoad **loads;
   uint32_t rest_busy;
+  /*
+   * Requests that arrived, and the rate in force, in thousandths a second.
+   */
+  uint32_t demand;
+  uint32_t rate;
 };
 #define GSPAR__TARGET_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__target_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
@@ -188,10 +193,15 @@
   char *target;
   uint64_t epoch;
   uint64_t min_view;
+  /*
+   * The share of the service's limit, in thousandths a second.
+   */
+  uint32_t rate;
+  protobuf_c_boolean limited;
 };
 #define GSPAR__DUTY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__duty__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Gspar__LeaseGive
--- a/regress/run.sh
+++ b/regress/run.sh
@@ -88,6 +88,7 @@
 	case $t in *.o | *.d) continue ;; esac
 	run "unit-${t##*/t_}" "$t"
 done
+run unit-jcheck sh regress/unit/jcheck.sh
 for m in model/*.sh; do
 	[ -e "$m" ] && run "model-$(basename "$m" .sh)" sh "$m"
 done
--- a/regress/scenario/freeze_target.lua
+++ b/regress/scenario/freeze_target.lua
@@ -6,9 +6,7 @@
 local l = f:load { "-r", "300", "-d", "8" }
 f:await_load()
 f:freeze(f.targets.t1.pid)
-await("t1's keys given to others", 5000, function()
-	return not f:owners("lookup"):find("t1")
-end)
+f:await_drained("lookup", "t1")
 f:thaw(f.targets.t1.pid)
 await("t1 owns keys again", 10000, function()
 	return f:owners("lookup"):find("t1 ")
--- a/regress/scenario/lib.lua
+++ b/regress/scenario/lib.lua
@@ -182,9 +182,10 @@
 	end
 	return string.format('{"name":"%s","owner":"%s","class":"%s",' ..
 	    '"weigh":"%s","shards":%d,"limits":{"queue":%d,' ..
-	    '"deadline_ms":%d,"body":%d},"cells":[%s]}', e.name,
+	    '"deadline_ms":%d,"body":%d,"rate":%d},"cells":[%s]}', e.name,
 	    e.owner or "tests", e.class or "lookup", e.weigh or "imbalance",
 	    e.shards, e.queue or 64, e.deadline_ms or 2000, e.body or 65536,
+	    e.rate or 0,
 	    table.concat(cells, ","))
 end
 
@@ -288,7 +289,8 @@
 						st = self:get(n, service,
 						    "warm-" .. i)
 					end
-					if st ~= 200 then
+					-- 429: served, but over the limit.
+					if st ~= 200 and st ~= 429 then
 						return false
 					end
 				end
@@ -458,3 +460,41 @@
 	end
 	self:fault("cut=" .. (on and table.concat(mine, ",") or ""))
 end
+
+-- Waits until a target owns no key any more.
+function Fleet:await_drained(service, target, ms)
+	await(target .. " owns no key", ms or 5000, function()
+		return not self:owners(service):find(target)
+	end)
+end
+
+-- Waits until a host dispatches for no target of a cell.
+function Fleet:await_no_dispatch(cell, host)
+	await("others dispatch for " .. host .. "'s targets", 6000, function()
+		local n = self:controller(cell)
+		local s = n and self:status(n)
+		for _, c in ipairs(s and s.cells or {}) do
+			for _, h in pairs(c.cell == cell and c.dispatch or {}) do
+				if h == host then
+					return false
+				end
+			end
+		end
+		return s
+	end)
+end
+
+-- Processor time of a process so far, in seconds.
+function cpu_seconds(pid)
+	local f = assert(io.open("/proc/" .. pid .. "/stat"))
+	local s = f:read("a"):gsub("^.*%) ", "")
+	f:close()
+	local n, ticks = 0, 0
+	for w in s:gmatch("%S+") do
+		n = n + 1
+		if n == 12 or n == 13 then
+			ticks = ticks + tonumber(w)
+		end
+	end
+	return ticks / 100
+end
--- a/regress/scenario/lost_answer.lua
+++ b/regress/scenario/lost_answer.lua
@@ -12,9 +12,7 @@
 end
 f:fault("lose=1&path=assign/")
 f:kill_target("t1")
-await("t1's keys given to others", 5000, function()
-	return not f:owners("lookup"):find("t1")
-end)
+f:await_drained("lookup", "t1")
 f:fault("lose=3&path=")
 local ctl = f:controller("aarhus")
 f:kill_host(ctl)
--- a/regress/scenario/once.lua
+++ b/regress/scenario/once.lua
@@ -7,9 +7,7 @@
 local l = f:load { "-r", "60", "-d", "10", "-c", "-s", "ledger" }
 f:await_load()
 f:kill_target("t1")
-await("t1's keys given to others", 6000, function()
-	return not f:owners("ledger"):find("t1")
-end)
+f:await_drained("ledger", "t1")
 f:target_fault("t2", "cut=1")
 sleep_ms(300)
 f:target_fault("t2", "cut=0")
--- a/regress/scenario/pause_host.lua
+++ b/regress/scenario/pause_host.lua
@@ -8,14 +8,7 @@
 f:await_load()
 f:freeze(f.hosts[n].pid)
 f.hosts[n].dead = true
-await("another host dispatches", 5000, function()
-	for t, h in pairs(f:status(f:controller("aarhus")).cells[1].dispatch) do
-		if h == n then
-			return false
-		end
-	end
-	return true
-end)
+f:await_no_dispatch("aarhus", n)
 f:thaw(f.hosts[n].pid)
 f.hosts[n].dead = nil
 local s = l:finish()
--- a/regress/unit/t_conf.c
+++ b/regress/unit/t_conf.c
@@ -46,7 +46,7 @@
 	CU_ASSERT_EQUAL(read_text(GOOD), 0);
 	CU_ASSERT_STRING_EQUAL(c.host, "h1");
 	CU_ASSERT_STRING_EQUAL(c.peers, "[::1]:81");
-	CU_ASSERT_EQUAL(c.control_lease_ms, 700);
+	CU_ASSERT_EQUAL(c.control_lease_ms, 600);
 	CU_ASSERT_EQUAL(read_text(GOOD "[leases]\nhost_ms = 2000\n"), 0);
 	CU_ASSERT_EQUAL(c.host_lease_ms, 2000);
 }
@@ -60,7 +60,7 @@
 	    {GOOD "[leases]\nhost_ms = 99999999\n", "11: host_ms: '99999999'"},
 	    {GOOD "[leases]\nhost_ms = x\n", "allowed: 300 to 10000"},
 	    {GOOD "[leases]\nrenew_ms = 500\n", "a third of control_ms"},
-	    {GOOD "[leases]\ngrant_ms = 1400\n", "at most host_ms"},
+	    {GOOD "[leases]\ngrant_ms = 1500\n", "at most host_ms"},
 	    {GOOD "[leases]\nfoo = 1\n", "11: unknown key 'foo'"},
 	    {GOOD "[lease]\nfoo = 1\n", "unknown section [lease]"},
 	    {GOOD "[host]\nname = h2\n", "name: set twice"},
--- a/regress/unit/t_grant.c
+++ b/regress/unit/t_grant.c
@@ -98,6 +98,26 @@
 	CU_ASSERT_EQUAL(step(&g, MS(801), MS(99000), &until), STEP_FULL);
 }
 
+/*
+ * A dispatcher lets a target go when its lease lapses and gets it back under
+ * the same epoch: its messages must still count as newer than those before.
+ */
+static void
+duty_taken_on_again(void)
+{
+	struct grant a, b;
+	int64_t until = 0;
+
+	grant_init(&a, &conf, 1, MS(0));
+	step(&a, MS(300), MS(99000), &until);
+	step(&a, MS(301), MS(99000), &until);
+	step(&a, MS(601), MS(99000), &until);
+	grant_init(&b, &conf, 1, MS(700));
+	step(&b, MS(950), MS(99000), &until);
+	CU_ASSERT_EQUAL(step(&b, MS(951), MS(99000), &until), STEP_FULL);
+	CU_ASSERT(b.seq > a.seq);
+}
+
 /* A grant that was not answered may still arrive: no release is sure yet. */
 static void
 lost_grant_leaves_doubt(void)
@@ -123,6 +143,7 @@
     {"within the lease", within_the_lease},
     {"thawed target gets nothing", thawed_target_gets_nothing},
     {"restart is noticed", restart_is_noticed},
+    {"duty taken on again", duty_taken_on_again},
     {"lost grant leaves doubt", lost_grant_leaves_doubt},
 };
 UNIT_MAIN("grant", tests)
--- /dev/null
+++ b/regress/unit/t_share.c
@@ -0,0 +1,117 @@
+/*
+ * Shares of a limit: in sum never above it, whatever is lost or late; they
+ * follow demand.
+ */
+#include <stdlib.h>
+
+#include "share.h"
+#include "unit.h"
+
+#define N 5
+
+static struct share s[N];
+static struct share *list[N];
+
+static void
+fresh(void)
+{
+	int i;
+
+	for (i = 0; i < N; i++) {
+		s[i] = (struct share){0, 0, 0};
+		list[i] = &s[i];
+	}
+}
+
+static double
+held(void)
+{
+	double sum = 0;
+	int i;
+
+	for (i = 0; i < N; i++)
+		sum += s[i].held;
+	return (sum);
+}
+
+/* Demand moves to one target: it gets most of the limit, once the others
+ * have said that they use less. */
+static void
+follows_demand(void)
+{
+	int i;
+
+	fresh();
+	share_plan(list, N, 100, 1);
+	CU_ASSERT(s[0].given > 19 && s[0].given < 21);
+	s[0].demand = 500;
+	share_plan(list, N, 100, 1);
+	CU_ASSERT(s[0].given < 21);
+	for (i = 1; i < N; i++)
+		s[i].held = s[i].given;
+	share_plan(list, N, 100, 1);
+	CU_ASSERT(s[0].given > 80);
+	CU_ASSERT(s[1].given > 3);
+}
+
+/* Reports come late, in any order, or never; demand jumps about. */
+static void
+never_above_the_limit(void)
+{
+	double limit = 100;
+	int i, k, bad = 0;
+
+	fresh();
+	srandom(3);
+	for (i = 0; i < 20000; i++) {
+		k = (int)(random() % N);
+		s[k].demand = (double)(random() % 1000);
+		/* A holder says what it uses: the last it was given. */
+		if (random() % 3 == 0)
+			s[random() % N].held = s[k].held;
+		for (k = 0; k < N; k++) {
+			if (random() % 3 == 0)
+				s[k].held = s[k].given;
+			if (s[k].held < s[k].given)
+				s[k].held = s[k].given;
+		}
+		if (held() > limit + 0.001)
+			continue;
+		share_plan(list, N, limit, random() % 2);
+		bad += held() > limit + 0.001;
+	}
+	CU_ASSERT_EQUAL(bad, 0);
+}
+
+/* Not all have been heard: nothing is raised. */
+static void
+unheard_means_no_raise(void)
+{
+	fresh();
+	s[1].demand = 10;
+	share_plan(list, N, 100, 0);
+	CU_ASSERT(held() == 0);
+}
+
+/* The bucket keeps the rate over time, with a short burst. */
+static void
+bucket_keeps_the_rate(void)
+{
+	struct bucket b = {0, 0};
+	int i, n = 0;
+
+	for (i = 0; i < 10000; i++)
+		n += bucket_take(&b, 50, MS(i));
+	CU_ASSERT(n >= 490 && n <= 511);
+	b = (struct bucket){0, 0};
+	CU_ASSERT(!bucket_take(&b, 0.5, MS(1000)));
+	CU_ASSERT(bucket_take(&b, 0.5, MS(2000)));
+}
+
+static const struct unit_test tests[] = {
+    {"follows demand", follows_demand},
+    {"never above the limit", never_above_the_limit},
+    {"unheard means no raise", unheard_means_no_raise},
+    {"bucket keeps the rate", bucket_keeps_the_rate},
+};
+UNIT_MAIN("share", tests)
