--- a/lib/result.h
+++ b/lib/result.h
@@ -17,7 +17,6 @@
 	X(GS_NEED_TICKET, 106, 428, OUT_NOT_RUN, 0,                            \
 	    "this class needs a ticket as Idempotency-Key")                    \
 	X(GS_BAD_TICKET, 107, 400, OUT_NOT_RUN, 0, "no ticket of this system") \
-	X(GS_SLOW_SENDER, 108, 408, OUT_NOT_RUN, 0, "body came too slowly")    \
 	X(GS_BUSY, 200, 503, OUT_NOT_RUN, 1, "queue full")                     \
 	X(GS_TOO_LATE, 201, 503, OUT_NOT_RUN, 1,                               \
 	    "cannot start before the deadline")                                \
@@ -37,16 +36,8 @@
 	X(GS_OLD_TICKET, 304, 409, OUT_UNKNOWN, 0,                             \
 	    "nobody remembers this ticket")                                    \
 	X(GS_ANSWER_LARGE, 305, 502, OUT_UNKNOWN, 0, "answer over the limit")  \
-	X(GS_TARGET_ERROR, 306, 502, OUT_UNKNOWN, 0,                           \
-	    "the server's answer made no sense")                               \
-	X(GS_CONFLICT, 400, 409, OUT_NOT_RUN, 0, "somebody wrote before you")  \
-	X(GS_STORE_DOWN, 401, 503, OUT_UNKNOWN, 1, "platform not reached")     \
-	X(GS_NOT_FOUND, 402, 404, OUT_NOT_RUN, 0, "no such object")            \
-	X(GS_INVALID, 403, 400, OUT_NOT_RUN, 0, "not valid")                   \
-	X(GS_NOT_CONFIRMED, 404, 504, OUT_RAN, 0, "not confirmed everywhere")  \
 	X(GS_IO, 500, 500, OUT_UNKNOWN, 0, "input or output failed")           \
 	X(GS_NOMEM, 501, 500, OUT_NOT_RUN, 0, "out of memory")                 \
-	X(GS_FRAME, 502, 500, OUT_UNKNOWN, 0, "bad frame from a peer")         \
 	X(GS_RING_FULL, 503, 503, OUT_NOT_RUN, 1, "ring full")
 
 #define RESULT_ENUM(n, num, http, out, again, why) n = num,
--- a/regress/unit/t_route.c
+++ b/regress/unit/t_route.c
@@ -11,7 +11,7 @@
 no_second_run(void)
 {
 	static const int codes[] = {GS_PEER_LOST, GS_TARGET_LOST, GS_CUT_SHORT,
-	    GS_DEADLINE, GS_OLD_TICKET, GS_TARGET_ERROR};
+	    GS_DEADLINE, GS_OLD_TICKET, GS_ANSWER_LARGE};
 	struct budget b;
 	size_t i;
 
