--- a/decide/cell.c
+++ b/decide/cell.c
@@ -148,10 +148,26 @@
 	return (0);
 }
 
+/* True where a target of the entry bears the name of another service's. */
+static int
+name_taken(const struct cell *c, int service, const struct cell_conf *cc)
+{
+	int i;
+
+	for (i = 0; i < c->ntargets; i++) {
+		if (c->targets[i].service != service && !c->targets[i].gone &&
+		    cell_conf_target(cc, c->targets[i].conf.name) != NULL)
+			return (1);
+	}
+	return (0);
+}
+
 /*
  * Takes a catalogue entry in force: its shards and targets in this cell.  0;
- * or -1 without room, or where the entry changes the shards of a service in
- * use, which would hash keys to new owners while the old ones still serve.
+ * or -1 without room, where a target's name is another service's (hosts speak
+ * of targets by name alone), or where the entry changes the shards of a
+ * service in use, which would hash keys to new owners while the old ones still
+ * serve.
  */
 int
 cell_configure(struct cell *c, const struct entry *e)
@@ -167,6 +183,8 @@
 	s = cell_service(c, e->name);
 	if (cc == NULL)
 		return (0);
+	if (name_taken(c, s == NULL ? NOBODY : (int)(s - c->services), cc))
+		return (-1);
 	if (s == NULL) {
 		if (c->nservices == CELL_SERVICES)
 			return (-1);
--- a/decide/cell_plan.c
+++ b/decide/cell_plan.c
@@ -47,6 +47,13 @@
 	    json_array_get(json_object_get(o, key), i)));
 }
 
+/* The target that a number of an assignment stands for; 0 is nobody. */
+static int
+target_at(const int *map, size_t ntargets, uint64_t number)
+{
+	return (number == 0 || number > ntargets ? NOBODY : map[number]);
+}
+
 /* Takes over an assignment as read; json NULL is none: nobody owns a shard. */
 void
 plan_load(struct cell *c, struct cell_service *s, const char *json, size_t n,
@@ -72,13 +79,12 @@
 	    (uint64_t)json_integer_value(json_object_get(o, "top_fence"));
 	k = json_array_size(names);
 	map = calloc(k + 1, sizeof(*map));
-	map[0] = NOBODY;
 	for (i = 0; i < k; i++)
 		map[i + 1] = cell_add_target(c, (int)(s - c->services),
 		    json_string_value(json_array_get(names, i)));
 	for (i = 0; i < s->shards; i++) {
-		s->owner[i] = map[number_at(o, "owner", i) % (k + 1)];
-		s->next[i] = map[number_at(o, "next", i) % (k + 1)];
+		s->owner[i] = target_at(map, k, number_at(o, "owner", i));
+		s->next[i] = target_at(map, k, number_at(o, "next", i));
 		s->fence[i] = number_at(o, "fence", i);
 		s->next_fence[i] = number_at(o, "next_fence", i);
 		/* Any view of this term tells of a move begun before it. */
--- a/regress/unit/t_cell.c
+++ b/regress/unit/t_cell.c
@@ -391,6 +391,28 @@
 	CU_ASSERT_EQUAL(owned_by("t1"), 4);
 }
 
+/* Another service may not use a target's name: reports would be mixed up. */
+static void
+names_are_of_one_service(void)
+{
+	struct say h = {.host = "h1", .boot = 1};
+	struct entry e;
+	struct target_conf t = {.name = "t1"};
+
+	start(&h);
+	memset(&e, 0, sizeof(e));
+	name_copy(e.name, sizeof(e.name), "other");
+	name_copy(e.cells[0].name, CELL_NAME, "a");
+	e.shards = 8;
+	e.cells[0].last = 7;
+	e.cells[0].targets = &t;
+	e.cells[0].ntargets = 1;
+	e.ncells = 1;
+	CU_ASSERT_EQUAL(cell_configure(&c, &e), -1);
+	name_copy(t.name, sizeof(t.name), "u1");
+	CU_ASSERT_EQUAL(cell_configure(&c, &e), 0);
+}
+
 /* A host of a data centre, heard now. */
 static void
 heard_in(const char *host, uint64_t boot, const char *dc, usec now)
@@ -461,6 +483,7 @@
     {"leaving target drains", leaving_target_drains},
     {"lost answer", lost_answer},
     {"claim kills earlier writes", claim_kills_earlier_writes},
+    {"names are of one service", names_are_of_one_service},
     {"one standby elsewhere", one_standby_elsewhere},
     {"shards are fixed", shards_are_fixed},
 };
