Look for catalogue changes at once after taking control

Cause: a host that controls nothing looks at the catalogue once a minute, and kept that plan when it took control. A change made around a failover was not in force until then, and the new controller went on by the old entry: in pause_controller it balanced a shard back onto the target that was leaving. Ruled out by the dump of a stuck run: intents, releases and epochs, which were all settled.

--- a/gspard/ctl_catalogue.c
+++ b/gspard/ctl_catalogue.c
@@ -262,6 +262,10 @@
 	struct control *c = s->state;
 	struct store *st;
 
+	/* A host that has just taken control may have planned its next look
+	 * for a minute from now; changes would not be in force until then. */
+	if (controls_any(c) && c->next_list > now + LOOK_EVERY)
+		c->next_list = now;
 	if (c->list_open || now < c->next_list)
 		return;
 	c->next_list = now +
