--- a/gspard/control.h
+++ b/gspard/control.h
@@ -45,7 +45,7 @@
 	uint64_t digest;
 	struct shared *peers;
 	int list_open;
-	usec next_list;
+	usec last_list;
 	int hosts_open;
 	usec next_hosts;
 	int stopping;
--- a/gspard/ctl_catalogue.c
+++ b/gspard/ctl_catalogue.c
@@ -253,8 +253,24 @@
 }
 
 /*
- * Looks for changes.  Controllers look often and tell their hosts; the others
- * look rarely, or calls to the platform would grow with the hosts.
+ * Between looks at the list.  Controllers look often and tell their hosts; the
+ * others look rarely, each at its own time, or calls to the platform would
+ * grow with the hosts.
+ */
+static usec
+look_every(const struct service *s)
+{
+	const struct control *c = s->state;
+
+	if (controls_any(c) || c->ncells == 0)
+		return (LOOK_EVERY);
+	return (
+	    LOOK_RARELY + (usec)(kernel_boot(s->kernel) % (LOOK_RARELY / 5)));
+}
+
+/*
+ * Looks for changes when it is due, by what this host is now: one that has
+ * just taken control must not wait for the look it planned as a plain host.
  */
 void
 cat_tick(struct service *s, usec now)
@@ -262,16 +278,10 @@
 	struct control *c = s->state;
 	struct store *st;
 
-	/* A host that has just taken control may have planned its next look
-	 * for a minute from now; changes would not be in force until then. */
-	if (controls_any(c) && c->next_list > now + LOOK_EVERY)
-		c->next_list = now;
-	if (c->list_open || now < c->next_list)
+	if (c->list_open ||
+	    (c->last_list != 0 && now - c->last_list < look_every(s)))
 		return;
-	c->next_list = now +
-	    (controls_any(c) || c->ncells == 0
-		    ? LOOK_EVERY
-		    : LOOK_RARELY + now % (LOOK_RARELY / 5));
+	c->last_list = now;
 	c->list_open = 1;
 	st = store_new(STORE_LIST, "control", PATH);
 	snprintf(st->tag, sizeof(st->tag), "cat ");
--- a/gspard/ctl_cell.c
+++ b/gspard/ctl_cell.c
@@ -21,6 +21,13 @@
 	return (kernel_conf(c->s->kernel));
 }
 
+/* Between a host's asks for its lease. */
+static usec
+ask_every(const struct conf *conf)
+{
+	return (MS(conf->host_lease_ms) / ASKS_A_LEASE);
+}
+
 /* Asks a standby for its promise. */
 static void
 term_ask(void *arg, const struct member *m, uint64_t term)
@@ -71,7 +78,7 @@
 {
 	const struct conf *conf = kernel_conf(s->kernel);
 	struct cell_conf_times times = {
-	    MS(conf->host_lease_ms), MS(conf->host_lease_ms) / ASKS_A_LEASE};
+	    MS(conf->host_lease_ms), ask_every(conf)};
 	struct term_conf tc;
 	struct ccell *c;
 	uint64_t seed;
@@ -152,8 +159,7 @@
 	ask.boot = kernel_boot(c->s->kernel);
 	ask.dc = (char *)conf_of(c)->dc;
 	ask.addr = (char *)conf_of(c)->reached;
-	ask.seq = hostlease_ask(
-	    &c->lease, now, MS(conf_of(c)->host_lease_ms) / ASKS_A_LEASE);
+	ask.seq = hostlease_ask(&c->lease, now, ask_every(conf_of(c)));
 	f.body_case = GSPAR__FRAME__BODY_LEASE_ASK;
 	f.lease_ask = &ask;
 	send_frame(c->s->kernel, c->lease.controller, 0, &f);
@@ -221,8 +227,8 @@
 			ask_view(c, now);
 		return;
 	}
-	c->term.lonely = now - c->lease.heard >
-	    LONELY_ASKS * MS(conf_of(c)->host_lease_ms) / ASKS_A_LEASE;
+	c->term.lonely =
+	    now - c->lease.heard > LONELY_ASKS * ask_every(conf_of(c));
 	if (c->cell->active) {
 		n = cell_standbys(c->cell, now, conf_of(c)->host,
 		    conf_of(c)->dc, &c->term.rec, want);
--- a/gspard/ctl_store.c
+++ b/gspard/ctl_store.c
@@ -8,11 +8,30 @@
 
 #include "control.h"
 
-/* The path of the cell's control record. */
-static void
-record_path(const struct ccell *c, char *path, size_t size)
+/* A call about the cell's control record. */
+static struct store *
+record_store(const struct ccell *c, enum store_op op)
 {
-	snprintf(path, size, "control/%s", c->name);
+	struct store *st;
+	char path[CELL_NAME + 16];
+
+	snprintf(path, sizeof(path), "control/%s", c->name);
+	st = store_new(op, "control", path);
+	snprintf(st->tag, sizeof(st->tag), "term %s", c->name);
+	return (st);
+}
+
+/* A call about the assignment of a service in the cell. */
+static struct store *
+assignment_store(const struct ccell *c, enum store_op op, const char *service)
+{
+	struct store *st;
+	char path[CELL_NAME + NAME_MAX_GS + 16];
+
+	snprintf(path, sizeof(path), "assign/%s/%s", c->name, service);
+	st = store_new(op, "control", path);
+	snprintf(st->tag, sizeof(st->tag), "assign %s %s", c->name, service);
+	return (st);
 }
 
 /* Asks the platform for the control record. */
@@ -20,13 +39,8 @@
 cell_read_record(void *arg)
 {
 	struct ccell *c = arg;
-	struct store *st;
-	char path[CELL_NAME + 16];
 
-	record_path(c, path, sizeof(path));
-	st = store_new(STORE_GET, "control", path);
-	snprintf(st->tag, sizeof(st->tag), "term %s", c->name);
-	store_send(c->s->kernel, st);
+	store_send(c->s->kernel, record_store(c, STORE_GET));
 }
 
 /* One process as JSON. */
@@ -59,13 +73,11 @@
 {
 	struct ccell *c = arg;
 	struct store *st;
-	char path[CELL_NAME + 16], id[24], *text;
+	char id[24], *text;
 	json_t *o, *standbys;
 	int i;
 
-	record_path(c, path, sizeof(path));
-	st = store_new(STORE_PUT, "control", path);
-	snprintf(st->tag, sizeof(st->tag), "term %s", c->name);
+	st = record_store(c, STORE_PUT);
 	st->base = base;
 	st->gen = r->write_id;
 	snprintf(id, sizeof(id), "%016" PRIx64, r->write_id);
@@ -114,13 +126,8 @@
 cell_read_assignment(void *arg, const char *service)
 {
 	struct ccell *c = arg;
-	struct store *st;
-	char path[CELL_NAME + NAME_MAX_GS + 16];
 
-	snprintf(path, sizeof(path), "assign/%s/%s", c->name, service);
-	st = store_new(STORE_GET, "control", path);
-	snprintf(st->tag, sizeof(st->tag), "assign %s %s", c->name, service);
-	store_send(c->s->kernel, st);
+	store_send(c->s->kernel, assignment_store(c, STORE_GET, service));
 }
 
 /* Writes an assignment; takes the text over. */
@@ -129,11 +136,8 @@
 {
 	struct ccell *c = arg;
 	struct store *st;
-	char path[CELL_NAME + NAME_MAX_GS + 16];
 
-	snprintf(path, sizeof(path), "assign/%s/%s", c->name, service);
-	st = store_new(STORE_PUT, "control", path);
-	snprintf(st->tag, sizeof(st->tag), "assign %s %s", c->name, service);
+	st = assignment_store(c, STORE_PUT, service);
 	st->base = base;
 	st->gen = c->cell->term;
 	st->body.p = json;
--- a/gspard/ctl_view.c
+++ b/gspard/ctl_view.c
@@ -4,7 +4,8 @@
 
 #include "control.h"
 
-/* Fills one service's part of a view; the arrays are freed by free_view. */
+/* Fills one service's part of a view; the arrays are freed by
+ * free_service_view. */
 static void
 service_view(const struct cell *c, int k, Gspar__ServiceView *sv)
 {
--- a/gspard/dispatch.c
+++ b/gspard/dispatch.c
@@ -452,13 +452,6 @@
 	return (0);
 }
 
-/* Any job. */
-static int
-any_job(const struct job *j, void *arg)
-{
-	return (1);
-}
-
 /* Frees all. */
 static void
 dispatch_close(struct service *s)
@@ -470,7 +463,7 @@
 
 	ring_on_put(s->in, NULL, NULL);
 	while ((t = d->targets) != NULL) {
-		while ((j = queue_pull(&t->queue, any_job, NULL)) != NULL)
+		while ((j = queue_pull(&t->queue, run_any, NULL)) != NULL)
 			run_free(s, j->what);
 		target_free(s, t);
 	}
--- a/gspard/dispatch.h
+++ b/gspard/dispatch.h
@@ -139,6 +139,7 @@
 void run_pump(struct service *, struct target *, usec now);
 void run_flush(struct service *, struct target *, int code, usec now);
 void run_free(struct service *, struct run *);
+int run_any(const struct job *, void *);
 void run_end(
     struct service *, struct run *, int code, int outcome, uint32_t retry_ms);
 void run_answer(struct service *, const struct asker *, Gspar__Answer *);
--- a/gspard/run.c
+++ b/gspard/run.c
@@ -303,9 +303,9 @@
 	return (t->fence[j->shard] == 0);
 }
 
-/* Any job. */
-static int
-any_job(const struct job *j, void *arg)
+/* Any job, for queue_pull. */
+int
+run_any(const struct job *j, void *arg)
 {
 	return (1);
 }
@@ -342,7 +342,7 @@
 {
 	struct job *j;
 
-	while ((j = queue_pull(&t->queue, any_job, NULL)) != NULL)
+	while ((j = queue_pull(&t->queue, run_any, NULL)) != NULL)
 		run_end(s, j->what, code, OUT_NOT_RUN,
 		    code == GS_MOVED ? 20 : LOST_RETRY_MS);
 }
