Tell slow senders, turn to another platform address, cut inside a centre

- A slow sender gets 408 (code 108, not run) 6 s after its first line; the HTTP library says nothing and waits for ever on one that sends a byte now and then. slow: never told within 9 s before, told at 6 s now, counted once.
What the library refuses by itself (431, broken chunking) is counted too: door, now with a count per case, failed at the first of them before.
- [platform] address takes up to four addresses of one store; the next is used once one does not answer (platforms).
- doubled: every frame between hosts delivered twice, a controller lost besides: each caller its own answer, each reservation once.

--- a/gsparctl/gsparctl.c
+++ b/gsparctl/gsparctl.c
@@ -42,7 +42,7 @@
 		return;
 	}
 	opts.admin = conf.admin;
-	opts.platform = conf.platform;
+	opts.platform = conf.platform[0];
 }
 
 /* Reads one option. */
--- a/gspard/call.h
+++ b/gspard/call.h
@@ -21,6 +21,10 @@
 };
 
 struct call {
+	struct call *next; /* in the list of slow.c */
+	struct call **link;
+	usec read_by;
+	int say;
 	struct MHD_Connection *conn;
 	int fd;
 	char *uri;
--- a/gspard/door.c
+++ b/gspard/door.c
@@ -12,12 +12,14 @@
 
 #include <apr_general.h>
 
-#include "call.h"
+#include "slow.h"
 
 /* A connection that says nothing for so many seconds is closed. */
 #define IDLE_SECONDS 10u
 #define CONNECTIONS_MAX 4096u
 #define LISTEN_BACKLOG 512
+/* Between looks for requests that are read too slowly. */
+#define LOOK_EVERY MS(500)
 /* Bytes over the limit that are still read, to answer instead of cutting. */
 #define SPILL_MAX (1u << 20)
 
@@ -26,6 +28,7 @@
 	apr_pool_t *pool;
 	apr_thread_mutex_t *lock;
 	struct shared *catalogue;
+	struct slow *slow;
 	int sock;
 	int stop;
 	int stopping;
@@ -45,6 +48,8 @@
 static void *
 keep_uri(void *cls, const char *uri, struct MHD_Connection *conn)
 {
+	struct door *d = cls;
+	const union MHD_ConnectionInfo *info;
 	struct call *c;
 
 	c = calloc(1, sizeof(*c));
@@ -52,6 +57,9 @@
 		return (NULL);
 	c->uri = strdup(uri);
 	c->conn = conn;
+	info = MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	c->fd = info == NULL ? -1 : info->connect_fd;
+	slow_add(d->slow, c, clock_mono());
 	return (c);
 }
 
@@ -60,13 +68,21 @@
 completed(void *cls, struct MHD_Connection *conn, void **state,
     enum MHD_RequestTerminationCode why)
 {
+	struct door *d = cls;
 	struct call *c = *state;
 
 	if (c == NULL)
 		return;
 	*state = NULL;
+	slow_remove(d->slow, c);
 	if (c->submitted && why != MHD_REQUEST_TERMINATED_COMPLETED_OK)
 		count_add(C_CALLER_GONE, 1);
+	/* Broken off, or malformed and answered by the library. */
+	if (slow_is_reading(c))
+		count_add(why == MHD_REQUEST_TERMINATED_CLIENT_ABORT
+			? C_CALLER_GONE
+			: C_CALLER_BAD,
+		    1);
 	free(c->uri);
 	str_free(&c->body);
 	str_free(&c->answer.type);
@@ -161,6 +177,8 @@
 	enum MHD_Result res;
 	int status;
 
+	if (!slow_claim(c))
+		return (MHD_NO);
 	count_answer(&c->answer);
 	if (c->answer.code == GS_OK) {
 		r = target_answer(c);
@@ -195,6 +213,8 @@
 	struct MHD_Response *r;
 	enum MHD_Result res;
 
+	if (!slow_claim(c))
+		return (MHD_NO);
 	r = MHD_create_response_from_buffer(
 	    strlen(text), text, MHD_RESPMEM_PERSISTENT);
 	res = MHD_queue_response(c->conn, stopping ? 503 : 200, r);
@@ -220,9 +240,6 @@
 	apr_thread_mutex_unlock(d->lock);
 	c->refused = call_parse(c, sh == NULL ? NULL : sh->p);
 	shared_unref(sh);
-	info =
-	    MHD_get_connection_info(c->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
-	c->fd = info == NULL ? -1 : info->connect_fd;
 	info = MHD_get_connection_info(
 	    c->conn, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
 	if (c->caller[0] == '\0' && info != NULL &&
@@ -241,6 +258,8 @@
 {
 	struct door *d = s->state;
 
+	if (!slow_claim(c))
+		return (MHD_NO);
 	count_add(C_CALLER_REQUESTS, 1);
 	c->submitted = 1;
 	atomic_fetch_add(&inflight, 1);
@@ -370,8 +389,8 @@
 	d->daemon = MHD_start_daemon(
 	    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
 	    NULL, handle, s, MHD_OPTION_LISTEN_SOCKET, d->sock,
-	    MHD_OPTION_URI_LOG_CALLBACK, keep_uri, NULL,
-	    MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
+	    MHD_OPTION_URI_LOG_CALLBACK, keep_uri, d,
+	    MHD_OPTION_NOTIFY_COMPLETED, completed, d,
 	    MHD_OPTION_CONNECTION_TIMEOUT, IDLE_SECONDS,
 	    MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, MHD_OPTION_END);
 	if (d->daemon == NULL)
@@ -388,7 +407,8 @@
 	struct msg *m;
 
 	while (!d->stop) {
-		m = ring_wait(s->in, MS(1000));
+		m = ring_wait(s->in, LOOK_EVERY);
+		slow_tick(d->slow, clock_mono());
 		if (m == NULL)
 			continue;
 		switch (m->kind) {
@@ -465,7 +485,8 @@
 	}
 	if (apr_pool_create(&d->pool, NULL) == APR_SUCCESS &&
 	    apr_thread_mutex_create(
-		&d->lock, APR_THREAD_MUTEX_DEFAULT, d->pool) == APR_SUCCESS)
+		&d->lock, APR_THREAD_MUTEX_DEFAULT, d->pool) == APR_SUCCESS &&
+	    (d->slow = slow_new()) != NULL)
 		return (0);
 	close(d->sock);
 	free(d);
@@ -483,6 +504,7 @@
 	else
 		close(d->sock);
 	shared_unref(d->catalogue);
+	slow_free(d->slow);
 	apr_pool_destroy(d->pool);
 	free(d);
 }
--- a/gspard/platform.c
+++ b/gspard/platform.c
@@ -15,6 +15,7 @@
 struct platform {
 	CURLM *multi;
 	struct call *open;
+	int at; /* the address in use */
 	int stop;
 };
 
@@ -26,6 +27,7 @@
 	struct curl_slist *heads;
 	struct str body;
 	uint64_t version;
+	int at;
 };
 
 /* Collects the answer's body. */
@@ -75,6 +77,7 @@
 call_url(
     const struct service *s, const struct store *st, char *url, size_t size)
 {
+	const struct platform *p = s->state;
 	static const char *const forms[] = {
 	    [STORE_GET] = "http://%s/v1/objects/%s",
 	    [STORE_PUT] = "http://%s/v1/objects/%s",
@@ -82,8 +85,8 @@
 	    [STORE_HOSTS] = "http://%s/v1/hosts",
 	};
 
-	snprintf(url, size, forms[st->op], kernel_conf(s->kernel)->platform,
-	    st->path);
+	snprintf(url, size, forms[st->op],
+	    kernel_conf(s->kernel)->platform[p->at], st->path);
 }
 
 /* Starts a call; the service owns the store from here on. */
@@ -101,6 +104,7 @@
 		return;
 	}
 	c->store = st;
+	c->at = p->at;
 	c->next = p->open;
 	c->link = &p->open;
 	if (c->next != NULL)
@@ -133,6 +137,24 @@
 	curl_multi_add_handle(p->multi, c->easy);
 }
 
+/*
+ * Turns to the platform's next address after a call without answer.  Calls
+ * begun before an earlier turn do not turn it again, or several lost together
+ * would skip an address that works.
+ */
+static void
+turn(struct service *s, const struct call *c)
+{
+	const struct conf *conf = kernel_conf(s->kernel);
+	struct platform *p = s->state;
+
+	if (conf->nplatforms < 2 || c->at != p->at)
+		return;
+	p->at = (p->at + 1) % conf->nplatforms;
+	log_line(LOG_NOTICE, "platform", "No answer from %s, turning to %s.",
+	    conf->platform[c->at], conf->platform[p->at]);
+}
+
 /* Sends a call's outcome back to who asked. */
 static void
 finish(struct service *s, struct call *c, CURLcode res)
@@ -143,8 +165,10 @@
 
 	if (res == CURLE_OK)
 		curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
-	else
+	else {
 		count_add(C_STORE_FAIL, 1);
+		turn(s, c);
+	}
 	st->status = (int)status;
 	st->version = c->version;
 	str_free(&st->body);
--- /dev/null
+++ b/gspard/slow.h
@@ -0,0 +1,17 @@
+/* Requests that are being read, and those that take too long. */
+#ifndef SLOW_H
+#define SLOW_H
+
+#include "call.h"
+
+struct slow;
+
+struct slow *slow_new(void);
+void slow_free(struct slow *);
+void slow_add(struct slow *, struct call *, usec now);
+void slow_remove(struct slow *, struct call *);
+int slow_claim(struct call *);
+int slow_is_reading(const struct call *);
+void slow_tick(struct slow *, usec now);
+
+#endif
--- a/lib/conf.c
+++ b/lib/conf.c
@@ -11,7 +11,7 @@
 
 #include "conf.h"
 
-enum kind { K_NAME, K_ADDR, K_INT };
+enum kind { K_NAME, K_ADDR, K_PLATFORMS, K_INT };
 
 struct key {
 	const char *section;
@@ -30,7 +30,7 @@
     {"listen", "peers", K_ADDR, AT(peers), 0, 0},
     {"listen", "reached", K_ADDR, AT(reached), 0, 0},
     {"listen", "admin", K_ADDR, AT(admin), 0, 0},
-    {"platform", "address", K_ADDR, AT(platform), 0, 0},
+    {"platform", "address", K_PLATFORMS, AT(platform), 0, 0},
     {"leases", "control_ms", K_INT, AT(control_lease_ms), 200, 10000},
     {"leases", "host_ms", K_INT, AT(host_lease_ms), 300, 10000},
     {"leases", "renew_ms", K_INT, AT(renew_ms), 20, 2000},
@@ -102,13 +102,59 @@
 	r->faults++;
 }
 
+/* Stores one address; 0, or -1 where it is none, and that is reported. */
+static int
+store_addr(struct reading *r, const struct key *k, char *at, const char *value)
+{
+	char ip[ADDR_MAX_GS];
+	int port;
+
+	if (strlen(value) >= ADDR_MAX_GS ||
+	    addr_split(value, ip, sizeof(ip), &port) != 0) {
+		fault(r, r->line,
+		    "%s: '%s' is no address; allowed: an IP number, "
+		    "':' and a port from 1 to 65535",
+		    k->name, value);
+		return (-1);
+	}
+	name_copy(at, ADDR_MAX_GS, value);
+	return (0);
+}
+
+/* Stores the platform's addresses, which stand with blanks in between. */
+static void
+store_platforms(struct reading *r, const struct key *k, const char *value)
+{
+	struct conf *c = r->conf;
+	char text[PLATFORMS_MAX * ADDR_MAX_GS * 2], *word, *rest;
+
+	if (name_copy(text, sizeof(text), value) != 0) {
+		fault(r, r->line, "%s: too long", k->name);
+		return;
+	}
+	c->nplatforms = 0;
+	for (word = strtok_r(text, " \t", &rest); word != NULL;
+	     word = strtok_r(NULL, " \t", &rest)) {
+		if (c->nplatforms == PLATFORMS_MAX) {
+			fault(r, r->line,
+			    "%s: too many addresses; allowed: 1 to %d", k->name,
+			    PLATFORMS_MAX);
+			return;
+		}
+		if (store_addr(r, k, c->platform[c->nplatforms], word) != 0)
+			return;
+		c->nplatforms++;
+	}
+	if (c->nplatforms == 0)
+		store_addr(r, k, c->platform[0], value);
+}
+
 /* Stores one value after checking it against its key. */
 static void
 store(struct reading *r, const struct key *k, const char *value)
 {
-	char *at, *end, ip[ADDR_MAX_GS];
+	char *at, *end;
 	long n;
-	int port;
 
 	at = (char *)r->conf + k->at;
 	switch (k->kind) {
@@ -122,14 +168,10 @@
 			name_copy(at, NAME_MAX_GS, value);
 		break;
 	case K_ADDR:
-		if (strlen(value) >= ADDR_MAX_GS ||
-		    addr_split(value, ip, sizeof(ip), &port) != 0)
-			fault(r, r->line,
-			    "%s: '%s' is no address; allowed: an IP number, "
-			    "':' and a port from 1 to 65535",
-			    k->name, value);
-		else
-			name_copy(at, ADDR_MAX_GS, value);
+		store_addr(r, k, at, value);
+		break;
+	case K_PLATFORMS:
+		store_platforms(r, k, value);
 		break;
 	case K_INT:
 		errno = 0;
--- a/lib/conf.h
+++ b/lib/conf.h
@@ -6,6 +6,9 @@
 
 #define ADDR_MAX_GS 64
 
+/* Addresses of the platform at most. */
+#define PLATFORMS_MAX 4
+
 /* Starting point of the settings; see gspard.conf(5). */
 struct conf {
 	char host[NAME_MAX_GS];
@@ -14,7 +17,8 @@
 	char peers[ADDR_MAX_GS];
 	char reached[ADDR_MAX_GS]; /* peers, as other hosts reach it */
 	char admin[ADDR_MAX_GS];
-	char platform[ADDR_MAX_GS];
+	char platform[PLATFORMS_MAX][ADDR_MAX_GS];
+	int nplatforms;
 	int control_lease_ms;
 	int host_lease_ms;
 	int renew_ms;
--- a/regress/scenario/cut_stay.lua
+++ b/regress/scenario/cut_stay.lua
@@ -5,15 +5,8 @@
 local f = standard_fleet { dcs = { { "aarhus", 3, 2 }, { "viborg", 3, 2 } },
 	wires = true }
 local before = f:owners("lookup")
-await("standbys", 5000, function()
-	local n = 0
-	for _, h in ipairs(f.order) do
-		for _, c in ipairs(f:status(h).cells) do
-			n = n + (c.role == "standby" and 1 or 0)
-		end
-	end
-	return n == 4
-end)
+f:await_standbys("aarhus")
+f:await_standbys("viborg")
 f:cut_dc("aarhus", true)
 local keys = {}
 for i = 1, 60 do
--- a/regress/scenario/door.lua
+++ b/regress/scenario/door.lua
@@ -23,7 +23,10 @@
 ask("deadline of nought", "GET", "/v1/lookup/key", nil, { "Gspar-Deadline-Ms: 0" })
 
 local function first(what, bytes)
+	local bad = f:metric("aarhus1", "caller_bad")
 	local text = raw(h, bytes)
+	check(f:metric("aarhus1", "caller_bad") == bad + 1, "%s: not counted",
+	    what)
 	say("%s: %s", what, text:match("^HTTP/1.1 (%d+)") or "closed")
 end
 first("head too large", "GET /v1/lookup/key HTTP/1.1\r\nHost: x\r\nX: " ..
--- a/regress/scenario/lib.lua
+++ b/regress/scenario/lib.lua
@@ -99,13 +99,14 @@
 	if self.opt.wires then
 		h.reached, h.wire = self:port(), self:port()
 		spawn(path(name .. ".wire.log"), BUILD .. "/standin/wire",
-		    "-l", h.reached, "-t", h.peers, "-c", h.wire)
+		    "-l", h.reached, "-t", h.peers, "-c", h.wire,
+		    self.opt.wires == "double" and "-d" or nil)
 	end
 	write_file(name .. ".conf", string.format(
 	    "[host]\nname = %s\ndc = %s\n[listen]\ncallers = %s\n" ..
 	    "peers = %s\nreached = %s\nadmin = %s\n[platform]\n" ..
 	    "address = %s\n%s", name, dc, h.callers, h.peers, h.reached,
-	    h.admin, self.platform,
+	    h.admin, (self.opt.platform_before or "") .. self.platform,
 	    self.opt.conf or ""))
 	return h
 end
@@ -453,23 +454,50 @@
 	http("POST", "http://" .. self.hosts[name].wire .. "/fault?" .. q, "")
 end
 
--- Cuts a data centre off from the others, and from the platform too.
-function Fleet:cut_dc(dc, on)
-	local mine, others = {}, {}
+-- Cuts the network in two: hosts and targets for which is_a(thing) holds, and
+-- the others.  Side a loses the platform too.
+function Fleet:cut(is_a, on)
+	local side = { [true] = {}, [false] = {} }
 	for _, n in ipairs(self.order) do
-		table.insert(self.hosts[n].dc == dc and mine or others, n)
+		table.insert(side[is_a(self.hosts[n])], n)
+	end
+	local function cut_from(thing)
+		return "cut=" .. (on and
+		    table.concat(side[not is_a(thing)], ",") or "")
 	end
 	for _, n in ipairs(self.order) do
-		local from = self.hosts[n].dc == dc and others or mine
-		self:wire(n, "cut=" .. (on and table.concat(from, ",") or ""))
+		self:wire(n, cut_from(self.hosts[n]))
 	end
 	for _, n in ipairs(self.torder) do
 		local t = self.targets[n]
-		local from = t.dc == dc and others or mine
-		http("POST", "http://" .. t.wire .. "/fault?cut=" ..
-		    (on and table.concat(from, ",") or ""), "")
+		http("POST", "http://" .. t.wire .. "/fault?" .. cut_from(t))
 	end
-	self:fault("cut=" .. (on and table.concat(mine, ",") or ""))
+	self:fault("cut=" .. (on and table.concat(side[true], ",") or ""))
+end
+
+-- Cuts a data centre off from the others, and from the platform too.
+function Fleet:cut_dc(dc, on)
+	self:cut(function(thing)
+		return thing.dc == dc
+	end, on)
+end
+
+-- Waits until a cell has its controller and both standbys; their names.
+function Fleet:await_standbys(cell)
+	return table.unpack(await("standbys", 5000, function()
+		local ctl, sb = nil, {}
+		for _, n in ipairs(self.order) do
+			local s = self:status(n)
+			for _, c in ipairs(s and s.cells or {}) do
+				if c.cell == cell and c.role == "standby" then
+					table.insert(sb, n)
+				elseif c.cell == cell and c.may_change then
+					ctl = n
+				end
+			end
+		end
+		return ctl and #sb == 2 and { ctl, sb[1], sb[2] }
+	end))
 end
 
 -- Waits until a target owns no key any more.
--- a/regress/unit/t_conf.c
+++ b/regress/unit/t_conf.c
@@ -35,10 +35,11 @@
 	return (res);
 }
 
-#define GOOD                                                                   \
+#define GOOD_BUT_PLATFORM                                                      \
 	"[host]\nname = h1\ndc = aarhus\n[listen]\n"                           \
 	"callers = 127.0.0.1:80\npeers = [::1]:81\nadmin = 127.0.0.1:82\n"     \
-	"[platform]\naddress = 127.0.0.1:83\n"
+	"[platform]\n"
+#define GOOD GOOD_BUT_PLATFORM "address = 127.0.0.1:83\n"
 
 static void
 good(void)
@@ -49,6 +50,12 @@
 	CU_ASSERT_EQUAL(c.control_lease_ms, 600);
 	CU_ASSERT_EQUAL(read_text(GOOD "[leases]\nhost_ms = 2000\n"), 0);
 	CU_ASSERT_EQUAL(c.host_lease_ms, 2000);
+	CU_ASSERT_EQUAL(c.nplatforms, 1);
+	CU_ASSERT_EQUAL(
+	    read_text(GOOD_BUT_PLATFORM "address = 127.0.0.1:83  [::1]:84\n"),
+	    0);
+	CU_ASSERT_EQUAL(c.nplatforms, 2);
+	CU_ASSERT_STRING_EQUAL(c.platform[1], "[::1]:84");
 }
 
 static void
@@ -68,6 +75,11 @@
 	    {"[listen]\npeers = db.example:80\n", "2: peers: 'db.example:80'"},
 	    {"[listen]\npeers = 127.0.0.1:0\n", "is no address"},
 	    {"[listen]\npeers = 127.0.0.1\n", "is no address"},
+	    {GOOD_BUT_PLATFORM "address = 127.0.0.1:83 db:84\n", "'db:84'"},
+	    {GOOD_BUT_PLATFORM "address =\n", "'' is no address"},
+	    {GOOD_BUT_PLATFORM "address = 1.1.1.1:1 1.1.1.1:1 1.1.1.1:1 "
+			       "1.1.1.1:1 1.1.1.1:1\n",
+		"allowed: 1 to 4"},
 	    {"[host]\nname\n", "neither section"},
 	    {"[host]\nname = h1\n", "missing: address in section [platform]"},
 	};
--- a/standin/wire.c
+++ b/standin/wire.c
@@ -1,6 +1,7 @@
 /*
  * Stand-in for the network between hosts: passes connections on, and on
- * request lets those that are open go silent, or cuts some hosts off.
+ * request lets those that are open go silent, or cuts some hosts off.  Can be
+ * told to pass each frame twice.
  */
 #include <argp.h>
 #include <arpa/inet.h>
@@ -13,6 +14,7 @@
 #include <unistd.h>
 
 #include "conf.h"
+#include "frame.h"
 #include "web.h"
 
 #define NAME_AREA 1024
@@ -33,6 +35,7 @@
 
 static struct link *links;
 static char cut[512];
+static int doubles;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static const char *listen_addr, *to_addr, *control_addr;
 
@@ -40,6 +43,7 @@
     {"listen", 'l', "IP:PORT", 0, "Address to take connections on", 0},
     {"to", 't', "IP:PORT", 0, "Address to pass them on to", 0},
     {"control", 'c', "IP:PORT", 0, "Address for faults", 0},
+    {"double", 'd', NULL, 0, "Pass each frame twice, but for the hello", 0},
     {0},
 };
 
@@ -57,6 +61,9 @@
 	case 'c':
 		control_addr = arg;
 		break;
+	case 'd':
+		doubles = 1;
+		break;
 	case ARGP_KEY_END:
 		if (!listen_addr || !to_addr || !control_addr)
 			argp_error(st, "all three addresses are needed");
@@ -115,6 +122,66 @@
 	l->nfirst += n;
 }
 
+/* Sends bytes, n times. */
+static int
+send_times(int fd, const char *p, size_t n, int times)
+{
+	while (times-- > 0) {
+		if (send(fd, p, n, MSG_NOSIGNAL) != (ssize_t)n)
+			return (-1);
+	}
+	return (0);
+}
+
+/*
+ * Passes on the whole frames among n bytes, each twice but for the first of a
+ * connection; gives how many bytes were passed, or -1.
+ */
+static ssize_t
+pass_frames(int fd, const char *p, size_t n, int *first)
+{
+	size_t at = 0, len;
+
+	while (n - at >= FRAME_HEAD) {
+		if (frame_size((const uint8_t *)p + at, &len) != 0)
+			return (-1);
+		if (n - at < FRAME_HEAD + len)
+			break;
+		if (send_times(fd, p + at, FRAME_HEAD + len, *first ? 1 : 2) !=
+		    0)
+			return (-1);
+		*first = 0;
+		at += FRAME_HEAD + len;
+	}
+	return ((ssize_t)at);
+}
+
+/* Passes frames one way, each twice. */
+static void *
+pass_double(void *arg)
+{
+	struct way *w = arg;
+	struct link *l = w->link;
+	char *buf = malloc(FRAME_HEAD + FRAME_MAX);
+	size_t have = 0;
+	ssize_t n;
+	int first = 1;
+
+	while ((n = recv(l->fd[w->from], buf + have,
+		    FRAME_HEAD + FRAME_MAX - have, 0)) > 0) {
+		have += (size_t)n;
+		n = pass_frames(l->fd[!w->from], buf, have, &first);
+		if (n < 0)
+			break;
+		memmove(buf, buf + n, have - (size_t)n);
+		have -= (size_t)n;
+	}
+	shutdown(l->fd[!w->from], SHUT_RDWR);
+	free(buf);
+	free(w);
+	return (NULL);
+}
+
 /* Passes bytes one way; what is silent or cut is swallowed. */
 static void *
 pass(void *arg)
@@ -155,7 +222,7 @@
 
 	w->link = l;
 	w->from = from;
-	pthread_create(&t, NULL, pass, w);
+	pthread_create(&t, NULL, doubles ? pass_double : pass, w);
 	pthread_detach(t);
 }
 
