--- a/decide/cell.c
+++ b/decide/cell.c
@@ -381,8 +381,8 @@
 }
 
 /* True where the host may be given duties. */
-static int
-host_fit(const struct cell *c, int h, usec now)
+int
+cell_host_fit(const struct cell *c, int h, usec now)
 {
 	const struct cell_host *p = &c->hosts[h];
 
@@ -397,7 +397,7 @@
 	int h, i, n, score, best = NOBODY, best_score = 0;
 
 	for (h = 0; h < c->nhosts; h++) {
-		if (!host_fit(c, h, now))
+		if (!cell_host_fit(c, h, now))
 			continue;
 		n = 0;
 		for (i = 0; i < c->ntargets; i++)
@@ -570,63 +570,3 @@
 	if (changed)
 		plan_changed(c);
 }
-
-/* Lists live hosts' processes, but one by name, oldest known first. */
-int
-cell_live_hosts(const struct cell *c, usec now, struct member *out, int max,
-    const char *but)
-{
-	int i, n = 0;
-
-	for (i = 0; i < c->nhosts && n < max; i++) {
-		if (host_fit(c, i, now) &&
-		    strcmp(c->hosts[i].who.host, but) != 0)
-			out[n++] = c->hosts[i].who;
-	}
-	return (n);
-}
-
-/* How well a host suits as standby: better if it is one, or is elsewhere. */
-static int
-standby_score(const struct cell *c, int h, const char *dc,
-    const struct record *r, int want_elsewhere)
-{
-	int i, is = 0, elsewhere = strcmp(c->hosts[h].dc, dc) != 0;
-
-	for (i = 0; i < r->nstandby; i++)
-		is |= r->standby[i].boot == c->hosts[h].who.boot;
-	return (want_elsewhere ? 2 * elsewhere + is : 2 * is + elsewhere);
-}
-
-/*
- * Chooses the standbys of a controller on `host` in `dc`; returns how many.
- * Those it has stay while they live.  In a cell of several data centres one is
- * elsewhere: were all standbys cut off together with the controller, their
- * promises would keep it going, and no other data centre could take over.
- */
-int
-cell_standbys(const struct cell *c, usec now, const char *host, const char *dc,
-    const struct record *r, struct member out[STANDBYS])
-{
-	int h, best, score, best_score, n, first = NOBODY;
-
-	for (n = 0; n < STANDBYS; n++) {
-		best = NOBODY;
-		best_score = -1;
-		for (h = 0; h < c->nhosts; h++) {
-			if (h == first || !host_fit(c, h, now) ||
-			    strcmp(c->hosts[h].who.host, host) == 0)
-				continue;
-			score = standby_score(c, h, dc, r, n == 0);
-			if (score > best_score) {
-				best = h;
-				best_score = score;
-			}
-		}
-		if (best == NOBODY)
-			break;
-		first = best;
-		out[n] = c->hosts[best].who;
-	}
-	return (n);
-}
--- a/decide/cell_plan.h
+++ b/decide/cell_plan.h
@@ -1,4 +1,4 @@
-/* The assignment of a service's shards in a cell: planning and writing it. */
+/* What the files of a cell share: its assignments and its hosts. */
 #ifndef CELL_PLAN_H
 #define CELL_PLAN_H
 
@@ -12,5 +12,6 @@
 void plan_commit(struct cell *, struct cell_service *, uint64_t version);
 void plan_tick(struct cell *, struct cell_service *, usec now);
 void plan_changed(struct cell *);
+int cell_host_fit(const struct cell *, int h, usec now);
 
 #endif
--- /dev/null
+++ b/decide/cell_standby.c
@@ -0,0 +1,65 @@
+/* Hosts of a cell that live, and which of them stand by for its controller. */
+#include <string.h>
+
+#include "cell.h"
+#include "cell_plan.h"
+
+/* Lists live hosts' processes, but one by name, oldest known first. */
+int
+cell_live_hosts(const struct cell *c, usec now, struct member *out, int max,
+    const char *but)
+{
+	int i, n = 0;
+
+	for (i = 0; i < c->nhosts && n < max; i++) {
+		if (cell_host_fit(c, i, now) &&
+		    strcmp(c->hosts[i].who.host, but) != 0)
+			out[n++] = c->hosts[i].who;
+	}
+	return (n);
+}
+
+/* How well a host suits as standby: better if it is one, or is elsewhere. */
+static int
+standby_score(const struct cell *c, int h, const char *dc,
+    const struct record *r, int want_elsewhere)
+{
+	int i, is = 0, elsewhere = strcmp(c->hosts[h].dc, dc) != 0;
+
+	for (i = 0; i < r->nstandby; i++)
+		is |= r->standby[i].boot == c->hosts[h].who.boot;
+	return (want_elsewhere ? 2 * elsewhere + is : 2 * is + elsewhere);
+}
+
+/*
+ * Chooses the standbys of a controller on `host` in `dc`; returns how many.
+ * Those it has stay while they live.  In a cell of several data centres one is
+ * elsewhere: were all standbys cut off together with the controller, their
+ * promises would keep it going, and no other data centre could take over.
+ */
+int
+cell_standbys(const struct cell *c, usec now, const char *host, const char *dc,
+    const struct record *r, struct member out[STANDBYS])
+{
+	int h, best, score, best_score, n, first = NOBODY;
+
+	for (n = 0; n < STANDBYS; n++) {
+		best = NOBODY;
+		best_score = -1;
+		for (h = 0; h < c->nhosts; h++) {
+			if (h == first || !cell_host_fit(c, h, now) ||
+			    strcmp(c->hosts[h].who.host, host) == 0)
+				continue;
+			score = standby_score(c, h, dc, r, n == 0);
+			if (score > best_score) {
+				best = h;
+				best_score = score;
+			}
+		}
+		if (best == NOBODY)
+			break;
+		first = best;
+		out[n] = c->hosts[best].who;
+	}
+	return (n);
+}
--- a/gspard/control.c
+++ b/gspard/control.c
@@ -9,10 +9,6 @@
 #define TICK_US MS(20)
 #define HOSTS_EVERY MS(10000)
 #define HOSTS_RETRY MS(300)
-/* A stopping host that is alone for so long waits for nobody. */
-#define ALONE_AFTER MS(1500)
-/* A stopping controller waits so long for the new dispatchers' word. */
-#define HANDOVER_MAX MS(4000)
 
 /* A cell by name, or NULL. */
 struct ccell *
@@ -301,7 +297,6 @@
 take(struct service *s, struct msg *m, usec now)
 {
 	struct control *c = s->state;
-	int i;
 
 	switch (m->kind) {
 	case MSG_FRAME:
@@ -317,11 +312,7 @@
 		question_answer(s, m->data, now);
 		break;
 	case MSG_STOP:
-		c->stopping = 1;
-		c->alone_since = now;
-		c->stop_since = now;
-		for (i = 0; i < c->ncells; i++)
-			c->cells[i]->ask_now = 1;
+		stop_begin(c, now);
 		break;
 	case MSG_QUIT:
 		c->stop = 1;
@@ -344,87 +335,6 @@
 	store_send(s->kernel, store_new(STORE_HOSTS, "control", ""));
 }
 
-/* True where the dispatcher here holds nothing in any cell. */
-static int
-holds_nothing(const struct control *c)
-{
-	int i;
-
-	for (i = 0; i < c->ncells; i++) {
-		if (c->cells[i]->report != NULL &&
-		    c->cells[i]->report->n_targets > 0)
-			return (0);
-	}
-	return (1);
-}
-
-/*
- * True where nobody can take a cell over from this host: it controls the cell
- * and hears no other host, or hears no controller at all.
- */
-static int
-is_alone(const struct control *c, usec now)
-{
-	struct member m;
-	const struct ccell *cell;
-	int i;
-
-	for (i = 0; i < c->ncells; i++) {
-		cell = c->cells[i];
-		if (!cell->member)
-			continue;
-		if (cell->cell->active ? cell_live_hosts(cell->cell, now, &m, 1,
-					     cell->term.conf.self.host) > 0
-				       : now - cell->lease.heard < ALONE_AFTER)
-			return (0);
-	}
-	return (1);
-}
-
-/* True where the targets of each cell controlled here are in others' hands. */
-static int
-handed_over(const struct control *c)
-{
-	int i;
-
-	for (i = 0; i < c->ncells; i++) {
-		if (c->cells[i]->cell->active &&
-		    !cell_handed_over(c->cells[i]->cell))
-			return (0);
-	}
-	return (1);
-}
-
-/*
- * Stops in order: targets are handed over first, while control still runs,
- * then control itself is given back so that a standby takes it at once.  A
- * dispatcher that dies meanwhile is not waited for longer than HANDOVER_MAX.
- */
-static void
-tick_stop(struct service *s, usec now)
-{
-	struct control *c = s->state;
-	int i, held = 0;
-
-	if (!c->stopping || c->told_stop)
-		return;
-	if (!is_alone(c, now))
-		c->alone_since = now;
-	if (!(holds_nothing(c) && handed_over(c)) &&
-	    now - c->alone_since < ALONE_AFTER &&
-	    (!holds_nothing(c) || now - c->stop_since < HANDOVER_MAX))
-		return;
-	for (i = 0; i < c->ncells; i++) {
-		if (!c->cells[i]->term.resigned)
-			term_resign(&c->cells[i]->term, now);
-		held |= c->cells[i]->term.role != TERM_FOLLOWER;
-	}
-	if (held)
-		return;
-	c->told_stop = 1;
-	kernel_done(s->kernel, "control");
-}
-
 /* The thread. */
 static void
 control_run(struct service *s)
@@ -446,7 +356,7 @@
 		cat_tick(s, now);
 		for (i = 0; i < c->ncells; i++)
 			ccell_tick(c->cells[i], now);
-		tick_stop(s, now);
+		stop_tick(s, now);
 	}
 }
 
--- a/gspard/control.h
+++ b/gspard/control.h
@@ -95,6 +95,10 @@
 void cat_differs(struct service *, const char *host, uint64_t digest);
 void cat_free(struct control *);
 
+/* ctl_stop.c */
+void stop_begin(struct control *, usec now);
+void stop_tick(struct service *, usec now);
+
 /* ctl_status.c */
 void question_answer(struct service *, struct question *, usec now);
 void question_unref(void *);
--- a/gspard/dispatch.h
+++ b/gspard/dispatch.h
@@ -154,6 +154,7 @@
 void run_done(struct service *, struct run *, CURLcode, usec now);
 void run_send(struct service *, struct run *, usec now);
 void runs_again(struct service *, struct target *, usec now);
+int may_send(struct service *, const struct target *, usec now);
 void conn_age(const struct target *, CURL *, usec now);
 
 #endif
--- a/gspard/run.c
+++ b/gspard/run.c
@@ -322,11 +322,7 @@
 		run_end(s, j->what, GS_TOO_LATE, OUT_NOT_RUN, LOST_RETRY_MS);
 	while ((j = queue_pull(&t->queue, moved_away, t)) != NULL)
 		run_end(s, j->what, GS_MOVED, OUT_NOT_RUN, 20);
-	/*
-	 * Checked just before each send: a dispatcher that was paused past
-	 * its lease must not order a target that another may serve for.
-	 */
-	while (now < c->lease_until && grant_serves(&t->grant, now)) {
+	while (may_send(s, t, now)) {
 		j = queue_next(&t->queue, now, may_start, t);
 		if (j == NULL)
 			break;
--- a/gspard/send.c
+++ b/gspard/send.c
@@ -219,6 +219,18 @@
 	return (1);
 }
 
+/*
+ * True where this host may order the target now; looked at just before each
+ * send.  A dispatcher that was paused past its lease would otherwise send to a
+ * target that another serves for.
+ */
+int
+may_send(struct service *s, const struct target *t, usec now)
+{
+	return (now < dcell(s->state, t->cell)->lease_until &&
+	    grant_serves(&t->grant, now));
+}
+
 /*
  * Sends again what may wait on silent connections, each once and within a
  * budget: a target that was only slow must not get all its work twice.  The
@@ -232,6 +244,7 @@
 
 	for (r = t->runs; r != NULL; r = r->next) {
 		if (stuck(r, now) && now < r->job.deadline &&
+		    t->fence[r->job.shard] != 0 && may_send(s, t, now) &&
 		    budget_retry(&t->again))
 			n += send_again(s, r, now);
 	}
--- a/lib/frame.h
+++ b/lib/frame.h
@@ -10,8 +10,8 @@
 #define FRAME_HEAD 4
 /* Largest payload in bytes; an answer's body must fit. */
 #define FRAME_MAX (17u * 1024 * 1024)
-/* The only version of the peer protocol so far. */
-#define FRAME_VERSION 1
+/* Of the peer protocol; 2 since views may carry only what changed. */
+#define FRAME_VERSION 2
 
 struct bytes {
 	uint8_t *p;
--- a/regress/scenario/peer.lua
+++ b/regress/scenario/peer.lua
@@ -4,8 +4,8 @@
 local f = standard_fleet { dcs = { { "aarhus", 2, 2 } } }
 local p = f.hosts.aarhus1.peers
 
--- A hello frame: version 1, host "ghost".
-local hello = "\0\0\0\11\10\9\8\1\18\5ghost"
+-- A hello frame: version 2, host "ghost".
+local hello = "\0\0\0\11\10\9\8\2\18\5ghost"
 raw(p, "\255\255\255\255", false)
 raw(p, "\0\0\0\4\255\255\255\255", false)
 raw(p, "\0\0\0\0", false)
