Read views in one place, and copy each once

- The loop that finds a service in a view stood in five places, the check of an owner's number in three, the search for a dispatcher in two: decide/view.c.
- A view that came as a difference was packed and unpacked twice.
It is taken over now; copying is view_copy's alone.
- control.c had its own twin of the rule whether a report speaks of a target (ask_speaks_of), the ask for a view was filled in twice (send_view_ask), the JSON of our own answers twice (result_json), LOST_RETRY_MS was defined twice.
- place_balance looked for the fullest target twice in each round.
- Scenarios: pausing a dispatcher and awaiting standbys are words of lib.lua.
Their checks are the same; awaiting standbys asks for a controller that may change things as well.

--- a/decide/cell.h
+++ b/decide/cell.h
@@ -145,6 +145,7 @@
     const struct cell *, usec now, struct member *, int max, const char *but);
 int cell_standbys(const struct cell *, usec now, const char *host,
     const char *dc, const struct record *, struct member out[STANDBYS]);
+int ask_speaks_of(const Gspar__LeaseAsk *, const char *target);
 struct cell_service *cell_service(struct cell *, const char *);
 int cell_serves(const struct cell_service *, uint32_t n, uint64_t *fence);
 
--- a/decide/cell_host.c
+++ b/decide/cell_host.c
@@ -169,8 +169,8 @@
 }
 
 /* True where the ask speaks of the target. */
-static int
-speaks_of(const Gspar__LeaseAsk *ask, const char *target)
+int
+ask_speaks_of(const Gspar__LeaseAsk *ask, const char *target)
 {
 	size_t i;
 
@@ -209,7 +209,7 @@
 		 * answer came is silent too.
 		 */
 		if (t->disp != h || t->given_seq == 0 ||
-		    ask->ack < t->given_seq || speaks_of(ask, t->conf.name))
+		    ask->ack < t->given_seq || ask_speaks_of(ask, t->conf.name))
 			continue;
 		t->disp = NOBODY;
 		t->handed = 0;
--- a/decide/place.c
+++ b/decide/place.c
@@ -98,16 +98,6 @@
 	    t[*to].shards + 1 <= ENOUGH * t[*to].slots * shards / slots);
 }
 
-/* The fullest and the least full target, where they are far enough apart. */
-static int
-pair_by_load(
-    const struct place_target *t, int n, double tolerance, int *from, int *to)
-{
-	*from = fullest(t, n);
-	*to = place_pick(t, n);
-	return (*from != *to && place_imbalance(t, n) > tolerance);
-}
-
 /* How full the fuller of a pair is once a shard has moved between them. */
 static double
 worst_after(
@@ -161,8 +151,11 @@
 			if (!pair_by_count(t, n, &from, &to))
 				break;
 			best = WORTH_MOVING;
-		} else if (!pair_by_load(t, n, tolerance, &from, &to))
-			break;
+		} else {
+			to = place_pick(t, n);
+			if (from == to || place_imbalance(t, n) <= tolerance)
+				break;
+		}
 		pick = shards;
 		for (s = 0; s < shards; s++) {
 			if (owner[s] != from || fixed[s] || chosen(out, k, s))
--- a/decide/viewdelta.c
+++ b/decide/viewdelta.c
@@ -1,28 +1,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "view.h"
 #include "viewdelta.h"
 
-/* The number that orders views of one cell. */
-uint64_t
-view_number(const Gspar__View *v)
-{
-	return (v->term << 32 | v->seq);
-}
-
-/* A service's part of a view, or NULL. */
-static const Gspar__ServiceView *
-part(const Gspar__View *v, const char *service)
-{
-	size_t i;
-
-	for (i = 0; i < v->n_services; i++) {
-		if (strcmp(v->services[i]->service, service) == 0)
-			return (v->services[i]);
-	}
-	return (NULL);
-}
-
 /* How many shards of a whole view differ from its base; -1 where they cannot
  * be compared. */
 static long
@@ -34,7 +15,7 @@
 
 	for (i = 0; i < v->n_services; i++) {
 		b = v->services[i];
-		a = part(base, b->service);
+		a = view_service(base, b->service);
 		if (a == NULL || a->n_owner != b->n_owner ||
 		    a->n_fence != b->n_fence)
 			return (-1);
@@ -141,8 +122,9 @@
 		return (-1);
 	}
 	for (i = 0; i < v->n_services; i++) {
-		at = list_changes(d, at, part(base, v->services[i]->service),
-		    v->services[i], &d->services[i]);
+		at = list_changes(d, at,
+		    view_service(base, v->services[i]->service), v->services[i],
+		    &d->services[i]);
 		d->service_list[i] = &d->services[i];
 	}
 	d->view = *v;
@@ -251,24 +233,18 @@
 viewdelta_apply(const Gspar__View *base, const Gspar__View *delta)
 {
 	Gspar__View *v;
-	uint8_t *buf;
-	size_t i, n;
+	size_t i;
 	int res = 0;
 
 	if (base == NULL || delta->since != view_number(base) ||
 	    strcmp(delta->cell, base->cell) != 0)
 		return (NULL);
-	n = gspar__view__get_packed_size(delta);
-	buf = malloc(n + 1);
-	if (buf == NULL)
-		return (NULL);
-	gspar__view__pack(delta, buf);
-	v = gspar__view__unpack(NULL, n, buf);
-	free(buf);
+	v = view_copy(delta);
 	if (v == NULL)
 		return (NULL);
 	for (i = 0; i < v->n_services && res == 0; i++)
-		res = fill(v->services[i], part(base, v->services[i]->service));
+		res = fill(v->services[i],
+		    view_service(base, v->services[i]->service));
 	if (res == 0 && v->same_dispatch)
 		res = copy_dispatch(v, base);
 	if (res != 0) {
--- a/decide/viewdelta.h
+++ b/decide/viewdelta.h
@@ -14,7 +14,6 @@
 	Gspar__ShardChange **change_list;
 };
 
-uint64_t view_number(const Gspar__View *);
 int viewdelta_make(
     struct viewdelta *, const Gspar__View *base, const Gspar__View *);
 void viewdelta_free(struct viewdelta *);
--- a/gspard/control.c
+++ b/gspard/control.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "control.h"
-#include "viewdelta.h"
+#include "view.h"
 
 #define TICK_US MS(20)
 #define HOSTS_EVERY MS(10000)
@@ -116,19 +116,6 @@
 	gspar__view__free_unpacked(arg, NULL);
 }
 
-/* True where the dispatcher here has said that it holds the target. */
-static int
-reports(const struct ccell *c, const char *target)
-{
-	size_t i;
-
-	for (i = 0; c->report != NULL && i < c->report->n_targets; i++) {
-		if (strcmp(c->report->targets[i]->target, target) == 0)
-			return (1);
-	}
-	return (0);
-}
-
 /*
  * True where a view names this host for a target that it does not hold yet.
  * Routers already send here: waiting for the next ask in turn would refuse
@@ -142,36 +129,29 @@
 
 	for (i = 0; i < v->n_dispatch; i++) {
 		if (strcmp(v->dispatch[i]->host, self) == 0 &&
-		    !reports(c, v->dispatch[i]->target))
+		    (c->report == NULL ||
+			!ask_speaks_of(c->report, v->dispatch[i]->target)))
 			return (1);
 	}
 	return (0);
 }
 
-/* Takes a view where it is newer, and passes it to router and dispatcher. */
+/*
+ * Takes a view over, which is newer than the one held or NULL, and passes it to
+ * router and dispatcher.
+ */
 void
-ccell_view(struct ccell *c, const Gspar__View *v, usec now)
+ccell_view(struct ccell *c, Gspar__View *v)
 {
-	uint64_t number = view_number(v);
-	Gspar__View *copy;
-	uint8_t *buf;
-	size_t i, n;
+	size_t i;
 
-	if (number <= c->view_number)
-		return;
-	n = gspar__view__get_packed_size(v);
-	buf = malloc(n + 1);
-	gspar__view__pack(v, buf);
-	copy = gspar__view__unpack(NULL, n, buf);
-	free(buf);
-	if (copy == NULL)
+	if (v == NULL)
 		return;
 	shared_unref(c->view);
-	c->view = shared_new(copy, free_view);
-	c->view_number = number;
-	if (hostlease_hint(&c->lease, v->controller, v->term))
-		c->ask_now = 1;
-	if (has_new_duty(c, v))
+	c->view = shared_new(v, free_view);
+	c->view_number = view_number(v);
+	if (hostlease_hint(&c->lease, v->controller, v->term) ||
+	    has_new_duty(c, v))
 		c->ask_now = 1;
 	learn_host(c->s, v->controller, v->controller_addr);
 	for (i = 0; i < v->n_dispatch; i++)
--- a/gspard/control.h
+++ b/gspard/control.h
@@ -67,7 +67,7 @@
 
 /* control.c */
 struct ccell *ccell_find(struct control *, const char *name);
-void ccell_view(struct ccell *, const Gspar__View *, usec now);
+void ccell_view(struct ccell *, Gspar__View *);
 
 /* ctl_cell.c */
 struct ccell *ccell_new(struct service *, const char *name, int member);
--- a/gspard/ctl_cell.c
+++ b/gspard/ctl_cell.c
@@ -6,6 +6,7 @@
 #include <apr_general.h>
 
 #include "control.h"
+#include "view.h"
 #include "viewdelta.h"
 
 #define VIEW_ASK_EVERY MS(1000)
@@ -167,14 +168,27 @@
 	drop_loads(c->report);
 }
 
+/* Asks a host, or whoever is on a connection, for a view newer than ours. */
+static void
+send_view_ask(struct ccell *c, const char *host, uint64_t conn)
+{
+	Gspar__Frame f = GSPAR__FRAME__INIT;
+	Gspar__ViewAsk ask = GSPAR__VIEW_ASK__INIT;
+
+	ask.cell = c->name;
+	ask.term = c->view_number >> 32;
+	ask.seq = c->view_number & 0xffffffff;
+	f.body_case = GSPAR__FRAME__BODY_VIEW_ASK;
+	f.view_ask = &ask;
+	send_frame(c->s->kernel, host, conn, &f);
+}
+
 /* Asks some host of the cell for a newer view. */
 static void
 ask_view(struct ccell *c, usec now)
 {
 	struct control *ctl = c->s->state;
 	const struct peers *l = ctl->peers == NULL ? NULL : ctl->peers->p;
-	Gspar__Frame f = GSPAR__FRAME__INIT;
-	Gspar__ViewAsk ask = GSPAR__VIEW_ASK__INIT;
 	int i, n, start;
 	char dcs[CELL_NAME + 2], dc[NAME_MAX_GS + 2];
 
@@ -182,11 +196,6 @@
 	if (l == NULL || l->n == 0)
 		return;
 	snprintf(dcs, sizeof(dcs), "+%s+", c->name);
-	ask.cell = c->name;
-	ask.term = c->view_number >> 32;
-	ask.seq = c->view_number & 0xffffffff;
-	f.body_case = GSPAR__FRAME__BODY_VIEW_ASK;
-	f.view_ask = &ask;
 	start = (int)(now / VIEW_ASK_EVERY % l->n);
 	for (i = 0; i < l->n; i++) {
 		n = (start + i) % l->n;
@@ -194,7 +203,7 @@
 		if (strstr(dcs, dc) == NULL ||
 		    strcmp(l->list[n].host, conf_of(c)->host) == 0)
 			continue;
-		send_frame(c->s->kernel, l->list[n].host, 0, &f);
+		send_view_ask(c, l->list[n].host, 0);
 		return;
 	}
 }
@@ -323,18 +332,10 @@
 static void
 ask_view_of(struct ccell *c, const struct msg *m, usec now)
 {
-	Gspar__Frame f = GSPAR__FRAME__INIT;
-	Gspar__ViewAsk ask = GSPAR__VIEW_ASK__INIT;
-
 	if (now + MS(50) >= c->next_view_ask)
 		return;
 	c->next_view_ask = now + VIEW_ASK_EVERY / 4;
-	ask.cell = c->name;
-	ask.term = c->view_number >> 32;
-	ask.seq = c->view_number & 0xffffffff;
-	f.body_case = GSPAR__FRAME__BODY_VIEW_ASK;
-	f.view_ask = &ask;
-	send_frame(c->s->kernel, m->host, m->conn, &f);
+	send_view_ask(c, m->host, m->conn);
 }
 
 /* Takes a view that came, whole or as a difference to the one held. */
@@ -344,19 +345,15 @@
 	const Gspar__View *v = m->frame->view;
 	Gspar__View *whole;
 
-	if (v->since == 0) {
-		ccell_view(c, v, now);
-		return;
-	}
 	if (view_number(v) <= c->view_number)
 		return;
-	whole = viewdelta_apply(c->view == NULL ? NULL : c->view->p, v);
-	if (whole == NULL) {
+	if (v->since == 0)
+		whole = view_copy(v);
+	else
+		whole = viewdelta_apply(c->view == NULL ? NULL : c->view->p, v);
+	if (whole == NULL)
 		ask_view_of(c, m, now);
-		return;
-	}
-	ccell_view(c, whole, now);
-	gspar__view__free_unpacked(whole, NULL);
+	ccell_view(c, whole);
 }
 
 /* Takes the answer to an ask. */
--- a/gspard/ctl_status.c
+++ b/gspard/ctl_status.c
@@ -7,6 +7,7 @@
 #include <jansson.h>
 
 #include "control.h"
+#include "view.h"
 #include "shard.h"
 
 /* Frees a question once both sides have let go. */
@@ -94,30 +95,17 @@
 	return (o);
 }
 
-/* The dispatcher of a target by a view, or "". */
-static const char *
-dispatcher_of(const Gspar__View *v, const char *target)
-{
-	size_t i;
-
-	for (i = 0; i < v->n_dispatch; i++) {
-		if (strcmp(v->dispatch[i]->target, target) == 0)
-			return (v->dispatch[i]->host);
-	}
-	return ("");
-}
-
 /* Who owns a key, as of which view. */
 static json_t *
 owner(struct control *c, const char *service, const char *key)
 {
-	const Gspar__ServiceView *sv = NULL;
+	const Gspar__ServiceView *sv;
+	const char *target, *host;
 	const struct entry *e = NULL;
 	const struct cell_conf *cc;
 	const Gspar__View *v;
 	struct ccell *cell;
 	uint32_t shard, n;
-	size_t i;
 	int k;
 
 	for (k = 0; k < c->nheld; k++) {
@@ -133,21 +121,18 @@
 		return (json_pack("{s:i, s:s, s:s}", "shard", (int)shard,
 		    "cell", cc->name, "error", "no view of the cell yet"));
 	v = cell->view->p;
-	for (i = 0; i < v->n_services; i++) {
-		if (strcmp(v->services[i]->service, service) == 0)
-			sv = v->services[i];
-	}
+	sv = view_service(v, service);
 	n = shard - cc->first;
-	if (sv == NULL || n >= sv->n_owner || sv->owner[n] == 0 ||
-	    sv->owner[n] > sv->n_targets)
+	target = view_owner(sv, n);
+	if (target == NULL)
 		return (json_pack("{s:i, s:s, s:s}", "shard", (int)shard,
 		    "cell", cc->name, "error", "nobody owns the shard"));
+	host = view_dispatcher(v, target);
 	return (json_pack("{s:i, s:s, s:s, s:s, s:I, s:s, s:I, s:I}", "shard",
-	    (int)shard, "cell", cc->name, "target",
-	    sv->targets[sv->owner[n] - 1], "dispatcher",
-	    dispatcher_of(v, sv->targets[sv->owner[n] - 1]), "fence",
-	    (json_int_t)sv->fence[n], "confirmed_by", v->controller, "term",
-	    (json_int_t)v->term, "view", (json_int_t)v->seq));
+	    (int)shard, "cell", cc->name, "target", target, "dispatcher",
+	    host == NULL ? "" : host, "fence", (json_int_t)sv->fence[n],
+	    "confirmed_by", v->controller, "term", (json_int_t)v->term, "view",
+	    (json_int_t)v->seq));
 }
 
 /* The entries in force here, with their versions. */
--- a/gspard/ctl_view.c
+++ b/gspard/ctl_view.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "control.h"
+#include "view.h"
 #include "viewdelta.h"
 
 /* Fills one service's part of a view; the arrays are freed by
@@ -75,7 +76,8 @@
 			send_frame(c->s->kernel, l->list[i].host, 0, &f);
 	}
 	viewdelta_free(&d);
-	ccell_view(c, v, clock_mono());
+	if (view_number(v) > c->view_number)
+		ccell_view(c, view_copy(v));
 }
 
 /* Makes the view of what is in force, and spreads it. */
--- a/gspard/dispatch.c
+++ b/gspard/dispatch.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "dispatch.h"
-#include "viewdelta.h"
+#include "view.h"
 
 #define TICK_MS 10
 /* The longest sleep while nothing runs or waits here. */
--- a/gspard/dispatch.h
+++ b/gspard/dispatch.h
@@ -16,8 +16,6 @@
 #define MAX_VIEWS 32
 #define TICKETS_KEPT 16384
 #define MAX_JOINED 8
-/* When to come back to a key whose owner was lost, in milliseconds. */
-#define LOST_RETRY_MS 1000
 
 struct target;
 
--- a/gspard/door.c
+++ b/gspard/door.c
@@ -114,12 +114,9 @@
 	int n;
 
 	if (result_again(a->code))
-		ms = spread_retry(a->retry_ms > 0 ? a->retry_ms : 1000);
-	n = snprintf(text, sizeof(text),
-	    "{\"code\": %d, \"name\": \"%s\", \"outcome\": \"%s\", "
-	    "\"reason\": \"%s\", \"retry_after_ms\": %u}\n",
-	    a->code, result_name(a->code), outcome_name(a->outcome),
-	    result_why(a->code), ms);
+		ms =
+		    spread_retry(a->retry_ms > 0 ? a->retry_ms : LOST_RETRY_MS);
+	n = result_json(text, sizeof(text), a->code, a->outcome, ms);
 	r = MHD_create_response_from_buffer(
 	    (size_t)n, text, MHD_RESPMEM_MUST_COPY);
 	MHD_add_response_header(r, "Content-Type", "application/json");
--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -15,6 +15,9 @@
 #include "ring.h"
 #include "str.h"
 
+/* When to come back where nothing is known of it, in milliseconds. */
+#define LOST_RETRY_MS 1000
+
 enum msg_kind {
 	MSG_NONE,
 	MSG_CALL,      /* door to router: a caller's request */
--- a/gspard/router.c
+++ b/gspard/router.c
@@ -8,6 +8,7 @@
 #include "gspard.h"
 #include "route.h"
 #include "shard.h"
+#include "view.h"
 
 #define TICK_US MS(10)
 #define IDLE_US MS(200)
@@ -22,8 +23,6 @@
 #define HEAD_START_MS 5
 #define READY_PATIENCE MS(3000)
 #define MAX_VIEWS 32
-/* What is told where nothing is known of when a key comes back. */
-#define LOST_RETRY_MS 1000
 
 /* One call under way. */
 struct pending {
@@ -90,22 +89,9 @@
 static const char *
 dispatcher(const Gspar__View *v, const char *service, uint32_t n)
 {
-	const Gspar__ServiceView *sv = NULL;
-	size_t i;
+	const char *target = view_owner(view_service(v, service), n);
 
-	for (i = 0; i < v->n_services; i++) {
-		if (strcmp(v->services[i]->service, service) == 0)
-			sv = v->services[i];
-	}
-	if (sv == NULL || n >= sv->n_owner || sv->owner[n] == 0 ||
-	    sv->owner[n] > sv->n_targets)
-		return (NULL);
-	for (i = 0; i < v->n_dispatch; i++) {
-		if (strcmp(v->dispatch[i]->target,
-			sv->targets[sv->owner[n] - 1]) == 0)
-			return (v->dispatch[i]->host);
-	}
-	return (NULL);
+	return (target == NULL ? NULL : view_dispatcher(v, target));
 }
 
 /* Ends a pending call with the answer already filled in. */
--- a/gspard/run.c
+++ b/gspard/run.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "dispatch.h"
+#include "view.h"
 
 /* When to come back where the entry's limit was reached, in milliseconds. */
 #define OVER_RETRY_MS 500
@@ -83,35 +84,22 @@
 owner_of(
     struct dispatch *d, const char *cell, const char *service, uint32_t shard)
 {
-	const Gspar__ServiceView *sv;
-	const Gspar__View *v;
+	const char *name;
 	struct dcell *c;
 	struct target *t;
-	uint32_t n, o;
-	size_t i;
 
 	c = dcell(d, cell);
 	if (c == NULL || c->view == NULL)
 		return (NULL);
-	v = c->view->p;
-	for (i = 0; i < v->n_services; i++) {
-		sv = v->services[i];
-		if (strcmp(sv->service, service) != 0)
-			continue;
-		for (t = d->targets; t != NULL; t = t->next) {
-			if (strcmp(t->service, service) == 0 &&
-			    strcmp(t->cell, cell) == 0)
-				break;
-		}
-		if (t == NULL)
-			return (NULL);
-		n = shard - t->first;
-		if (n >= sv->n_owner || (o = sv->owner[n]) == 0 ||
-		    o > sv->n_targets)
-			return (NULL);
-		return (target_find(d, sv->targets[o - 1]));
+	for (t = d->targets; t != NULL; t = t->next) {
+		if (strcmp(t->service, service) == 0 &&
+		    strcmp(t->cell, cell) == 0)
+			break;
 	}
-	return (NULL);
+	if (t == NULL)
+		return (NULL);
+	name = view_owner(view_service(c->view->p, service), shard - t->first);
+	return (name == NULL ? NULL : target_find(d, name));
 }
 
 /* Gives a ticket for a key of this target. */
--- a/gspard/slow.c
+++ b/gspard/slow.c
@@ -107,10 +107,8 @@
 	char body[200], text[500];
 	int n;
 
-	snprintf(body, sizeof(body),
-	    "{\"code\": %d, \"name\": \"%s\", \"outcome\": \"not_run\", "
-	    "\"reason\": \"%s\", \"retry_after_ms\": 0}\n",
-	    GS_SLOW, result_name(GS_SLOW), result_why(GS_SLOW));
+	result_json(
+	    body, sizeof(body), GS_SLOW, (int)result_outcome(GS_SLOW), 0);
 	n = snprintf(text, sizeof(text),
 	    "HTTP/1.1 %d Request Timeout\r\nContent-Type: application/json\r\n"
 	    "Gspar-Error: %d\r\nConnection: close\r\nContent-Length: %zu\r\n"
--- a/gspard/target.c
+++ b/gspard/target.c
@@ -8,6 +8,7 @@
 #include <apr_general.h>
 
 #include "dispatch.h"
+#include "view.h"
 
 /* A short call that takes longer is taken for failed. */
 #define NOTE_MS 300
@@ -183,15 +184,11 @@
 void
 target_view(struct target *t, const Gspar__View *v, uint64_t number)
 {
-	const Gspar__ServiceView *sv = NULL;
+	const Gspar__ServiceView *sv = view_service(v, t->service);
 	uint64_t fence;
 	size_t i, self = 0;
 	uint32_t n;
 
-	for (i = 0; i < v->n_services; i++) {
-		if (strcmp(v->services[i]->service, t->service) == 0)
-			sv = v->services[i];
-	}
 	if (sv == NULL || number < t->min_view || number <= t->view ||
 	    sv->n_owner != t->shards || sv->n_fence != t->shards)
 		return;
--- a/lib/result.c
+++ b/lib/result.c
@@ -1,4 +1,4 @@
-#include <stddef.h>
+#include <stdio.h>
 
 #include "result.h"
 
@@ -79,3 +79,14 @@
 		return ("unknown");
 	}
 }
+
+/* The body of an answer of our own, as callers read it; gives its length. */
+int
+result_json(char *buf, size_t size, int code, int outcome, uint32_t ms)
+{
+	return (snprintf(buf, size,
+	    "{\"code\": %d, \"name\": \"%s\", \"outcome\": \"%s\", "
+	    "\"reason\": \"%s\", \"retry_after_ms\": %u}\n",
+	    code, result_name(code), outcome_name(outcome), result_why(code),
+	    ms));
+}
--- a/lib/result.h
+++ b/lib/result.h
@@ -2,6 +2,9 @@
 #ifndef RESULT_H
 #define RESULT_H
 
+#include <stddef.h>
+#include <stdint.h>
+
 /*
  * Each line: name, number, HTTP status, default outcome, whether asking again
  * makes sense, and a short reason.  Numbers are never reused.
@@ -53,5 +56,6 @@
 int result_again(int);
 enum gs_outcome result_outcome(int);
 const char *outcome_name(int);
+int result_json(char *buf, size_t size, int code, int outcome, uint32_t ms);
 
 #endif
--- a/regress/scenario/lib.lua
+++ b/regress/scenario/lib.lua
@@ -442,6 +442,16 @@
 	end
 end
 
+-- Pauses a plain dispatcher well over its lease and wakes it.
+function Fleet:pause_dispatcher(cell)
+	local n = self:plain_dispatcher(cell)
+	self:freeze(self.hosts[n].pid)
+	self.hosts[n].dead = true
+	self:await_no_dispatch(cell, n)
+	self:thaw(self.hosts[n].pid)
+	self.hosts[n].dead = nil
+end
+
 -- Which target owns each of some keys, as one line.
 function Fleet:owners(service, from)
 	local s = {}
--- a/regress/scenario/outage.lua
+++ b/regress/scenario/outage.lua
@@ -4,14 +4,7 @@
 -- during an outage: its targets wait, all other keys are served.
 local f = standard_fleet { dcs = { { "aarhus", 5, 3 } } }
 local before = f:owners("lookup")
-await("standbys", 5000, function()
-	local n = 0
-	for _, h in ipairs(f.order) do
-		n = n + (f:status(h).cells[1].role == "standby" and 1 or 0)
-	end
-	return n == 2
-end)
-local ctl = f:controller("aarhus")
+local ctl = f:await_standbys("aarhus")
 local l = f:load { "-r", "300", "-d", "7" }
 f:await_load()
 f:fault("down=1")
--- a/regress/scenario/outage_standby.lua
+++ b/regress/scenario/outage_standby.lua
@@ -3,17 +3,7 @@
 -- keys are not served until the platform is back.  Callers are told so at
 -- once, with when to come back; there are never two owners.
 local f = standard_fleet { dcs = { { "aarhus", 3, 3 } } }
-local ctl = f:controller("aarhus")
-local n
-await("two standbys", 5000, function()
-	local k = 0
-	for _, h in ipairs(f.order) do
-		if f:status(h).cells[1].role == "standby" then
-			n, k = h, k + 1
-		end
-	end
-	return k == 2
-end)
+local ctl, _, n = f:await_standbys("aarhus")
 f:fault("down=1")
 f:kill_host(n)
 await("control stopped", 4000, function()
--- a/regress/scenario/pause_host.lua
+++ b/regress/scenario/pause_host.lua
@@ -3,14 +3,9 @@
 -- then; the woken one looks at its lease before it sends anything, finds it
 -- lapsed, and gives all it held back as not run.
 local f = standard_fleet { dcs = { { "aarhus", 3, 3 } } }
-local n = f:plain_dispatcher("aarhus")
 local l = f:load { "-r", "300", "-d", "7" }
 f:await_load()
-f:freeze(f.hosts[n].pid)
-f.hosts[n].dead = true
-f:await_no_dispatch("aarhus", n)
-f:thaw(f.hosts[n].pid)
-f.hosts[n].dead = nil
+f:pause_dispatcher("aarhus")
 local s = l:finish()
 check(s.wrong == 0, "wrong answers")
 f:await_served("lookup")
--- a/regress/scenario/unchecked.lua
+++ b/regress/scenario/unchecked.lua
@@ -9,12 +9,7 @@
 f:freeze(f.targets.t1.pid)
 f:await_drained("lookup", "t1")
 f:thaw(f.targets.t1.pid)
-local n = f:plain_dispatcher("aarhus")
-f:freeze(f.hosts[n].pid)
-f.hosts[n].dead = true
-f:await_no_dispatch("aarhus", n)
-f:thaw(f.hosts[n].pid)
-f.hosts[n].dead = nil
+f:pause_dispatcher("aarhus")
 local s = l:finish()
 check(s.wrong == 0, "wrong answers")
 f:await_served("lookup")
--- a/regress/unit/t_viewdelta.c
+++ b/regress/unit/t_viewdelta.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "unit.h"
+#include "view.h"
 #include "viewdelta.h"
 
 #define SHARDS 8
--- a/standin/wire.c
+++ b/standin/wire.c
@@ -22,7 +22,6 @@
 struct link {
 	int fd[2];
 	int silent;
-	int ends;
 	unsigned char first[NAME_AREA]; /* the hello names the host */
 	size_t nfirst;
 	struct link *next;
