--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # make demo     start a small fleet, serve requests through it, stop it
 # make bench    run the measurements that docs/CAPACITY.md cites
 SHELL =		/bin/bash
-LIBS =		proto lib decide
+LIBS =		proto lib decide platform
 PROGS =		gspard gsparctl standin
 TESTS =		regress/unit regress/scenario
 BUILD ?=	plain
@@ -12,6 +12,12 @@
 	@for d in $(LIBS); do $(MAKE) -s -C $$d BUILD=$(BUILD) || exit 1; done
 	@$(MAKE) -s -j4 progs
 
+# The daemon alone, for the machines of the platform: target/gspard.
+fleet:
+	@for d in $(LIBS) gspard; do $(MAKE) -s -C $$d || exit 1; done
+	@mkdir -p target
+	@cp build/plain/gspard/gspard target/gspard
+
 progs: $(PROGS) $(TESTS)
 $(PROGS) $(TESTS):
 	@$(MAKE) -s -C $@ BUILD=$(BUILD)
@@ -34,6 +40,6 @@
 	clang-format -i $(filter-out proto/%,$(wildcard */*.[ch] regress/*/*.[ch]))
 
 clean:
-	rm -rf build
+	rm -rf build target
 
-.PHONY: $(PROGS) $(TESTS) all progs deps check demo bench format clean
+.PHONY: fleet $(PROGS) $(TESTS) all progs deps check demo bench format clean
--- /dev/null
+++ b/decide/dest.c
@@ -0,0 +1,164 @@
+#include <math.h>
+#include <string.h>
+
+#include "dest.h"
+
+/* What a target told of others' requests halves in this time: it is about as
+ * long as a request runs (36 to 220 ms, by the sites' tables). */
+#define OTHERS_HALF MS(150)
+/* How much one sample changes what was learnt. */
+#define SPEED_GAIN 0.08
+#define FAIL_GAIN 0.1
+/* A target is sent work until this many times its slots are under way: its own
+ * queue then bridges the way to and fro, and it is far from full. */
+#define FILL 2.5
+/* A request to another data centre pays for the bytes between them: it goes
+ * there where that saves this much time. */
+#define FAR_COST MS(12)
+/* A cold target takes about twice as long. */
+#define COLD_FACTOR 2.0
+/* How long a target is left alone after it was not reached; doubled with each
+ * further time up to the longest. */
+#define SHUN_FIRST MS(150)
+#define SHUN_MOST MS(1200)
+/* Without a whole answer so often in a row it is taken for lost. */
+#define STRIKES_BROKE 3
+/* A target that refused is left alone for about as long as a request runs. */
+#define SHUN_FULL MS(40)
+
+/* A target of which nothing is known yet. */
+void
+dest_init(struct dest *d, int slots)
+{
+	memset(d, 0, sizeof(*d));
+	d->slots = slots;
+	d->speed = 1;
+}
+
+/* A request goes there. */
+void
+dest_sent(struct dest *d)
+{
+	d->mine++;
+}
+
+/* Leaves the target alone for a while, longer each time in a row. */
+static void
+shun(struct dest *d, usec now)
+{
+	int times = d->strikes < 4 ? d->strikes : 4;
+	usec span = SHUN_FIRST << (times > 0 ? times - 1 : 0);
+
+	if (span > SHUN_MOST)
+		span = SHUN_MOST;
+	d->shunned_until = now + span;
+}
+
+/* Learns how fast the target is from a request that did not wait there. */
+static void
+learn_speed(struct dest *d, const struct dest_answer *a)
+{
+	double x;
+
+	if (a->expected <= 0 || a->waiting > 0)
+		return;
+	x = (double)a->took / (double)a->expected;
+	/* One request may take many times the usual: it says little. */
+	x = fmin(fmax(x, 0.2), 4);
+	d->speed += SPEED_GAIN * (x - d->speed);
+}
+
+/* A request there ended. */
+void
+dest_ended(struct dest *d, usec now, const struct dest_answer *a)
+{
+	double bad = a->end == DEST_FAILED || a->end == DEST_BROKE;
+
+	if (d->mine > 0)
+		d->mine--;
+	d->fails += FAIL_GAIN * (bad - d->fails);
+	if (a->running >= 0) {
+		d->others = fmax(a->running + a->waiting - d->mine, 0);
+		/* What it tells may still count the request that has ended. */
+		if (a->end == DEST_ANSWERED && d->others >= 1)
+			d->others -= 1;
+		d->heard = now;
+	}
+	switch (a->end) {
+	case DEST_ANSWERED:
+		d->strikes = 0;
+		learn_speed(d, a);
+		break;
+	case DEST_FAILED:
+	case DEST_MISSENT:
+		d->strikes = 0;
+		break;
+	case DEST_REFUSED:
+		d->strikes = 0;
+		if (d->shunned_until < now + SHUN_FULL)
+			d->shunned_until = now + SHUN_FULL;
+		break;
+	case DEST_UNREACHED:
+		d->strikes++;
+		shun(d, now);
+		break;
+	case DEST_BROKE:
+	case DEST_TIMED_OUT:
+		if (++d->strikes >= STRIKES_BROKE)
+			shun(d, now);
+		break;
+	}
+}
+
+/* Requests under way there, as far as this host can know. */
+double
+dest_load(const struct dest *d, usec now)
+{
+	double age = (double)(now - d->heard);
+
+	if (d->heard == 0)
+		return (d->mine);
+	return (d->mine + d->others * exp2(-age / (double)OTHERS_HALF));
+}
+
+/* True where the target may be sent new work at all. */
+int
+dest_usable(const struct dest *d, usec now)
+{
+	return (!d->leaving && now >= d->shunned_until);
+}
+
+/*
+ * True where one more request may go there now.  Some targets never answer
+ * what they cannot queue, nor anything after it on that connection: all hosts
+ * together must stay below slots and queue, though each knows only what the
+ * target last told.  A host with nothing there may send one where the last
+ * word is old, or it would never hear a newer.
+ */
+int
+dest_room(const struct dest *d, usec now, const struct dest_conf *conf)
+{
+	double share = FILL * d->slots / (conf->hosts > 0 ? conf->hosts : 1);
+	int most = (int)ceil(share) + 1;
+
+	if (!dest_usable(d, now) || d->mine >= most)
+		return (0);
+	return (dest_load(d, now) < FILL * d->slots);
+}
+
+/* How long a request of some usual length would take there, in microseconds;
+ * only for comparing targets. */
+double
+dest_cost(const struct dest *d, usec now, usec work)
+{
+	double load = dest_load(d, now), ahead = load + 1 - d->slots;
+	double each = (double)work * d->speed;
+
+	if (now < d->cold_until)
+		each *= COLD_FACTOR;
+	each *= 1 + 0.15 * load / d->slots;
+	if (ahead > 0)
+		each += each * ahead / d->slots;
+	each *= 1 + 2 * d->fails;
+	return (each + (d->near ? 0 : (double)FAR_COST));
+}
--- /dev/null
+++ b/decide/dest.h
@@ -0,0 +1,56 @@
+/*
+ * What one host believes of a target that it and other hosts send to, and
+ * whether and where to send the next request.
+ */
+#ifndef DEST_H
+#define DEST_H
+
+#include "clock.h"
+
+struct dest_conf {
+	int hosts; /* that send to the same targets */
+};
+
+struct dest {
+	int slots;
+	int leaving;
+	int near; /* in this host's data centre */
+	usec cold_until;
+	int mine;      /* requests of this host under way there */
+	double others; /* of all others, as of heard */
+	usec heard;    /* when it last told its load */
+	double speed;  /* time it takes, over what others take */
+	double fails;  /* share of its answers that are failures */
+	int strikes;   /* in a row without an answer */
+	usec shunned_until;
+};
+
+/* What an answer, or its lack, says of the target. */
+enum dest_end {
+	DEST_ANSWERED,
+	DEST_FAILED,  /* answered with a failure of its own */
+	DEST_REFUSED, /* full: it did not run */
+	DEST_MISSENT, /* not the owner of the key: it did not run */
+	DEST_UNREACHED,
+	DEST_BROKE, /* the connection ended without a whole answer */
+	DEST_TIMED_OUT
+};
+
+/* An answer as the rules need it. */
+struct dest_answer {
+	enum dest_end end;
+	usec took;
+	usec expected; /* such requests take at a usual target */
+	int running;   /* the load it told; -1 where it told none */
+	int waiting;
+};
+
+void dest_init(struct dest *, int slots);
+void dest_sent(struct dest *);
+void dest_ended(struct dest *, usec now, const struct dest_answer *);
+double dest_load(const struct dest *, usec now);
+int dest_usable(const struct dest *, usec now);
+int dest_room(const struct dest *, usec now, const struct dest_conf *);
+double dest_cost(const struct dest *, usec now, usec work);
+
+#endif
--- /dev/null
+++ b/decide/fleet.h
@@ -0,0 +1,26 @@
+/* The targets that are known, as of one moment; only read once published. */
+#ifndef FLEET_H
+#define FLEET_H
+
+#include "clock.h"
+#include "str.h"
+
+#define FLEET_ADDR 64
+
+struct fleet_target {
+	char id[NAME_MAX_GS]; /* of this start: a restarted one has another */
+	char addr[FLEET_ADDR];
+	char service[NAME_MAX_GS];
+	char dc[NAME_MAX_GS];
+	int slots;
+	int leaving; /* says so itself, or its entry is gone */
+	int gone;    /* its entry is gone */
+	usec cold_until;
+};
+
+struct fleet {
+	struct fleet_target *targets;
+	int ntargets;
+};
+
+#endif
--- /dev/null
+++ b/decide/keys_plan.c
@@ -0,0 +1,429 @@
+/* Which target is to own which keys: first shares, losses, and balance. */
+#include <math.h>
+#include <string.h>
+
+#include "keys.h"
+
+/* What was asked for halves in this time: long enough to tell a hot key from
+ * chance, short enough to spread it within two seconds. */
+#define HEAT_HALF 1.2
+/* Keys count a little even where nobody asks for them, so that none of them
+ * lie all with one target. */
+#define COLD_SHARE 0.06
+#define COLD_LEAST 1e-5
+/* A target is relieved where it has this much more than its part, and ... */
+#define EXCESS 0.15
+/* ... this many times the deviation that chance gives. */
+#define CHANCE 1.2
+/* Moves planned in one look. */
+#define MOVES_MOST 8
+/* Keys that moved are left alone for a while: their load is not known yet. */
+#define REST MS(900)
+/* A target that answers nobody for so long, and no order, is taken for lost. */
+#define LOST_AFTER MS(900)
+#define LOST_ORDERS 2
+/* Beyond so many ranges for each target small cold ones are joined. */
+#define RANGES_EACH 6
+#define COLD_FACTOR 0.5
+#define PIECES 4
+
+/* How much of the load a target can bear beside others. */
+double
+key_target_weight(const struct key_target *t, usec now)
+{
+	double w = t->slots / fmax(t->speed, 0.25);
+
+	return (now < t->cold_until ? w * COLD_FACTOR : w);
+}
+
+/* True where a target cannot keep or get keys. */
+static int
+is_lost(const struct key_target *t, usec now)
+{
+	return (!t->used || !t->listed || t->leaving ||
+	    (t->unanswered >= LOST_ORDERS && now - t->alive_at > LOST_AFTER));
+}
+
+/* What a key counts. */
+static double
+key_heat(const struct keys *k, uint32_t key)
+{
+	return ((double)k->heat[key] / k->gain);
+}
+
+/*
+ * Counts requests for keys, each standing for some.  Instead of letting all
+ * keys decay, what comes later counts more.
+ */
+void
+keys_heat(struct keys *k, const uint16_t *key, int n, double each, usec now)
+{
+	int i;
+
+	if (k->heat_at != 0 && now > k->heat_at)
+		k->gain *=
+		    exp2((double)(now - k->heat_at) / US_PER_SEC / HEAT_HALF);
+	k->heat_at = now;
+	for (i = 0; i < n; i++)
+		k->heat[key[i]] += (float)(each * k->gain);
+	if (k->gain < 1e12)
+		return;
+	for (i = 0; i < KEYS; i++)
+		k->heat[i] /= (float)k->gain;
+	k->gain = 1;
+}
+
+/* Cuts a range before a key; the index of the right part, or -1. */
+int
+keys_split(struct keys *k, int n, uint32_t at)
+{
+	struct key_range *r = &k->ranges[n];
+
+	if (at <= r->from)
+		return (n);
+	if (at > r->to || k->nranges == KEYS_RANGES)
+		return (-1);
+	memmove(r + 1, r, sizeof(*r) * (size_t)(k->nranges - n));
+	k->nranges++;
+	r[0].to = at - 1;
+	r[1].from = at;
+	return (n + 1);
+}
+
+/* Plans that a range goes to a target. */
+void
+keys_give(struct keys *k, int n, int target, usec now)
+{
+	struct key_range *r = &k->ranges[n];
+
+	r->next = target;
+	r->next_fence = ++k->top_fence;
+	r->plan_by = k->write_seq + 1;
+	r->step = RANGE_PLANNED;
+	if (!k->dirty)
+		k->dirty_since = now;
+	k->dirty = 1;
+	k->urgent = 1;
+}
+
+/* Who will own a range. */
+static int
+heir(const struct key_range *r)
+{
+	return (r->next != NO_TARGET ? r->next : r->owner);
+}
+
+/* What a range counts; base is what each of its keys counts anyway. */
+static double
+range_heat(const struct keys *k, const struct key_range *r, double base)
+{
+	double sum = base * (r->to - r->from + 1);
+	uint32_t i;
+
+	for (i = r->from; i <= r->to; i++)
+		sum += key_heat(k, i);
+	return (sum);
+}
+
+/* One look at all loads. */
+struct look {
+	double base;
+	double total;
+	double weight; /* of all targets that are not lost */
+	int live;
+};
+
+/* Sums the loads up. */
+static void
+look_around(struct keys *k, usec now, struct look *l)
+{
+	struct key_target *t;
+	double asked = 0;
+	int i, n;
+
+	memset(l, 0, sizeof(*l));
+	for (i = 0; i < KEYS; i++)
+		asked += key_heat(k, (uint32_t)i);
+	l->base = asked * COLD_SHARE / KEYS + COLD_LEAST;
+	for (i = 0; i < k->ntargets; i++) {
+		t = &k->targets[i];
+		t->heat = 0;
+		t->lost = is_lost(t, now);
+		if (t->lost)
+			continue;
+		l->weight += key_target_weight(t, now);
+		l->live++;
+	}
+	for (i = 0; i < k->nranges; i++) {
+		n = heir(&k->ranges[i]);
+		if (n == NO_TARGET || k->targets[n].lost)
+			continue;
+		k->targets[n].heat += range_heat(k, &k->ranges[i], l->base);
+	}
+	l->total = asked + l->base * KEYS;
+}
+
+/* The target with the least load for its weight; not `but`. */
+static int
+least(const struct keys *k, int but, usec now)
+{
+	const struct key_target *t;
+	double load, best_load = 0;
+	int i, best = NO_TARGET;
+
+	for (i = 0; i < k->ntargets; i++) {
+		t = &k->targets[i];
+		if (t->lost || i == but)
+			continue;
+		load = t->heat / key_target_weight(t, now);
+		if (best == NO_TARGET || load < best_load) {
+			best = i;
+			best_load = load;
+		}
+	}
+	return (best);
+}
+
+/* The target with the most load for its weight. */
+static int
+most(const struct keys *k, usec now)
+{
+	const struct key_target *t;
+	double load, best_load = 0;
+	int i, best = NO_TARGET;
+
+	for (i = 0; i < k->ntargets; i++) {
+		t = &k->targets[i];
+		if (t->lost)
+			continue;
+		load = t->heat / key_target_weight(t, now);
+		if (best == NO_TARGET || load > best_load) {
+			best = i;
+			best_load = load;
+		}
+	}
+	return (best);
+}
+
+/* True where no key has ever had an owner. */
+static int
+untouched(const struct keys *k)
+{
+	return (k->nranges == 1 && k->ranges[0].owner == NO_TARGET &&
+	    k->ranges[0].next == NO_TARGET);
+}
+
+/* Gives each target its part of all keys, in a row. */
+static void
+first_shares(struct keys *k, const struct look *l, usec now)
+{
+	double sum = 0;
+	int i, n = 0, last = NO_TARGET;
+	uint32_t at;
+
+	for (i = 0; i < k->ntargets; i++) {
+		if (!k->targets[i].lost)
+			last = i;
+	}
+	for (i = 0; i <= last; i++) {
+		if (k->targets[i].lost)
+			continue;
+		sum += key_target_weight(&k->targets[i], now);
+		at = (uint32_t)(sum / l->weight * KEYS);
+		if (i != last && at < KEYS && keys_split(k, n, at) == n + 1) {
+			keys_give(k, n, i, now);
+			n++;
+		} else if (i == last)
+			keys_give(k, n, i, now);
+	}
+}
+
+/* Gives a range whose heir is lost to others, in pieces where it is large. */
+static void
+replace_heir(struct keys *k, int n, const struct look *l, usec now)
+{
+	uint32_t size = k->ranges[n].to - k->ranges[n].from + 1, step;
+	double heat;
+	int to, i, pieces = PIECES;
+
+	if (range_heat(k, &k->ranges[n], l->base) <
+	    0.3 * l->total / (l->live > 0 ? l->live : 1))
+		pieces = 1;
+	step = size / (uint32_t)pieces;
+	for (i = 1; i < pieces && step > 0; i++)
+		keys_split(k, n + i - 1, k->ranges[n + i - 1].from + step);
+	for (i = 0; i < pieces && (step > 0 || i == 0); i++, n++) {
+		to = least(k, NO_TARGET, now);
+		if (to == NO_TARGET)
+			return;
+		heat = range_heat(k, &k->ranges[n], l->base);
+		keys_give(k, n, to, now);
+		k->targets[to].heat += heat;
+	}
+}
+
+/* Finds owners for all that have none, or a lost one. */
+static void
+replace_lost(struct keys *k, const struct look *l, usec now)
+{
+	int i, n;
+
+	for (i = 0; i < k->nranges; i++) {
+		n = heir(&k->ranges[i]);
+		if (n != NO_TARGET && !k->targets[n].lost)
+			continue;
+		replace_heir(k, i, l, now);
+	}
+}
+
+/* Keys in a row within one range, that are to move. */
+struct piece {
+	int range;
+	uint32_t from;
+	uint32_t to;
+	double heat;
+};
+
+/*
+ * Finds in a range the fewest keys in a row that count at least `low` and at
+ * most `high`; what moves is stalled and priced by its number of keys.
+ */
+static void
+find_piece(const struct keys *k, int n, double base, double low, double high,
+    struct piece *best)
+{
+	const struct key_range *r = &k->ranges[n];
+	uint32_t a = r->from, b;
+	double sum = 0;
+
+	for (b = r->from; b <= r->to; b++) {
+		sum += key_heat(k, b) + base;
+		while (a <= b && sum > high) {
+			sum -= key_heat(k, a) + base;
+			a++;
+		}
+		while (a < b && sum - key_heat(k, a) - base >= low) {
+			sum -= key_heat(k, a) + base;
+			a++;
+		}
+		if (sum >= low && a <= b &&
+		    (best->range < 0 || b - a < best->to - best->from)) {
+			best->range = n;
+			best->from = a;
+			best->to = b;
+			best->heat = sum;
+		}
+	}
+}
+
+/* True where a range of the target may move now. */
+static int
+movable(const struct key_range *r, int target, usec now)
+{
+	return (r->step == RANGE_OWNED && r->owner == target && r->confirmed &&
+	    now - r->moved_at >= REST);
+}
+
+/* Cuts a piece out of its range and gives it to a target. */
+static void
+move_piece(struct keys *k, const struct piece *p, int to, usec now)
+{
+	int n = keys_split(k, p->range, p->from);
+
+	if (n < 0 ||
+	    (p->to < k->ranges[n].to && keys_split(k, n, p->to + 1) < 0))
+		return;
+	keys_give(k, n, to, now);
+}
+
+/* Plans one move from the most loaded target to the least; 0 where none is
+ * worth it. */
+static int
+relieve(struct keys *k, const struct look *l, usec now)
+{
+	int from = most(k, now), to = least(k, from, now), i;
+	struct piece p = {-1, 0, 0, 0};
+	double mean = l->total / l->weight, wf, wt, high, need, over;
+
+	if (from == NO_TARGET || to == NO_TARGET)
+		return (0);
+	wf = key_target_weight(&k->targets[from], now);
+	wt = key_target_weight(&k->targets[to], now);
+	over = k->targets[from].heat / wf - k->targets[to].heat / wt;
+	if (over <
+	    2 * EXCESS * mean + CHANCE * sqrt(k->targets[from].heat) / wf)
+		return (0);
+	/* So much makes both equal; a little less leaves room for chance. */
+	need = over / (1 / wf + 1 / wt);
+	high = fmin(need, fmax(mean * wt - k->targets[to].heat, need * 0.5));
+	for (i = 0; i < k->nranges; i++) {
+		if (movable(&k->ranges[i], from, now))
+			find_piece(k, i, l->base, 0.6 * high, 1.1 * high, &p);
+	}
+	if (p.range < 0)
+		for (i = 0; i < k->nranges; i++) {
+			if (movable(&k->ranges[i], from, now))
+				find_piece(
+				    k, i, l->base, 0.15 * high, need, &p);
+		}
+	if (p.range < 0)
+		return (0);
+	move_piece(k, &p, to, now);
+	k->targets[from].heat -= p.heat;
+	k->targets[to].heat += p.heat;
+	return (1);
+}
+
+/*
+ * Gives a small range that nobody asks for to its neighbour's owner, where
+ * there are many: each is renewed by a call of its own.
+ */
+static void
+join_cold(struct keys *k, const struct look *l, usec now)
+{
+	struct key_range *r;
+	uint32_t size, best_size = KEYS;
+	int i, best = -1, to;
+
+	if (k->nranges <= RANGES_EACH * l->live)
+		return;
+	for (i = 1; i < k->nranges; i++) {
+		r = &k->ranges[i];
+		size = r->to - r->from + 1;
+		if (!movable(r, r->owner, now) || size >= best_size ||
+		    r[-1].step != RANGE_OWNED || r[-1].owner == r->owner ||
+		    range_heat(k, r, l->base) > 0.02 * l->total / l->live)
+			continue;
+		best = i;
+		best_size = size;
+	}
+	if (best < 0)
+		return;
+	to = k->ranges[best - 1].owner;
+	if (to != NO_TARGET && !k->targets[to].lost)
+		keys_give(k, best, to, now);
+}
+
+/* Plans what should be different. */
+void
+keys_plan(struct keys *k, usec now)
+{
+	struct look l;
+	int i;
+
+	keys_heat(k, NULL, 0, 0, now);
+	look_around(k, now, &l);
+	if (l.live == 0)
+		return;
+	if (untouched(k)) {
+		/* Targets are still coming: given out now, the first few would
+		 * get all keys. */
+		if (now - k->fleet_changed >= k->conf.settle)
+			first_shares(k, &l, now);
+		return;
+	}
+	replace_lost(k, &l, now);
+	for (i = 0; i < MOVES_MOST && relieve(k, &l, now); i++)
+		;
+	join_cold(k, &l, now);
+}
--- /dev/null
+++ b/decide/known.c
@@ -0,0 +1,199 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "known.h"
+
+/* Outages shorter than so many heartbeats let no entry lapse. */
+#define LAPSE_BEATS 2
+/* So many entries that go at once are a lapse, not work on the targets. */
+#define MASS_MIN 4
+
+/* Frees the list. */
+void
+known_free(struct known *k)
+{
+	free(k->list);
+	memset(k, 0, sizeof(*k));
+}
+
+/* The target with an id, or NULL. */
+static struct known_target *
+find(struct known *k, const char *id)
+{
+	int i;
+
+	for (i = 0; i < k->n; i++) {
+		if (strcmp(k->list[i].t.id, id) == 0)
+			return (&k->list[i]);
+	}
+	return (NULL);
+}
+
+/* A call to the store failed. */
+void
+known_store_failed(struct known *k, usec now)
+{
+	if (k->failing_since == 0)
+		k->failing_since = now;
+}
+
+/*
+ * The store answered.  After an outage entries may be missing whose targets
+ * live: they could not renew them.  Taken for gone, all targets of a service
+ * would be left without work at once, just when the store is back.
+ */
+void
+known_store_answered(struct known *k, usec now)
+{
+	if (k->failing_since != 0 &&
+	    now - k->failing_since >= LAPSE_BEATS * k->heartbeat)
+		k->doubt_until = now + LAPSE_BACK;
+	k->failing_since = 0;
+}
+
+/* An entry was read. */
+void
+known_put(struct known *k, const struct fleet_target *t, usec now)
+{
+	struct known_target *e = find(k, t->id), *p;
+	usec cold = t->cold_until;
+
+	if (e == NULL) {
+		if (k->n == k->room) {
+			p = realloc(
+			    k->list, sizeof(*p) * (size_t)(k->room * 2 + 16));
+			if (p == NULL)
+				return;
+			k->list = p;
+			k->room = k->room * 2 + 16;
+		}
+		e = &k->list[k->n++];
+		memset(e, 0, sizeof(*e));
+	}
+	e->t = *t;
+	e->t.cold_until = cold > 0 ? now + cold : 0;
+	e->missing_since = 0;
+	e->gone_since = 0;
+	e->seen = 1;
+	k->changed = 1;
+}
+
+/* The target's entry is no longer there. */
+static void
+lost(struct known *k, struct known_target *e, usec now)
+{
+	if (e->gone_since != 0 || e->missing_since != 0)
+		return;
+	if (now < k->doubt_until && !e->t.leaving) {
+		e->missing_since = now;
+		return;
+	}
+	e->gone_since = now;
+	e->t.leaving = 1;
+	e->t.gone = 1;
+	k->changed = 1;
+}
+
+/* An entry was removed. */
+void
+known_gone(struct known *k, const char *id, usec now)
+{
+	struct known_target *e = find(k, id);
+
+	if (e != NULL)
+		lost(k, e, now);
+}
+
+/* A whole list is about to be read. */
+void
+known_list_begin(struct known *k)
+{
+	int i;
+
+	for (i = 0; i < k->n; i++)
+		k->list[i].seen = 0;
+}
+
+/* The whole list was read: what it did not name is gone. */
+void
+known_list_end(struct known *k, usec now)
+{
+	int i, missing = 0;
+
+	for (i = 0; i < k->n; i++)
+		missing += !k->list[i].seen && k->list[i].gone_since == 0;
+	known_batch(k, missing, now);
+	for (i = 0; i < k->n; i++) {
+		if (!k->list[i].seen)
+			lost(k, &k->list[i], now);
+	}
+}
+
+/*
+ * So many entries went together.  Half of all at once is no planned work: the
+ * store let them lapse, and this host had not noticed that it was away.
+ */
+void
+known_batch(struct known *k, int gone, usec now)
+{
+	int i, live = 0;
+
+	for (i = 0; i < k->n; i++)
+		live += k->list[i].gone_since == 0;
+	if (gone >= MASS_MIN && gone * 2 >= live &&
+	    k->doubt_until < now + LAPSE_BACK)
+		k->doubt_until = now + LAPSE_BACK;
+}
+
+/* Gives up on entries that are not back, and forgets those long gone. */
+void
+known_tick(struct known *k, usec now)
+{
+	struct known_target *e;
+	int i;
+
+	for (i = 0; i < k->n; i++) {
+		e = &k->list[i];
+		if (e->missing_since != 0 && now >= k->doubt_until) {
+			e->missing_since = 0;
+			lost(k, e, now);
+		}
+		if (e->gone_since != 0 && now - e->gone_since > GONE_KEPT) {
+			*e = k->list[--k->n];
+			i--;
+			k->changed = 1;
+		}
+	}
+}
+
+/* What is known now, to be published; NULL without memory. */
+struct fleet *
+known_fleet(struct known *k)
+{
+	struct fleet *f;
+	int i;
+
+	f = calloc(1, sizeof(*f));
+	if (f == NULL)
+		return (NULL);
+	f->targets = calloc((size_t)k->n + 1, sizeof(*f->targets));
+	if (f->targets == NULL) {
+		free(f);
+		return (NULL);
+	}
+	for (i = 0; i < k->n; i++)
+		f->targets[f->ntargets++] = k->list[i].t;
+	return (f);
+}
+
+/* Frees what known_fleet gave. */
+void
+fleet_free(void *arg)
+{
+	struct fleet *f = arg;
+
+	if (f == NULL)
+		return;
+	free(f->targets);
+	free(f);
+}
--- /dev/null
+++ b/decide/site.c
@@ -0,0 +1,158 @@
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "site.h"
+
+/* An empty configuration with room for max_rules rules; NULL without memory. */
+struct site *
+site_new(int max_rules)
+{
+	struct site *t;
+
+	t = calloc(1, sizeof(*t));
+	if (t == NULL)
+		return (NULL);
+	t->rules = calloc((size_t)max_rules + 1, sizeof(*t->rules));
+	if (t->rules != NULL)
+		return (t);
+	free(t);
+	return (NULL);
+}
+
+/* Frees a configuration; void * so that shared snapshots can. */
+void
+site_free(void *arg)
+{
+	struct site *t = arg;
+	int i;
+
+	if (t == NULL)
+		return;
+	for (i = 0; i < t->nrules; i++) {
+		str_free(&t->rules[i].host);
+		str_free(&t->rules[i].prefix);
+	}
+	str_free(&t->source);
+	free(t->rules);
+	free(t);
+}
+
+/* The next rule, to be filled in; the caller keeps within max_rules. */
+struct rule *
+site_add(struct site *t)
+{
+	return (&t->rules[t->nrules++]);
+}
+
+/* Orders hosts as site_find looks for them, without regard to case. */
+static int
+host_cmp(const struct str *a, const struct str *b)
+{
+	size_t n = a->n < b->n ? a->n : b->n;
+	int c;
+
+	c = n == 0 ? 0 : strncasecmp(a->p, b->p, n);
+	if (c != 0)
+		return (c);
+	return (a->n < b->n ? -1 : a->n > b->n);
+}
+
+/* Orders rules by host, then longest prefix first. */
+static int
+rule_cmp(const void *va, const void *vb)
+{
+	const struct rule *a = va, *b = vb;
+	int c;
+
+	c = host_cmp(&a->host, &b->host);
+	if (c != 0)
+		return (c);
+	return (a->prefix.n > b->prefix.n ? -1 : a->prefix.n < b->prefix.n);
+}
+
+/* Makes the configuration ready for site_find; call it after the last rule. */
+void
+site_seal(struct site *t)
+{
+	struct rule *r;
+	int i, k;
+
+	for (i = 0; i < t->nrules; i++) {
+		r = &t->rules[i];
+		r->weights = 0;
+		for (k = 0; k < r->nparts; k++)
+			r->weights += r->parts[k].weight;
+	}
+	qsort(t->rules, (size_t)t->nrules, sizeof(*t->rules), rule_cmp);
+}
+
+/* The index of a service, or -1. */
+int
+site_service(const struct site *t, const char *name)
+{
+	int i;
+
+	for (i = 0; i < t->nservices; i++) {
+		if (strcmp(t->services[i].name, name) == 0)
+			return (i);
+	}
+	return (-1);
+}
+
+/* The first rule of a host, or nrules where it has none. */
+static int
+first_of(const struct site *t, const struct str *host)
+{
+	int low = 0, high = t->nrules, mid;
+
+	while (low < high) {
+		mid = (low + high) / 2;
+		if (host_cmp(&t->rules[mid].host, host) < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return (low);
+}
+
+/* The rule of a host whose prefix is the longest that begins the path. */
+const struct rule *
+site_find(const struct site *t, const struct str *host, const struct str *path)
+{
+	const struct rule *r;
+	int i;
+
+	for (i = first_of(t, host); i < t->nrules; i++) {
+		r = &t->rules[i];
+		if (host_cmp(&r->host, host) != 0)
+			break;
+		if (r->prefix.n <= path->n &&
+		    memcmp(r->prefix.p, path->p, r->prefix.n) == 0)
+			return (r);
+	}
+	return (NULL);
+}
+
+/*
+ * The service for the n-th request of a rule, by weight.  Multiples of the
+ * golden ratio spread evenly over [0, 1), so the shares hold in each short run
+ * of requests: with random draws, sums of 200 stray by up to a tenth.
+ */
+int
+rule_part(const struct rule *r, uint64_t n)
+{
+	uint64_t at;
+	uint32_t sum = 0;
+	int i;
+
+	if (r->nparts == 0 || r->weights == 0)
+		return (-1);
+	at = ((n * 0x9e3779b97f4a7c15u) >> 32) * r->weights >> 32;
+	for (i = 0; i < r->nparts - 1; i++) {
+		sum += r->parts[i].weight;
+		if (at < sum)
+			break;
+	}
+	return (r->parts[i].service);
+}
--- a/decide/term.c
+++ b/decide/term.c
@@ -366,6 +366,41 @@
 	}
 }
 
+/* True where a process that runs now proves that another has ended: both bind
+ * the same address, which only one can at a time. */
+static int
+replaces(const struct member *now_runs, const struct member *was)
+{
+	return (now_runs->addr[0] != '\0' && now_runs->boot != was->boot &&
+	    strcmp(now_runs->host, was->host) == 0 &&
+	    strcmp(now_runs->addr, was->addr) == 0);
+}
+
+/*
+ * A process of the system was heard.  Where it has taken the place of the
+ * holder that control was taken from, or of one of its standbys, that process
+ * has ended, and no listed standby need withdraw.  Without this a fleet whose
+ * hosts all restarted at once would wait for ever for processes that are gone.
+ */
+void
+term_process_seen(struct term *t, usec now, const struct member *m)
+{
+	int i, holder, standby = 0;
+
+	if (t->role != TERM_HOLDER || !t->must_withdraw)
+		return;
+	holder = replaces(m, &t->taken_from.holder);
+	for (i = 0; i < t->taken_from.nstandby; i++)
+		standby |= replaces(m, &t->taken_from.standby[i]);
+	if (!holder && !standby)
+		return;
+	t->must_withdraw = 0;
+	t->settle_at = lease_granter_end(
+	    holder ? now : lease_granter_end(now, t->conf.lease),
+	    t->conf.host_lease);
+	t->out->event(t->arg, "a process of the earlier controller has ended");
+}
+
 /* Names the standbys the holder should have; written when they differ. */
 void
 term_standbys(struct term *t, const struct member *m, int n)
--- a/decide/term.h
+++ b/decide/term.h
@@ -16,6 +16,7 @@
 struct member {
 	char host[NAME_MAX_GS];
 	uint64_t boot;
+	char addr[64]; /* as other hosts reach it; may be "" */
 };
 
 /* The control record of a cell, as the platform holds it. */
@@ -110,6 +111,7 @@
 void term_promised(struct term *, usec now, const struct member *,
     uint64_t term, int yes, usec asked);
 void term_standbys(struct term *, const struct member *, int);
+void term_process_seen(struct term *, usec now, const struct member *);
 void term_resign(struct term *, usec now);
 int term_may_renew(const struct term *, usec now);
 int term_settled(const struct term *, usec now);
--- a/gspard/admin.c
+++ b/gspard/admin.c
@@ -9,6 +9,7 @@
 #include <microhttpd.h>
 
 #include "control.h"
+#include "metrics.h"
 
 #define ANSWER_WITHIN MS(1000)
 
@@ -48,35 +49,6 @@
 	return (text);
 }
 
-/* The counters in the text form that collectors read. */
-static char *
-counters(struct service *s)
-{
-	static const char *const rings[] = {
-	    "door", "router", "peer", "dispatch", "control", "platform"};
-	struct str out = {NULL, 0};
-	char line[300];
-	size_t k;
-	int i, n;
-
-	for (i = 0; i < COUNT_N; i++) {
-		n = snprintf(line, sizeof(line),
-		    "# HELP gspar_%s_total %s.\n# TYPE gspar_%s_total counter\n"
-		    "gspar_%s_total %llu\n",
-		    count_name(i), count_help(i), count_name(i), count_name(i),
-		    (unsigned long long)count_get(i));
-		str_add(&out, line, (size_t)n);
-	}
-	for (k = 0; k < sizeof(rings) / sizeof(rings[0]); k++) {
-		n = snprintf(line, sizeof(line),
-		    "gspar_ring_refused_total{ring=\"%s\"} %llu\n", rings[k],
-		    (unsigned long long)ring_refused(
-			kernel_find(s->kernel, rings[k])->in));
-		str_add(&out, line, (size_t)n);
-	}
-	return (out.p);
-}
-
 /* Adds one event to a JSON array. */
 static void
 add_event(const struct event *e, void *arg)
@@ -120,7 +92,7 @@
 		    MHD_lookup_connection_value(
 			conn, MHD_GET_ARGUMENT_KIND, "from")));
 	if (strcmp(url, "/metrics") == 0)
-		return (counters(s));
+		return (metrics_text(s->kernel));
 	if (strcmp(url, "/health") == 0)
 		return (strdup("ok\n"));
 	if (strcmp(url, "/v1/owner") != 0)
--- /dev/null
+++ b/gspard/bind.h
@@ -0,0 +1,7 @@
+/* Listening sockets. */
+#ifndef BIND_H
+#define BIND_H
+
+int bind_to(const char *at);
+
+#endif
--- a/gspard/call.h
+++ b/gspard/call.h
@@ -5,6 +5,7 @@
 #include <microhttpd.h>
 
 #include "gspard.h"
+#include "site.h"
 
 #define KEY_MAX_GS 512
 #define REST_MAX 1024
@@ -16,6 +17,7 @@
 	int status;
 	struct str type;
 	struct str body;
+	struct str heads; /* of the target, to be passed on: lines with CRLF */
 	char target[NAME_MAX_GS];
 	uint64_t fence;
 };
@@ -34,7 +36,7 @@
 	int submitted;
 	int answered;
 	size_t body_max;
-	char method[8];
+	char method[16];
 	char service[NAME_MAX_GS];
 	char key[KEY_MAX_GS + 1];
 	char rest[REST_MAX + 1];
@@ -44,14 +46,20 @@
 	struct str body;
 	int ticket;
 	int left_ms;
+	/* Read by the platform's form only. */
+	struct shared *site; /* holds the rule */
+	const struct rule *rule;
+	struct str heads; /* to be passed on: lines with CRLF */
+	char id[128];	  /* of the request, by its caller */
+	int key_number;	  /* of a keyed service; -1 is none */
 	struct answer answer;
 };
 
 /* door.c: ends a call; the router does not touch it afterwards. */
 void call_end(struct call *);
 int call_gone(const struct call *);
-int call_parse(struct call *, const struct catalogue *);
 int door_inflight(void);
+int door_connections(struct kernel *);
 void door_shut(struct kernel *);
 void door_bar(struct kernel *);
 
--- a/gspard/callparse.c
+++ b/gspard/callparse.c
@@ -1,9 +1,10 @@
 /* Reads a caller's request line and headers; distrusts all of it. */
 #include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "call.h"
+#include "door_ops.h"
 
 #define PATH "/v1/"
 #define TICKET_REST "/ticket"
@@ -138,9 +139,10 @@
 }
 
 /* Reads the whole head of a request; GS_OK, or the code to refuse with. */
-int
-call_parse(struct call *c, const struct catalogue *cat)
+static int
+call_parse(struct call *c, const void *in_force)
 {
+	const struct catalogue *cat = in_force;
 	const struct entry *e;
 	const char *length;
 	int code;
@@ -171,3 +173,36 @@
 		return (GS_NEED_TICKET);
 	return (GS_OK);
 }
+
+/* When to come back, in whole seconds, and the code. */
+static void
+own_heads(struct MHD_Response *r, int code, uint32_t ms)
+{
+	char num[16];
+
+	snprintf(num, sizeof(num), "%d", code);
+	MHD_add_response_header(r, "Gspar-Error", num);
+	if (ms > 0) {
+		snprintf(num, sizeof(num), "%u", (ms + 999) / 1000);
+		MHD_add_response_header(r, "Retry-After", num);
+	}
+}
+
+/* Which target answered, and under which fence. */
+static void
+target_heads(struct MHD_Response *r, const struct answer *a)
+{
+	char num[24];
+
+	if (a->type.n > 0)
+		MHD_add_response_header(r, "Content-Type", a->type.p);
+	if (a->target[0] != '\0') {
+		MHD_add_response_header(r, "Gspar-Target", a->target);
+		snprintf(
+		    num, sizeof(num), "%llu", (unsigned long long)a->fence);
+		MHD_add_response_header(r, "Gspar-Fence", num);
+	}
+}
+
+const struct door_ops native_door = {
+    call_parse, own_heads, target_heads, "/health"};
--- a/gspard/ctl_store.c
+++ b/gspard/ctl_store.c
@@ -1,12 +1,10 @@
 /* A cell's objects in the platform: its control record and assignments. */
-#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include <jansson.h>
-
 #include "control.h"
+#include "record.h"
 
 /* A call about the cell's control record. */
 static struct store *
@@ -43,84 +41,20 @@
 	store_send(c->s->kernel, record_store(c, STORE_GET));
 }
 
-/* One process as JSON. */
-static json_t *
-member_json(const struct member *m)
-{
-	char boot[24];
-
-	snprintf(boot, sizeof(boot), "%016" PRIx64, m->boot);
-	return (json_pack("{s:s, s:s}", "host", m->host, "boot", boot));
-}
-
-/* Reads one process. */
-static void
-member_read(json_t *o, struct member *m)
-{
-	const char *s = json_string_value(json_object_get(o, "host"));
-
-	memset(m, 0, sizeof(*m));
-	if (s != NULL)
-		name_copy(m->host, sizeof(m->host), s);
-	s = json_string_value(json_object_get(o, "boot"));
-	if (s != NULL)
-		m->boot = strtoull(s, NULL, 16);
-}
-
 /* Writes the control record where its version is still base. */
 void
 cell_write_record(void *arg, uint64_t base, const struct record *r)
 {
 	struct ccell *c = arg;
 	struct store *st;
-	char id[24], *text;
-	json_t *o, *standbys;
-	int i;
 
 	st = record_store(c, STORE_PUT);
 	st->base = base;
 	st->gen = r->write_id;
-	snprintf(id, sizeof(id), "%016" PRIx64, r->write_id);
-	standbys = json_array();
-	for (i = 0; i < r->nstandby; i++)
-		json_array_append_new(standbys, member_json(&r->standby[i]));
-	o = json_pack("{s:I, s:s, s:o, s:o}", "term", (json_int_t)r->term,
-	    "write", id, "holder", member_json(&r->holder), "standbys",
-	    standbys);
-	text = json_dumps(o, JSON_COMPACT);
-	str_set(&st->body, text, strlen(text));
-	free(text);
-	json_decref(o);
+	record_write(r, &st->body);
 	store_send(c->s->kernel, st);
 }
 
-/* Reads a control record; 0, or -1 where it makes no sense. */
-static int
-record_read(const struct str *body, struct record *r)
-{
-	json_t *o, *standbys, *v;
-	const char *id;
-	size_t i;
-
-	memset(r, 0, sizeof(*r));
-	o = json_loadb(body->p == NULL ? "" : body->p, body->n, 0, NULL);
-	if (o == NULL)
-		return (-1);
-	r->term = (uint64_t)json_integer_value(json_object_get(o, "term"));
-	id = json_string_value(json_object_get(o, "write"));
-	if (id != NULL)
-		r->write_id = strtoull(id, NULL, 16);
-	member_read(json_object_get(o, "holder"), &r->holder);
-	standbys = json_object_get(o, "standbys");
-	json_array_foreach(standbys, i, v)
-	{
-		if (r->nstandby < STANDBYS)
-			member_read(v, &r->standby[r->nstandby++]);
-	}
-	json_decref(o);
-	return (0);
-}
-
 /* Asks the platform for an assignment. */
 void
 cell_read_assignment(void *arg, const char *service)
--- /dev/null
+++ b/gspard/direct.h
@@ -0,0 +1,130 @@
+/* The router that sends to targets itself: its parts and what they share. */
+#ifndef DIRECT_H
+#define DIRECT_H
+
+#include <apr_hash.h>
+
+#include "budget.h"
+#include "call.h"
+#include "dest.h"
+#include "fleet.h"
+#include "heat.h"
+#include "owners.h"
+#include "target_ops.h"
+
+#define LEARNT_SIZE 256
+#define EASY_KEPT 32
+
+/* Requests that wait for the same thing: how fast they get on. */
+struct line {
+	int waiting;
+	usec last_start;
+	double gap; /* between starts while some waited; 0 is not known */
+};
+
+/* A target, as long as its entry or a request is there. */
+struct spot {
+	struct spot *next;
+	char id[NAME_MAX_GS];
+	char addr[FLEET_ADDR];
+	char service[NAME_MAX_GS];
+	struct dest dest;
+	struct line line;
+	int listed;
+	int answers; /* since the last report */
+	int users;   /* requests that name it */
+	int refuted; /* another target answers at its address */
+};
+
+/* What is kept of a service across versions of the configuration. */
+struct svc {
+	char name[NAME_MAX_GS];
+	int keyed;
+	struct budget again;
+	struct line line;
+	struct heat heat;
+};
+
+/* What was learnt of the requests of one rule. */
+struct learnt {
+	uint64_t hash;
+	uint64_t count;
+	double work; /* usual time at a target, microseconds */
+};
+
+struct pending;
+
+/* One send to a target. */
+struct attempt {
+	const struct target_ops *ops;
+	CURL *easy;
+	struct curl_slist *heads;
+	struct reply reply;
+	struct spot *spot;
+	usec sent;
+	int begun;  /* bytes may have left */
+	int resent; /* the HTTP client wanted to send a second time */
+};
+
+struct pending {
+	struct pending *next;
+	struct pending *prev;
+	struct call *call;
+	const struct rule *rule;
+	struct learnt *learnt;
+	struct svc *svc;
+	usec arrived;
+	usec deadline;
+	usec not_before; /* of the next try */
+	usec next_look;
+	usec parked;	  /* since when its key has had no owner; 0 is not */
+	uint64_t missent; /* owners' number under which it was sent wrongly */
+	int waiting;
+	int ran; /* targets that may have run it */
+	int tries;
+	struct spot *last;
+	struct line *line; /* where it waits */
+	struct attempt *at;
+};
+
+struct direct {
+	struct service *s;
+	const struct target_ops *ops;
+	CURLM *multi;
+	apr_pool_t *pool;
+	apr_hash_t *by_id;
+	struct spot *spots;
+	struct shared *site;
+	struct shared *owners;
+	struct dest_conf conf;
+	struct svc svcs[SITE_SERVICES];
+	int nsvcs;
+	struct learnt learnt[LEARNT_SIZE];
+	struct pending *first;
+	struct pending *last;
+	CURL *kept[EASY_KEPT];
+	int nkept;
+	int have_fleet;
+	int ready;
+	usec next_heat;
+	uint64_t seed;
+	int stop;
+};
+
+/* direct.c */
+void direct_ended(struct direct *, struct pending *, CURLcode, usec now);
+
+/* direct_send.c */
+int attempt_start(struct direct *, struct pending *, struct spot *, usec now);
+void attempt_drop(struct direct *, struct pending *);
+void attempts_reap(struct direct *, usec now);
+
+/* direct_pick.c */
+void spots_take(struct direct *, const struct fleet *, usec now);
+void spots_sweep(struct direct *);
+struct spot *spot_find(struct direct *, const char *id);
+struct svc *svc_of(struct direct *, const char *name);
+struct learnt *learnt_of(struct direct *, const struct rule *);
+struct spot *pick_any(struct direct *, const struct pending *, usec now);
+
+#endif
--- /dev/null
+++ b/gspard/direct_pick.c
@@ -0,0 +1,147 @@
+/* The targets that are known here, and which of them a request goes to. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "direct.h"
+
+/* Usual time of a request of which nothing was learnt, in microseconds. */
+#define WORK_FIRST 100000.0
+
+/* A target by id, or NULL. */
+struct spot *
+spot_find(struct direct *d, const char *id)
+{
+	return (apr_hash_get(d->by_id, id, APR_HASH_KEY_STRING));
+}
+
+/* Takes in a target's entry. */
+static void
+take_entry(struct direct *d, const struct fleet_target *t, usec now)
+{
+	const struct conf *conf = kernel_conf(d->s->kernel);
+	struct spot *p = spot_find(d, t->id);
+
+	if (p == NULL) {
+		p = calloc(1, sizeof(*p));
+		if (p == NULL)
+			return;
+		name_copy(p->id, sizeof(p->id), t->id);
+		dest_init(&p->dest, t->slots);
+		p->next = d->spots;
+		d->spots = p;
+		apr_hash_set(d->by_id, p->id, APR_HASH_KEY_STRING, p);
+	}
+	name_copy(p->addr, sizeof(p->addr), t->addr);
+	name_copy(p->service, sizeof(p->service), t->service);
+	p->dest.slots = t->slots;
+	p->dest.near = strcmp(t->dc, conf->dc) == 0;
+	p->dest.cold_until = t->cold_until;
+	p->dest.leaving = t->leaving;
+	p->listed = 1;
+}
+
+/* Takes in the list of targets. */
+void
+spots_take(struct direct *d, const struct fleet *f, usec now)
+{
+	struct spot *p;
+	int i;
+
+	for (p = d->spots; p != NULL; p = p->next)
+		p->listed = 0;
+	for (i = 0; i < f->ntargets; i++)
+		take_entry(d, &f->targets[i], now);
+	for (p = d->spots; p != NULL; p = p->next) {
+		if (!p->listed)
+			p->dest.leaving = 1;
+	}
+	d->have_fleet = 1;
+}
+
+/* Frees targets that are on no list and have no requests of ours. */
+void
+spots_sweep(struct direct *d)
+{
+	struct spot **at = &d->spots, *p;
+
+	while ((p = *at) != NULL) {
+		if (p->listed || p->users > 0 || p->line.waiting > 0) {
+			at = &p->next;
+			continue;
+		}
+		*at = p->next;
+		apr_hash_set(d->by_id, p->id, APR_HASH_KEY_STRING, NULL);
+		free(p);
+	}
+}
+
+/* What is kept of a service; made where there is none yet. */
+struct svc *
+svc_of(struct direct *d, const char *name)
+{
+	const struct bounds *b = &kernel_conf(d->s->kernel)->bounds;
+	struct svc *v;
+	int i;
+
+	for (i = 0; i < d->nsvcs; i++) {
+		if (strcmp(d->svcs[i].name, name) == 0)
+			return (&d->svcs[i]);
+	}
+	if (d->nsvcs == SITE_SERVICES)
+		return (NULL);
+	v = &d->svcs[d->nsvcs++];
+	memset(v, 0, sizeof(*v));
+	name_copy(v->name, sizeof(v->name), name);
+	budget_init(&v->again, b->retry_share, b->retry_slack / d->conf.hosts);
+	return (v);
+}
+
+/* What was learnt of a rule; the place of another where the table is full. */
+struct learnt *
+learnt_of(struct direct *d, const struct rule *r)
+{
+	uint64_t h = XXH3_64bits_withSeed(
+	    r->prefix.p, r->prefix.n, XXH3_64bits(r->host.p, r->host.n));
+	struct learnt *l;
+	int i;
+
+	for (i = 0; i < 8; i++) {
+		l = &d->learnt[(h + (uint64_t)i) % LEARNT_SIZE];
+		if (l->hash == h)
+			return (l);
+		if (l->hash == 0)
+			break;
+	}
+	l->hash = h;
+	l->work = WORK_FIRST;
+	l->count = d->seed ^ h;
+	return (l);
+}
+
+/* The target of a service that would answer soonest; NULL where none has
+ * room.  The one that failed this request is the last choice. */
+struct spot *
+pick_any(struct direct *d, const struct pending *p, usec now)
+{
+	struct spot *s, *best = NULL;
+	double cost, least = 0;
+
+	for (s = d->spots; s != NULL; s = s->next) {
+		if (strcmp(s->service, p->svc->name) != 0 ||
+		    !dest_room(&s->dest, now, &d->conf))
+			continue;
+		cost = dest_cost(&s->dest, now, (usec)p->learnt->work);
+		if (s == p->last)
+			cost *= 8;
+		/* Hosts that know the same would all choose the same. */
+		d->seed = d->seed * 6364136223846793005u + 1442695040888963407u;
+		cost *= 1 + (double)(d->seed >> 40) / (1 << 24) * 0.15;
+		if (best == NULL || cost < least) {
+			best = s;
+			least = cost;
+		}
+	}
+	return (best);
+}
--- a/gspard/door.c
+++ b/gspard/door.c
@@ -12,6 +12,9 @@
 
 #include <apr_general.h>
 
+#include "bind.h"
+#include "caller.h"
+#include "door_ops.h"
 #include "slow.h"
 
 /* A connection that says nothing for so many seconds is closed. */
@@ -27,7 +30,9 @@
 	struct MHD_Daemon *daemon;
 	apr_pool_t *pool;
 	apr_thread_mutex_t *lock;
-	struct shared *catalogue;
+	const struct door_ops *ops;
+	struct shared *in_force; /* catalogue, or configuration */
+	unsigned idle_s;
 	struct slow *slow;
 	int sock;
 	int stop;
@@ -84,6 +89,9 @@
 			: C_CALLER_BAD,
 		    1);
 	free(c->uri);
+	shared_unref(c->site);
+	str_free(&c->heads);
+	str_free(&c->answer.heads);
 	str_free(&c->body);
 	str_free(&c->answer.type);
 	str_free(&c->answer.body);
@@ -105,11 +113,11 @@
 
 /* The JSON body of an answer of our own. */
 static struct MHD_Response *
-own_answer(const struct call *c)
+own_answer(const struct door *d, const struct call *c)
 {
 	const struct answer *a = &c->answer;
 	struct MHD_Response *r;
-	char text[400], num[16];
+	char text[400];
 	uint32_t ms = 0;
 	int n;
 
@@ -120,35 +128,22 @@
 	r = MHD_create_response_from_buffer(
 	    (size_t)n, text, MHD_RESPMEM_MUST_COPY);
 	MHD_add_response_header(r, "Content-Type", "application/json");
-	snprintf(num, sizeof(num), "%d", a->code);
-	MHD_add_response_header(r, "Gspar-Error", num);
-	if (ms > 0) {
-		snprintf(num, sizeof(num), "%u", (ms + 999) / 1000);
-		MHD_add_response_header(r, "Retry-After", num);
-	}
+	d->ops->own_heads(r, a->code, ms);
 	return (r);
 }
 
 /* The target's answer as it came. */
 static struct MHD_Response *
-target_answer(struct call *c)
+target_answer(const struct door *d, struct call *c)
 {
 	struct answer *a = &c->answer;
 	struct MHD_Response *r;
-	char num[24];
 
 	r = MHD_create_response_from_buffer(a->body.n,
 	    a->body.p == NULL ? "" : a->body.p,
 	    a->body.p == NULL ? MHD_RESPMEM_PERSISTENT : MHD_RESPMEM_MUST_FREE);
 	a->body.p = NULL;
-	if (a->type.n > 0)
-		MHD_add_response_header(r, "Content-Type", a->type.p);
-	if (a->target[0] != '\0') {
-		MHD_add_response_header(r, "Gspar-Target", a->target);
-		snprintf(
-		    num, sizeof(num), "%llu", (unsigned long long)a->fence);
-		MHD_add_response_header(r, "Gspar-Fence", num);
-	}
+	d->ops->target_heads(r, a);
 	return (r);
 }
 
@@ -178,10 +173,10 @@
 		return (MHD_NO);
 	count_answer(&c->answer);
 	if (c->answer.code == GS_OK) {
-		r = target_answer(c);
+		r = target_answer(d, c);
 		status = c->answer.status;
 	} else {
-		r = own_answer(c);
+		r = own_answer(d, c);
 		status = result_http(c->answer.code);
 	}
 	if (__atomic_load_n(&d->stopping, __ATOMIC_RELAXED))
@@ -233,10 +228,17 @@
 		return;
 	}
 	apr_thread_mutex_lock(d->lock);
-	sh = d->catalogue == NULL ? NULL : shared_ref(d->catalogue);
+	sh = d->in_force == NULL ? NULL : shared_ref(d->in_force);
 	apr_thread_mutex_unlock(d->lock);
-	c->refused = call_parse(c, sh == NULL ? NULL : sh->p);
-	shared_unref(sh);
+	c->refused = d->ops->parse(c, sh == NULL ? NULL : sh->p);
+	/* Its rule is part of what was in force: kept as long as the call. */
+	if (c->rule != NULL)
+		c->site = sh;
+	else
+		shared_unref(sh);
+	if (d->idle_s > 0)
+		MHD_set_connection_option(
+		    c->conn, MHD_CONNECTION_OPTION_TIMEOUT, d->idle_s);
 	info = MHD_get_connection_info(
 	    c->conn, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
 	if (c->caller[0] == '\0' && info != NULL &&
@@ -327,6 +329,20 @@
 	close(fd);
 }
 
+/* How many callers are connected. */
+int
+door_connections(struct kernel *k)
+{
+	struct door *d = kernel_find(k, "door")->state;
+	const union MHD_DaemonInfo *info;
+
+	if (d->daemon == NULL)
+		return (0);
+	info =
+	    MHD_get_daemon_info(d->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+	return (info == NULL ? 0 : (int)info->num_connections);
+}
+
 /* Takes no new calls either. */
 void
 door_bar(struct kernel *k)
@@ -351,7 +367,8 @@
 	if (__atomic_load_n(&c->answered, __ATOMIC_ACQUIRE))
 		return (respond(d, c));
 	if (!c->started) {
-		if (strcmp(c->uri, "/health") == 0)
+		if (d->ops->health != NULL &&
+		    strcmp(c->uri, d->ops->health) == 0)
 			return (health(d, c));
 		begin(d, c, method);
 		if (c->refused != GS_OK)
@@ -396,6 +413,24 @@
 		log_line(LOG_INFO, "door", "Serving callers.");
 }
 
+/* Puts the snapshot of a message in force. */
+static void
+put_in_force(struct door *d, struct msg *m)
+{
+	apr_thread_mutex_lock(d->lock);
+	shared_unref(d->in_force);
+	d->in_force = m->data;
+	m->data = NULL;
+	apr_thread_mutex_unlock(d->lock);
+}
+
+/* The configuration that a message carries. */
+static const struct site *
+site_of(const struct msg *m)
+{
+	return (((const struct shared *)m->data)->p);
+}
+
 /* The thread: takes the catalogue, and the orders to start and stop. */
 static void
 door_run(struct service *s)
@@ -410,11 +445,15 @@
 			continue;
 		switch (m->kind) {
 		case MSG_CATALOGUE:
-			apr_thread_mutex_lock(d->lock);
-			shared_unref(d->catalogue);
-			d->catalogue = m->data;
-			m->data = NULL;
-			apr_thread_mutex_unlock(d->lock);
+			put_in_force(d, m);
+			break;
+		case MSG_SITE:
+			/* Rounded up: closing sooner would cut callers that
+			 * come back within the time they were told. */
+			d->idle_s = (unsigned)((site_of(m)->idle_time +
+						   US_PER_SEC - 1) /
+			    US_PER_SEC);
+			put_in_force(d, m);
 			break;
 		case MSG_READY:
 			start_serving(s);
@@ -432,33 +471,6 @@
 	}
 }
 
-/* Binds a socket to "IP:PORT"; it, or -1. */
-static int
-bind_to(const char *at)
-{
-	struct sockaddr_in sin = {.sin_family = AF_INET};
-	struct sockaddr_in6 sin6 = {.sin6_family = AF_INET6};
-	char ip[ADDR_MAX_GS];
-	int fd, port, six, on = 1, res;
-
-	addr_split(at, ip, sizeof(ip), &port);
-	six = inet_pton(AF_INET, ip, &sin.sin_addr) != 1;
-	if (six)
-		inet_pton(AF_INET6, ip, &sin6.sin6_addr);
-	sin.sin_port = htons((uint16_t)port);
-	sin6.sin6_port = htons((uint16_t)port);
-	fd = socket(six ? AF_INET6 : AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return (-1);
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	res = six ? bind(fd, (struct sockaddr *)&sin6, sizeof(sin6))
-		  : bind(fd, (struct sockaddr *)&sin, sizeof(sin));
-	if (res == 0)
-		return (fd);
-	close(fd);
-	return (-1);
-}
-
 /*
  * Takes the callers' address.  It is only listened on once the router knows
  * its way: a host that answers before that would refuse what others could
@@ -474,6 +486,8 @@
 	if (d == NULL)
 		return (-1);
 	s->state = d;
+	d->ops = kernel_conf(s->kernel)->form == FORM_OBJECTS ? &objects_door
+							      : &native_door;
 	d->sock = bind_to(at);
 	if (d->sock < 0) {
 		log_line(LOG_ERR, "door", "Cannot listen on %s.", at);
@@ -500,7 +514,7 @@
 		MHD_stop_daemon(d->daemon);
 	else
 		close(d->sock);
-	shared_unref(d->catalogue);
+	shared_unref(d->in_force);
 	slow_free(d->slow);
 	apr_pool_destroy(d->pool);
 	free(d);
--- a/gspard/gspard.c
+++ b/gspard/gspard.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #include <apr_general.h>
 #include <apr_time.h>
@@ -11,6 +12,7 @@
 
 #include "call.h"
 #include "gspard.h"
+#include "settings.h"
 
 /* How long a stop waits for handing over, and then for calls to end. */
 #define HAND_OVER_MS 8000
@@ -20,6 +22,8 @@
 #define SETTLE_MS 50
 /* A request is awaited so long on a connection that was let in. */
 #define LATE_MS 250
+/* A balancer that probes once a second and believes the second miss. */
+#define PROBED_OUT_MS 2600
 
 static const char *file;
 static int check_only;
@@ -74,17 +78,14 @@
 		fprintf(stderr, "%s: %s\n", name, what);
 }
 
-/* The services in the order in which they start. */
-static const struct service_ops *const services[] = {
-    &platform_service,
-    &peer_service,
-    &dispatch_service,
-    &control_service,
-    &router_service,
-    &door_service,
-    &admin_service,
-};
-#define NSERVICES (sizeof(services) / sizeof(services[0]))
+/* The services in the order in which they start: with our own interface ... */
+static const struct service_ops *const native_services[] = {&platform_service,
+    &peer_service, &dispatch_service, &control_service, &router_service,
+    &door_service, &admin_service, NULL};
+/* ... and on a platform of objects, where hosts send to targets themselves. */
+static const struct service_ops *const objects_services[] = {&platform_service,
+    &peer_service, &keeper_service, &direct_service, &door_service,
+    &watch_service, &probe_service, NULL};
 
 /* Sends the order to stop to a service. */
 static void
@@ -124,16 +125,118 @@
 	log_line(LOG_NOTICE, "kernel", "Stopped.");
 }
 
-/* Waits for the signal to stop; others are explained in the log. */
+/*
+ * Stops in order where the balancer is told by a probe.  Callers come until it
+ * has asked twice; they are served meanwhile, for many hosts may stop at the
+ * same time, and then there is nobody else.  Then those who are connected are
+ * served until the last has its answer.
+ */
+static void
+stop_objects(struct kernel *k)
+{
+	usec now = clock_mono();
+	usec shut = now + MS(PROBED_OUT_MS);
+	usec end = now + MS(kernel_conf(k)->bounds.stop_ms) * 5 / 6;
+
+	log_line(LOG_NOTICE, "kernel", "Stopping, %d calls under way.",
+	    door_inflight());
+	order_stop(k, "probe");
+	order_stop(k, "door");
+	order_stop(k, "control");
+	if (end < shut + MS(LATE_MS))
+		shut = end - MS(LATE_MS);
+	while (clock_mono() < shut)
+		apr_sleep(MS(20));
+	door_shut(k);
+	while (clock_mono() < end && door_connections(k) > 0 &&
+	    (door_inflight() > 0 || clock_mono() < shut + MS(LATE_MS)))
+		apr_sleep(MS(20));
+	door_bar(k);
+	apr_sleep(MS(SETTLE_MS));
+	log_line(LOG_NOTICE, "kernel", "Stopped, %d calls under way.",
+	    door_inflight());
+}
+
+/* What of the settings can change while the daemon runs. */
+static int
+same_but_bounds(const struct conf *a, const struct conf *b)
+{
+	struct conf c = *b;
+
+	c.bounds = a->bounds;
+	return (memcmp(a, &c, sizeof(c)) == 0);
+}
+
+/* Reports one fault of settings that are read again. */
 static void
-wait_for_stop(const sigset_t *set)
+bad_again(const char *name, int line, const char *what)
 {
+	log_line(LOG_ERR, "kernel", "%s:%d: %s", name, line, what);
+}
+
+/*
+ * Reads the settings again.  What is faulty, or cannot change without a start,
+ * is refused as a whole and the earlier stay.  They are not freed: threads
+ * read them without a lock, and changes are rare.
+ */
+static void
+read_again(struct kernel *k)
+{
+	const struct conf *was = kernel_conf(k);
+	struct conf *c;
+
+	c = calloc(1, sizeof(*c));
+	if (c == NULL || conf_read(c, file, bad_again) != 0) {
+		log_line(LOG_ERR, "kernel",
+		    "Settings refused, the earlier stay in force.");
+		free(c);
+		return;
+	}
+	if (!same_but_bounds(was, c)) {
+		log_line(LOG_WARNING, "kernel",
+		    "Settings changed beyond [bounds]: that needs a start; the "
+		    "earlier stay in force.");
+		free(c);
+		return;
+	}
+	if (memcmp(was, c, sizeof(*c)) == 0) {
+		log_line(LOG_INFO, "kernel", "Settings read, nothing changed.");
+		free(c);
+		return;
+	}
+	kernel_set_conf(k, c);
+	log_line(LOG_NOTICE, "kernel", "Settings changed, in force.");
+}
+
+/* When the settings file was changed last, in nanoseconds. */
+static long long
+changed_at(void)
+{
+	struct stat st;
+
+	if (stat(file, &st) != 0)
+		return (0);
+	return (st.st_mtim.tv_sec * 1000000000ll + st.st_mtim.tv_nsec);
+}
+
+/* Waits for the signal to stop; reads changed settings meanwhile. */
+static void
+wait_for_stop(struct kernel *k, const sigset_t *set)
+{
+	static const struct timespec look = {1, 0};
+	long long at = changed_at(), now;
 	int sig;
 
-	while (sigwait(set, &sig) == 0 && sig != SIGTERM && sig != SIGINT)
-		log_line(LOG_NOTICE, "kernel",
-		    "SIGHUP changes nothing: settings are read at start, the "
-		    "catalogue by itself.");
+	for (;;) {
+		sig = sigtimedwait(set, NULL, &look);
+		if (sig == SIGTERM || sig == SIGINT)
+			return;
+		now = changed_at();
+		if (sig != SIGHUP && (now == 0 || now == at))
+			continue;
+		at = now;
+		read_again(k);
+	}
 }
 
 int
@@ -142,10 +245,11 @@
 	struct conf conf;
 	struct kernel *k;
 	sigset_t set;
-	size_t i;
+	const struct service_ops *const *list;
 	int res = 1;
 
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	platform_settings();
 	if (conf_read(&conf, file, bad_setting) != 0)
 		return (1);
 	if (check_only)
@@ -162,16 +266,20 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	if (event_open() != 0 || (k = kernel_new(&conf)) == NULL)
 		goto out;
-	for (i = 0; i < NSERVICES; i++) {
-		if (kernel_add(k, services[i]) != 0)
+	list = conf.form == FORM_OBJECTS ? objects_services : native_services;
+	for (; *list != NULL; list++) {
+		if (kernel_add(k, *list) != 0)
 			goto quit;
 	}
 	if (kernel_start(k) != 0)
 		goto quit;
 	event_add("kernel", 0, "started");
 	log_line(LOG_NOTICE, "kernel", "Started in %s.", conf.dc);
-	wait_for_stop(&set);
-	stop(k);
+	wait_for_stop(k, &set);
+	if (conf.form == FORM_OBJECTS)
+		stop_objects(k);
+	else
+		stop(k);
 	res = 0;
 quit:
 	kernel_quit(k);
--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -34,6 +34,11 @@
 	MSG_TARGETS,   /* dispatch to control: what it holds */
 	MSG_STATUS,    /* admin to control: a question */
 	MSG_READY,     /* router to door: callers can be served */
+	MSG_SITE,      /* watch to all: routes and services in force */
+	MSG_FLEET,     /* watch to router and control: the targets */
+	MSG_OWNERS,    /* control to router: who owns which keys */
+	MSG_HEAT,      /* router to control: what was asked for */
+	MSG_TOLD,      /* control to watch: a configuration that a host told */
 	MSG_STOP,      /* kernel to all: stop in order */
 	MSG_QUIT       /* kernel to all: end the thread now */
 };
@@ -50,7 +55,33 @@
 };
 
 /* A call to the platform, and its outcome. */
-enum store_op { STORE_GET, STORE_PUT, STORE_LIST, STORE_HOSTS };
+enum store_op {
+	STORE_GET,
+	STORE_PUT, /* where the version is still base; 0 is not there yet */
+	STORE_LIST,
+	STORE_HOSTS,
+	STORE_WATCH, /* what changed after base, waited for */
+	STORE_DELETE
+};
+
+enum store_result {
+	STORE_SILENT, /* no answer: it may have been done, or be done later */
+	STORE_DONE,
+	STORE_ABSENT,
+	STORE_CONFLICT,
+	STORE_FORGOTTEN, /* changes so far back are not kept: list anew */
+	STORE_BUSY,	 /* over the rate: not done */
+	STORE_DOWN	 /* refused: not done */
+};
+
+/* An object of a list or a change. */
+struct found {
+	char name[NAME_MAX_GS];
+	uint64_t version;
+	int deleted;
+	struct json_t *raw; /* borrowed from the call's answer */
+};
+
 struct store {
 	enum store_op op;
 	const char *reply_to;
@@ -61,6 +92,13 @@
 	struct str body;
 	int status; /* HTTP status, or 0 where no answer came */
 	uint64_t version;
+	enum store_result result;
+	int wait_ms;		 /* of a watch */
+	char after[NAME_MAX_GS]; /* of a list: where to go on */
+	struct json_t *parsed;
+	struct found *found;
+	int nfound;
+	int more; /* the list goes on */
 };
 
 /* Objects that several threads read: counted, and never changed. */
@@ -142,6 +180,7 @@
 int kernel_start(struct kernel *);
 void kernel_quit(struct kernel *);
 const struct conf *kernel_conf(const struct kernel *);
+void kernel_set_conf(struct kernel *, const struct conf *);
 uint64_t kernel_boot(const struct kernel *);
 int kernel_send(struct kernel *, const char *to, struct msg *);
 void kernel_done(struct kernel *, const char *what);
@@ -163,6 +202,7 @@
 void store_free(void *);
 void store_send(struct kernel *, struct store *);
 void lease_free(void *);
+void text_drop(void *);
 
 extern const struct service_ops door_service;
 extern const struct service_ops router_service;
@@ -171,5 +211,9 @@
 extern const struct service_ops control_service;
 extern const struct service_ops platform_service;
 extern const struct service_ops admin_service;
+extern const struct service_ops direct_service;
+extern const struct service_ops keeper_service;
+extern const struct service_ops watch_service;
+extern const struct service_ops probe_service;
 
 #endif
--- /dev/null
+++ b/gspard/heat_report.c
@@ -0,0 +1,64 @@
+/* What the router tells the control service of requests and targets. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "keeper.h"
+
+#define TARGETS_TOLD 1024
+
+/* An empty report with room for so many services; NULL without memory. */
+struct heat_report *
+heat_report_new(int services)
+{
+	struct heat_report *h;
+
+	h = calloc(1, sizeof(*h));
+	if (h == NULL)
+		return (NULL);
+	h->keys = calloc((size_t)services + 1, sizeof(*h->keys));
+	if (h->keys != NULL)
+		return (h);
+	free(h);
+	return (NULL);
+}
+
+/* Adds the keys of a service that were asked for. */
+void
+heat_report_keys(
+    struct heat_report *h, const char *service, const struct heat *heat)
+{
+	struct heat_keys *k = &h->keys[h->nkeys++];
+
+	name_copy(k->service, sizeof(k->service), service);
+	k->heat = *heat;
+}
+
+/* Adds what was learnt of a target that answered. */
+void
+heat_report_target(
+    struct heat_report *h, const char *id, double speed, int answers)
+{
+	struct heat_target *t;
+
+	if (answers == 0 || h->ntargets == TARGETS_TOLD)
+		return;
+	t = realloc(h->targets, sizeof(*t) * (size_t)(h->ntargets + 1));
+	if (t == NULL)
+		return;
+	h->targets = t;
+	t += h->ntargets++;
+	name_copy(t->id, sizeof(t->id), id);
+	t->speed = speed;
+	t->answers = answers;
+}
+
+/* Frees a report; void * so that messages can carry it. */
+void
+heat_report_free(void *arg)
+{
+	struct heat_report *h = arg;
+
+	free(h->keys);
+	free(h->targets);
+	free(h);
+}
--- /dev/null
+++ b/gspard/keeper.h
@@ -0,0 +1,115 @@
+/*
+ * The control service of hosts that send to targets themselves: who controls,
+ * which hosts there are, and who owns which keys.
+ */
+#ifndef KEEPER_H
+#define KEEPER_H
+
+#include <curl/curl.h>
+
+#include "gspard.h"
+#include "heat.h"
+#include "keys.h"
+#include "owners.h"
+#include "target_ops.h"
+#include "term.h"
+
+#define KEEPER_HOSTS 512
+#define KEEPER_SERVICES 16
+#define ASKED_KEPT 64
+
+/* What the router learnt since its last report. */
+struct heat_keys {
+	char service[NAME_MAX_GS];
+	struct heat heat;
+};
+
+struct heat_target {
+	char id[NAME_MAX_GS];
+	double speed;
+	int answers;
+};
+
+struct heat_report {
+	struct heat_keys *keys;
+	int nkeys;
+	struct heat_target *targets;
+	int ntargets;
+};
+
+struct heat_report *heat_report_new(int services);
+void heat_report_keys(
+    struct heat_report *, const char *service, const struct heat *);
+void heat_report_target(
+    struct heat_report *, const char *id, double speed, int answers);
+void heat_report_free(void *);
+
+/* A host as the controller and all others know it. */
+struct keeper_host {
+	struct member who;
+	char dc[NAME_MAX_GS];
+	usec heard;
+	uint64_t owners; /* the number that it has */
+	uint64_t told;	 /* the number last sent to it, and when */
+	usec told_at;
+	int stopping;
+};
+
+struct keeper {
+	struct service *s;
+	const struct target_ops *ops;
+	struct term term;
+	uint64_t promise_seq;
+	usec asked_at[ASKED_KEPT];
+	char controller[NAME_MAX_GS];
+	uint64_t controller_term;
+	usec heard; /* the controller, last */
+
+	struct keeper_host hosts[KEEPER_HOSTS];
+	int nhosts;
+	int hosts_changed;
+	struct keys *keys[KEEPER_SERVICES];
+	int nkeys;
+	int acting;
+	struct shared *site;
+	struct shared *fleet;
+	struct heat_report *heat;
+
+	/* Who owns what, as published here. */
+	uint64_t number;
+	uint64_t spread_number;
+	usec next_spread;
+	usec next_report;
+	usec report_sent;
+	int report_now;
+
+	CURLM *multi;
+	struct order_call *calls;
+	int stopping;
+	int resigned;
+	usec stop_since;
+	int stop;
+};
+
+/* keeper.c */
+void keeper_host_seen(struct keeper *, const struct member *, const char *dc,
+    int stopping, usec now);
+void keeper_peers(struct keeper *);
+struct keys *keeper_keys(struct keeper *, const char *service);
+
+/* keeper_order.c */
+void order_send(struct keeper *, const char *service, const struct key_order *);
+void orders_reap(struct keeper *, usec now);
+void orders_drop(struct keeper *);
+
+/* keeper_spread.c */
+uint64_t spread_number(const struct keeper *);
+void spread_publish(struct keeper *, usec now);
+void spread_tick(struct keeper *, usec now);
+void spread_take(struct keeper *, const Gspar__Owners *, usec now);
+void report_tick(struct keeper *, usec now);
+void report_take(
+    struct keeper *, const char *host, const Gspar__HostReport *, usec now);
+void site_tell(struct keeper *, const char *host);
+
+#endif
--- /dev/null
+++ b/gspard/keeper_spread.c
@@ -0,0 +1,465 @@
+/* What hosts tell their controller, and it tells them: who owns what. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "keeper.h"
+
+/* Between signs of life of the controller. */
+#define ALIVE_EVERY MS(300)
+/* A host that did not say it has a change is told again after this. */
+#define TELL_AGAIN MS(600)
+/* A host not heard for so long is no longer counted. */
+#define HOST_LOST MS(3000)
+#define STATE_MOVING 1u
+#define STATE_BACK 2u
+
+/* The number of what is published: rises also when control changes hands. */
+uint64_t
+spread_number(const struct keeper *k)
+{
+	uint64_t n = 0;
+	int i;
+
+	for (i = 0; i < k->nkeys; i++)
+		n += k->keys[i]->number;
+	return (k->term.rec.term << 32 | (n & 0xffffffff));
+}
+
+/* How many hosts send to targets, as far as is known. */
+static int
+count_hosts(const struct keeper *k, usec now)
+{
+	int i, n = 0;
+
+	for (i = 0; i < k->nhosts; i++)
+		n += now - k->hosts[i].heard < HOST_LOST;
+	return (n);
+}
+
+/* All that is published, as one snapshot. */
+static struct owners *
+collect(const struct keeper *k, usec now)
+{
+	struct owner_range *r;
+	struct owners *o;
+	int i, n, base = 0;
+
+	o = calloc(1, sizeof(*o));
+	if (o == NULL)
+		return (NULL);
+	o->number = spread_number(k);
+	o->hosts = count_hosts(k, now);
+	for (i = 0; i < k->nkeys; i++)
+		o->ntargets += k->keys[i]->ntargets;
+	o->targets = calloc((size_t)o->ntargets + 1, sizeof(*o->targets));
+	o->services = calloc((size_t)k->nkeys + 1, sizeof(*o->services));
+	if (o->targets == NULL || o->services == NULL) {
+		owners_free(o);
+		return (NULL);
+	}
+	for (i = 0; i < k->nkeys; i++) {
+		if (!keys_settled(k->keys[i]))
+			continue;
+		keys_view(k->keys[i], &o->services[o->nservices]);
+		for (n = 0; n < k->keys[i]->ntargets; n++)
+			memcpy(o->targets[base + n], k->keys[i]->targets[n].id,
+			    NAME_MAX_GS);
+		for (n = 0; n < o->services[o->nservices].nranges; n++) {
+			r = &o->services[o->nservices].ranges[n];
+			if (r->target >= 0)
+				r->target += base;
+		}
+		base += k->keys[i]->ntargets;
+		o->nservices++;
+	}
+	return (o);
+}
+
+/* Hands a snapshot to the router. */
+static void
+publish(struct keeper *k, struct owners *o)
+{
+	struct shared *sh = shared_new(o, owners_free);
+
+	if (sh == NULL) {
+		owners_free(o);
+		return;
+	}
+	k->number = o->number;
+	msg_post(k->s->kernel, "router", MSG_OWNERS, sh, shared_unref);
+}
+
+/* Publishes at this host what it decided as controller. */
+void
+spread_publish(struct keeper *k, usec now)
+{
+	struct owners *o = collect(k, now);
+
+	if (o != NULL)
+		publish(k, o);
+}
+
+/* The state of a range on the wire. */
+static uint32_t
+range_state(const struct owner_range *r, usec now)
+{
+	if (!r->moving)
+		return (0);
+	if (r->back_at <= now)
+		return (STATE_MOVING);
+	return (STATE_BACK + (uint32_t)((r->back_at - now) / 1000));
+}
+
+/* Fills in one service's owners; -1 without memory. */
+static int
+fill_service(Gspar__KeyOwners *w, const struct owner_service *s, usec now)
+{
+	int i;
+
+	gspar__key_owners__init(w);
+	w->service = (char *)s->name;
+	w->n_from = w->n_owner = w->n_state = (size_t)s->nranges;
+	w->from = calloc((size_t)s->nranges + 1, sizeof(*w->from));
+	w->owner = calloc((size_t)s->nranges + 1, sizeof(*w->owner));
+	w->state = calloc((size_t)s->nranges + 1, sizeof(*w->state));
+	if (w->from == NULL || w->owner == NULL || w->state == NULL)
+		return (-1);
+	for (i = 0; i < s->nranges; i++) {
+		w->from[i] = s->ranges[i].from;
+		w->owner[i] = (uint32_t)(s->ranges[i].target + 1);
+		w->state[i] = range_state(&s->ranges[i], now);
+	}
+	return (0);
+}
+
+/* Sends who owns what to all hosts that need it. */
+static void
+send_whole(struct keeper *k, const struct owners *o, usec now)
+{
+	Gspar__Frame f = GSPAR__FRAME__INIT;
+	Gspar__Owners w = GSPAR__OWNERS__INIT;
+	Gspar__KeyOwners services[KEEPER_SERVICES], *list[KEEPER_SERVICES];
+	struct keeper_host *h;
+	char **names;
+	int i, bad = 0;
+
+	names = calloc((size_t)o->ntargets + 1, sizeof(*names));
+	w.term = k->term.rec.term;
+	w.number = o->number;
+	w.controller = (char *)kernel_conf(k->s->kernel)->host;
+	w.whole = 1;
+	w.targets = names;
+	w.n_targets = (size_t)o->ntargets;
+	for (i = 0; names != NULL && i < o->ntargets; i++)
+		names[i] = o->targets[i];
+	for (i = 0; i < o->nservices; i++) {
+		bad |= fill_service(&services[i], &o->services[i], now);
+		list[i] = &services[i];
+	}
+	w.services = list;
+	w.n_services = (size_t)o->nservices;
+	f.body_case = GSPAR__FRAME__BODY_OWNERS;
+	f.owners = &w;
+	for (i = 0; i < k->nhosts && !bad && names != NULL; i++) {
+		h = &k->hosts[i];
+		if (now - h->heard >= HOST_LOST ||
+		    (h->told == o->number &&
+			(h->owners == o->number ||
+			    now - h->told_at < TELL_AGAIN)))
+			continue;
+		h->told = o->number;
+		h->told_at = now;
+		send_frame(k->s->kernel, h->who.host, 0, &f);
+	}
+	for (i = 0; i < o->nservices; i++) {
+		free(services[i].from);
+		free(services[i].owner);
+		free(services[i].state);
+	}
+	free(names);
+}
+
+/* Tells all hosts that the controller is there, and which hosts there are. */
+static void
+send_alive(struct keeper *k, usec now)
+{
+	Gspar__Frame f = GSPAR__FRAME__INIT;
+	Gspar__Owners w = GSPAR__OWNERS__INIT;
+	Gspar__HostAddr hosts[KEEPER_HOSTS], *list[KEEPER_HOSTS];
+	const struct site *t = k->site == NULL ? NULL : k->site->p;
+	struct keeper_host *h;
+	int i;
+
+	for (i = 0; i < k->nhosts; i++) {
+		h = &k->hosts[i];
+		gspar__host_addr__init(&hosts[i]);
+		hosts[i].host = h->who.host;
+		hosts[i].addr = h->who.addr;
+		hosts[i].dc = h->dc;
+		hosts[i].boot = h->who.boot;
+		if (now - h->heard < HOST_LOST)
+			list[w.n_hosts++] = &hosts[i];
+	}
+	/* Who is there changes rarely; the rest is a few bytes. */
+	if (!k->hosts_changed)
+		w.n_hosts = 0;
+	k->hosts_changed = 0;
+	w.hosts = list;
+	w.term = k->term.rec.term;
+	w.number = spread_number(k);
+	w.controller =
+	    (char *)(k->resigned ? "" : kernel_conf(k->s->kernel)->host);
+	w.site = t == NULL ? 0 : t->version;
+	f.body_case = GSPAR__FRAME__BODY_OWNERS;
+	f.owners = &w;
+	for (i = 0; i < k->nhosts; i++) {
+		h = &k->hosts[i];
+		if (now - h->heard < HOST_LOST &&
+		    strcmp(h->who.host, kernel_conf(k->s->kernel)->host) != 0)
+			send_frame(k->s->kernel, h->who.host, 0, &f);
+	}
+}
+
+/* Tells hosts what is due, as controller. */
+void
+spread_tick(struct keeper *k, usec now)
+{
+	uint64_t number = spread_number(k);
+	struct owners *o;
+	int i, behind = number != k->number;
+
+	for (i = 0; i < k->nhosts && !behind; i++)
+		behind = k->hosts[i].owners != number &&
+		    now - k->hosts[i].heard < HOST_LOST &&
+		    (k->hosts[i].told != number ||
+			now - k->hosts[i].told_at >= TELL_AGAIN);
+	if (behind && (o = collect(k, now)) != NULL) {
+		send_whole(k, o, now);
+		publish(k, o);
+	}
+	if (now < k->next_spread)
+		return;
+	k->next_spread = now + ALIVE_EVERY;
+	send_alive(k, now);
+}
+
+/* Reads one service's owners. */
+static void
+read_service(struct owner_service *s, const Gspar__KeyOwners *w, usec now)
+{
+	struct owner_range *r;
+	size_t i, n = w->n_from;
+
+	name_copy(s->name, sizeof(s->name), w->service);
+	if (w->n_owner < n || w->n_state < n)
+		return;
+	s->ranges = calloc(n + 1, sizeof(*s->ranges));
+	if (s->ranges == NULL)
+		return;
+	for (i = 0; i < n; i++) {
+		r = &s->ranges[s->nranges++];
+		r->from = w->from[i];
+		r->to = i + 1 < n ? w->from[i + 1] - 1 : KEYS - 1;
+		r->target = (int)w->owner[i] - 1;
+		r->moving = w->state[i] != 0;
+		if (w->state[i] >= STATE_BACK)
+			r->back_at = now + MS(w->state[i] - STATE_BACK);
+	}
+}
+
+/* Reads who owns what; NULL where it makes no sense. */
+static struct owners *
+read_whole(const struct keeper *k, const Gspar__Owners *w, usec now)
+{
+	struct owners *o;
+	size_t i;
+	int n;
+
+	o = calloc(1, sizeof(*o));
+	if (o == NULL)
+		return (NULL);
+	o->number = w->number;
+	o->hosts = count_hosts(k, now);
+	o->targets = calloc(w->n_targets + 1, sizeof(*o->targets));
+	o->services = calloc(w->n_services + 1, sizeof(*o->services));
+	if (o->targets == NULL || o->services == NULL) {
+		owners_free(o);
+		return (NULL);
+	}
+	for (i = 0; i < w->n_targets; i++)
+		name_copy(
+		    o->targets[o->ntargets++], NAME_MAX_GS, w->targets[i]);
+	for (i = 0; i < w->n_services; i++)
+		read_service(&o->services[o->nservices++], w->services[i], now);
+	for (i = 0; i < w->n_services; i++) {
+		for (n = 0; n < o->services[i].nranges; n++) {
+			if (o->services[i].ranges[n].target >= o->ntargets)
+				o->services[i].ranges[n].target = -1;
+		}
+	}
+	return (o);
+}
+
+/* Takes in what the controller says. */
+void
+spread_take(struct keeper *k, const Gspar__Owners *w, usec now)
+{
+	const struct site *t = k->site == NULL ? NULL : k->site->p;
+	struct owners *o;
+	struct member m;
+	size_t i;
+
+	if (w->term < k->controller_term || k->acting)
+		return;
+	k->controller_term = w->term;
+	k->heard = w->controller[0] == '\0' ? 0 : now;
+	name_copy(k->controller, sizeof(k->controller), w->controller);
+	for (i = 0; i < w->n_hosts; i++) {
+		memset(&m, 0, sizeof(m));
+		name_copy(m.host, sizeof(m.host), w->hosts[i]->host);
+		name_copy(m.addr, sizeof(m.addr), w->hosts[i]->addr);
+		m.boot = w->hosts[i]->boot;
+		keeper_host_seen(k, &m, w->hosts[i]->dc, 0, now);
+	}
+	if (t != NULL && !w->whole && w->site < t->version)
+		site_tell(k, w->controller);
+	if (!w->whole || w->number < k->number)
+		return;
+	if ((o = read_whole(k, w, now)) != NULL)
+		publish(k, o);
+}
+
+/* Tells a host the configuration that is in force here. */
+void
+site_tell(struct keeper *k, const char *host)
+{
+	const struct site *t = k->site == NULL ? NULL : k->site->p;
+	Gspar__Frame f = GSPAR__FRAME__INIT;
+	Gspar__SiteTold told = GSPAR__SITE_TOLD__INIT;
+
+	if (t == NULL || host[0] == '\0')
+		return;
+	told.version = t->version;
+	told.json.data = (uint8_t *)t->source.p;
+	told.json.len = t->source.n;
+	f.body_case = GSPAR__FRAME__BODY_SITE_TOLD;
+	f.site_told = &told;
+	send_frame(k->s->kernel, host, 0, &f);
+}
+
+/* Fills in what the router learnt. */
+static void
+fill_report(Gspar__HostReport *w, const struct heat_report *h,
+    Gspar__KeyHeat *keys, Gspar__KeyHeat **klist, Gspar__TargetLearnt *targets,
+    Gspar__TargetLearnt **tlist, uint32_t *room)
+{
+	const struct heat *heat;
+	int i, n;
+
+	for (i = 0; i < h->nkeys; i++) {
+		heat = &h->keys[i].heat;
+		gspar__key_heat__init(&keys[i]);
+		klist[i] = &keys[i];
+		keys[i].service = h->keys[i].service;
+		keys[i].keys = room;
+		keys[i].n_keys = (size_t)heat->n;
+		keys[i].each = (uint32_t)((uint64_t)heat->seen * 1000 /
+		    (uint64_t)(heat->n > 0 ? heat->n : 1));
+		for (n = 0; n < heat->n; n++)
+			*room++ = heat->keys[n];
+	}
+	for (i = 0; i < h->ntargets; i++) {
+		gspar__target_learnt__init(&targets[i]);
+		tlist[i] = &targets[i];
+		targets[i].target = h->targets[i].id;
+		targets[i].speed = (uint32_t)(h->targets[i].speed * 1000);
+		targets[i].answers = (uint32_t)h->targets[i].answers;
+	}
+	w->heat = klist;
+	w->n_heat = (size_t)h->nkeys;
+	w->targets = tlist;
+	w->n_targets = (size_t)h->ntargets;
+}
+
+/* Sends this host's report to the controller. */
+static void
+send_report(struct keeper *k, const struct heat_report *h)
+{
+	const struct conf *conf = kernel_conf(k->s->kernel);
+	const struct site *t = k->site == NULL ? NULL : k->site->p;
+	Gspar__Frame f = GSPAR__FRAME__INIT;
+	Gspar__HostReport w = GSPAR__HOST_REPORT__INIT;
+	Gspar__KeyHeat keys[KEEPER_SERVICES], *klist[KEEPER_SERVICES];
+	Gspar__TargetLearnt *targets, **tlist;
+	uint32_t *room;
+
+	targets = calloc((size_t)h->ntargets + 1, sizeof(*targets));
+	tlist = calloc((size_t)h->ntargets + 1, sizeof(*tlist));
+	room = calloc((size_t)h->nkeys * HEAT_KEPT + 1, sizeof(*room));
+	w.boot = kernel_boot(k->s->kernel);
+	w.addr = (char *)conf->reached;
+	w.dc = (char *)conf->dc;
+	w.stopping = k->stopping;
+	w.owners = k->number;
+	w.site = t == NULL ? 0 : t->version;
+	if (targets != NULL && tlist != NULL && room != NULL) {
+		fill_report(&w, h, keys, klist, targets, tlist, room);
+		f.body_case = GSPAR__FRAME__BODY_HOST_REPORT;
+		f.host_report = &w;
+		send_frame(k->s->kernel, k->controller, 0, &f);
+	}
+	free(targets);
+	free(tlist);
+	free(room);
+}
+
+/* Sends what the router reported last. */
+void
+report_tick(struct keeper *k, usec now)
+{
+	if (k->heat == NULL)
+		return;
+	if (k->controller[0] != '\0')
+		send_report(k, k->heat);
+	heat_report_free(k->heat);
+	k->heat = NULL;
+}
+
+/* Takes a host's report, as controller. */
+void
+report_take(
+    struct keeper *k, const char *host, const Gspar__HostReport *w, usec now)
+{
+	const struct site *t = k->site == NULL ? NULL : k->site->p;
+	uint16_t keys[HEAT_KEPT];
+	struct member m;
+	struct keys *ks;
+	size_t i, n;
+	int j;
+
+	memset(&m, 0, sizeof(m));
+	name_copy(m.host, sizeof(m.host), host);
+	name_copy(m.addr, sizeof(m.addr), w->addr);
+	m.boot = w->boot;
+	keeper_host_seen(k, &m, w->dc, w->stopping, now);
+	for (j = 0; j < k->nhosts; j++) {
+		if (strcmp(k->hosts[j].who.host, host) == 0)
+			k->hosts[j].owners = w->owners;
+	}
+	if (t != NULL && w->site < t->version)
+		site_tell(k, host);
+	for (i = 0; i < w->n_heat; i++) {
+		ks = keeper_keys(k, w->heat[i]->service);
+		for (n = 0; n < w->heat[i]->n_keys && n < HEAT_KEPT; n++)
+			keys[n] = (uint16_t)w->heat[i]->keys[n];
+		if (ks != NULL)
+			keys_heat(
+			    ks, keys, (int)n, w->heat[i]->each / 1000.0, now);
+	}
+	for (i = 0; i < w->n_targets; i++) {
+		for (j = 0; j < k->nkeys; j++)
+			keys_learnt(k->keys[j], w->targets[i]->target,
+			    w->targets[i]->speed / 1000.0,
+			    (int)w->targets[i]->answers, now);
+	}
+}
--- a/gspard/kernel.c
+++ b/gspard/kernel.c
@@ -159,11 +159,18 @@
 		ring_free(k->services[i].in);
 }
 
-/* The settings, which do not change. */
+/* The settings in force; what is read from them may change later. */
 const struct conf *
 kernel_conf(const struct kernel *k)
 {
-	return (k->conf);
+	return (__atomic_load_n(&k->conf, __ATOMIC_ACQUIRE));
+}
+
+/* Puts settings in force; the earlier ones must stay, some still read them. */
+void
+kernel_set_conf(struct kernel *k, const struct conf *conf)
+{
+	__atomic_store_n(&k->conf, conf, __ATOMIC_RELEASE);
 }
 
 /* The number that names this process among all. */
--- a/gspard/msg.c
+++ b/gspard/msg.c
@@ -1,6 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #include "gspard.h"
 
 /* A new message, or NULL. */
@@ -188,6 +190,8 @@
 	struct store *s = arg;
 
 	str_free(&s->body);
+	json_decref(s->parsed);
+	free(s->found);
 	free(s);
 }
 
@@ -221,3 +225,11 @@
 	free(l->duties);
 	free(l);
 }
+
+/* Frees a text that a message carries. */
+void
+text_drop(void *arg)
+{
+	str_free(arg);
+	free(arg);
+}
--- a/gspard/platform.c
+++ b/gspard/platform.c
@@ -5,7 +5,9 @@
 
 #include <curl/curl.h>
 
-#include "gspard.h"
+#include "objects.h"
+#include "sockopt.h"
+#include "store.h"
 
 /* An answer after this long is worth nothing to any lease. */
 #define CALL_MS 1500
@@ -23,10 +25,10 @@
 	struct call *next;
 	struct call **link;
 	struct store *store;
+	const struct store_form *form;
 	CURL *easy;
 	struct curl_slist *heads;
 	struct str body;
-	uint64_t version;
 	int at;
 };
 
@@ -39,21 +41,15 @@
 	return (str_add(&c->body, p, size * n) == 0 ? size * n : 0);
 }
 
-/* Picks the version out of the answer's head. */
+/* Passes each line of the answer's head on to the store's form. */
 static size_t
 on_head(char *p, size_t size, size_t n, void *arg)
 {
 	struct call *c = arg;
-	char line[64];
-	size_t len = size * n;
 
-	if (len > 8 && len < sizeof(line) &&
-	    strncasecmp(p, "Version:", 8) == 0) {
-		memcpy(line, p + 8, len - 8);
-		line[len - 8] = '\0';
-		c->version = strtoull(line, NULL, 10);
-	}
-	return (len);
+	if (c->form->head != NULL)
+		c->form->head(c->store, p, size * n);
+	return (size * n);
 }
 
 /* Frees a call and takes it off the list of open ones. */
@@ -72,21 +68,11 @@
 	free(c);
 }
 
-/* The URL of a call. */
-static void
-call_url(
-    const struct service *s, const struct store *st, char *url, size_t size)
+/* The kind of store that the settings name. */
+static const struct store_form *
+form_of(const struct conf *conf)
 {
-	const struct platform *p = s->state;
-	static const char *const forms[] = {
-	    [STORE_GET] = "http://%s/v1/objects/%s",
-	    [STORE_PUT] = "http://%s/v1/objects/%s",
-	    [STORE_LIST] = "http://%s/v1/list/%s",
-	    [STORE_HOSTS] = "http://%s/v1/hosts",
-	};
-
-	snprintf(url, size, forms[st->op],
-	    kernel_conf(s->kernel)->platform[p->at], st->path);
+	return (conf->form == FORM_OBJECTS ? &objects_form : &native_form);
 }
 
 /* Starts a call; the service owns the store from here on. */
@@ -95,8 +81,9 @@
 {
 	struct platform *p = s->state;
 	struct call *c;
-	char url[512], head[64];
+	struct store_http h;
 
+	memset(&h, 0, sizeof(h));
 	c = calloc(1, sizeof(*c));
 	if (c == NULL || (c->easy = curl_easy_init()) == NULL) {
 		free(c);
@@ -110,29 +97,36 @@
 	if (c->next != NULL)
 		c->next->link = &c->next;
 	p->open = c;
-	call_url(s, st, url, sizeof(url));
-	curl_easy_setopt(c->easy, CURLOPT_URL, url);
+	c->form = form_of(kernel_conf(s->kernel));
+	c->form->request(st, kernel_conf(s->kernel)->platform[p->at], &h);
+	curl_easy_setopt(c->easy, CURLOPT_URL, h.url);
 	curl_easy_setopt(c->easy, CURLOPT_PRIVATE, c);
 	curl_easy_setopt(c->easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS, (long)CALL_MS);
+	curl_easy_setopt(
+	    c->easy, CURLOPT_TIMEOUT_MS, (long)(CALL_MS + st->wait_ms));
 	curl_easy_setopt(c->easy, CURLOPT_CONNECTTIMEOUT_MS, 500L);
+	curl_easy_setopt(c->easy, CURLOPT_SOCKOPTFUNCTION, sockopt_alive);
 	curl_easy_setopt(
 	    c->easy, CURLOPT_USERAGENT, kernel_conf(s->kernel)->host);
 	curl_easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(c->easy, CURLOPT_WRITEDATA, c);
 	curl_easy_setopt(c->easy, CURLOPT_HEADERFUNCTION, on_head);
 	curl_easy_setopt(c->easy, CURLOPT_HEADERDATA, c);
-	if (st->op == STORE_PUT) {
-		snprintf(head, sizeof(head), "If-Version: %llu",
-		    (unsigned long long)st->base);
-		c->heads = curl_slist_append(c->heads, head);
+	curl_easy_setopt(c->easy, CURLOPT_CUSTOMREQUEST, h.method);
+	if (h.head[0] != '\0')
+		c->heads = curl_slist_append(c->heads, h.head);
+	if (h.body.n > 0) {
 		c->heads = curl_slist_append(c->heads, "Expect:");
-		curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->heads);
-		curl_easy_setopt(c->easy, CURLOPT_CUSTOMREQUEST, "PUT");
-		curl_easy_setopt(c->easy, CURLOPT_POSTFIELDS, st->body.p);
+		c->heads = curl_slist_append(
+		    c->heads, "Content-Type: application/json");
 		curl_easy_setopt(
-		    c->easy, CURLOPT_POSTFIELDSIZE, (long)st->body.n);
+		    c->easy, CURLOPT_POSTFIELDSIZE, (long)h.body.n);
+		curl_easy_setopt(c->easy, CURLOPT_COPYPOSTFIELDS, h.body.p);
+		/* A write that may have been done is never sent twice. */
+		curl_easy_setopt(c->easy, CURLOPT_FRESH_CONNECT, 1L);
 	}
+	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->heads);
+	str_free(&h.body);
 	count_add(st->op == STORE_PUT ? C_STORE_PUT : C_STORE_GET, 1);
 	curl_multi_add_handle(p->multi, c->easy);
 }
@@ -170,10 +164,11 @@
 		turn(s, c);
 	}
 	st->status = (int)status;
-	st->version = c->version;
 	str_free(&st->body);
 	st->body = c->body;
 	memset(&c->body, 0, sizeof(c->body));
+	if (st->status != 0)
+		c->form->answer(st);
 	c->store = NULL;
 	m = msg_new(MSG_STORED);
 	if (m == NULL) {
--- /dev/null
+++ b/gspard/probe.c
@@ -0,0 +1,145 @@
+/*
+ * The service that the balancer's probes and the collectors of metrics read,
+ * on hosts that send to targets themselves.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <microhttpd.h>
+
+#include "bind.h"
+#include "metrics.h"
+
+#define BACKLOG 32
+#define IDLE_SECONDS 10u
+#define CONNECTIONS_MAX 32u
+/* A connection's buffer; probes are small, and memory is counted. */
+#define CONNECTION_BYTES ((size_t)4096)
+
+struct probe {
+	struct MHD_Daemon *ready;
+	struct MHD_Daemon *metrics;
+	int stop;
+	int stopping;
+};
+
+/* Answers with a text. */
+static enum MHD_Result
+answer(struct MHD_Connection *conn, unsigned status, char *text,
+    enum MHD_ResponseMemoryMode mode)
+{
+	struct MHD_Response *r;
+	enum MHD_Result res;
+
+	r = MHD_create_response_from_buffer(strlen(text), text, mode);
+	res = MHD_queue_response(conn, status, r);
+	MHD_destroy_response(r);
+	return (res);
+}
+
+/* Answers a balancer: it sends callers here as long as this is 200. */
+static enum MHD_Result
+on_ready(void *cls, struct MHD_Connection *conn, const char *url,
+    const char *method, const char *version, const char *data, size_t *size,
+    void **state)
+{
+	static char yes[] = "ready\n", no[] = "not ready\n";
+	struct service *s = cls;
+	struct probe *p = s->state;
+	int ok;
+
+	ok = kernel_wait(s->kernel, "ready", 0) == 0 &&
+	    !__atomic_load_n(&p->stopping, __ATOMIC_RELAXED);
+	return (answer(
+	    conn, ok ? 200 : 503, ok ? yes : no, MHD_RESPMEM_PERSISTENT));
+}
+
+/* Answers a collector. */
+static enum MHD_Result
+on_metrics(void *cls, struct MHD_Connection *conn, const char *url,
+    const char *method, const char *version, const char *data, size_t *size,
+    void **state)
+{
+	static char none[] = "no such page\n";
+	struct service *s = cls;
+	char *text;
+
+	if (strcmp(url, "/metrics") != 0 ||
+	    (text = metrics_text(s->kernel)) == NULL)
+		return (answer(conn, 404, none, MHD_RESPMEM_PERSISTENT));
+	return (answer(conn, 200, text, MHD_RESPMEM_MUST_FREE));
+}
+
+/* Serves one address; NULL where it cannot. */
+static struct MHD_Daemon *
+serve(struct service *s, const char *at, MHD_AccessHandlerCallback handler)
+{
+	struct MHD_Daemon *d;
+	int fd = bind_to(at);
+
+	if (fd < 0 || listen(fd, BACKLOG) != 0) {
+		log_line(LOG_ERR, "probe", "Cannot listen on %s.", at);
+		return (NULL);
+	}
+	d = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL, NULL,
+	    handler, s, MHD_OPTION_LISTEN_SOCKET, fd,
+	    MHD_OPTION_CONNECTION_TIMEOUT, IDLE_SECONDS,
+	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_BYTES,
+	    MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, MHD_OPTION_END);
+	return (d);
+}
+
+/* The thread: waits for the orders to stop. */
+static void
+probe_run(struct service *s)
+{
+	struct probe *p = s->state;
+	struct msg *m;
+
+	while (!p->stop) {
+		m = ring_wait(s->in, US_PER_SEC);
+		if (m != NULL && m->kind == MSG_STOP)
+			__atomic_store_n(&p->stopping, 1, __ATOMIC_RELAXED);
+		if (m != NULL && m->kind == MSG_QUIT)
+			p->stop = 1;
+		msg_free(m);
+	}
+}
+
+/* Makes the service ready. */
+static int
+probe_open(struct service *s)
+{
+	const struct conf *conf = kernel_conf(s->kernel);
+	struct probe *p;
+
+	p = calloc(1, sizeof(*p));
+	if (p == NULL)
+		return (-1);
+	s->state = p;
+	p->ready = serve(s, conf->ready, on_ready);
+	p->metrics = serve(s, conf->admin, on_metrics);
+	if (p->ready != NULL && p->metrics != NULL)
+		return (0);
+	if (p->ready != NULL)
+		MHD_stop_daemon(p->ready);
+	if (p->metrics != NULL)
+		MHD_stop_daemon(p->metrics);
+	free(p);
+	return (-1);
+}
+
+/* Stops serving. */
+static void
+probe_close(struct service *s)
+{
+	struct probe *p = s->state;
+
+	MHD_stop_daemon(p->ready);
+	MHD_stop_daemon(p->metrics);
+	free(p);
+}
+
+const struct service_ops probe_service = {
+    "probe", 16, probe_open, probe_run, probe_close};
--- /dev/null
+++ b/gspard/record.h
@@ -0,0 +1,11 @@
+/* The control record as JSON, as the store keeps it. */
+#ifndef RECORD_H
+#define RECORD_H
+
+#include "str.h"
+#include "term.h"
+
+void record_write(const struct record *, struct str *out);
+int record_read(const struct str *body, struct record *);
+
+#endif
--- /dev/null
+++ b/gspard/store_native.c
@@ -0,0 +1,65 @@
+/* Our own form of the store: versions in headers, values as they are. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "store.h"
+
+/* Fills in the call. */
+static void
+native_request(const struct store *st, const char *addr, struct store_http *h)
+{
+	static const char *const forms[] = {
+	    [STORE_GET] = "http://%s/v1/objects/%s",
+	    [STORE_PUT] = "http://%s/v1/objects/%s",
+	    [STORE_LIST] = "http://%s/v1/list/%s",
+	    [STORE_HOSTS] = "http://%s/v1/hosts",
+	    [STORE_WATCH] = "http://%s/v1/list/%s",
+	    [STORE_DELETE] = "http://%s/v1/objects/%s",
+	};
+
+	snprintf(h->url, sizeof(h->url), forms[st->op], addr, st->path);
+	h->method = st->op == STORE_PUT ? "PUT" : "GET";
+	if (st->op != STORE_PUT)
+		return;
+	snprintf(h->head, sizeof(h->head), "If-Version: %llu",
+	    (unsigned long long)st->base);
+	str_set(&h->body, st->body.p, st->body.n);
+}
+
+/* Picks the version out of the answer's head. */
+static void
+native_head(struct store *st, const char *p, size_t n)
+{
+	char line[64];
+
+	if (n <= 8 || n >= sizeof(line) || strncasecmp(p, "Version:", 8) != 0)
+		return;
+	memcpy(line, p + 8, n - 8);
+	line[n - 8] = '\0';
+	st->version = strtoull(line, NULL, 10);
+}
+
+/* What the status says. */
+static void
+native_answer(struct store *st)
+{
+	switch (st->status) {
+	case 200:
+		st->result = STORE_DONE;
+		break;
+	case 404:
+		st->result = STORE_ABSENT;
+		break;
+	case 412:
+		st->result = STORE_CONFLICT;
+		break;
+	default:
+		st->result = STORE_DOWN;
+		break;
+	}
+}
+
+const struct store_form native_form = {
+    native_request, native_head, native_answer};
--- /dev/null
+++ b/gspard/watch.c
@@ -0,0 +1,354 @@
+/*
+ * The service that follows the platform's store: the configuration and the
+ * list of targets.  It publishes each change as a snapshot to who needs it.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_general.h>
+#include <jansson.h>
+
+#include "decode.h"
+#include "gspard.h"
+#include "known.h"
+
+#define TICK_US MS(100)
+/* A watch is asked anew after this long without a change.  One that waits may
+ * miss changes when the store drops its history, and hears so only then; the
+ * platform gives 3 s after such trouble before its bounds hold again. */
+#define WATCH_MS 2500
+/* Changes that come close together are read with one call: each call counts,
+ * and the bound on leaving targets (2 s) leaves room for it. */
+#define WATCH_PAUSE MS(120)
+/* Between tries while the store does not answer; the first follows sooner. */
+#define RETRY_FIRST MS(100)
+#define RETRY_MOST MS(1000)
+
+enum feed_kind { FEED_SITE, FEED_TARGETS, FEEDS };
+
+/* One kind of object that is followed. */
+struct feed {
+	const char *kind;
+	int listing; /* else watching */
+	int listed;  /* once, at least */
+	int open;
+	uint64_t base;
+	uint64_t list_base;
+	char after[NAME_MAX_GS];
+	usec next;
+	usec backoff;
+};
+
+struct watch {
+	struct feed feeds[FEEDS];
+	struct known known;
+	struct shared *site;
+	uint64_t version; /* of the site in force */
+	int stop;
+};
+
+/* Publishes a shared snapshot to a service. */
+static void
+publish(
+    struct service *s, const char *to, enum msg_kind kind, struct shared *sh)
+{
+	msg_post(s->kernel, to, kind, shared_ref(sh), shared_unref);
+}
+
+/* Puts a configuration in force where it is newer; takes it over. */
+static void
+put_site(struct service *s, struct site *t, const char *from)
+{
+	struct watch *w = s->state;
+	struct shared *sh;
+
+	/* Versions only rise: one that is told late must not come back. */
+	if (t->version <= w->version ||
+	    (sh = shared_new(t, site_free)) == NULL) {
+		site_free(t);
+		return;
+	}
+	log_line(LOG_NOTICE, "watch",
+	    "Configuration %llu in force, from %s, before it %llu, %d rules.",
+	    (unsigned long long)t->version, from,
+	    (unsigned long long)w->version, t->nrules);
+	w->version = t->version;
+	shared_unref(w->site);
+	w->site = sh;
+	publish(s, "door", MSG_SITE, sh);
+	publish(s, "router", MSG_SITE, sh);
+	publish(s, "control", MSG_SITE, sh);
+}
+
+/* Reads an object of the configuration's kind. */
+static void
+take_site(struct service *s, const struct found *f)
+{
+	const char *why;
+	struct site *t;
+
+	if (f->deleted || strcmp(f->name, NAME_SITE) != 0)
+		return;
+	t = decode_site_object(f->raw, &why);
+	if (t != NULL)
+		put_site(s, t, "store");
+	else
+		log_line(LOG_ERR, "watch",
+		    "Configuration refused, the earlier stays: %s.", why);
+}
+
+/* Reads a configuration that another host told. */
+static void
+take_told(struct service *s, const struct str *text)
+{
+	json_t *spec = json_loadb(text->p, text->n, 0, NULL);
+	const char *why;
+	struct site *t;
+
+	t = decode_site(spec, &why);
+	if (t != NULL)
+		put_site(s, t, "host");
+	json_decref(spec);
+}
+
+/* Reads an entry of a target. */
+static void
+take_target(struct service *s, const struct found *f, usec now)
+{
+	struct watch *w = s->state;
+	struct fleet_target t;
+
+	if (f->deleted) {
+		known_gone(&w->known, f->name, now);
+		return;
+	}
+	if (decode_target(f->raw, &t) != 0) {
+		log_line(LOG_WARNING, "watch",
+		    "Entry of target %s makes no sense, left out.", f->name);
+		return;
+	}
+	name_copy(t.id, sizeof(t.id), f->name);
+	known_put(&w->known, &t, now);
+}
+
+/* Reads all objects that a call found. */
+static void
+take_found(
+    struct service *s, enum feed_kind kind, const struct store *st, usec now)
+{
+	struct watch *w = s->state;
+	int i, gone = 0;
+
+	for (i = 0; i < st->nfound; i++)
+		gone += st->found[i].deleted;
+	if (kind == FEED_TARGETS)
+		known_batch(&w->known, gone, now);
+	for (i = 0; i < st->nfound; i++) {
+		if (kind == FEED_SITE)
+			take_site(s, &st->found[i]);
+		else
+			take_target(s, &st->found[i], now);
+	}
+}
+
+/* A page of a list came; goes on with the next, or begins to watch. */
+static void
+took_page(
+    struct watch *w, enum feed_kind kind, const struct store *st, usec now)
+{
+	struct feed *f = &w->feeds[kind];
+
+	/*
+	 * Watching goes on from the first page's revision: what changed while
+	 * the other pages were read is then told once more, and none is missed.
+	 */
+	if (f->after[0] == '\0')
+		f->list_base = st->version;
+	if (st->more && st->nfound > 0) {
+		name_copy(
+		    f->after, sizeof(f->after), st->found[st->nfound - 1].name);
+		return;
+	}
+	f->after[0] = '\0';
+	f->listing = 0;
+	f->listed = 1;
+	f->base = f->list_base;
+	f->next = now + WATCH_PAUSE;
+	if (kind == FEED_TARGETS)
+		known_list_end(&w->known, now);
+}
+
+/* A call failed; the next try comes later each time. */
+static void
+failed(struct service *s, struct feed *f, const struct store *st, usec now)
+{
+	struct watch *w = s->state;
+
+	if (f->backoff == 0)
+		log_line(LOG_WARNING, "watch",
+		    "Store does not answer for %s: result %d, status %d.",
+		    f->kind, st->result, st->status);
+	f->backoff = f->backoff == 0 ? RETRY_FIRST : f->backoff * 2;
+	if (f->backoff > RETRY_MOST)
+		f->backoff = RETRY_MOST;
+	f->next = now + f->backoff;
+	known_store_failed(&w->known, now);
+}
+
+/*
+ * The store has dropped its history: reads all kinds anew.  A watch of another
+ * kind may still wait, deaf to what changed meanwhile.
+ */
+static void
+list_all(struct watch *w, usec now)
+{
+	int i;
+
+	for (i = 0; i < FEEDS; i++) {
+		w->feeds[i].listing = 1;
+		w->feeds[i].after[0] = '\0';
+		w->feeds[i].next = now;
+	}
+}
+
+/* Takes the outcome of a call. */
+static void
+take_stored(struct service *s, const struct store *st, usec now)
+{
+	struct watch *w = s->state;
+	enum feed_kind kind =
+	    strcmp(st->tag, KIND_SITE) == 0 ? FEED_SITE : FEED_TARGETS;
+	struct feed *f = &w->feeds[kind];
+
+	f->open = 0;
+	if (st->result == STORE_FORGOTTEN) {
+		log_line(LOG_NOTICE, "watch", "History of %s gone, listing.",
+		    f->kind);
+		list_all(w, now);
+		return;
+	}
+	if (st->result != STORE_DONE) {
+		failed(s, f, st, now);
+		return;
+	}
+	if (f->backoff != 0)
+		log_line(LOG_NOTICE, "watch", "Store answers again for %s.",
+		    f->kind);
+	f->backoff = 0;
+	known_store_answered(&w->known, now);
+	take_found(s, kind, st, now);
+	if (st->op == STORE_LIST) {
+		took_page(w, kind, st, now);
+		return;
+	}
+	if (f->listing)
+		return;
+	if (st->version > f->base)
+		f->base = st->version;
+	f->next = now + (st->nfound > 0 ? WATCH_PAUSE : 0);
+}
+
+/* Starts the call that a feed is due for. */
+static void
+ask(struct service *s, struct feed *f)
+{
+	struct watch *w = s->state;
+	struct store *st;
+
+	st = store_new(f->listing ? STORE_LIST : STORE_WATCH, "watch", f->kind);
+	if (st == NULL)
+		return;
+	name_copy(st->tag, sizeof(st->tag), f->kind);
+	if (f->listing) {
+		name_copy(st->after, sizeof(st->after), f->after);
+		if (f->after[0] == '\0' && f == &w->feeds[FEED_TARGETS])
+			known_list_begin(&w->known);
+	} else {
+		st->base = f->base;
+		st->wait_ms = WATCH_MS;
+	}
+	f->open = 1;
+	store_send(s->kernel, st);
+}
+
+/* Does what is due. */
+static void
+tick(struct service *s, usec now)
+{
+	struct watch *w = s->state;
+	struct shared *sh;
+	struct fleet *fleet;
+	int i;
+
+	for (i = 0; i < FEEDS; i++) {
+		if (!w->feeds[i].open && now >= w->feeds[i].next)
+			ask(s, &w->feeds[i]);
+	}
+	known_tick(&w->known, now);
+	if (!w->known.changed || !w->feeds[FEED_TARGETS].listed)
+		return;
+	w->known.changed = 0;
+	fleet = known_fleet(&w->known);
+	if (fleet == NULL || (sh = shared_new(fleet, fleet_free)) == NULL) {
+		fleet_free(fleet);
+		return;
+	}
+	publish(s, "router", MSG_FLEET, sh);
+	publish(s, "control", MSG_FLEET, sh);
+	shared_unref(sh);
+}
+
+/* The thread. */
+static void
+watch_run(struct service *s)
+{
+	struct watch *w = s->state;
+	struct msg *m;
+	usec now;
+
+	tick(s, clock_mono());
+	while (!w->stop) {
+		m = ring_wait(s->in, TICK_US);
+		now = clock_mono();
+		if (m != NULL && m->kind == MSG_STORED)
+			take_stored(s, m->data, now);
+		else if (m != NULL && m->kind == MSG_TOLD)
+			take_told(s, m->data);
+		else if (m != NULL && m->kind == MSG_QUIT)
+			w->stop = 1;
+		msg_free(m);
+		tick(s, now);
+	}
+}
+
+/* Makes the service ready. */
+static int
+watch_open(struct service *s)
+{
+	struct watch *w;
+
+	w = calloc(1, sizeof(*w));
+	if (w == NULL)
+		return (-1);
+	s->state = w;
+	w->feeds[FEED_SITE].kind = KIND_SITE;
+	w->feeds[FEED_TARGETS].kind = KIND_TARGETS;
+	w->feeds[FEED_SITE].listing = 1;
+	w->feeds[FEED_TARGETS].listing = 1;
+	w->known.heartbeat = MS(kernel_conf(s->kernel)->bounds.heartbeat_ms);
+	return (0);
+}
+
+/* Frees all. */
+static void
+watch_close(struct service *s)
+{
+	struct watch *w = s->state;
+
+	known_free(&w->known);
+	shared_unref(w->site);
+	free(w);
+}
+
+const struct service_ops watch_service = {
+    "watch", 256, watch_open, watch_run, watch_close};
--- a/lib/conf.c
+++ b/lib/conf.c
@@ -11,7 +11,7 @@
 
 #include "conf.h"
 
-enum kind { K_NAME, K_ADDR, K_PLATFORMS, K_INT };
+enum kind { K_NAME, K_ADDR, K_PLATFORMS, K_INT, K_FORM, K_SPAN, K_REAL };
 
 struct key {
 	const char *section;
@@ -30,7 +30,17 @@
     {"listen", "peers", K_ADDR, AT(peers), 0, 0},
     {"listen", "reached", K_ADDR, AT(reached), 0, 0},
     {"listen", "admin", K_ADDR, AT(admin), 0, 0},
+    {"listen", "ready", K_ADDR, AT(ready), 0, 0},
     {"platform", "address", K_PLATFORMS, AT(platform), 0, 0},
+    {"platform", "form", K_FORM, AT(form), 0, 0},
+    {"bounds", "leave", K_SPAN, AT(bounds.leave_ms), 100, 60000},
+    {"bounds", "stop", K_SPAN, AT(bounds.stop_ms), 500, 600000},
+    {"bounds", "apply", K_SPAN, AT(bounds.apply_ms), 100, 60000},
+    {"bounds", "retry_window", K_SPAN, AT(bounds.retry_window_ms), 100, 600000},
+    {"bounds", "hold_max", K_SPAN, AT(bounds.hold_max_ms), 500, 600000},
+    {"bounds", "retry_share", K_REAL, AT(bounds.retry_share), 0, 10},
+    {"bounds", "retry_slack", K_REAL, AT(bounds.retry_slack), 0, 100000},
+    {"bounds", "heartbeat", K_SPAN, AT(bounds.heartbeat_ms), 50, 60000},
     {"leases", "control_ms", K_INT, AT(control_lease_ms), 200, 10000},
     {"leases", "host_ms", K_INT, AT(host_lease_ms), 300, 10000},
     {"leases", "renew_ms", K_INT, AT(renew_ms), 20, 2000},
@@ -48,6 +58,30 @@
 	FILE *in;
 };
 
+static const struct conf_alias *aliases;
+static int naliases;
+
+/* Sets the names that the platform has for keys of section [bounds]. */
+void
+conf_aliases(const struct conf_alias *list, int n)
+{
+	aliases = list;
+	naliases = n;
+}
+
+/* The key that a name of section [bounds] stands for; NULL where none. */
+static const char *
+bound_name(const char *name)
+{
+	int i;
+
+	for (i = 0; i < naliases; i++) {
+		if (strcmp(aliases[i].theirs, name) == 0)
+			return (aliases[i].ours);
+	}
+	return (naliases > 0 ? NULL : name);
+}
+
 /*
  * Splits "IP:PORT" ("[IP]:PORT" for version 6); 0, or -1 where the first is
  * no IP number or the second no port.  Names are not looked up: a lookup may
@@ -149,6 +183,75 @@
 		store_addr(r, k, c->platform[0], value);
 }
 
+/* Stores a whole number of milliseconds within the key's range. */
+static void
+store_ms(struct reading *r, const struct key *k, const char *value, double n)
+{
+	char *at = (char *)r->conf + k->at;
+
+	if (!(n >= k->low && n <= k->high))
+		fault(r, r->line,
+		    "%s: '%s' is out of range; allowed: %d to %d milliseconds",
+		    k->name, value, k->low, k->high);
+	else
+		memcpy(at, &(int){(int)n}, sizeof(int));
+}
+
+/* Stores a time: a number and its unit, ms or s. */
+static void
+store_span(struct reading *r, const struct key *k, const char *value)
+{
+	char *end;
+	double n;
+
+	errno = 0;
+	n = strtod(value, &end);
+	if (errno == 0 && end != value && strcmp(end, "ms") == 0)
+		store_ms(r, k, value, n);
+	else if (errno == 0 && end != value && strcmp(end, "s") == 0)
+		store_ms(r, k, value, n * 1000);
+	else
+		fault(r, r->line,
+		    "%s: '%s' is no time; allowed: a number and ms or s",
+		    k->name, value);
+}
+
+/* Stores a number that need not be whole. */
+static void
+store_real(struct reading *r, const struct key *k, const char *value)
+{
+	char *end;
+	double n;
+
+	errno = 0;
+	n = strtod(value, &end);
+	if (errno != 0 || end == value || *end != '\0' ||
+	    !(n >= k->low && n <= k->high))
+		fault(r, r->line, "%s: '%s' is out of range; allowed: %d to %d",
+		    k->name, value, k->low, k->high);
+	else
+		memcpy((char *)r->conf + k->at, &n, sizeof(n));
+}
+
+/* Stores how the platform is spoken to. */
+static void
+store_form(struct reading *r, const struct key *k, const char *value)
+{
+	int form;
+
+	if (strcmp(value, "native") == 0)
+		form = FORM_NATIVE;
+	else if (strcmp(value, "objects") == 0)
+		form = FORM_OBJECTS;
+	else {
+		fault(r, r->line,
+		    "%s: '%s' is unknown; allowed: native, objects", k->name,
+		    value);
+		return;
+	}
+	r->conf->form = form;
+}
+
 /* Stores one value after checking it against its key. */
 static void
 store(struct reading *r, const struct key *k, const char *value)
@@ -185,6 +288,15 @@
 		else
 			memcpy(at, &(int){(int)n}, sizeof(int));
 		break;
+	case K_FORM:
+		store_form(r, k, value);
+		break;
+	case K_SPAN:
+		store_span(r, k, value);
+		break;
+	case K_REAL:
+		store_real(r, k, value);
+		break;
 	}
 }
 
@@ -196,6 +308,13 @@
 	size_t i;
 	int known = 0;
 
+	if (strcmp(section, "bounds") == 0) {
+		name = bound_name(name);
+		/* The platform may tell of bounds that this host does not use.
+		 */
+		if (name == NULL)
+			return (1);
+	}
 	for (i = 0; i < NKEYS; i++) {
 		if (strcmp(keys[i].section, section) != 0)
 			continue;
@@ -214,7 +333,7 @@
 	else
 		fault(r, r->line,
 		    "unknown section [%s] (key '%s'); allowed: host, listen, "
-		    "platform, leases",
+		    "platform, leases, bounds",
 		    section, name);
 	return (1);
 }
@@ -229,6 +348,15 @@
 	return (fgets(buf, size, r->in));
 }
 
+/* True where the file must set the key. */
+static int
+needed(const struct conf *c, const struct key *k)
+{
+	if (strcmp(k->section, "bounds") == 0 || k->at == AT(ready))
+		return (c->form == FORM_OBJECTS);
+	return (k->kind != K_INT && k->kind != K_FORM && k->at != AT(reached));
+}
+
 /* The leases must nest, or a loss would take longer than is promised. */
 static void
 check_whole(struct reading *r)
@@ -237,8 +365,7 @@
 	size_t i;
 
 	for (i = 0; i < NKEYS; i++) {
-		if (keys[i].kind != K_INT && !r->seen[i] &&
-		    keys[i].at != AT(reached))
+		if (!r->seen[i] && needed(c, &keys[i]))
 			fault(r, 0, "missing: %s in section [%s]", keys[i].name,
 			    keys[i].section);
 	}
--- a/lib/count.h
+++ b/lib/count.h
@@ -36,7 +36,16 @@
 	X(C_STORE_PUT, "store_puts", "Writes of the platform")                 \
 	X(C_STORE_FAIL, "store_failures", "Platform calls that failed")        \
 	X(C_RING_FULL, "ring_full", "Messages that a full ring refused")       \
-	X(C_EVENTS, "events", "Events recorded")
+	X(C_EVENTS, "events", "Events recorded")                               \
+	X(C_LOG_DROPPED, "log_dropped", "Log lines not written")               \
+	X(C_WAITED, "waited", "Requests that waited for room at a target")     \
+	X(C_UNREACHED, "unreached", "Tries that did not reach a target")       \
+	X(C_BROKE, "broke", "Requests whose target gave no whole answer")      \
+	X(C_FOREIGN, "foreign", "Answers that belong to no request here")      \
+	X(C_MISSENT, "missent", "Requests that came to no owner of the key")   \
+	X(C_TARGET_FULL, "target_full", "Requests that a full target refused") \
+	X(C_GRANTS_FAILED, "grants_failed", "Orders not answered in time")     \
+	X(C_MOVED, "moved", "Key ranges that changed hands")
 
 #define COUNT_ENUM(e, name, help) e,
 enum counter { COUNT_TABLE(COUNT_ENUM) COUNT_N };
--- a/lib/log.c
+++ b/lib/log.c
@@ -1,8 +1,19 @@
+#include <poll.h>
+#include <pthread.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stdio.h>
+#include <string.h>
+#include <unistd.h>
 
+#include "clock.h"
+#include "count.h"
 #include "log.h"
 
+/* Lines about single requests that one process writes a second, at most; the
+ * rest are counted.  A bad second of a small host has about as many. */
+#define REQUEST_LINES 60
+
 static const char *const levels[] = {
     "emerg", "alert", "crit", "err", "warning", "notice", "info", "debug"};
 
@@ -17,7 +28,32 @@
 	log_max = verbose ? LOG_DEBUG : LOG_INFO;
 }
 
-/* Writes one line in one call, so that lines of threads do not mix. */
+/*
+ * Writes one line in one call, so that lines of threads do not mix.  Where
+ * whoever reads them does not keep up the line is dropped and counted: waiting
+ * would hold up requests for the sake of their log.
+ */
+static void
+emit(int level, const char *part, const char *id, const char *text)
+{
+	struct pollfd fd = {STDOUT_FILENO, POLLOUT, 0};
+	char line[900];
+	usec t = clock_wall();
+	int n;
+
+	n = snprintf(line, sizeof(line),
+	    "t=%lld.%03lld level=%s host=%s part=%s%s%s msg=\"%s\"\n",
+	    (long long)(t / US_PER_SEC), (long long)(t % US_PER_SEC / 1000),
+	    levels[level], log_host, part,
+	    id == NULL ? "" : " request=", id == NULL ? "" : id, text);
+	if (n >= (int)sizeof(line))
+		n = sizeof(line) - 1;
+	if (poll(&fd, 1, 0) != 1 || !(fd.revents & POLLOUT) ||
+	    write(STDOUT_FILENO, line, (size_t)n) != n)
+		count_add(C_LOG_DROPPED, 1);
+}
+
+/* Writes one line. */
 void
 log_line(int level, const char *part, const char *fmt, ...)
 {
@@ -29,5 +65,35 @@
 	va_start(ap, fmt);
 	vsnprintf(text, sizeof(text), fmt, ap);
 	va_end(ap);
-	fprintf(stderr, "%s %s %s: %s\n", levels[level], log_host, part, text);
+	emit(level, part, NULL, text);
+}
+
+/* True where one more line about a request may be written this second. */
+static int
+request_room(void)
+{
+	static _Atomic long long second;
+	static _Atomic int lines;
+	long long now = clock_mono() / US_PER_SEC;
+
+	if (atomic_exchange(&second, now) != now)
+		atomic_store(&lines, 0);
+	return (atomic_fetch_add(&lines, 1) < REQUEST_LINES);
+}
+
+/* Writes one line about a decision on one request, named by its id. */
+void
+log_request(const char *part, const char *id, const char *fmt, ...)
+{
+	char text[512];
+	va_list ap;
+
+	if (!request_room()) {
+		count_add(C_LOG_DROPPED, 1);
+		return;
+	}
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	emit(LOG_INFO, part, id[0] == '\0' ? "-" : id, text);
 }
--- a/lib/log.h
+++ b/lib/log.h
@@ -1,4 +1,4 @@
-/* Log lines to standard error: level, part, a short sentence. */
+/* Log lines to standard output: time, level, host, part, a short sentence. */
 #ifndef LOG_H
 #define LOG_H
 
@@ -7,5 +7,7 @@
 void log_open(const char *host, int verbose);
 void log_line(int level, const char *part, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
+void log_request(const char *part, const char *id, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
 
 #endif
--- a/lib/result.h
+++ b/lib/result.h
@@ -20,6 +20,7 @@
 	X(GS_NEED_TICKET, 106, 428, OUT_NOT_RUN, 0,                            \
 	    "this class needs a ticket as Idempotency-Key")                    \
 	X(GS_BAD_TICKET, 107, 400, OUT_NOT_RUN, 0, "no ticket of this system") \
+	X(GS_NO_ROUTE, 109, 404, OUT_NOT_RUN, 0, "no route for this path")     \
 	X(GS_SLOW, 108, 408, OUT_NOT_RUN, 0, "request sent too slowly")        \
 	X(GS_BUSY, 200, 503, OUT_NOT_RUN, 1, "queue full")                     \
 	X(GS_TOO_LATE, 201, 503, OUT_NOT_RUN, 1,                               \
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -952,6 +952,321 @@
   assert(message->base.descriptor == &gspar__ping__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gspar__target_learnt__init
+                     (Gspar__TargetLearnt         *message)
+{
+  static const Gspar__TargetLearnt init_value = GSPAR__TARGET_LEARNT__INIT;
+  *message = init_value;
+}
+size_t gspar__target_learnt__get_packed_size
+                     (const Gspar__TargetLearnt *message)
+{
+  assert(message->base.descriptor == &gspar__target_learnt__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gspar__target_learnt__pack
+                     (const Gspar__TargetLearnt *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gspar__target_learnt__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gspar__target_learnt__pack_to_buffer
+                     (const Gspar__TargetLearnt *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gspar__target_learnt__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gspar__TargetLearnt *
+       gspar__target_learnt__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gspar__TargetLearnt *)
+     protobuf_c_message_unpack (&gspar__target_learnt__descriptor,
+                                allocator, len, data);
+}
+void   gspar__target_learnt__free_unpacked
+                     (Gspar__TargetLearnt *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gspar__target_learnt__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gspar__key_heat__init
+                     (Gspar__KeyHeat         *message)
+{
+  static const Gspar__KeyHeat init_value = GSPAR__KEY_HEAT__INIT;
+  *message = init_value;
+}
+size_t gspar__key_heat__get_packed_size
+                     (const Gspar__KeyHeat *message)
+{
+  assert(message->base.descriptor == &gspar__key_heat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gspar__key_heat__pack
+                     (const Gspar__KeyHeat *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gspar__key_heat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gspar__key_heat__pack_to_buffer
+                     (const Gspar__KeyHeat *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gspar__key_heat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gspar__KeyHeat *
+       gspar__key_heat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gspar__KeyHeat *)
+     protobuf_c_message_unpack (&gspar__key_heat__descriptor,
+                                allocator, len, data);
+}
+void   gspar__key_heat__free_unpacked
+                     (Gspar__KeyHeat *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gspar__key_heat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gspar__host_report__init
+                     (Gspar__HostReport         *message)
+{
+  static const Gspar__HostReport init_value = GSPAR__HOST_REPORT__INIT;
+  *message = init_value;
+}
+size_t gspar__host_report__get_packed_size
+                     (const Gspar__HostReport *message)
+{
+  assert(message->base.descriptor == &gspar__host_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gspar__host_report__pack
+                     (const Gspar__HostReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gspar__host_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gspar__host_report__pack_to_buffer
+                     (const Gspar__HostReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gspar__host_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gspar__HostReport *
+       gspar__host_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gspar__HostReport *)
+     protobuf_c_message_unpack (&gspar__host_report__descriptor,
+                                allocator, len, data);
+}
+void   gspar__host_report__free_unpacked
+                     (Gspar__HostReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gspar__host_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gspar__host_addr__init
+                     (Gspar__HostAddr         *message)
+{
+  static const Gspar__HostAddr init_value = GSPAR__HOST_ADDR__INIT;
+  *message = init_value;
+}
+size_t gspar__host_addr__get_packed_size
+                     (const Gspar__HostAddr *message)
+{
+  assert(message->base.descriptor == &gspar__host_addr__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gspar__host_addr__pack
+                     (const Gspar__HostAddr *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gspar__host_addr__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gspar__host_addr__pack_to_buffer
+                     (const Gspar__HostAddr *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gspar__host_addr__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gspar__HostAddr *
+       gspar__host_addr__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gspar__HostAddr *)
+     protobuf_c_message_unpack (&gspar__host_addr__descriptor,
+                                allocator, len, data);
+}
+void   gspar__host_addr__free_unpacked
+                     (Gspar__HostAddr *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gspar__host_addr__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gspar__key_owners__init
+                     (Gspar__KeyOwners         *message)
+{
+  static const Gspar__KeyOwners init_value = GSPAR__KEY_OWNERS__INIT;
+  *message = init_value;
+}
+size_t gspar__key_owners__get_packed_size
+                     (const Gspar__KeyOwners *message)
+{
+  assert(message->base.descriptor == &gspar__key_owners__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gspar__key_owners__pack
+                     (const Gspar__KeyOwners *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gspar__key_owners__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gspar__key_owners__pack_to_buffer
+                     (const Gspar__KeyOwners *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gspar__key_owners__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gspar__KeyOwners *
+       gspar__key_owners__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gspar__KeyOwners *)
+     protobuf_c_message_unpack (&gspar__key_owners__descriptor,
+                                allocator, len, data);
+}
+void   gspar__key_owners__free_unpacked
+                     (Gspar__KeyOwners *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gspar__key_owners__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gspar__owners__init
+                     (Gspar__Owners         *message)
+{
+  static const Gspar__Owners init_value = GSPAR__OWNERS__INIT;
+  *message = init_value;
+}
+size_t gspar__owners__get_packed_size
+                     (const Gspar__Owners *message)
+{
+  assert(message->base.descriptor == &gspar__owners__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gspar__owners__pack
+                     (const Gspar__Owners *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gspar__owners__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gspar__owners__pack_to_buffer
+                     (const Gspar__Owners *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gspar__owners__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gspar__Owners *
+       gspar__owners__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gspar__Owners *)
+     protobuf_c_message_unpack (&gspar__owners__descriptor,
+                                allocator, len, data);
+}
+void   gspar__owners__free_unpacked
+                     (Gspar__Owners *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gspar__owners__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gspar__site_told__init
+                     (Gspar__SiteTold         *message)
+{
+  static const Gspar__SiteTold init_value = GSPAR__SITE_TOLD__INIT;
+  *message = init_value;
+}
+size_t gspar__site_told__get_packed_size
+                     (const Gspar__SiteTold *message)
+{
+  assert(message->base.descriptor == &gspar__site_told__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gspar__site_told__pack
+                     (const Gspar__SiteTold *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gspar__site_told__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gspar__site_told__pack_to_buffer
+                     (const Gspar__SiteTold *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gspar__site_told__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gspar__SiteTold *
+       gspar__site_told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gspar__SiteTold *)
+     protobuf_c_message_unpack (&gspar__site_told__descriptor,
+                                allocator, len, data);
+}
+void   gspar__site_told__free_unpacked
+                     (Gspar__SiteTold *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gspar__site_told__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gspar__frame__init
                      (Gspar__Frame         *message)
 {
@@ -2965,71 +3280,662 @@
   (ProtobufCMessageInit) gspar__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__frame__field_descriptors[13] =
+static const ProtobufCFieldDescriptor gspar__target_learnt__field_descriptors[3] =
 {
   {
-    "hello",
+    "target",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gspar__Frame, body_case),
-    offsetof(Gspar__Frame, hello),
-    &gspar__hello__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetLearnt, target),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "lease_ask",
+    "speed",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gspar__Frame, body_case),
-    offsetof(Gspar__Frame, lease_ask),
-    &gspar__lease_ask__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetLearnt, speed),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "lease_give",
+    "answers",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gspar__Frame, body_case),
-    offsetof(Gspar__Frame, lease_give),
-    &gspar__lease_give__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetLearnt, answers),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gspar__target_learnt__field_indices_by_name[] = {
+  2,   /* field[2] = answers */
+  1,   /* field[1] = speed */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange gspar__target_learnt__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gspar__target_learnt__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gspar.TargetLearnt",
+  "TargetLearnt",
+  "Gspar__TargetLearnt",
+  "gspar",
+  sizeof(Gspar__TargetLearnt),
+  3,
+  gspar__target_learnt__field_descriptors,
+  gspar__target_learnt__field_indices_by_name,
+  1,  gspar__target_learnt__number_ranges,
+  (ProtobufCMessageInit) gspar__target_learnt__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gspar__key_heat__field_descriptors[3] =
+{
   {
-    "promise_ask",
-    4,
+    "service",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gspar__Frame, body_case),
-    offsetof(Gspar__Frame, promise_ask),
-    &gspar__promise_ask__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__KeyHeat, service),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "promise",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gspar__Frame, body_case),
-    offsetof(Gspar__Frame, promise),
-    &gspar__promise__descriptor,
+    "keys",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gspar__KeyHeat, n_keys),
+    offsetof(Gspar__KeyHeat, keys),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "view",
-    6,
+    "each",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__KeyHeat, each),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gspar__key_heat__field_indices_by_name[] = {
+  2,   /* field[2] = each */
+  1,   /* field[1] = keys */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange gspar__key_heat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gspar__key_heat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gspar.KeyHeat",
+  "KeyHeat",
+  "Gspar__KeyHeat",
+  "gspar",
+  sizeof(Gspar__KeyHeat),
+  3,
+  gspar__key_heat__field_descriptors,
+  gspar__key_heat__field_indices_by_name,
+  1,  gspar__key_heat__number_ranges,
+  (ProtobufCMessageInit) gspar__key_heat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gspar__host_report__field_descriptors[8] =
+{
+  {
+    "boot",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostReport, boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "addr",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostReport, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dc",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostReport, dc),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stopping",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostReport, stopping),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owners",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostReport, owners),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "site",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostReport, site),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heat",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__HostReport, n_heat),
+    offsetof(Gspar__HostReport, heat),
+    &gspar__key_heat__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__HostReport, n_targets),
+    offsetof(Gspar__HostReport, targets),
+    &gspar__target_learnt__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gspar__host_report__field_indices_by_name[] = {
+  1,   /* field[1] = addr */
+  0,   /* field[0] = boot */
+  2,   /* field[2] = dc */
+  6,   /* field[6] = heat */
+  4,   /* field[4] = owners */
+  5,   /* field[5] = site */
+  3,   /* field[3] = stopping */
+  7,   /* field[7] = targets */
+};
+static const ProtobufCIntRange gspar__host_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor gspar__host_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gspar.HostReport",
+  "HostReport",
+  "Gspar__HostReport",
+  "gspar",
+  sizeof(Gspar__HostReport),
+  8,
+  gspar__host_report__field_descriptors,
+  gspar__host_report__field_indices_by_name,
+  1,  gspar__host_report__number_ranges,
+  (ProtobufCMessageInit) gspar__host_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gspar__host_addr__field_descriptors[4] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostAddr, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "addr",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostAddr, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dc",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostAddr, dc),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "boot",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostAddr, boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gspar__host_addr__field_indices_by_name[] = {
+  1,   /* field[1] = addr */
+  3,   /* field[3] = boot */
+  2,   /* field[2] = dc */
+  0,   /* field[0] = host */
+};
+static const ProtobufCIntRange gspar__host_addr__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gspar__host_addr__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gspar.HostAddr",
+  "HostAddr",
+  "Gspar__HostAddr",
+  "gspar",
+  sizeof(Gspar__HostAddr),
+  4,
+  gspar__host_addr__field_descriptors,
+  gspar__host_addr__field_indices_by_name,
+  1,  gspar__host_addr__number_ranges,
+  (ProtobufCMessageInit) gspar__host_addr__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gspar__key_owners__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__KeyOwners, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gspar__KeyOwners, n_from),
+    offsetof(Gspar__KeyOwners, from),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gspar__KeyOwners, n_owner),
+    offsetof(Gspar__KeyOwners, owner),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gspar__KeyOwners, n_state),
+    offsetof(Gspar__KeyOwners, state),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gspar__key_owners__field_indices_by_name[] = {
+  1,   /* field[1] = from */
+  2,   /* field[2] = owner */
+  0,   /* field[0] = service */
+  3,   /* field[3] = state */
+};
+static const ProtobufCIntRange gspar__key_owners__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gspar__key_owners__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gspar.KeyOwners",
+  "KeyOwners",
+  "Gspar__KeyOwners",
+  "gspar",
+  sizeof(Gspar__KeyOwners),
+  4,
+  gspar__key_owners__field_descriptors,
+  gspar__key_owners__field_indices_by_name,
+  1,  gspar__key_owners__number_ranges,
+  (ProtobufCMessageInit) gspar__key_owners__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[8] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Owners, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Owners, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "controller",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Owners, controller),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Owners, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gspar__Owners, n_targets),
+    offsetof(Gspar__Owners, targets),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__Owners, n_services),
+    offsetof(Gspar__Owners, services),
+    &gspar__key_owners__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hosts",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__Owners, n_hosts),
+    offsetof(Gspar__Owners, hosts),
+    &gspar__host_addr__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "site",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Owners, site),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gspar__owners__field_indices_by_name[] = {
+  2,   /* field[2] = controller */
+  6,   /* field[6] = hosts */
+  1,   /* field[1] = number */
+  5,   /* field[5] = services */
+  7,   /* field[7] = site */
+  4,   /* field[4] = targets */
+  0,   /* field[0] = term */
+  3,   /* field[3] = whole */
+};
+static const ProtobufCIntRange gspar__owners__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor gspar__owners__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gspar.Owners",
+  "Owners",
+  "Gspar__Owners",
+  "gspar",
+  sizeof(Gspar__Owners),
+  8,
+  gspar__owners__field_descriptors,
+  gspar__owners__field_indices_by_name,
+  1,  gspar__owners__number_ranges,
+  (ProtobufCMessageInit) gspar__owners__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gspar__site_told__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__SiteTold, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "json",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__SiteTold, json),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gspar__site_told__field_indices_by_name[] = {
+  1,   /* field[1] = json */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange gspar__site_told__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gspar__site_told__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gspar.SiteTold",
+  "SiteTold",
+  "Gspar__SiteTold",
+  "gspar",
+  sizeof(Gspar__SiteTold),
+  2,
+  gspar__site_told__field_descriptors,
+  gspar__site_told__field_indices_by_name,
+  1,  gspar__site_told__number_ranges,
+  (ProtobufCMessageInit) gspar__site_told__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gspar__frame__field_descriptors[16] =
+{
+  {
+    "hello",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__Frame, body_case),
+    offsetof(Gspar__Frame, hello),
+    &gspar__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_ask",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__Frame, body_case),
+    offsetof(Gspar__Frame, lease_ask),
+    &gspar__lease_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_give",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__Frame, body_case),
+    offsetof(Gspar__Frame, lease_give),
+    &gspar__lease_give__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "promise_ask",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__Frame, body_case),
+    offsetof(Gspar__Frame, promise_ask),
+    &gspar__promise_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "promise",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__Frame, body_case),
+    offsetof(Gspar__Frame, promise),
+    &gspar__promise__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "view",
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Gspar__Frame, body_case),
@@ -3123,6 +4029,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "host_report",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__Frame, body_case),
+    offsetof(Gspar__Frame, host_report),
+    &gspar__host_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owners",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__Frame, body_case),
+    offsetof(Gspar__Frame, owners),
+    &gspar__owners__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "site_told",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__Frame, body_case),
+    offsetof(Gspar__Frame, site_told),
+    &gspar__site_told__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__frame__field_indices_by_name[] = {
   8,   /* field[8] = answer */
@@ -3130,19 +4072,22 @@
   11,   /* field[11] = catalogue_ask */
   12,   /* field[12] = catalogue_entry */
   0,   /* field[0] = hello */
+  13,   /* field[13] = host_report */
   1,   /* field[1] = lease_ask */
   2,   /* field[2] = lease_give */
+  14,   /* field[14] = owners */
   10,   /* field[10] = ping */
   4,   /* field[4] = promise */
   3,   /* field[3] = promise_ask */
   7,   /* field[7] = request */
+  15,   /* field[15] = site_told */
   5,   /* field[5] = view */
   6,   /* field[6] = view_ask */
 };
 static const ProtobufCIntRange gspar__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor gspar__frame__descriptor =
 {
@@ -3152,7 +4097,7 @@
   "Gspar__Frame",
   "gspar",
   sizeof(Gspar__Frame),
-  13,
+  16,
   gspar__frame__field_descriptors,
   gspar__frame__field_indices_by_name,
   1,  gspar__frame__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -36,6 +36,13 @@
 typedef struct Gspar__Answer Gspar__Answer;
 typedef struct Gspar__Cancel Gspar__Cancel;
 typedef struct Gspar__Ping Gspar__Ping;
+typedef struct Gspar__TargetLearnt Gspar__TargetLearnt;
+typedef struct Gspar__KeyHeat Gspar__KeyHeat;
+typedef struct Gspar__HostReport Gspar__HostReport;
+typedef struct Gspar__HostAddr Gspar__HostAddr;
+typedef struct Gspar__KeyOwners Gspar__KeyOwners;
+typedef struct Gspar__Owners Gspar__Owners;
+typedef struct Gspar__SiteTold Gspar__SiteTold;
 typedef struct Gspar__Frame Gspar__Frame;
 
 
@@ -407,6 +414,141 @@
     , 0, 0 }
 
 
+/*
+ * What a host that sends to targets itself tells the controller.
+ */
+struct  Gspar__TargetLearnt
+{
+  ProtobufCMessage base;
+  char *target;
+  /*
+   * Time it takes over what others take, in thousandths.
+   */
+  uint32_t speed;
+  /*
+   * Answers since the last report.
+   */
+  uint32_t answers;
+};
+#define GSPAR__TARGET_LEARNT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gspar__target_learnt__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Gspar__KeyHeat
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * Keys asked for; each stands for `each` thousandths of a request.
+   */
+  size_t n_keys;
+  uint32_t *keys;
+  uint32_t each;
+};
+#define GSPAR__KEY_HEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gspar__key_heat__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0 }
+
+
+struct  Gspar__HostReport
+{
+  ProtobufCMessage base;
+  uint64_t boot;
+  char *addr;
+  char *dc;
+  protobuf_c_boolean stopping;
+  /*
+   * The owners and the configuration that the host has.
+   */
+  uint64_t owners;
+  uint64_t site;
+  size_t n_heat;
+  Gspar__KeyHeat **heat;
+  size_t n_targets;
+  Gspar__TargetLearnt **targets;
+};
+#define GSPAR__HOST_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gspar__host_report__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+struct  Gspar__HostAddr
+{
+  ProtobufCMessage base;
+  char *host;
+  char *addr;
+  char *dc;
+  uint64_t boot;
+};
+#define GSPAR__HOST_ADDR__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gspar__host_addr__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Who owns which keys: ranges in order, each up to the next one's first key.
+ */
+struct  Gspar__KeyOwners
+{
+  ProtobufCMessage base;
+  char *service;
+  size_t n_from;
+  uint32_t *from;
+  /*
+   * 0 is nobody, else 1 + index into the targets.
+   */
+  size_t n_owner;
+  uint32_t *owner;
+  /*
+   * Per range: 0 is served, 1 is on its way, else 2 + milliseconds until
+   * it is served again.
+   */
+  size_t n_state;
+  uint32_t *state;
+};
+#define GSPAR__KEY_OWNERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gspar__key_owners__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * From the controller to all: that it is there, and what changed.
+ */
+struct  Gspar__Owners
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  uint64_t number;
+  char *controller;
+  protobuf_c_boolean whole;
+  size_t n_targets;
+  char **targets;
+  size_t n_services;
+  Gspar__KeyOwners **services;
+  size_t n_hosts;
+  Gspar__HostAddr **hosts;
+  uint64_t site;
+};
+#define GSPAR__OWNERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gspar__owners__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+
+
+/*
+ * A configuration as the operator wrote it.
+ */
+struct  Gspar__SiteTold
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  ProtobufCBinaryData json;
+};
+#define GSPAR__SITE_TOLD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gspar__site_told__descriptor) \
+    , 0, {0,NULL} }
+
+
 typedef enum {
   GSPAR__FRAME__BODY__NOT_SET = 0,
   GSPAR__FRAME__BODY_HELLO = 1,
@@ -421,7 +563,10 @@
   GSPAR__FRAME__BODY_CANCEL = 10,
   GSPAR__FRAME__BODY_PING = 11,
   GSPAR__FRAME__BODY_CATALOGUE_ASK = 12,
-  GSPAR__FRAME__BODY_CATALOGUE_ENTRY = 13
+  GSPAR__FRAME__BODY_CATALOGUE_ENTRY = 13,
+  GSPAR__FRAME__BODY_HOST_REPORT = 14,
+  GSPAR__FRAME__BODY_OWNERS = 15,
+  GSPAR__FRAME__BODY_SITE_TOLD = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GSPAR__FRAME__BODY__CASE)
 } Gspar__Frame__BodyCase;
 
@@ -443,6 +588,9 @@
     Gspar__Ping *ping;
     Gspar__CatalogueAsk *catalogue_ask;
     Gspar__CatalogueEntry *catalogue_entry;
+    Gspar__HostReport *host_report;
+    Gspar__Owners *owners;
+    Gspar__SiteTold *site_told;
   };
 };
 #define GSPAR__FRAME__INIT \
@@ -849,6 +997,139 @@
 void   gspar__ping__free_unpacked
                      (Gspar__Ping *message,
                       ProtobufCAllocator *allocator);
+/* Gspar__TargetLearnt methods */
+void   gspar__target_learnt__init
+                     (Gspar__TargetLearnt         *message);
+size_t gspar__target_learnt__get_packed_size
+                     (const Gspar__TargetLearnt   *message);
+size_t gspar__target_learnt__pack
+                     (const Gspar__TargetLearnt   *message,
+                      uint8_t             *out);
+size_t gspar__target_learnt__pack_to_buffer
+                     (const Gspar__TargetLearnt   *message,
+                      ProtobufCBuffer     *buffer);
+Gspar__TargetLearnt *
+       gspar__target_learnt__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gspar__target_learnt__free_unpacked
+                     (Gspar__TargetLearnt *message,
+                      ProtobufCAllocator *allocator);
+/* Gspar__KeyHeat methods */
+void   gspar__key_heat__init
+                     (Gspar__KeyHeat         *message);
+size_t gspar__key_heat__get_packed_size
+                     (const Gspar__KeyHeat   *message);
+size_t gspar__key_heat__pack
+                     (const Gspar__KeyHeat   *message,
+                      uint8_t             *out);
+size_t gspar__key_heat__pack_to_buffer
+                     (const Gspar__KeyHeat   *message,
+                      ProtobufCBuffer     *buffer);
+Gspar__KeyHeat *
+       gspar__key_heat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gspar__key_heat__free_unpacked
+                     (Gspar__KeyHeat *message,
+                      ProtobufCAllocator *allocator);
+/* Gspar__HostReport methods */
+void   gspar__host_report__init
+                     (Gspar__HostReport         *message);
+size_t gspar__host_report__get_packed_size
+                     (const Gspar__HostReport   *message);
+size_t gspar__host_report__pack
+                     (const Gspar__HostReport   *message,
+                      uint8_t             *out);
+size_t gspar__host_report__pack_to_buffer
+                     (const Gspar__HostReport   *message,
+                      ProtobufCBuffer     *buffer);
+Gspar__HostReport *
+       gspar__host_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gspar__host_report__free_unpacked
+                     (Gspar__HostReport *message,
+                      ProtobufCAllocator *allocator);
+/* Gspar__HostAddr methods */
+void   gspar__host_addr__init
+                     (Gspar__HostAddr         *message);
+size_t gspar__host_addr__get_packed_size
+                     (const Gspar__HostAddr   *message);
+size_t gspar__host_addr__pack
+                     (const Gspar__HostAddr   *message,
+                      uint8_t             *out);
+size_t gspar__host_addr__pack_to_buffer
+                     (const Gspar__HostAddr   *message,
+                      ProtobufCBuffer     *buffer);
+Gspar__HostAddr *
+       gspar__host_addr__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gspar__host_addr__free_unpacked
+                     (Gspar__HostAddr *message,
+                      ProtobufCAllocator *allocator);
+/* Gspar__KeyOwners methods */
+void   gspar__key_owners__init
+                     (Gspar__KeyOwners         *message);
+size_t gspar__key_owners__get_packed_size
+                     (const Gspar__KeyOwners   *message);
+size_t gspar__key_owners__pack
+                     (const Gspar__KeyOwners   *message,
+                      uint8_t             *out);
+size_t gspar__key_owners__pack_to_buffer
+                     (const Gspar__KeyOwners   *message,
+                      ProtobufCBuffer     *buffer);
+Gspar__KeyOwners *
+       gspar__key_owners__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gspar__key_owners__free_unpacked
+                     (Gspar__KeyOwners *message,
+                      ProtobufCAllocator *allocator);
+/* Gspar__Owners methods */
+void   gspar__owners__init
+                     (Gspar__Owners         *message);
+size_t gspar__owners__get_packed_size
+                     (const Gspar__Owners   *message);
+size_t gspar__owners__pack
+                     (const Gspar__Owners   *message,
+                      uint8_t             *out);
+size_t gspar__owners__pack_to_buffer
+                     (const Gspar__Owners   *message,
+                      ProtobufCBuffer     *buffer);
+Gspar__Owners *
+       gspar__owners__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gspar__owners__free_unpacked
+                     (Gspar__Owners *message,
+                      ProtobufCAllocator *allocator);
+/* Gspar__SiteTold methods */
+void   gspar__site_told__init
+                     (Gspar__SiteTold         *message);
+size_t gspar__site_told__get_packed_size
+                     (const Gspar__SiteTold   *message);
+size_t gspar__site_told__pack
+                     (const Gspar__SiteTold   *message,
+                      uint8_t             *out);
+size_t gspar__site_told__pack_to_buffer
+                     (const Gspar__SiteTold   *message,
+                      ProtobufCBuffer     *buffer);
+Gspar__SiteTold *
+       gspar__site_told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gspar__site_told__free_unpacked
+                     (Gspar__SiteTold *message,
+                      ProtobufCAllocator *allocator);
 /* Gspar__Frame methods */
 void   gspar__frame__init
                      (Gspar__Frame         *message);
@@ -933,6 +1214,27 @@
 typedef void (*Gspar__Ping_Closure)
                  (const Gspar__Ping *message,
                   void *closure_data);
+typedef void (*Gspar__TargetLearnt_Closure)
+                 (const Gspar__TargetLearnt *message,
+                  void *closure_data);
+typedef void (*Gspar__KeyHeat_Closure)
+                 (const Gspar__KeyHeat *message,
+                  void *closure_data);
+typedef void (*Gspar__HostReport_Closure)
+                 (const Gspar__HostReport *message,
+                  void *closure_data);
+typedef void (*Gspar__HostAddr_Closure)
+                 (const Gspar__HostAddr *message,
+                  void *closure_data);
+typedef void (*Gspar__KeyOwners_Closure)
+                 (const Gspar__KeyOwners *message,
+                  void *closure_data);
+typedef void (*Gspar__Owners_Closure)
+                 (const Gspar__Owners *message,
+                  void *closure_data);
+typedef void (*Gspar__SiteTold_Closure)
+                 (const Gspar__SiteTold *message,
+                  void *closure_data);
 typedef void (*Gspar__Frame_Closure)
                  (const Gspar__Frame *message,
                   void *closure_data);
@@ -963,6 +1265,13 @@
 extern const ProtobufCMessageDescriptor gspar__answer__descriptor;
 extern const ProtobufCMessageDescriptor gspar__cancel__descriptor;
 extern const ProtobufCMessageDescriptor gspar__ping__descriptor;
+extern const ProtobufCMessageDescriptor gspar__target_learnt__descriptor;
+extern const ProtobufCMessageDescriptor gspar__key_heat__descriptor;
+extern const ProtobufCMessageDescriptor gspar__host_report__descriptor;
+extern const ProtobufCMessageDescriptor gspar__host_addr__descriptor;
+extern const ProtobufCMessageDescriptor gspar__key_owners__descriptor;
+extern const ProtobufCMessageDescriptor gspar__owners__descriptor;
+extern const ProtobufCMessageDescriptor gspar__site_told__descriptor;
 extern const ProtobufCMessageDescriptor gspar__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/regress/unit/t_cell.c
+++ b/regress/unit/t_cell.c
@@ -446,13 +446,13 @@
 	heard_in("h4", 4, "b", MS(3000));
 	heard_in("h5", 5, "b", MS(3000));
 	r.nstandby = 2;
-	r.standby[0] = (struct member){"h2", 2};
-	r.standby[1] = (struct member){"h3", 3};
+	r.standby[0] = (struct member){"h2", 2, ""};
+	r.standby[1] = (struct member){"h3", 3, ""};
 	CU_ASSERT_EQUAL(cell_standbys(&c, MS(3010), "h1", "a", &r, got), 2);
 	CU_ASSERT_STRING_EQUAL(got[0].host, "h4");
 	CU_ASSERT_STRING_EQUAL(got[1].host, "h2");
 	/* Those it has stay. */
-	r.standby[0] = (struct member){"h5", 5};
+	r.standby[0] = (struct member){"h5", 5, ""};
 	CU_ASSERT_EQUAL(cell_standbys(&c, MS(3010), "h1", "a", &r, got), 2);
 	CU_ASSERT_STRING_EQUAL(got[0].host, "h5");
 	CU_ASSERT_STRING_EQUAL(got[1].host, "h3");
