--- a/decide/keys.c
+++ b/decide/keys.c
@@ -14,8 +14,10 @@
 #define ORDER_AGAIN MS(150)
 /* Between tries at the store. */
 #define STORE_AGAIN MS(250)
-/* What need not be known at once is written this much later, with others. */
-#define WRITE_LATER MS(1500)
+/* What need not be known at once is written this much later, with others: a
+ * controller that takes over before it would have to wait for both the earlier
+ * and the next owner of the keys. */
+#define WRITE_LATER MS(400)
 /* Between looks at the balance. */
 #define PLAN_EVERY MS(300)
 
@@ -46,6 +48,7 @@
 {
 	keys_end(k);
 	k->active = 1;
+	k->closing = 0;
 	k->term = term;
 	k->next_try = now;
 }
@@ -267,16 +270,24 @@
 	r->fence = (uint64_t)json_integer_value(json_array_get(v, 2));
 	r->next = stored_target(k, json_array_get(v, 3));
 	r->next_fence = (uint64_t)json_integer_value(json_array_get(v, 4));
+	if (r->owner == NO_TARGET) {
+		/* Nobody but the next can hold it. */
+		r->owner = r->next;
+		r->fence = r->next_fence;
+		r->next = NO_TARGET;
+	}
 	r->granted_until = clear_at;
 	r->unanswered_until = clear_at;
 	r->step = r->next == NO_TARGET ? RANGE_OWNED : RANGE_PLANNED;
+	/* The next may have been granted the keys already. */
+	r->letting_go = r->next != NO_TARGET;
 }
 
 /* Reads what the store holds; 0, or -1 where it makes no sense. */
 static int
 from_json(struct keys *k, const char *json, size_t n, usec now)
 {
-	json_t *o = json_loadb(json, n, 0, NULL), *list, *v;
+	json_t *o = json_loadb(json, n, 0, NULL), *list;
 	usec hold, clear_at;
 	size_t i;
 	int k2;
@@ -295,7 +306,8 @@
 	clear_at =
 	    now + k->conf.order_wait + WAY + (usec)((double)hold * CLOCK_SLOW);
 	k->nranges = 0;
-	json_array_foreach(list, i, v) read_range(k, v, clear_at);
+	for (i = 0; i < json_array_size(list); i++)
+		read_range(k, json_array_get(list, i), clear_at);
 	for (k2 = 0; k2 < k->nranges; k2++)
 		k->ranges[k2].to =
 		    k2 + 1 < k->nranges ? k->ranges[k2 + 1].from - 1 : KEYS - 1;
@@ -436,11 +448,22 @@
 	k->next_try = now + STORE_AGAIN;
 }
 
-/* The outcome of the open write. */
+/* Names the write sent last, among all of this and earlier terms. */
+uint64_t
+keys_write(const struct keys *k)
+{
+	return (k->term << 32 | k->write_seq);
+}
+
+/*
+ * The outcome of a write.  One of an earlier term must not be taken for the
+ * write that is open now: plans would be acted on that the store does not hold.
+ */
 void
-keys_put_ended(struct keys *k, usec now, enum put_result res, uint64_t version)
+keys_put_ended(struct keys *k, usec now, uint64_t write, enum put_result res,
+    uint64_t version)
 {
-	if (!k->put_open)
+	if (!k->put_open || write != keys_write(k))
 		return;
 	if (res == PUT_DONE) {
 		stored(k, version, now);
@@ -462,7 +485,7 @@
 		k->out->get(k->arg, k->service);
 	}
 	if (k->claimed && !k->put_open && k->dirty &&
-	    (k->urgent || now - k->dirty_since >= WRITE_LATER))
+	    (k->urgent || k->closing || now - k->dirty_since >= WRITE_LATER))
 		put(k);
 }
 
@@ -496,11 +519,16 @@
 	k->out->order(k->arg, k->service, &o);
 }
 
-/* True where a range's grant may be sent or renewed. */
+/*
+ * True where a range's grant may be sent or renewed.  A range that was to be
+ * let go is not granted to its owner again, also when its next owner is lost
+ * and another is planned: an earlier controller may have granted it to that
+ * next, and both would hold it.
+ */
 static int
 may_grant(const struct keys *k, const struct key_range *r)
 {
-	return (r->step != RANGE_GIVING && r->owner != NO_TARGET && !r->open &&
+	return (!r->letting_go && r->owner != NO_TARGET && !r->open &&
 	    k->targets[r->owner].listed && k->stored_seq >= r->fence_by);
 }
 
@@ -530,6 +558,7 @@
 		r = &k->ranges[i];
 		r->open = 1;
 		r->renew_at = now + k->conf.renew;
+		r->granted_before = r->granted_until;
 		if (r->granted_until < until)
 			r->granted_until = until;
 	}
@@ -581,6 +610,7 @@
 	if (!r->released)
 		r->handover[0] = '\0';
 	r->released = 0;
+	r->letting_go = 0;
 	r->granted_until = 0;
 	r->unanswered_until = 0;
 	r->renew_at = now;
@@ -595,8 +625,11 @@
 {
 	if (r->step == RANGE_PLANNED && k->stored_seq >= r->plan_by) {
 		r->step = RANGE_GIVING;
-		r->released = 0;
-		r->handover[0] = '\0';
+		if (!r->letting_go) {
+			r->released = 0;
+			r->handover[0] = '\0';
+		}
+		r->letting_go = 1;
 		r->renew_at = now;
 		k->number++;
 	}
@@ -627,8 +660,12 @@
 		    until > r->unanswered_until ? until : r->unanswered_until;
 		return;
 	}
-	if (status == 0) {
-		if (r->unanswered_until < until)
+	if (status == ORDER_SILENT || status == ORDER_NOT_SENT) {
+		/* Tries that cannot have arrived must not put off the moment
+		 * from which a lost target's keys are free. */
+		if (status == ORDER_NOT_SENT)
+			r->granted_until = r->granted_before;
+		else if (r->unanswered_until < until)
 			r->unanswered_until = until;
 		r->renew_at = now + ORDER_AGAIN;
 		return;
@@ -653,7 +690,7 @@
 	name_copy(r->handover, sizeof(r->handover), handover);
 }
 
-/* An order ended; status is 0 where no answer came in time. */
+/* An order ended with an HTTP status, ORDER_SILENT or ORDER_NOT_SENT. */
 void
 keys_ordered(
     struct keys *k, usec now, uint64_t id, int status, const char *handover)
@@ -668,7 +705,7 @@
 		return;
 	o = k->orders[i];
 	k->orders[i] = k->orders[--k->norders];
-	if (status != 0) {
+	if (status > 0) {
 		k->targets[o.target].alive_at = now;
 		k->targets[o.target].unanswered = 0;
 	} else
@@ -724,6 +761,33 @@
 	return (k->claimed && k->have_fleet);
 }
 
+/* Begins no more moves, and writes at once what is done. */
+void
+keys_close(struct keys *k)
+{
+	k->closing = 1;
+}
+
+/*
+ * True where all that was decided is done and written.  Whoever takes control
+ * now need not wait for owners before and after a move.
+ */
+int
+keys_quiet(const struct keys *k)
+{
+	int i;
+
+	if (!k->claimed)
+		return (1);
+	if (k->dirty || k->put_open)
+		return (0);
+	for (i = 0; i < k->nranges; i++) {
+		if (k->ranges[i].step != RANGE_OWNED)
+			return (0);
+	}
+	return (1);
+}
+
 /* Does what is due; only while this host may order targets. */
 void
 keys_tick(struct keys *k, usec now)
@@ -738,7 +802,7 @@
 	for (i = 0; i < k->nranges; i++)
 		tick_range(k, &k->ranges[i], now);
 	tick_grants(k, now);
-	if (now < k->next_plan)
+	if (now < k->next_plan || k->closing)
 		return;
 	k->next_plan = now + PLAN_EVERY;
 	join(k, now);
@@ -765,7 +829,7 @@
 		o->from = r->from;
 		o->to = r->to;
 		o->target = r->owner;
-		o->moving = r->step == RANGE_GIVING;
+		o->moving = r->letting_go;
 		o->back_at = o->moving ? clear_at(r) : 0;
 		if (o->moving && !r->released && r->open)
 			o->back_at = 0;
--- a/decide/keys.h
+++ b/decide/keys.h
@@ -25,6 +25,10 @@
 	usec settle;	 /* targets stand still so long before the first plan */
 };
 
+/* How an order ended, where it was not answered with a status. */
+#define ORDER_SILENT 0	  /* it may be carried out, at once or later */
+#define ORDER_NOT_SENT -1 /* no byte of it left this host */
+
 /* An order to a target. */
 struct key_order {
 	uint64_t id;
@@ -77,8 +81,10 @@
 	int open;	   /* an order is under way */
 	int confirmed;	   /* the owner has answered a grant */
 	int released;	   /* the owner has answered a release */
+	int letting_go;	   /* the owner is granted no more */
 	usec renew_at;
 	usec granted_until;    /* the owner may hold the keys until then */
+	usec granted_before;   /* the same, but for the order under way */
 	usec unanswered_until; /* the same by grants without an answer */
 	usec moved_at;
 	char handover[NAME_MAX_GS];
@@ -108,6 +114,7 @@
 	const struct keys_out *out;
 	void *arg;
 	int active;
+	int closing; /* control is about to be handed over */
 	uint64_t term;
 
 	struct key_target targets[KEYS_TARGETS];
@@ -159,11 +166,15 @@
 void keys_got(struct keys *, usec now, int found, uint64_t version,
     const char *json, size_t n);
 void keys_get_failed(struct keys *, usec now);
-void keys_put_ended(struct keys *, usec now, enum put_result, uint64_t version);
+uint64_t keys_write(const struct keys *);
+void keys_put_ended(
+    struct keys *, usec now, uint64_t write, enum put_result, uint64_t version);
 void keys_ordered(
     struct keys *, usec now, uint64_t id, int status, const char *handover);
 void keys_tick(struct keys *, usec now);
 int keys_settled(const struct keys *);
+void keys_close(struct keys *);
+int keys_quiet(const struct keys *);
 void keys_view(const struct keys *, struct owner_service *);
 
 /* keys_plan.c */
--- a/decide/keys_plan.c
+++ b/decide/keys_plan.c
@@ -165,7 +165,7 @@
 
 /* The target with the least load for its weight; not `but`. */
 static int
-least(const struct keys *k, int but, usec now)
+least(const struct keys *k, const struct key_target *but, usec now)
 {
 	const struct key_target *t;
 	double load, best_load = 0;
@@ -173,7 +173,7 @@
 
 	for (i = 0; i < k->ntargets; i++) {
 		t = &k->targets[i];
-		if (t->lost || i == but)
+		if (t->lost || t == but)
 			continue;
 		load = t->heat / key_target_weight(t, now);
 		if (best == NO_TARGET || load < best_load) {
@@ -253,7 +253,7 @@
 	for (i = 1; i < pieces && step > 0; i++)
 		keys_split(k, n + i - 1, k->ranges[n + i - 1].from + step);
 	for (i = 0; i < pieces && (step > 0 || i == 0); i++, n++) {
-		to = least(k, NO_TARGET, now);
+		to = least(k, NULL, now);
 		if (to == NO_TARGET)
 			return;
 		heat = range_heat(k, &k->ranges[n], l->base);
@@ -341,11 +341,14 @@
 static int
 relieve(struct keys *k, const struct look *l, usec now)
 {
-	int from = most(k, now), to = least(k, from, now), i;
+	int from = most(k, now), to, i;
 	struct piece p = {-1, 0, 0, 0};
 	double mean = l->total / l->weight, wf, wt, high, need, over;
 
-	if (from == NO_TARGET || to == NO_TARGET)
+	if (from == NO_TARGET)
+		return (0);
+	to = least(k, &k->targets[from], now);
+	if (to == NO_TARGET)
 		return (0);
 	wf = key_target_weight(&k->targets[from], now);
 	wt = key_target_weight(&k->targets[to], now);
@@ -383,7 +386,7 @@
 {
 	struct key_range *r;
 	uint32_t size, best_size = KEYS;
-	int i, best = -1, to;
+	int i, best = 0, to;
 
 	if (k->nranges <= RANGES_EACH * l->live)
 		return;
@@ -397,7 +400,7 @@
 		best = i;
 		best_size = size;
 	}
-	if (best < 0)
+	if (best == 0)
 		return;
 	to = k->ranges[best - 1].owner;
 	if (to != NO_TARGET && !k->targets[to].lost)
--- a/decide/known.h
+++ b/decide/known.h
@@ -9,7 +9,7 @@
 
 /* Entries that lapsed in an outage are back this long after its end: the
  * platform's operators say about two seconds. */
-#define LAPSE_BACK MS(2400)
+#define LAPSE_BACK MS(2000)
 /* How long a target that is gone is still named, for its keys. */
 #define GONE_KEPT MS(20000)
 
--- a/decide/term.c
+++ b/decide/term.c
@@ -34,6 +34,16 @@
 	return (0);
 }
 
+/* True where a process that runs now proves that another has ended: both bind
+ * the same address, which only one can at a time. */
+static int
+replaces(const struct member *now_runs, const struct member *was)
+{
+	return (now_runs->addr[0] != '\0' && now_runs->boot != was->boot &&
+	    strcmp(now_runs->host, was->host) == 0 &&
+	    strcmp(now_runs->addr, was->addr) == 0);
+}
+
 /* Prepares the rules of one cell; seed is random and differs by process. */
 void
 term_init(struct term *t, const struct term_conf *conf,
@@ -195,6 +205,7 @@
 		t->npromises = 0;
 	}
 	t->role = TERM_HOLDER;
+	term_process_seen(t, now, &t->conf.self);
 	t->rec = t->put_rec;
 	t->version = version;
 	t->known = 1;
@@ -366,16 +377,6 @@
 	}
 }
 
-/* True where a process that runs now proves that another has ended: both bind
- * the same address, which only one can at a time. */
-static int
-replaces(const struct member *now_runs, const struct member *was)
-{
-	return (now_runs->addr[0] != '\0' && now_runs->boot != was->boot &&
-	    strcmp(now_runs->host, was->host) == 0 &&
-	    strcmp(now_runs->addr, was->addr) == 0);
-}
-
 /*
  * A process of the system was heard.  Where it has taken the place of the
  * holder that control was taken from, or of one of its standbys, that process
@@ -429,6 +430,9 @@
 		need = (usec)(t->conf.self.boot % (uint64_t)FIRST_SPREAD);
 	else if (t->rec.holder.host[0] == '\0')
 		need = 0;
+	else if (replaces(&t->conf.self, &t->rec.holder))
+		/* This process has the holder's place: the holder has ended. */
+		return (1);
 	else
 		need = lease_granter_end(0, t->conf.lease);
 	if (t->version != 0 && !lists(&t->rec, &t->conf.self) &&
@@ -460,8 +464,11 @@
 	usec every;
 	int free_now;
 
-	/* A holder that gave control back needs no promise any more. */
-	free_now = t->version != 0 && t->rec.holder.host[0] == '\0';
+	/* A holder that gave control back, or has ended, needs no promise any
+	 * more. */
+	free_now = t->version != 0 &&
+	    (t->rec.holder.host[0] == '\0' ||
+		replaces(&t->conf.self, &t->rec.holder));
 	if (lapsed(t, now) && t->eligible &&
 	    (now >= t->promised_until || free_now)) {
 		memset(&r, 0, sizeof(r));
--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -27,8 +27,10 @@
 #define ORDER_WAIT MS(500)
 /* Targets register one after another when all starts. */
 #define SETTLE MS(1500)
-/* How long a stop waits for another to take control. */
-#define HAND_OVER MS(1500)
+/* How long a stop waits for moves of keys to end before it gives control back,
+ * and for control to be given back at all. */
+#define QUIET_WITHIN MS(900)
+#define HAND_OVER MS(1800)
 
 /* Asks the store for the control record. */
 static void
@@ -125,7 +127,7 @@
 	if (st == NULL)
 		return;
 	st->base = base;
-	st->gen = keeper_keys(k, service)->write_seq;
+	st->gen = keys_write(keeper_keys(k, service));
 	str_set(&st->body, json, strlen(json));
 	store_send(k->s->kernel, st);
 }
@@ -142,8 +144,8 @@
 	 * another gives the same keys to others.
 	 */
 	if (!term_may_renew(&k->term, clock_mono())) {
-		keys_ordered(
-		    keeper_keys(k, service), clock_mono(), o->id, 0, "");
+		keys_ordered(keeper_keys(k, service), clock_mono(), o->id,
+		    ORDER_NOT_SENT, "");
 		return;
 	}
 	order_send(k, service, o);
@@ -383,9 +385,15 @@
 static void
 stop_tick(struct keeper *k, usec now)
 {
+	int i, quiet = 1;
+
 	if (!k->stopping || k->stop_since == 0)
 		return;
-	if (!k->resigned) {
+	for (i = 0; i < k->nkeys; i++) {
+		keys_close(k->keys[i]);
+		quiet &= keys_quiet(k->keys[i]);
+	}
+	if (!k->resigned && (quiet || now - k->stop_since > QUIET_WITHIN)) {
 		k->resigned = 1;
 		term_resign(&k->term, now);
 	}
@@ -435,11 +443,9 @@
 	ks = keeper_keys(k, st->tag + 5);
 	if (ks == NULL)
 		return;
-	if (st->op == STORE_PUT) {
-		/* Of an earlier term or write: not the one that is open. */
-		if (st->gen == ks->write_seq)
-			keys_put_ended(ks, now, put_result(st), st->version);
-	} else if (st->result == STORE_DONE || st->result == STORE_ABSENT)
+	if (st->op == STORE_PUT)
+		keys_put_ended(ks, now, st->gen, put_result(st), st->version);
+	else if (st->result == STORE_DONE || st->result == STORE_ABSENT)
 		keys_got(ks, now, st->result == STORE_DONE, st->version,
 		    st->body.p, st->body.n);
 	else
--- a/gspard/keeper_order.c
+++ b/gspard/keeper_order.c
@@ -129,7 +129,7 @@
 	c = calloc(1, sizeof(*c));
 	if (c == NULL || (c->easy = curl_easy_init()) == NULL) {
 		free(c);
-		keys_ordered(keys, clock_mono(), o->id, 0, "");
+		keys_ordered(keys, clock_mono(), o->id, ORDER_NOT_SENT, "");
 		return;
 	}
 	c->ops = k->ops;
@@ -155,8 +155,10 @@
 	long status = 0;
 
 	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (res != CURLE_OK || status == 421 || status >= 500)
-		status = 0;
+	if (!c->begun)
+		status = ORDER_NOT_SENT;
+	else if (res != CURLE_OK || status == 421 || status >= 500)
+		status = ORDER_SILENT;
 	if (status != 200) {
 		count_add(C_GRANTS_FAILED, 1);
 		log_line(LOG_INFO, "control",
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -20,9 +20,12 @@
 /* Changes that come close together are read with one call: each call counts,
  * and the bound on leaving targets (2 s) leaves room for it. */
 #define WATCH_PAUSE MS(120)
-/* Between tries while the store does not answer; the first follows sooner. */
+/* Between tries while the store does not answer; the first follows sooner.
+ * Each call counts, refused ones too; but what left while this host was cut
+ * off must be known 3 s after its return, of which the doubt about lapsed
+ * entries takes two. */
 #define RETRY_FIRST MS(100)
-#define RETRY_MOST MS(1000)
+#define RETRY_MOST MS(400)
 
 enum feed_kind { FEED_SITE, FEED_TARGETS, FEEDS };
 
@@ -281,6 +284,10 @@
 	int i;
 
 	for (i = 0; i < FEEDS; i++) {
+		/* One kind tells whether the store is back; others wait. */
+		if (i > 0 && w->feeds[0].backoff != 0 &&
+		    w->feeds[i].backoff != 0)
+			continue;
 		if (!w->feeds[i].open && now >= w->feeds[i].next)
 			ask(s, &w->feeds[i]);
 	}
--- a/regress/run.sh
+++ b/regress/run.sh
@@ -81,7 +81,7 @@
 run lint-format clang-format --dry-run -Werror $sources
 run lint-cppcheck cppcheck -q -j4 --error-exitcode=1 --inline-suppr \
     --suppress=missingIncludeSystem --enable=warning,portability \
-    --std=c11 -Ilib -Idecide -Iproto lib decide gspard gsparctl standin
+    --std=c11 -Ilib -Idecide -Iproto -Igspard -Iplatform lib decide gspard gsparctl platform standin
 run lint-manuals sh -c 'mandoc -T lint -W warning */*.[1-9]'
 run docs-errors sh regress/errors.sh
 run examples sh regress/examples.sh
--- /dev/null
+++ b/regress/scenario/lib_site.lua
@@ -0,0 +1,335 @@
+-- Words for scenarios on the platform of objects: a store, targets that know
+-- grants, hosts that send to them themselves.
+Site = {}
+Site.__index = Site
+
+-- hosts and targets share the helpers that number ports.
+Site.port = Fleet.port
+
+local MAIN = "/objects/config/main"
+
+function Site.new(opt)
+	local s = setmetatable({ hosts = {}, order = {}, servers = {},
+	    sorder = {}, opt = opt, next = 2, version = 0, asked = 0 }, Site)
+	s.store, s.control = s:port(), s:port()
+	spawn(path("store.log"), BUILD .. "/standin/store", "-l", s.store, "-c",
+	    s.control)
+	await("store", 3000, function()
+		return http("GET", "http://" .. s.control .. "/") == 200
+	end)
+	return s
+end
+
+-- Sets faults of the store; "down=1&slow=20".
+function Site:fault(q)
+	http("POST", "http://" .. self.control .. "/fault?" .. q, "")
+end
+
+function Site:counts()
+	local _, text = http("GET", "http://" .. self.control .. "/")
+	local t = {}
+	for k, v in text:gmatch("(%w+) (%d+)") do
+		t[k] = tonumber(v)
+	end
+	return t
+end
+
+-- Writes a configuration: routes is a list of JSON texts by name.
+function Site:configure(routes, services, limits)
+	self.version = self.version + 3
+	self.routes = routes or self.routes
+	self.services = services or self.services
+	local body = string.format('{"metadata":{"name":"main"},"spec":' ..
+	    '{"version":"%08x","routes":{%s},"services":{%s},"limits":{%s}}}',
+	    self.version, table.concat(self.routes, ","),
+	    table.concat(self.services, ","), limits or
+	    '"max_header_bytes":16384,"max_body_bytes":65536,' ..
+	    '"header_timeout":"3000ms","idle_timeout":"3000ms"')
+	local st = http("PUT", "http://" .. self.store .. MAIN, body)
+	if st == 404 then
+		st = http("POST", "http://" .. self.store .. "/objects/config",
+		    body)
+	end
+	check(st == 200, "configuration not written: %d", st)
+	return self.version
+end
+
+function route(name, prefix, kind, service, more)
+	return string.format('"%s":{"host":"a.example","path_prefix":"%s",' ..
+	    '"kind":"%s","timeout":"%s","target_latency":"300ms",' ..
+	    '"priority":%d,%s,"max_attempts":2}', name, prefix, kind,
+	    more and more.timeout or "1500ms", more and more.priority or 1,
+	    more and more.split or '"service":"' .. service .. '"')
+end
+
+function Site:add_server(service, dc, opt)
+	opt = opt or {}
+	local n = #self.sorder + 1
+	local t = { id = opt.id or "i-" .. n, service = service, dc = dc,
+	    addr = opt.addr or self:port(), opt = opt }
+	self.servers[t.id] = t
+	table.insert(self.sorder, t.id)
+	local args = { "-l", t.addr, "-n", t.id, "-j", path(t.id .. ".journal"),
+	    "-s", tostring(opt.slots or 4), "-w", tostring(opt.work or 5) }
+	if opt.keyed then
+		table.insert(args, "-k")
+	end
+	t.pid = spawn(path(t.id .. ".log"), BUILD .. "/standin/server",
+	    table.unpack(args))
+	await(t.id, 3000, function()
+		return http("GET", "http://" .. t.addr .. "/_fault") == 200
+	end)
+	self:register(t.id)
+	return t
+end
+
+-- Writes a target's entry, as the target itself would.
+function Site:register(id)
+	local t = self.servers[id]
+	http("POST", "http://" .. self.store .. "/objects/servers",
+	    string.format('{"metadata":{"name":"%s"},"spec":{"address":"%s",' ..
+	    '"info":{"service":"%s","version":"v1","zone":"%s","slots":%d}},' ..
+	    '"status":{"state":"ready","sequence":1,"cold_left":"0ms"}}', id,
+	    t.addr, t.service, t.dc, t.opt.slots or 4))
+end
+
+function Site:drain(id)
+	local t = self.servers[id]
+	http("PUT", "http://" .. self.store .. "/objects/servers/" .. id,
+	    string.format('{"metadata":{"name":"%s"},"spec":{"address":"%s",' ..
+	    '"info":{"service":"%s","version":"v1","zone":"%s","slots":%d}},' ..
+	    '"status":{"state":"draining","sequence":2,"cold_left":"0ms"}}',
+	    id, t.addr, t.service, t.dc, t.opt.slots or 4))
+end
+
+function Site:unregister(id)
+	http("DELETE", "http://" .. self.store .. "/objects/servers/" .. id)
+end
+
+function Site:server_fault(id, q)
+	local _, n = http("POST", "http://" .. self.servers[id].addr ..
+	    "/_fault?" .. q, "")
+	return tonumber(n)
+end
+
+function Site:kill_server(id)
+	self.servers[id].died = now_ms()
+	kill(self.servers[id].pid, 9)
+	wait(self.servers[id].pid)
+end
+
+function Site:add_host(name, dc)
+	local h = { name = name, dc = dc, callers = self:port(),
+	    ready = self:port(), peers = self:port(), admin = self:port() }
+	self.hosts[name] = h
+	table.insert(self.order, name)
+	self:write_settings(name)
+	return h
+end
+
+function Site:write_settings(name, more)
+	local h = self.hosts[name]
+	write_file(name .. ".conf", string.format(
+	    "[host]\nname = %s\ndc = %s\n[listen]\ncallers = %s\n" ..
+	    "ready = %s\npeers = %s\nadmin = %s\n[platform]\n" ..
+	    "form = objects\naddress = %s\n[leases]\ncontrol_ms = 1500\n" ..
+	    "renew_ms = 500\nhost_ms = 1500\ngrant_ms = 1500\n[bounds]\n" ..
+	    "heartbeat = 900ms\ndrain = 2s\ngrace = 6s\nconfig_apply = 2s\n" ..
+	    "budget_window = 10s\nmax_hold = 10s\nretry_budget_ratio = 0.2\n" ..
+	    "%s\n", name, h.dc, h.callers, h.ready, h.peers, h.admin,
+	    self.store, more or "retry_budget_slack = 60"))
+end
+
+function Site:start_host(name)
+	local h = self.hosts[name]
+	h.pid = spawn(path(name .. ".log"), BUILD .. "/gspard/gspard", "-f",
+	    path(name .. ".conf"))
+	h.dead = nil
+end
+
+function Site:kill_host(name)
+	kill(self.hosts[name].pid, 9)
+	wait(self.hosts[name].pid)
+	self.hosts[name].dead = true
+end
+
+function Site:stop_host(name)
+	kill(self.hosts[name].pid, 15)
+	local st = wait(self.hosts[name].pid)
+	self.hosts[name].dead = true
+	return st
+end
+
+function Site:is_ready(name)
+	return http("GET", "http://" .. self.hosts[name].ready .. "/readyz",
+	    nil, nil, 500) == 200
+end
+
+-- One request through a host; heads is a list of more header lines.
+function Site:ask(name, p, heads, method, body)
+	self.asked = self.asked + 1
+	local all = { "Host: a.example", "X-Request-Id: q" .. self.asked,
+	    "X-Deadline-Ms: 1400" }
+	for _, h in ipairs(heads or {}) do
+		table.insert(all, h)
+	end
+	local st, text, head = http(method or "GET", "http://" ..
+	    self.hosts[name].callers .. p, body, all, 4000)
+	return st, text, head, "q" .. self.asked
+end
+
+function Site:ask_key(name, key)
+	return self:ask(name, "/k/" .. key, { "X-Shard-Key: " .. key })
+end
+
+function Site:metric(name, counter)
+	local _, body = http("GET", "http://" .. self.hosts[name].admin ..
+	    "/metrics")
+	return tonumber(body:match("\ngspar_" .. counter .. "_total (%d+)"))
+end
+
+-- The host that controls, by the record in the store.
+function Site:controller()
+	local st, text = http("GET", "http://" .. self.store ..
+	    "/objects/gspar-control/main")
+	local r = st == 200 and json(text)
+	return r and r.spec and r.spec.holder and r.spec.holder.host
+end
+
+-- Waits until keys all over are served through every host.
+function Site:await_keys(ms)
+	await("all keys served", ms or 12000, function()
+		for _, n in ipairs(self.order) do
+			for key = 500, 65535, 5000 do
+				if not self.hosts[n].dead and
+				    self:ask_key(n, key) ~= 200 then
+					return false
+				end
+			end
+		end
+		return true
+	end)
+end
+
+-- A site with one service without keys, one with, and hosts in two centres.
+function standard_site(opt)
+	opt = opt or {}
+	local s = Site.new(opt)
+	s:configure({ route("r1", "/any/", "safe", "plain"),
+	    route("r2", "/once/", "unsafe", "plain"),
+	    route("r3", "/k/", "safe", "keyed") },
+	    { '"plain":{"max_conns":100}',
+	    '"keyed":{"max_conns":100,"sharded":true,"warmup":"3s"}' })
+	for i = 1, opt.plain or 3 do
+		s:add_server("plain", i % 2 == 0 and "north" or "south",
+		    { work = opt.work })
+	end
+	for i = 1, opt.keyed or 3 do
+		s:add_server("keyed", i % 2 == 0 and "north" or "south",
+		    { keyed = true, work = opt.work })
+	end
+	for i = 1, opt.hosts or 3 do
+		s:add_host("h" .. i, i % 2 == 0 and "north" or "south")
+	end
+	for _, n in ipairs(s.order) do
+		s:start_host(n)
+	end
+	for _, n in ipairs(s.order) do
+		await(n .. " ready", 8000, function()
+			return s:is_ready(n)
+		end)
+	end
+	s:await_keys()
+	return s
+end
+
+-- Asks over and over for a while, through hosts that live, of all kinds; the
+-- number of answers other than 200 by kind, and the longest time without any
+-- answer for keyed requests.
+function Site:load(ms, each)
+	local till, n = now_ms() + ms, 0
+	local r = { asked = 0, any = 0, once = 0, key = 0, gap = 0, runs = {} }
+	local last = {}
+	while now_ms() < till do
+		n = n + 1
+		if each then
+			each(n)
+		end
+		local h = self.order[n % #self.order + 1]
+		if not self.hosts[h].dead then
+			r.asked = r.asked + 3
+			local st = self:ask(h, "/any/" .. n)
+			r.any = r.any + (st == 200 and 0 or 1)
+			local st2, _, _, id = self:ask(h, "/once/" .. n, nil,
+			    "POST", "body " .. n)
+			r.once = r.once + (st2 == 200 and 0 or 1)
+			if st2 == 503 or st2 == 429 then
+				r.runs[id] = true
+			end
+			local key = n * 5003 % 65536
+			local st3 = self:ask_key(h, key)
+			r.key = r.key + (st3 == 200 and 0 or 1)
+			r.last = st3 ~= 200 and st3 or r.last
+		end
+	end
+	return r
+end
+
+-- Reads all journals: no two servers that lived held one key at one time, no
+-- request that may run once ran twice, and none that was said not to have run.
+function Site:journals_ok(refused)
+	local all, seen, doubles = {}, {}, 0
+	for _, id in ipairs(self.sorder) do
+		for l in read_file(id .. ".journal"):gmatch("[^\n]+") do
+			local w, a, b, c, d, e = l:match(
+			    "^(%a+) (%d+) (%d+) (%d+) (%d+) (%d+)")
+			if w then
+				table.insert(all, { at = tonumber(d), id = id,
+				    what = w, from = tonumber(a),
+				    to = tonumber(b), till = tonumber(e) })
+			end
+			local rid, method = l:match("^run %S+ %S+ (%S+) (%S+)")
+			if rid and method == "POST" then
+				check(not seen[rid], "%s ran twice", rid)
+				check(not (refused and refused[rid]),
+				    "%s ran, its caller was told it had not",
+				    rid)
+				seen[rid] = true
+			end
+		end
+	end
+	table.sort(all, function(x, y)
+		return x.at < y.at
+	end)
+	for key = 300, 65535, 1111 do
+		local held = {}
+		for _, e in ipairs(all) do
+			if e.from <= key and key <= e.to then
+				if e.what == "grant" then
+					for id, till in pairs(held) do
+						local died =
+						    self.servers[id].died
+						if id ~= e.id and till > e.at and
+						    not (died and
+						    died * 1000 < e.at) then
+							doubles = doubles + 1
+						end
+					end
+					held[e.id] = math.max(held[e.id] or 0,
+					    e.till)
+				else
+					held[e.id] = 0
+				end
+			end
+		end
+	end
+	check(doubles == 0, "keys held by two at once: %d times", doubles)
+end
+
+function Site:stop_all()
+	for _, n in ipairs(self.order) do
+		if not self.hosts[n].dead then
+			check(self:stop_host(n) == 0, "%s did not stop well", n)
+		end
+	end
+end
--- /dev/null
+++ b/regress/scenario/site_config.lua
@@ -0,0 +1,43 @@
+-- Configurations change: routes come and go, a route moves to another service,
+-- parts of a split hold.  Each is in force on every host within two seconds,
+-- and no host ever serves by an older one again.
+dofile("regress/scenario/lib_site.lua")
+local s = standard_site()
+s:add_server("other", "south")
+local old = s.routes
+s:configure({ old[1], old[2], old[3], route("r4", "/new/", "safe", "plain"),
+    route("r5", "/any/deep/", "safe", "other") }, { s.services[1],
+    s.services[2], '"other":{"max_conns":50}' })
+sleep_ms(2000)
+for _, n in ipairs(s.order) do
+	check(s:ask(n, "/new/1") == 200, "%s has no new route", n)
+	local _, body = s:ask(n, "/any/deep/1")
+	check(body:match("^i%-7 "), "%s sends it to %s", n, body)
+end
+say("in force on every host")
+s:configure({ old[1], old[2], old[3] })
+sleep_ms(2000)
+for _, n in ipairs(s.order) do
+	check(s:ask(n, "/new/1") == 404, "%s has the route still", n)
+end
+say("a removed route is refused")
+-- A host without a way to the store hears of it from others.
+local late = s:controller() == "h3" and "h2" or "h3"
+s:kill_host(late)
+s:start_host(late)
+await(late .. " ready", 5000, function()
+	return s:is_ready(late)
+end)
+check(s:ask(late, "/new/1") == 404, "a restarted host serves by an old one")
+s:configure({ route("r1", "/any/", "safe", nil, { split =
+    '"traffic_split":[{"service":"plain","weight":75},' ..
+    '{"service":"other","weight":25}]' }), old[2], old[3] })
+sleep_ms(2000)
+local other = 0
+for i = 1, 200 do
+	local _, body = s:ask("h1", "/any/" .. i)
+	other = other + (body:match("^i%-7 ") and 1 or 0)
+end
+check(other >= 46 and other <= 54, "a quarter of 200 is %d", other)
+say("the split holds")
+s:stop_all()
--- a/regress/unit/t_conf.c
+++ b/regress/unit/t_conf.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "conf.h"
+#include "settings.h"
 #include "unit.h"
 
 static char said[4096];
@@ -58,6 +59,41 @@
 	CU_ASSERT_STRING_EQUAL(c.platform[1], "[::1]:84");
 }
 
+#define OBJECTS                                                                \
+	"[host]\nname = h1\ndc = aarhus\n[listen]\n"                           \
+	"callers = 127.0.0.1:80\nready = 127.0.0.1:85\npeers = 127.0.0.1:81\n" \
+	"admin = 127.0.0.1:82\n[platform]\nform = objects\n"                   \
+	"address = 127.0.0.1:83\n[bounds]\n"
+#define BOUNDS                                                                 \
+	"drain = 2000ms\ngrace = 6s\nstop_of_another = x\n"                    \
+	"budget_window=10s\nretry_budget_ratio=0.2\n"                          \
+	"retry_budget_slack=64\nmax_hold=1.5s\nheartbeat=870ms\n"
+
+/* The platform's bounds by its own names; those it has beyond are left out. */
+static void
+bounds(void)
+{
+	platform_settings();
+	CU_ASSERT_EQUAL(read_text(OBJECTS BOUNDS "config_apply=2s\n"), 0);
+	CU_ASSERT_EQUAL(c.form, FORM_OBJECTS);
+	CU_ASSERT_EQUAL(c.bounds.leave_ms, 2000);
+	CU_ASSERT_EQUAL(c.bounds.stop_ms, 6000);
+	CU_ASSERT_EQUAL(c.bounds.hold_max_ms, 1500);
+	CU_ASSERT_EQUAL(c.bounds.retry_share, 0.2);
+	CU_ASSERT_EQUAL(read_text(OBJECTS BOUNDS), -1);
+	CU_ASSERT_PTR_NOT_NULL(strstr(said, "missing: apply in section"));
+	CU_ASSERT_EQUAL(read_text(OBJECTS BOUNDS "config_apply=soon\n"), -1);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(said, "21: apply: 'soon' is no time; allowed: a number"));
+	CU_ASSERT_EQUAL(
+	    read_text(OBJECTS BOUNDS "config_apply=2s\nmax_hold=3h\n"), -1);
+	CU_ASSERT_EQUAL(
+	    read_text(OBJECTS BOUNDS "config_apply=2s\n[platform]\nform=x\n"),
+	    -1);
+	CU_ASSERT_PTR_NOT_NULL(strstr(said, "allowed: native, objects"));
+	conf_aliases(NULL, 0);
+}
+
 static void
 faults(void)
 {
@@ -94,5 +130,6 @@
 	CU_ASSERT_PTR_NOT_NULL(strstr(said, "cannot be read"));
 }
 
-static const struct unit_test tests[] = {{"good", good}, {"faults", faults}};
+static const struct unit_test tests[] = {
+    {"good", good}, {"bounds", bounds}, {"faults", faults}};
 UNIT_MAIN("conf", tests)
--- /dev/null
+++ b/regress/unit/t_dest.c
@@ -0,0 +1,153 @@
+/* What a host believes of targets, and where it sends. */
+#include "dest.h"
+#include "unit.h"
+
+static const struct dest_conf twelve = {12};
+
+static void
+end(struct dest *d, usec now, enum dest_end e, usec took, int running,
+    int waiting)
+{
+	struct dest_answer a = {e, took, MS(100), running, waiting};
+
+	dest_ended(d, now, &a);
+}
+
+/*
+ * Targets of one service never answer what they cannot queue, nor anything
+ * after it on that connection.  Twelve hosts that each know only what such a
+ * target told last stay below its four slots and sixteen places: a host adds
+ * nothing to a target that said it is full, until that is old.
+ */
+static void
+stays_below_full(void)
+{
+	struct dest d;
+
+	dest_init(&d, 4);
+	CU_ASSERT(dest_room(&d, MS(1000), &twelve));
+	dest_sent(&d);
+	end(&d, MS(1000), DEST_ANSWERED, MS(100), 4, 14);
+	CU_ASSERT(!dest_room(&d, MS(1000), &twelve));
+	CU_ASSERT(!dest_room(&d, MS(1050), &twelve));
+	CU_ASSERT(dest_room(&d, MS(1400), &twelve));
+	/* However idle it seems, one host fills no target. */
+	dest_init(&d, 4);
+	dest_sent(&d);
+	dest_sent(&d);
+	CU_ASSERT(!dest_room(&d, MS(1000), &twelve));
+}
+
+/* A small fleet may send more each. */
+static void
+few_hosts(void)
+{
+	const struct dest_conf two = {2};
+	struct dest d;
+	int n;
+
+	dest_init(&d, 4);
+	for (n = 0; dest_room(&d, MS(1000), &two); n++)
+		dest_sent(&d);
+	CU_ASSERT_EQUAL(n, 6);
+}
+
+/*
+ * A target does not take connections.  Callers would wait for it again and
+ * again; it is left alone, longer each time, and tried again.
+ */
+static void
+unreached(void)
+{
+	struct dest d;
+
+	dest_init(&d, 4);
+	dest_sent(&d);
+	end(&d, MS(1000), DEST_UNREACHED, 0, -1, 0);
+	CU_ASSERT(!dest_usable(&d, MS(1100)));
+	CU_ASSERT(dest_usable(&d, MS(1200)));
+	dest_sent(&d);
+	end(&d, MS(1200), DEST_UNREACHED, 0, -1, 0);
+	CU_ASSERT(!dest_usable(&d, MS(1400)));
+	dest_sent(&d);
+	end(&d, MS(2000), DEST_ANSWERED, MS(100), 1, 0);
+	dest_sent(&d);
+	end(&d, MS(2000), DEST_UNREACHED, 0, -1, 0);
+	CU_ASSERT(dest_usable(&d, MS(2200)));
+}
+
+/* Answers that do not come are held against a target only in a row. */
+static void
+broken(void)
+{
+	struct dest d;
+	int i;
+
+	dest_init(&d, 4);
+	for (i = 0; i < 2; i++) {
+		dest_sent(&d);
+		end(&d, MS(1000), DEST_BROKE, 0, -1, 0);
+	}
+	CU_ASSERT(dest_usable(&d, MS(1001)));
+	dest_sent(&d);
+	end(&d, MS(1000), DEST_BROKE, 0, -1, 0);
+	CU_ASSERT(!dest_usable(&d, MS(1001)));
+}
+
+/* The fast one is preferred, the full one avoided, the far one a little. */
+static void
+costs(void)
+{
+	struct dest fast, slow, far;
+	int i;
+
+	dest_init(&fast, 4);
+	dest_init(&slow, 4);
+	fast.near = slow.near = 1;
+	for (i = 0; i < 60; i++) {
+		dest_sent(&fast);
+		end(&fast, MS(i), DEST_ANSWERED, MS(60), 1, 0);
+		dest_sent(&slow);
+		end(&slow, MS(i), DEST_ANSWERED, MS(140), 1, 0);
+	}
+	CU_ASSERT(dest_cost(&fast, MS(1000), MS(100)) <
+	    dest_cost(&slow, MS(1000), MS(100)));
+	far = fast;
+	far.near = 0;
+	CU_ASSERT(dest_cost(&far, MS(1000), MS(100)) <
+	    dest_cost(&slow, MS(1000), MS(100)));
+	CU_ASSERT(dest_cost(&far, MS(1000), MS(100)) >
+	    dest_cost(&fast, MS(1000), MS(100)));
+	fast.others = 12;
+	fast.heard = MS(1000);
+	CU_ASSERT(dest_cost(&fast, MS(1000), MS(100)) >
+	    dest_cost(&slow, MS(1000), MS(100)));
+}
+
+/* One that fails part of its requests gets fewer. */
+static void
+failing(void)
+{
+	struct dest good, bad;
+	int i;
+
+	dest_init(&good, 4);
+	dest_init(&bad, 4);
+	for (i = 0; i < 20; i++) {
+		dest_sent(&bad);
+		end(&bad, MS(i), i % 2 ? DEST_ANSWERED : DEST_FAILED, MS(100),
+		    1, 0);
+	}
+	CU_ASSERT(dest_cost(&bad, MS(1000), MS(100)) >
+	    1.5 * dest_cost(&good, MS(1000), MS(100)));
+}
+
+static const struct unit_test tests[] = {
+    {"stays below full", stays_below_full},
+    {"few hosts", few_hosts},
+    {"unreached", unreached},
+    {"broken", broken},
+    {"costs", costs},
+    {"failing", failing},
+};
+UNIT_MAIN("dest", tests)
--- /dev/null
+++ b/regress/unit/t_keys.c
@@ -0,0 +1,685 @@
+/*
+ * Sole ownership of key ranges, played in virtual time against targets that
+ * know nothing but grants, and a store that loses answers.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "keys.h"
+#include "unit.h"
+
+#define STEP MS(5)
+#define TARGETS 8
+#define SAMPLES 96 /* keys that are looked at */
+#define MAILS 4096
+#define SLOW_CLOCK 1.0204 /* a clock that is one part in fifty slow */
+
+/* A target as the sites describe it. */
+struct fake {
+	char id[NAME_MAX_GS];
+	char addr[FLEET_ADDR];
+	int up;
+	int listed;
+	int leaving;
+	uint64_t seen[SAMPLES];
+	usec until[SAMPLES];
+};
+
+enum mail_kind { MAIL_ORDER, MAIL_ANSWER, MAIL_PUT, MAIL_PUT_ANSWER, MAIL_GET };
+
+/* Something on its way. */
+struct mail {
+	enum mail_kind kind;
+	usec due;
+	usec arrival; /* of an order: its time counts from here */
+	int controller;
+	struct key_order order;
+	int status;
+	uint64_t base;
+	uint64_t version;
+	uint64_t write;
+	char *text;
+};
+
+static struct keys ctl[2];
+static int now_ctl; /* which of the two controls; -1 is neither */
+static struct fake fakes[TARGETS * 8];
+static int nfakes;
+static struct mail mails[MAILS];
+static int nmails;
+static char *stored;
+static uint64_t stored_version;
+static usec now;
+static uint64_t seed;
+static double lose; /* share of orders and answers that are lost or late */
+static int store_down;
+static uint64_t top_fence[SAMPLES];
+static usec unheld_since[SAMPLES];
+static usec longest_unheld;
+static int double_held, fence_fell;
+
+static double
+chance(void)
+{
+	seed = seed * 6364136223846793005u + 1442695040888963407u;
+	return ((double)(seed >> 11) / (double)(1ull << 53));
+}
+
+/* The n-th key that is looked at: a hot run, and others all over. */
+static uint32_t
+sample(int n)
+{
+	return (n < SAMPLES / 2 ? 30000 + (uint32_t)n * 2
+				: (uint32_t)(n - SAMPLES / 2) * 1365);
+}
+
+static struct mail *
+post(enum mail_kind kind, usec delay)
+{
+	struct mail *m = &mails[nmails++];
+
+	if (nmails == MAILS)
+		abort();
+	memset(m, 0, sizeof(*m));
+	m->kind = kind;
+	m->due = now + delay;
+	return (m);
+}
+
+static int
+controller_of(const void *arg)
+{
+	return (arg == &ctl[0] ? 0 : 1);
+}
+
+static void
+on_get(void *arg, const char *service)
+{
+	post(MAIL_GET, MS(4))->controller = controller_of(arg);
+}
+
+static void
+on_put(void *arg, const char *service, uint64_t base, const char *json)
+{
+	struct mail *m = post(MAIL_PUT, MS(4));
+
+	m->controller = controller_of(arg);
+	m->base = base;
+	m->write = keys_write(arg);
+	m->text = strdup(json);
+	if (chance() < lose) /* it lands seconds later, and nobody hears so */
+		m->due = now + (usec)(chance() * (double)MS(6000));
+}
+
+static void
+on_order(void *arg, const char *service, const struct key_order *o)
+{
+	struct mail *m = post(MAIL_ORDER, MS(1));
+
+	m->controller = controller_of(arg);
+	m->order = *o;
+	m->arrival = m->due;
+}
+
+static void
+on_event(void *arg, const char *service, const char *what)
+{
+}
+
+static struct fake *
+fake_of(const char *id)
+{
+	int i;
+
+	for (i = 0; i < nfakes; i++) {
+		if (strcmp(fakes[i].id, id) == 0)
+			return (&fakes[i]);
+	}
+	return (NULL);
+}
+
+/* A target takes a grant; HTTP status. */
+static int
+take_grant(struct fake *f, const struct mail *m)
+{
+	const struct key_order *o = &m->order;
+	usec until = m->arrival + (usec)(MS(o->hold_ms) * SLOW_CLOCK);
+	int i, t;
+
+	for (i = 0; i < SAMPLES; i++) {
+		if (sample(i) >= o->from && sample(i) <= o->to &&
+		    f->seen[i] > o->fence)
+			return (409);
+	}
+	for (i = 0; i < SAMPLES; i++) {
+		if (sample(i) < o->from || sample(i) > o->to)
+			continue;
+		/* Above all with which others had the key; one whose time is
+		 * over when it is carried out gives no key. */
+		for (t = 0; t < nfakes && until > now; t++) {
+			if (&fakes[t] != f && fakes[t].seen[i] >= o->fence)
+				fence_fell++;
+		}
+		f->seen[i] = o->fence;
+		if (f->until[i] < until)
+			f->until[i] = until;
+	}
+	return (200);
+}
+
+static void
+take_release(struct fake *f, const struct key_order *o)
+{
+	int i;
+
+	for (i = 0; i < SAMPLES; i++) {
+		if (sample(i) >= o->from && sample(i) <= o->to)
+			f->until[i] = 0;
+	}
+}
+
+/* An order arrives, or is carried out late without an answer. */
+static void
+deliver_order(struct mail *m)
+{
+	struct fake *f = fake_of(m->order.target);
+	struct mail copy = *m, *a;
+	int status = 200;
+
+	if (f == NULL || !f->up)
+		return;
+	if (m->due == m->arrival && chance() < lose) {
+		copy.due = now + MS(2000) + (usec)(chance() * MS(10000));
+		mails[nmails++] = copy;
+		return;
+	}
+	if (m->order.release)
+		take_release(f, &m->order);
+	else
+		status = take_grant(f, m);
+	if (m->due != m->arrival || chance() < lose / 2)
+		return;
+	a = post(MAIL_ANSWER,
+	    m->order.release ? MS(1) + (usec)(chance() * MS(250)) : MS(1));
+	a->controller = copy.controller;
+	a->order = copy.order;
+	a->status = status;
+}
+
+static void
+deliver_put(struct mail *m)
+{
+	struct mail *a;
+	char *text = m->text;
+	int c = m->controller, ok = stored_version == m->base && !store_down;
+	uint64_t version, write = m->write;
+
+	if (ok) {
+		free(stored);
+		stored = text;
+		stored_version++;
+	} else
+		free(text);
+	version = stored_version;
+	if (chance() < lose)
+		return;
+	a = post(MAIL_PUT_ANSWER, MS(1));
+	a->controller = c;
+	a->status = store_down ? 503 : ok ? 200 : 409;
+	a->version = version;
+	a->write = write;
+}
+
+static void
+deliver(struct mail *m)
+{
+	struct keys *k = &ctl[m->controller];
+
+	switch (m->kind) {
+	case MAIL_ORDER:
+		deliver_order(m);
+		break;
+	case MAIL_ANSWER:
+		keys_ordered(k, now, m->order.id, m->status, "token");
+		break;
+	case MAIL_PUT:
+		deliver_put(m);
+		break;
+	case MAIL_PUT_ANSWER:
+		keys_put_ended(k, now, m->write,
+		    m->status == 200	   ? PUT_DONE
+			: m->status == 409 ? PUT_CONFLICT
+					   : PUT_LOST,
+		    m->version);
+		break;
+	case MAIL_GET:
+		if (store_down)
+			keys_get_failed(k, now);
+		else
+			keys_got(k, now, stored != NULL, stored_version, stored,
+			    stored == NULL ? 0 : strlen(stored));
+		break;
+	}
+}
+
+/* Orders without an answer are given up, as the HTTP client does. */
+struct waiting {
+	int controller;
+	uint64_t id;
+	int status;
+	usec until;
+};
+static int refuses[128];
+static struct waiting waits[MAILS];
+static int nwaits;
+
+static void
+on_order_timed(void *arg, const char *service, const struct key_order *o)
+{
+	on_order(arg, service, o);
+	waits[nwaits].controller = controller_of(arg);
+	waits[nwaits].id = o->id;
+	waits[nwaits].status = ORDER_SILENT;
+	waits[nwaits].until = now + (o->release ? MS(2500) : MS(500));
+	/* A kept connection of a dead target takes one order more; the next
+	 * finds that nobody takes connections there. */
+	if (!fake_of(o->target)->up && refuses[atoi(o->target + 1)]++ > 0) {
+		waits[nwaits].status = ORDER_NOT_SENT;
+		waits[nwaits].until = now + MS(300);
+	}
+	nwaits++;
+}
+
+static const struct keys_out timed_out = {
+    on_get, on_put, on_order_timed, on_event};
+
+static void
+give_up_waiting(void)
+{
+	struct waiting w;
+	int i;
+
+	for (i = 0; i < nwaits; i++) {
+		if (now < waits[i].until)
+			continue;
+		w = waits[i];
+		waits[i--] = waits[--nwaits];
+		keys_ordered(&ctl[w.controller], now, w.id, w.status, "");
+	}
+}
+
+/* Tells a controller which targets there are. */
+static void
+tell_fleet(struct keys *k)
+{
+	struct fleet_target t[TARGETS * 8];
+	struct fleet f = {t, 0};
+	int i;
+
+	memset(t, 0, sizeof(t));
+	for (i = 0; i < nfakes; i++) {
+		if (!fakes[i].listed)
+			continue;
+		name_copy(t[f.ntargets].id, NAME_MAX_GS, fakes[i].id);
+		name_copy(t[f.ntargets].addr, FLEET_ADDR, fakes[i].addr);
+		name_copy(t[f.ntargets].service, NAME_MAX_GS, "s");
+		t[f.ntargets].slots = 2;
+		t[f.ntargets].leaving = fakes[i].leaving;
+		f.ntargets++;
+	}
+	keys_fleet(k, &f, now);
+}
+
+static void
+add_fake(void)
+{
+	struct fake *f = &fakes[nfakes];
+
+	memset(f, 0, sizeof(*f));
+	snprintf(f->id, sizeof(f->id), "t%d", nfakes);
+	snprintf(f->addr, sizeof(f->addr), "10.0.0.%d:1", nfakes);
+	f->up = 1;
+	f->listed = 1;
+	nfakes++;
+}
+
+/* Looks for keys that two hold, and for those that none holds. */
+static void
+look(void)
+{
+	int i, t, holders;
+
+	for (i = 0; i < SAMPLES; i++) {
+		holders = 0;
+		for (t = 0; t < nfakes; t++)
+			holders += fakes[t].up && fakes[t].until[i] > now;
+		double_held += holders > 1;
+		if (holders > 0)
+			unheld_since[i] = 0;
+		else if (unheld_since[i] == 0)
+			unheld_since[i] = now;
+		else if (now - unheld_since[i] > longest_unheld)
+			longest_unheld = now - unheld_since[i];
+	}
+}
+
+/* One step of virtual time. */
+static void
+step(void)
+{
+	struct mail m;
+	int i;
+
+	now += STEP;
+	for (i = 0; i < nmails; i++) {
+		if (mails[i].due > now)
+			continue;
+		m = mails[i];
+		mails[i--] = mails[--nmails];
+		deliver(&m);
+	}
+	give_up_waiting();
+	if (now_ctl >= 0)
+		keys_tick(&ctl[now_ctl], now);
+	look();
+}
+
+static void
+run(usec span)
+{
+	usec end = now + span;
+
+	while (now < end)
+		step();
+}
+
+static void
+control(int n)
+{
+	now_ctl = n;
+	if (n < 0)
+		return;
+	tell_fleet(&ctl[n]);
+	keys_begin(&ctl[n], (uint64_t)(now / STEP), now);
+}
+
+static void
+start(uint64_t s)
+{
+	struct keys_conf conf = {MS(3000), MS(1000), MS(500), MS(500)};
+	int i;
+
+	seed = s * 7919 + 1;
+	now = MS(1000);
+	for (i = 0; i < nmails; i++)
+		free(mails[i].text);
+	nmails = nwaits = nfakes = 0;
+	free(stored);
+	stored = NULL;
+	stored_version = 0;
+	store_down = 0;
+	lose = 0;
+	double_held = fence_fell = 0;
+	memset(refuses, 0, sizeof(refuses));
+	memset(top_fence, 0, sizeof(top_fence));
+	memset(unheld_since, 0, sizeof(unheld_since));
+	for (i = 0; i < 2; i++) {
+		keys_free(&ctl[i]);
+		keys_init(&ctl[i], "s", &conf, &timed_out, &ctl[i]);
+	}
+	for (i = 0; i < TARGETS; i++)
+		add_fake();
+	control(0);
+	run(MS(1500));
+	longest_unheld = 0;
+}
+
+/* Requests for a hot run of keys beside others. */
+static void
+ask(int hot, int cold)
+{
+	uint16_t keys[256];
+	int i, n = 0;
+
+	for (i = 0; i < hot && n < 256; i++)
+		keys[n++] = (uint16_t)(30000 + (int)(chance() * 100));
+	for (i = 0; i < cold && n < 256; i++)
+		keys[n++] = (uint16_t)(chance() * 65536);
+	keys_heat(&ctl[now_ctl], keys, n, 1, now);
+}
+
+static int
+owners_of_hot(void)
+{
+	int i, t, n = 0, seen[TARGETS * 8] = {0};
+
+	for (i = 0; i < SAMPLES / 2; i++) {
+		for (t = 0; t < nfakes; t++) {
+			if (fakes[t].until[i] > now && !seen[t]) {
+				seen[t] = 1;
+				n++;
+			}
+		}
+	}
+	return (n);
+}
+
+static void
+first_shares(void)
+{
+	start(1);
+	run(MS(1000));
+	CU_ASSERT_EQUAL(double_held, 0);
+	CU_ASSERT_EQUAL(longest_unheld, 0);
+	CU_ASSERT(ctl[0].nranges >= TARGETS);
+}
+
+/*
+ * A hundred neighbouring keys get half of all requests: callers of one target
+ * wait while the others idle.  Two seconds on they are spread over several
+ * targets, and nobody else's keys have moved much.
+ */
+static void
+hot_run(void)
+{
+	int i, n;
+
+	start(2);
+	for (i = 0; i < 20; i++) {
+		ask(0, 40);
+		run(MS(200));
+	}
+	n = owners_of_hot();
+	CU_ASSERT_EQUAL(n, 1);
+	for (i = 0; i < 10; i++) {
+		ask(20, 20);
+		run(MS(200));
+	}
+	n = owners_of_hot();
+	CU_ASSERT(n >= 4);
+	CU_ASSERT_EQUAL(double_held, 0);
+	CU_ASSERT(longest_unheld <= MS(400));
+	/* Cool again, it is left alone and its pieces come together. */
+	for (i = 0; i < 60; i++) {
+		ask(0, 40);
+		run(MS(200));
+	}
+	CU_ASSERT(ctl[0].nranges <= 8 * TARGETS);
+	CU_ASSERT_EQUAL(double_held, 0);
+}
+
+/*
+ * A target says that it leaves.  Its keys are released, and the next owner has
+ * them before the two seconds are over in which it still takes requests.
+ */
+static void
+leaving(void)
+{
+	int i;
+
+	start(3);
+	fakes[2].leaving = 1;
+	tell_fleet(&ctl[0]);
+	run(MS(1500));
+	for (i = 0; i < SAMPLES; i++)
+		CU_ASSERT(fakes[2].until[i] <= now);
+	CU_ASSERT_EQUAL(double_held, 0);
+	CU_ASSERT(longest_unheld <= MS(400));
+}
+
+/*
+ * A target dies without a word.  Whether it is dead or only unreachable nobody
+ * can tell, so its keys wait until its last grant has run out, and not longer.
+ */
+static void
+crash(void)
+{
+	start(4);
+	fakes[5].up = 0;
+	run(MS(6000));
+	CU_ASSERT_EQUAL(double_held, 0);
+	CU_ASSERT(longest_unheld > MS(1000));
+	CU_ASSERT(longest_unheld < MS(4500));
+	longest_unheld = 0;
+	memset(unheld_since, 0, sizeof(unheld_since));
+	run(MS(2000));
+	CU_ASSERT_EQUAL(longest_unheld, 0);
+}
+
+/*
+ * The entry of a target is gone, but it lives and serves: it was cut off from
+ * the store.  Its keys go on only after it let go of them.
+ */
+static void
+gone_but_alive(void)
+{
+	start(5);
+	fakes[1].leaving = 1;
+	tell_fleet(&ctl[0]);
+	fakes[1].listed = 1;
+	run(MS(3000));
+	CU_ASSERT_EQUAL(double_held, 0);
+	CU_ASSERT(longest_unheld <= MS(400));
+}
+
+/*
+ * Control changes hands.  The new controller grants all keys to the same
+ * targets with higher fences, before the old grants run out: no caller notices.
+ */
+static void
+takeover(void)
+{
+	int i, was[SAMPLES], t;
+
+	start(6);
+	run(MS(2000));
+	for (i = 0; i < SAMPLES; i++) {
+		was[i] = -1;
+		for (t = 0; t < nfakes; t++) {
+			if (fakes[t].until[i] > now)
+				was[i] = t;
+		}
+	}
+	control(-1);
+	run(MS(1200));
+	control(1);
+	run(MS(3000));
+	for (i = 0; i < SAMPLES; i++)
+		CU_ASSERT(fakes[was[i]].until[i] > now);
+	CU_ASSERT_EQUAL(longest_unheld, 0);
+	CU_ASSERT_EQUAL(double_held, 0);
+	CU_ASSERT_EQUAL(fence_fell, 0);
+}
+
+/*
+ * The store is away.  Owners keep their keys as long as that lasts, though
+ * moves were planned that cannot be written.
+ */
+static void
+store_away(void)
+{
+	int i;
+
+	start(7);
+	store_down = 1;
+	for (i = 0; i < 60; i++) {
+		ask(20, 20);
+		run(MS(200));
+	}
+	CU_ASSERT_EQUAL(longest_unheld, 0);
+	CU_ASSERT_EQUAL(double_held, 0);
+	store_down = 0;
+	run(MS(3000));
+	CU_ASSERT(owners_of_hot() >= 4);
+	CU_ASSERT_EQUAL(double_held, 0);
+}
+
+/* One random trouble. */
+static void
+trouble(void)
+{
+	int t = (int)(chance() * nfakes);
+	double x = chance();
+
+	if (x < 0.15 && nfakes < TARGETS * 8) {
+		add_fake();
+	} else if (x < 0.3) {
+		fakes[t].up = 0;
+	} else if (x < 0.4) {
+		fakes[t].leaving = 1;
+	} else if (x < 0.45) {
+		fakes[t].listed = 0;
+	} else if (x < 0.6) {
+		lose = lose > 0 ? 0 : 0.4;
+	} else if (x < 0.7) {
+		store_down = !store_down;
+	} else if (x < 0.85) {
+		control(-1);
+		run((usec)(chance() * MS(2500)));
+		control(now_ctl == 0 ? 1 : (int)(chance() * 2));
+	}
+	if (now_ctl >= 0)
+		tell_fleet(&ctl[now_ctl]);
+}
+
+/*
+ * Whatever comes, in any order: crashes, targets that leave, that lose their
+ * entry, orders without an answer that are carried out seconds later, writes
+ * that land late, a store that is away, control that changes hands.  Two
+ * targets that are up never hold one key, and fences only rise.
+ */
+static void
+random_schedules(void)
+{
+	const char *more = getenv("KEYS_SEEDS");
+	int s, i, seeds = more == NULL ? 25 : atoi(more);
+
+	for (s = 100; s < 100 + seeds; s++) {
+		start((uint64_t)s);
+		for (i = 0; i < 60; i++) {
+			if (now_ctl >= 0)
+				ask(15, 15);
+			run(MS(100) + (usec)(chance() * MS(700)));
+			if (chance() < 0.4)
+				trouble();
+		}
+		if (double_held + fence_fell > 0)
+			printf("seed %d: %d double, %d fences\n", s,
+			    double_held, fence_fell);
+		CU_ASSERT_EQUAL(double_held, 0);
+		CU_ASSERT_EQUAL(fence_fell, 0);
+	}
+}
+
+static const struct unit_test tests[] = {
+    {"first shares", first_shares},
+    {"hot run", hot_run},
+    {"leaving", leaving},
+    {"crash", crash},
+    {"gone but alive", gone_but_alive},
+    {"takeover", takeover},
+    {"store away", store_away},
+    {"random schedules", random_schedules},
+};
+UNIT_MAIN("keys", tests)
--- /dev/null
+++ b/regress/unit/t_platform.c
@@ -0,0 +1,308 @@
+/* The platform's names, formats and calls, decoded and encoded. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "decode.h"
+#include "objects.h"
+#include "target.h"
+#include "unit.h"
+
+static const char config[] =
+    "{\"metadata\":{\"name\":\"main\",\"revision\":5},\"spec\":{"
+    "\"version\":\"0000001f\",\"routes\":{"
+    "\"r1\":{\"host\":\"a.example\",\"path_prefix\":\"/x/\",\"kind\":\"safe\","
+    "\"timeout\":\"1200ms\",\"target_latency\":\"0.3s\",\"priority\":2,"
+    "\"traffic_split\":[{\"service\":\"s1\",\"weight\":90},"
+    "{\"service\":\"s2\",\"weight\":10}],\"max_attempts\":2},"
+    "\"r2\":{\"host\":\"b.example\",\"path_prefix\":\"/\",\"kind\":\"unsafe\","
+    "\"timeout\":\"2s\",\"target_latency\":\"400ms\",\"priority\":1,"
+    "\"service\":\"s2\",\"max_attempts\":1}},"
+    "\"services\":{\"s1\":{\"max_conns\":130,\"sharded\":true,"
+    "\"warmup\":\"3s\"},\"s2\":{\"max_conns\":90}},"
+    "\"limits\":{\"max_header_bytes\":100,\"max_body_bytes\":200,"
+    "\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}}}";
+
+static struct site *
+decode(const char *text)
+{
+	json_t *o = json_loads(text, 0, NULL);
+	const char *why;
+	struct site *t = decode_site_object(o, &why);
+
+	json_decref(o);
+	return (t);
+}
+
+static void
+site(void)
+{
+	struct site *t = decode(config);
+	const struct rule *r;
+	struct str host = {(char *)"a.example", 9}, path = {(char *)"/x/1", 4};
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(t);
+	CU_ASSERT_EQUAL(t->version, 31);
+	CU_ASSERT_EQUAL(t->idle_time, MS(15000));
+	CU_ASSERT_EQUAL(t->body_max, 200);
+	r = site_find(t, &host, &path);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+	CU_ASSERT(r->idempotent);
+	CU_ASSERT_EQUAL(r->timeout, MS(1200));
+	CU_ASSERT_EQUAL(r->aim, MS(300));
+	CU_ASSERT_EQUAL(r->nparts, 2);
+	CU_ASSERT_EQUAL(r->weights, 100);
+	CU_ASSERT(t->services[r->parts[0].service].keyed);
+	CU_ASSERT(!t->services[r->parts[1].service].keyed);
+	/* What is told to other hosts is read the same. */
+	CU_ASSERT(t->source.n > 0);
+	site_free(t);
+}
+
+/* A configuration that makes no sense is refused whole. */
+static void
+bad_site(void)
+{
+	CU_ASSERT_PTR_NULL(decode("{\"spec\":{}}"));
+	CU_ASSERT_PTR_NULL(decode("{\"spec\":{\"routes\":{}}}"));
+	CU_ASSERT_PTR_NULL(
+	    decode("{\"spec\":{\"version\":\"01\",\"services\":{},"
+		   "\"routes\":{\"r\":{\"host\":\"a\",\"path_prefix\":\"/\","
+		   "\"service\":\"none\"}}}}"));
+	CU_ASSERT_PTR_NULL(decode("[]"));
+}
+
+static void
+target(void)
+{
+	json_t *o = json_loads(
+	    "{\"metadata\":{\"name\":\"i-1\"},\"spec\":{"
+	    "\"address\":\"10.1.2.3:80\",\"info\":{\"service\":\"s\","
+	    "\"zone\":\"z\",\"slots\":4}},\"status\":{\"state\":\"draining\","
+	    "\"cold_left\":\"1500ms\"}}",
+	    0, NULL);
+	struct fleet_target t;
+
+	CU_ASSERT_EQUAL(decode_target(o, &t), 0);
+	CU_ASSERT_STRING_EQUAL(t.addr, "10.1.2.3:80");
+	CU_ASSERT_STRING_EQUAL(t.service, "s");
+	CU_ASSERT_STRING_EQUAL(t.dc, "z");
+	CU_ASSERT_EQUAL(t.slots, 4);
+	CU_ASSERT(t.leaving);
+	CU_ASSERT_EQUAL(t.cold_until, MS(1500));
+	json_decref(o);
+	o = json_loads("{\"spec\":{}}", 0, NULL);
+	CU_ASSERT_EQUAL(decode_target(o, &t), -1);
+	json_decref(o);
+}
+
+static struct store *
+call(enum store_op op, const char *path)
+{
+	struct store *st = calloc(1, sizeof(*st));
+
+	st->op = op;
+	name_copy(st->path, sizeof(st->path), path);
+	return (st);
+}
+
+static void
+drop(struct store *st)
+{
+	json_decref(st->parsed);
+	free(st->found);
+	str_free(&st->body);
+	free(st);
+}
+
+static void
+put(uint64_t base, struct store_http *h)
+{
+	struct store *st = call(STORE_PUT, "kind/name");
+
+	st->base = base;
+	str_set(&st->body, "{\"a\":1}", 7);
+	objects_form.request(st, "h:1", h);
+	drop(st);
+}
+
+static void
+writes(void)
+{
+	struct store_http h;
+
+	memset(&h, 0, sizeof(h));
+	put(0, &h);
+	CU_ASSERT_STRING_EQUAL(h.method, "POST");
+	CU_ASSERT_STRING_EQUAL(h.url, "http://h:1/objects/kind");
+	CU_ASSERT_STRING_EQUAL(
+	    h.body.p, "{\"metadata\":{\"name\":\"name\"},\"spec\":{\"a\":1}}");
+	str_free(&h.body);
+	put(7, &h);
+	CU_ASSERT_STRING_EQUAL(h.method, "PUT");
+	CU_ASSERT_STRING_EQUAL(h.url, "http://h:1/objects/kind/name");
+	CU_ASSERT_PTR_NOT_NULL(strstr(h.body.p, "\"revision\":7"));
+	str_free(&h.body);
+}
+
+static struct store *
+answered(enum store_op op, int status, const char *body)
+{
+	struct store *st = call(op, "kind");
+
+	st->status = status;
+	str_set(&st->body, body, strlen(body));
+	objects_form.answer(st);
+	return (st);
+}
+
+static void
+reads(void)
+{
+	static const struct {
+		int status;
+		enum store_result result;
+	} by[] = {{409, STORE_CONFLICT}, {404, STORE_ABSENT},
+	    {410, STORE_FORGOTTEN}, {429, STORE_BUSY}, {503, STORE_DOWN}};
+	struct store *st;
+	size_t i;
+
+	for (i = 0; i < sizeof(by) / sizeof(by[0]); i++) {
+		st = answered(STORE_GET, by[i].status, "{}");
+		CU_ASSERT_EQUAL(st->result, by[i].result);
+		drop(st);
+	}
+	st = answered(STORE_GET, 200,
+	    "{\"metadata\":{\"name\":\"n\",\"revision\":9},\"spec\":{\"a\":1}}");
+	CU_ASSERT_EQUAL(st->result, STORE_DONE);
+	CU_ASSERT_EQUAL(st->version, 9);
+	CU_ASSERT_STRING_EQUAL(st->body.p, "{\"a\":1}");
+	drop(st);
+	/* Cut short: what it says is not known. */
+	st = answered(STORE_PUT, 200, "{\"metadata\":{\"na");
+	CU_ASSERT_EQUAL(st->result, STORE_SILENT);
+	drop(st);
+}
+
+static void
+lists(void)
+{
+	struct store *st;
+
+	st = answered(STORE_LIST, 200,
+	    "{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":1}},"
+	    "{\"metadata\":{\"name\":\"b\",\"revision\":2}}],"
+	    "\"has_more\":true,\"current_rev\":44}");
+	CU_ASSERT_EQUAL(st->nfound, 2);
+	CU_ASSERT_STRING_EQUAL(st->found[1].name, "b");
+	CU_ASSERT(st->more);
+	CU_ASSERT_EQUAL(st->version, 44);
+	drop(st);
+	st = answered(STORE_WATCH, 200,
+	    "{\"events\":[{\"deleted\":true,\"object\":{\"metadata\":{"
+	    "\"name\":\"a\",\"revision\":50}}}],\"current_rev\":51}");
+	CU_ASSERT_EQUAL(st->nfound, 1);
+	CU_ASSERT(st->found[0].deleted);
+	CU_ASSERT_EQUAL(st->version, 51);
+	drop(st);
+}
+
+/* Reads the head of an answer, line by line. */
+static void
+read_head(struct reply *r, const char *const *lines)
+{
+	memset(r, 0, sizeof(*r));
+	r->running = -1;
+	for (; *lines != NULL; lines++)
+		objects_target.head(r, *lines, strlen(*lines));
+}
+
+static enum reply_kind
+kind_of(int status, const char *const *lines)
+{
+	struct call c = {.id = "me"};
+	struct reply r;
+	enum reply_kind k;
+
+	read_head(&r, lines);
+	r.status = status;
+	k = objects_target.kind(&r, &c);
+	str_free(&r.heads);
+	return (k);
+}
+
+/*
+ * What an answer is decides whether a caller may be told that its request has
+ * not run.  Only two things say so: the target's own mark, and that it is not
+ * the one that was named.
+ */
+static void
+kinds(void)
+{
+	static const char *const whole[] = {
+	    "X-Request-Id: me\r\n", "X-Response-Signature: s\r\n", NULL};
+	static const char *const other[] = {
+	    "X-Request-Id: you\r\n", "X-Response-Signature: s\r\n", NULL};
+	static const char *const shed[] = {"X-Not-Executed: 1\r\n", NULL};
+	static const char *const bare[] = {"X-Request-Id: me\r\n", NULL};
+
+	CU_ASSERT_EQUAL(kind_of(200, whole), REPLY_ANSWER);
+	CU_ASSERT_EQUAL(kind_of(404, whole), REPLY_ANSWER);
+	CU_ASSERT_EQUAL(kind_of(500, whole), REPLY_FAILURE);
+	CU_ASSERT_EQUAL(kind_of(200, other), REPLY_FOREIGN);
+	CU_ASSERT_EQUAL(kind_of(200, bare), REPLY_FOREIGN);
+	CU_ASSERT_EQUAL(kind_of(503, shed), REPLY_REFUSED);
+	CU_ASSERT_EQUAL(kind_of(421, bare), REPLY_MISSENT);
+	/* A promise that the target did not make is not passed on. */
+	CU_ASSERT_EQUAL(kind_of(503, whole), REPLY_FOREIGN);
+	CU_ASSERT_EQUAL(kind_of(429, whole), REPLY_FOREIGN);
+}
+
+static void
+heads(void)
+{
+	static const char *const lines[] = {"HTTP/1.1 200 OK\r\n",
+	    "Content-Type: text/plain\r\n", "Connection: close\r\n",
+	    "Content-Length: 5\r\n", "X-Server-Load: 3,2,4\r\n", NULL};
+	struct reply r;
+
+	read_head(&r, lines);
+	CU_ASSERT_STRING_EQUAL(r.heads.p, "Content-Type: text/plain\r\n");
+	CU_ASSERT_EQUAL(r.running, 3);
+	CU_ASSERT_EQUAL(r.waiting, 2);
+	CU_ASSERT(r.closes);
+	str_free(&r.heads);
+}
+
+static void
+orders(void)
+{
+	struct key_order o = {.from = 5,
+	    .to = 9,
+	    .fence = 12,
+	    .hold_ms = 4000,
+	    .handover = "abc"};
+	char body[256];
+
+	CU_ASSERT_STRING_EQUAL(
+	    objects_target.order(&o, body, sizeof(body)), "/grant");
+	CU_ASSERT_STRING_EQUAL(body,
+	    "{\"from\":5,\"target\":9,\"fence\":12,\"hold_time\":\"4000ms\","
+	    "\"handover\":\"abc\"}");
+	o.release = 1;
+	CU_ASSERT_STRING_EQUAL(
+	    objects_target.order(&o, body, sizeof(body)), "/release");
+	CU_ASSERT_STRING_EQUAL(body, "{\"from\":5,\"target\":9,\"fence\":12}");
+}
+
+static const struct unit_test tests[] = {
+    {"site", site},
+    {"bad site", bad_site},
+    {"target", target},
+    {"writes", writes},
+    {"reads", reads},
+    {"lists", lists},
+    {"kinds", kinds},
+    {"heads", heads},
+    {"orders", orders},
+};
+UNIT_MAIN("platform", tests)
--- /dev/null
+++ b/regress/unit/t_site.c
@@ -0,0 +1,108 @@
+/* Routes: which rule a request falls under, and which service it goes to. */
+#include <string.h>
+
+#include "site.h"
+#include "unit.h"
+
+static struct rule *
+add(struct site *t, const char *host, const char *prefix)
+{
+	struct rule *r = site_add(t);
+
+	str_set(&r->host, host, strlen(host));
+	str_set(&r->prefix, prefix, strlen(prefix));
+	return (r);
+}
+
+static const struct rule *
+find(const struct site *t, const char *host, const char *path)
+{
+	struct str h = {(char *)host, strlen(host)};
+	struct str p = {(char *)path, strlen(path)};
+
+	return (site_find(t, &h, &p));
+}
+
+static struct site *
+three(void)
+{
+	struct site *t = site_new(4);
+
+	add(t, "a.example", "/")->priority = 1;
+	add(t, "b.example", "/x/")->priority = 2;
+	add(t, "a.example", "/x/y/")->priority = 3;
+	add(t, "a.example", "/x/")->priority = 4;
+	site_seal(t);
+	return (t);
+}
+
+static void
+longest_prefix(void)
+{
+	struct site *t = three();
+
+	CU_ASSERT_EQUAL(find(t, "a.example", "/x/y/z")->priority, 3);
+	CU_ASSERT_EQUAL(find(t, "a.example", "/x/yy")->priority, 4);
+	CU_ASSERT_EQUAL(find(t, "a.example", "/x")->priority, 1);
+	CU_ASSERT_EQUAL(find(t, "A.Example", "/x/")->priority, 4);
+	site_free(t);
+}
+
+static void
+no_rule(void)
+{
+	struct site *t = three();
+
+	CU_ASSERT_PTR_NULL(find(t, "b.example", "/y/"));
+	CU_ASSERT_PTR_NULL(find(t, "c.example", "/"));
+	CU_ASSERT_PTR_NULL(find(t, "a.example.org", "/"));
+	site_free(t);
+}
+
+/*
+ * A rule sends a tenth of its requests to a second service.  In any two
+ * hundred in a row the share is right to within one in a hundred, wherever
+ * the count begins.
+ */
+static void
+split(void)
+{
+	struct rule r = {.nparts = 2, .weights = 100};
+	uint64_t from, n;
+	int second;
+
+	r.parts[0].service = 5;
+	r.parts[0].weight = 90;
+	r.parts[1].service = 7;
+	r.parts[1].weight = 10;
+	for (from = 0; from < 5000; from += 37) {
+		second = 0;
+		for (n = from; n < from + 200; n++)
+			second += rule_part(&r, n) == 7;
+		CU_ASSERT(second >= 18 && second <= 22);
+	}
+}
+
+static void
+split_none(void)
+{
+	struct rule r = {.nparts = 2, .weights = 10};
+	uint64_t n;
+
+	r.parts[0].service = 1;
+	r.parts[0].weight = 0;
+	r.parts[1].service = 2;
+	r.parts[1].weight = 10;
+	for (n = 0; n < 500; n++)
+		CU_ASSERT_EQUAL(rule_part(&r, n), 2);
+	r.weights = 0;
+	CU_ASSERT_EQUAL(rule_part(&r, 1), -1);
+}
+
+static const struct unit_test tests[] = {
+    {"longest prefix", longest_prefix},
+    {"no rule", no_rule},
+    {"split", split},
+    {"split with a part of none", split_none},
+};
+UNIT_MAIN("site", tests)
--- /dev/null
+++ b/standin/server.c
@@ -0,0 +1,289 @@
+/*
+ * Stand-in for a target of the platform: slots and a short queue, keys by
+ * grants, its load with each answer, and faults on request.  The journal tells
+ * what it held and ran, in the machine's clock, which all journals share.
+ */
+#include <argp.h>
+#include <err.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <jansson.h>
+
+#include "clock.h"
+#include "web.h"
+
+#define KEYS 65536
+
+static long long fence[KEYS];
+static usec until[KEYS];
+static int busy[KEYS];
+static int running, waiting;
+static unsigned long ran;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t freed = PTHREAD_COND_INITIALIZER;
+
+static int slots = 2;
+static int places = 8;
+static int work_ms = 5;
+static int keyed;
+static const char *listen_addr;
+static const char *name = "i-1";
+static FILE *journal;
+
+/* Faults. */
+static int lose_answers; /* runs, and cuts the connection */
+static int cut_answers;	 /* breaks the body off */
+static int foreign;	 /* answers with another request's id */
+static int late_grants;	 /* carries grants out so many ms late, unanswered */
+static int fail;	 /* answers 500 */
+
+static const struct argp_option options[] = {
+    {"listen", 'l', "IP:PORT", 0, "Address to serve", 0},
+    {"name", 'n', "ID", 0, "Id of this start", 0},
+    {"journal", 'j', "FILE", 0, "Append the journal to FILE", 0},
+    {"slots", 's', "N", 0, "Requests that run at once", 0},
+    {"work", 'w', "MS", 0, "Time a request takes", 0},
+    {"keyed", 'k', NULL, 0, "Run only what this server holds the key of", 0},
+    {0},
+};
+
+/* Reads one option. */
+static error_t
+parse(int key, char *arg, struct argp_state *st)
+{
+	switch (key) {
+	case 'l':
+		listen_addr = arg;
+		break;
+	case 'n':
+		name = arg;
+		break;
+	case 'j':
+		journal = fopen(arg, "a");
+		if (journal == NULL)
+			err(1, "%s", arg);
+		setvbuf(journal, NULL, _IOLBF, 0);
+		break;
+	case 's':
+		slots = atoi(arg);
+		break;
+	case 'w':
+		work_ms = atoi(arg);
+		break;
+	case 'k':
+		keyed = 1;
+		break;
+	case ARGP_KEY_END:
+		if (listen_addr == NULL)
+			argp_error(st, "--listen is needed");
+		break;
+	default:
+		return (ARGP_ERR_UNKNOWN);
+	}
+	return (0);
+}
+
+static const struct argp argp = {
+    options, parse, NULL, "Stand-in for a target of the platform", 0, 0, 0};
+
+/* Writes a line to the journal. */
+#define NOTE(...)                                                              \
+	do {                                                                   \
+		if (journal != NULL)                                           \
+			fprintf(journal, __VA_ARGS__);                         \
+	} while (0)
+
+/* Answers that the request did not run. */
+static void
+not_run(struct web_ans *a, int status, const char *why)
+{
+	a->status = status;
+	web_add(a, "X-Not-Executed", "1");
+	str_set(&a->body, why, strlen(why));
+}
+
+/* Carries a grant out; lock held; HTTP status. */
+static int
+grant_now(long from, long to, long long f, usec end)
+{
+	long k;
+
+	for (k = from; k <= to; k++) {
+		if (fence[k] > f)
+			return (409);
+	}
+	for (k = from; k <= to; k++) {
+		fence[k] = f;
+		if (until[k] < end)
+			until[k] = end;
+	}
+	NOTE("grant %ld %ld %lld %lld %lld\n", from, to, f,
+	    (long long)clock_mono(), (long long)end);
+	return (200);
+}
+
+/* Takes a grant or a release. */
+static void
+take_order(const struct web_req *q, struct web_ans *a, int release)
+{
+	json_t *o = json_loadb(q->body.p, q->body.n, 0, NULL);
+	const char *hold = json_string_value(json_object_get(o, "hold_time"));
+	long from = (long)json_integer_value(json_object_get(o, "from")), k;
+	long to = (long)json_integer_value(json_object_get(o, "target"));
+	long long f = json_integer_value(json_object_get(o, "fence"));
+	usec end = clock_mono() + MS(hold == NULL ? 0 : atoi(hold));
+	int late;
+
+	json_decref(o);
+	if (o == NULL || from < 0 || to >= KEYS || (!release && hold == NULL)) {
+		a->status = 400;
+		return;
+	}
+	pthread_mutex_lock(&lock);
+	late = late_grants;
+	pthread_mutex_unlock(&lock);
+	if (!release && late > 0) {
+		usleep((unsigned)late * 1000);
+		a->drop = 1;
+	}
+	pthread_mutex_lock(&lock);
+	if (!release)
+		a->status = grant_now(from, to, f, end);
+	else {
+		NOTE("release %ld %ld %lld %lld 0\n", from, to, f,
+		    (long long)clock_mono());
+		for (k = from; k <= to; k++)
+			until[k] = 0;
+		for (k = from; k <= to; k++) {
+			while (busy[k] > 0)
+				pthread_cond_wait(&freed, &lock);
+		}
+		web_add(a, "X-Handover", "token");
+	}
+	pthread_mutex_unlock(&lock);
+}
+
+/* Waits for a slot; 0, or -1 where there is no room; lock held. */
+static int
+take_slot(void)
+{
+	if (running >= slots && waiting >= places)
+		return (-1);
+	waiting++;
+	while (running >= slots)
+		pthread_cond_wait(&freed, &lock);
+	waiting--;
+	running++;
+	return (0);
+}
+
+/* Runs a request that is let in; lock held. */
+static void
+run(const struct web_req *q, struct web_ans *a, long key)
+{
+	const char *id = web_head(q, "X-Request-Id");
+	char text[600], load[32];
+	int n;
+
+	ran++;
+	if (key >= 0)
+		busy[key]++;
+	NOTE("run %ld %lld %s %s\n", key, (long long)clock_mono(),
+	    id == NULL ? "-" : id, q->method);
+	pthread_mutex_unlock(&lock);
+	usleep((unsigned)work_ms * 1000);
+	pthread_mutex_lock(&lock);
+	if (key >= 0)
+		busy[key]--;
+	running--;
+	pthread_cond_broadcast(&freed);
+	snprintf(load, sizeof(load), "%d,%d,%d", running, waiting, slots);
+	n = snprintf(text, sizeof(text), "%s %s %s %.*s\n", name, q->path,
+	    id == NULL ? "-" : id, (int)(q->body.n < 100 ? q->body.n : 100),
+	    q->body.p == NULL ? "" : q->body.p);
+	str_set(&a->body, text, (size_t)n);
+	a->status = fail ? 500 : 200;
+	web_add(a, "X-Request-Id", foreign ? "another" : id);
+	web_add(a, "X-Response-Signature", name);
+	web_add(a, "X-Server-Load", load);
+	if (lose_answers > 0) {
+		lose_answers--;
+		a->drop = 1;
+	}
+	if (cut_answers > 0) {
+		cut_answers--;
+		a->cut_at = (size_t)n / 2;
+	}
+}
+
+/* Takes a request. */
+static void
+take_request(const struct web_req *q, struct web_ans *a)
+{
+	const char *want = web_head(q, "X-Expected-Instance");
+	long key = web_num(web_head(q, "X-Shard-Key"), -1);
+
+	if (want != NULL && strcmp(want, name) != 0) {
+		web_add(a, "X-Instance-Id", name);
+		not_run(a, 421, "another\n");
+		return;
+	}
+	pthread_mutex_lock(&lock);
+	if (keyed && (key < 0 || key >= KEYS || until[key] <= clock_mono()))
+		not_run(a, 421, "not held\n");
+	else if (take_slot() != 0)
+		not_run(a, 503, "full\n");
+	else
+		run(q, a, key);
+	pthread_mutex_unlock(&lock);
+}
+
+/* Sets faults, and tells how many requests ran. */
+static void
+set_fault(const struct web_req *q, struct web_ans *a)
+{
+	char text[64];
+	int n;
+
+	pthread_mutex_lock(&lock);
+	lose_answers = (int)web_num(web_arg(q, "lose"), lose_answers);
+	cut_answers = (int)web_num(web_arg(q, "cut"), cut_answers);
+	foreign = (int)web_num(web_arg(q, "foreign"), foreign);
+	late_grants = (int)web_num(web_arg(q, "late"), late_grants);
+	fail = (int)web_num(web_arg(q, "fail"), fail);
+	work_ms = (int)web_num(web_arg(q, "work"), work_ms);
+	n = snprintf(text, sizeof(text), "%lu\n", ran);
+	pthread_mutex_unlock(&lock);
+	str_set(&a->body, text, (size_t)n);
+}
+
+/* Serves one call. */
+static void
+on_call(const struct web_req *q, struct web_ans *a)
+{
+	if (strcmp(q->path, "/_fault") == 0)
+		set_fault(q, a);
+	else if (strcmp(q->path, "/grant") == 0)
+		take_order(q, a, 0);
+	else if (strcmp(q->path, "/release") == 0)
+		take_order(q, a, 1);
+	else
+		take_request(q, a);
+}
+
+int
+main(int argc, char **argv)
+{
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	if (web_start(listen_addr, on_call) == NULL)
+		errx(1, "cannot listen on %s", listen_addr);
+	for (;;)
+		pause();
+}
--- a/standin/web.c
+++ b/standin/web.c
@@ -33,6 +33,18 @@
 	return (s == NULL ? other : strtol(s, NULL, 10));
 }
 
+/* Adds a header to an answer; a value that is NULL is left out. */
+void
+web_add(struct web_ans *a, const char *name, const char *value)
+{
+	if (value == NULL || a->nheads == WEB_HEADS)
+		return;
+	a->heads[a->nheads].name = name;
+	snprintf(
+	    a->heads[a->nheads].value, sizeof(a->heads[0].value), "%s", value);
+	a->nheads++;
+}
+
 /* Gives the first bytes of a body and then fails, as a dying server does. */
 static ssize_t
 read_cut(void *arg, uint64_t pos, char *buf, size_t max)
@@ -65,6 +77,7 @@
 {
 	struct MHD_Response *r;
 	struct cut *c;
+	int i;
 
 	if (a->cut_at > 0 && a->cut_at < a->body.n) {
 		c = calloc(1, sizeof(*c));
@@ -80,6 +93,8 @@
 		MHD_add_response_header(r, "Version", a->version);
 	if (a->head_name != NULL)
 		MHD_add_response_header(r, a->head_name, a->head_value);
+	for (i = 0; i < a->nheads; i++)
+		MHD_add_response_header(r, a->heads[i].name, a->heads[i].value);
 	return (r);
 }
 
--- a/standin/web.h
+++ b/standin/web.h
@@ -6,6 +6,9 @@
 
 #include "str.h"
 
+/* Headers that one answer may have beside the two above. */
+#define WEB_HEADS 6
+
 struct web_req {
 	struct MHD_Connection *conn;
 	const char *method;
@@ -19,6 +22,11 @@
 	char version[32];
 	const char *head_name;
 	const char *head_value;
+	struct {
+		const char *name;
+		char value[128];
+	} heads[WEB_HEADS];
+	int nheads;
 	/* Closes the connection without an answer. */
 	int drop;
 	/* Ends the body after this many bytes, below the announced length. */
@@ -30,6 +38,7 @@
 struct MHD_Daemon *web_start(const char *addr, web_fn);
 const char *web_arg(const struct web_req *, const char *);
 const char *web_head(const struct web_req *, const char *);
+void web_add(struct web_ans *, const char *name, const char *value);
 long web_num(const char *, long);
 
 #endif
