Ask the store less: standbys are told, only the controller asks often

The controller now tells the record's version with its signs of life, which witnesses as well since when the record has stood; and the targets it knows as a digest, so that a host whose watch went deaf lists anew.

--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -2,6 +2,8 @@
 #ifndef FLEET_H
 #define FLEET_H
 
+#include <stdint.h>
+
 #include "clock.h"
 #include "str.h"
 
@@ -21,6 +23,8 @@
 struct fleet {
 	struct fleet_target *targets;
 	int ntargets;
+	uint64_t digest; /* of who is there and who leaves; the same at each
+			    host that knows the same */
 };
 
 #endif
--- a/decide/known.c
+++ b/decide/known.c
@@ -1,6 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "known.h"
 
 /* Outages shorter than so many heartbeats let no entry lapse. */
@@ -166,6 +168,14 @@
 	}
 }
 
+/* A number for one target and its state; the sum does not depend on order. */
+static uint64_t
+digest_of(const struct fleet_target *t)
+{
+	return (
+	    XXH3_64bits_withSeed(t->id, strlen(t->id), (uint64_t)t->leaving));
+}
+
 /* What is known now, to be published; NULL without memory. */
 struct fleet *
 known_fleet(struct known *k)
@@ -181,8 +191,11 @@
 		free(f);
 		return (NULL);
 	}
-	for (i = 0; i < k->n; i++)
+	for (i = 0; i < k->n; i++) {
 		f->targets[f->ntargets++] = k->list[i].t;
+		if (!k->list[i].t.gone)
+			f->digest += digest_of(&k->list[i].t);
+	}
 	return (f);
 }
 
--- a/decide/term.c
+++ b/decide/term.c
@@ -253,8 +253,13 @@
 	 * which has not had a chance to write, would be taken for stuck.
 	 */
 	if (!t->known || t->version != version ||
-	    now - t->last_seen > 2 * t->conf.lease)
+	    now - t->last_seen > 2 * t->conf.lease) {
 		t->first_seen = now;
+		/* Its holder said so earlier: it has stood since then. */
+		if (version != 0 && version == t->heard_version &&
+		    now - t->heard_at <= 2 * t->conf.lease)
+			t->first_seen = t->heard_at;
+	}
 	t->known = 1;
 	t->version = version;
 	t->last_seen = now;
@@ -303,6 +308,28 @@
 	follow(t, "control lost to another");
 }
 
+/* The holder asked, and said that it lives by promises alone. */
+void
+term_asked_late(struct term *t, usec now)
+{
+	t->asked_late_at = now;
+}
+
+/* The holder told which version it wrote last. */
+void
+term_heard(struct term *t, usec now, uint64_t version)
+{
+	t->heard_version = version;
+	t->heard_at = now;
+}
+
+/* True where the holder's own lease has run out, or is about to. */
+int
+term_late(const struct term *t, usec now)
+{
+	return (now > t->lease_until - t->conf.renew);
+}
+
 /* A read failed; nothing is learned from that. */
 void
 term_get_failed(struct term *t, usec now)
@@ -451,8 +478,18 @@
 static int
 must_read(const struct term *t, usec now)
 {
-	return (!t->known || t->version == 0 || t->lonely ||
-	    lists(&t->rec, &t->conf.self) ||
+	if (!t->known || t->version == 0 || t->lonely)
+		return (1);
+	/*
+	 * Two standbys that read at each renewal make most of the calls of a
+	 * calm fleet.  What the holder tells them is as good a witness of when
+	 * the version stood; they read once it falls silent, or says that it
+	 * lives by promises.
+	 */
+	if (t->conf.told)
+		return (t->asked_late_at != 0 &&
+		    now - t->asked_late_at < 2 * t->conf.lease);
+	return (lists(&t->rec, &t->conf.self) ||
 	    now - t->asked_at < 2 * t->conf.lease);
 }
 
--- a/decide/term.h
+++ b/decide/term.h
@@ -38,6 +38,9 @@
 	usec lease;	 /* control lease */
 	usec host_lease; /* what a controller grants hosts */
 	usec renew;	 /* between renewals */
+	/* The holder tells others the record's version (term_heard): standbys
+	 * that hear it need not read the record. */
+	int told;
 };
 
 struct promise {
@@ -92,6 +95,9 @@
 	int nwant;
 
 	/* As standby. */
+	uint64_t heard_version;
+	usec heard_at;
+	usec asked_late_at;
 	usec promised_until;
 	usec asked_at;
 	uint64_t top_term;
@@ -108,6 +114,9 @@
 void term_get_failed(struct term *, usec now);
 void term_put_ended(struct term *, usec now, enum put_result, uint64_t version);
 int term_asked(struct term *, usec now, uint64_t term, uint64_t boot);
+void term_asked_late(struct term *, usec now);
+int term_late(const struct term *, usec now);
+void term_heard(struct term *, usec now, uint64_t version);
 void term_promised(struct term *, usec now, const struct member *,
     uint64_t term, int yes, usec asked);
 void term_standbys(struct term *, const struct member *, int);
--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -40,6 +40,9 @@
 #define WORK_GAIN 0.05
 /* An answer given by the host itself leaves so long before the deadline. */
 #define LAST_MS 4
+/* Connections kept to all targets; by itself the HTTP client keeps about four
+ * for each request under way, and more than half of all requests opened one. */
+#define CONNS_KEPT 400
 /* Hosts there are taken to be until they are counted. */
 #define HOSTS_FIRST 12
 
@@ -712,6 +715,7 @@
 		return (-1);
 	}
 	s->state = d;
+	curl_multi_setopt(d->multi, CURLMOPT_MAXCONNECTS, (long)CONNS_KEPT);
 	d->s = s;
 	d->ops = &objects_target;
 	d->by_id = apr_hash_make(d->pool);
--- a/gspard/gspard.c
+++ b/gspard/gspard.c
@@ -263,7 +263,8 @@
 	signal(SIGPIPE, SIG_IGN);
 	if (apr_initialize() != APR_SUCCESS)
 		return (1);
-	curl_global_init(CURL_GLOBAL_DEFAULT);
+	/* No TLS: its tables would take a fifth of a small host's memory. */
+	curl_global_init(CURL_GLOBAL_NOTHING);
 	if (event_open() != 0 || (k = kernel_new(&conf)) == NULL)
 		goto out;
 	list = conf.form == FORM_OBJECTS ? objects_services : native_services;
--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -39,6 +39,9 @@
 	MSG_OWNERS,    /* control to router: who owns which keys */
 	MSG_HEAT,      /* router to control: what was asked for */
 	MSG_TOLD,      /* control to watch: a configuration that a host told */
+	MSG_RELIST,    /* control to watch: something was missed */
+	MSG_OFTEN,     /* control to watch: ask for changes often ... */
+	MSG_RARELY,    /* ... or rarely, the controller does */
 	MSG_STOP,      /* kernel to all: stop in order */
 	MSG_QUIT       /* kernel to all: end the thread now */
 };
--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -17,6 +17,10 @@
 #define STANDBY_HEARD MS(1200)
 /* Hosts not heard for so long are forgotten. */
 #define HOST_FORGOTTEN MS(30000)
+/* A host that knows other targets than its controller for so long has missed
+ * something, and asks the store anew, not more often than this. */
+#define FLEET_DIFFERS MS(500)
+#define RELIST_EVERY MS(2500)
 /* What control adds to a lease of its own; hosts hold none from it. */
 #define HANDOVER MS(100)
 /* Keys are granted for this long, and again after a third of it.  A lost
@@ -72,6 +76,7 @@
 	ask.term = term;
 	ask.seq = ++k->promise_seq;
 	ask.boot = m->boot;
+	ask.late = term_late(&k->term, clock_mono());
 	k->asked_at[ask.seq % ASKED_KEPT] = clock_mono();
 	f.body_case = GSPAR__FRAME__BODY_PROMISE_ASK;
 	f.promise_ask = &ask;
@@ -360,6 +365,45 @@
 	}
 }
 
+/*
+ * Looks whether this host knows the targets that its controller knows.  Only
+ * the controller asks for changes often; a watch that has gone deaf on any
+ * other host would keep a leaving target in use until its wait is over.
+ */
+static void
+compare_fleet(struct keeper *k, usec now)
+{
+	const struct fleet *f = k->fleet == NULL ? NULL : k->fleet->p;
+
+	if (k->acting || f == NULL || k->told_fleet == 0 ||
+	    k->told_fleet == f->digest) {
+		k->differs_since = 0;
+		return;
+	}
+	if (k->differs_since == 0)
+		k->differs_since = now;
+	if (now - k->differs_since < FLEET_DIFFERS || now < k->next_relist)
+		return;
+	k->next_relist = now + RELIST_EVERY;
+	log_line(LOG_NOTICE, "control",
+	    "Controller knows other targets for %lld ms, listing anew.",
+	    (long long)((now - k->differs_since) / 1000));
+	msg_post(k->s->kernel, "watch", MSG_RELIST, NULL, NULL);
+}
+
+/* Tells the watch service whether it is the one to ask for changes often. */
+static void
+tell_role(struct keeper *k)
+{
+	int often = k->acting || k->term.lonely;
+
+	if (often == k->told_often)
+		return;
+	k->told_often = often;
+	msg_post(
+	    k->s->kernel, "watch", often ? MSG_OFTEN : MSG_RARELY, NULL, NULL);
+}
+
 /* Does what is due. */
 static void
 tick(struct keeper *k, usec now)
@@ -379,6 +423,8 @@
 	}
 	report_tick(k, now);
 	forget_hosts(k, now);
+	compare_fleet(k, now);
+	tell_role(k);
 }
 
 /* Goes on with an orderly stop: control goes to another first. */
@@ -463,6 +509,8 @@
 	p.term = ask->term;
 	p.seq = ask->seq;
 	p.boot = kernel_boot(k->s->kernel);
+	if (ask->late)
+		term_asked_late(&k->term, now);
 	p.yes = term_asked(&k->term, now, ask->term, ask->boot);
 	f.body_case = GSPAR__FRAME__BODY_PROMISE;
 	f.promise = &p;
@@ -534,6 +582,7 @@
 
 	shared_unref(k->fleet);
 	k->fleet = m->data;
+	k->fleet_since = now;
 	m->data = NULL;
 	for (i = 0; i < k->nkeys; i++)
 		keys_fleet(k->keys[i], k->fleet->p, now);
@@ -627,6 +676,7 @@
 	k->s = s;
 	k->ops = &objects_target;
 	k->heard = clock_mono();
+	k->told_often = -1;
 	memset(&tc, 0, sizeof(tc));
 	name_copy(tc.self.host, sizeof(tc.self.host), conf->host);
 	name_copy(tc.self.addr, sizeof(tc.self.addr), conf->reached);
@@ -634,6 +684,7 @@
 	tc.lease = MS(conf->control_lease_ms);
 	tc.renew = MS(conf->renew_ms);
 	tc.host_lease = HANDOVER;
+	tc.told = 1;
 	term_init(&k->term, &tc, &term_out, k, tc.self.boot);
 	ring_on_put(s->in, wake, k->multi);
 	return (0);
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -73,6 +73,11 @@
 	int acting;
 	struct shared *site;
 	struct shared *fleet;
+	usec fleet_since;
+	uint64_t told_fleet; /* digest of the controller's; 0 is not told */
+	usec differs_since;
+	usec next_relist;
+	int told_often;
 	struct heat_report *heat;
 
 	/* Who owns what, as published here. */
--- a/gspard/keeper_spread.c
+++ b/gspard/keeper_spread.c
@@ -10,6 +10,9 @@
 #define TELL_AGAIN MS(600)
 /* A host not heard for so long is no longer counted. */
 #define HOST_LOST MS(3000)
+/* The list of targets is told once it has stood still: others hear of changes
+ * from the store themselves, a little earlier or later. */
+#define FLEET_STILL MS(300)
 #define STATE_MOVING 1u
 #define STATE_BACK 2u
 
@@ -187,6 +190,7 @@
 	Gspar__Owners w = GSPAR__OWNERS__INIT;
 	Gspar__HostAddr hosts[KEEPER_HOSTS], *list[KEEPER_HOSTS];
 	const struct site *t = k->site == NULL ? NULL : k->site->p;
+	const struct fleet *fleet = k->fleet == NULL ? NULL : k->fleet->p;
 	struct keeper_host *h;
 	int i;
 
@@ -210,6 +214,10 @@
 	w.controller =
 	    (char *)(k->resigned ? "" : kernel_conf(k->s->kernel)->host);
 	w.site = t == NULL ? 0 : t->version;
+	w.record = k->term.version;
+	w.fleet = fleet == NULL || now - k->fleet_since < FLEET_STILL
+	    ? 0
+	    : fleet->digest;
 	f.body_case = GSPAR__FRAME__BODY_OWNERS;
 	f.owners = &w;
 	for (i = 0; i < k->nhosts; i++) {
@@ -323,6 +331,10 @@
 	}
 	if (t != NULL && !w->whole && w->site < t->version)
 		site_tell(k, w->controller);
+	if (!w->whole) {
+		term_heard(&k->term, now, w->record);
+		k->told_fleet = w->fleet;
+	}
 	if (!w->whole || w->number < k->number)
 		return;
 	if ((o = read_whole(k, w, now)) != NULL)
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -15,11 +15,15 @@
 #define TICK_US MS(100)
 /* A watch is asked anew after this long without a change.  One that waits may
  * miss changes when the store drops its history, and hears so only then; the
- * platform gives 3 s after such trouble before its bounds hold again. */
-#define WATCH_MS 2500
+ * platform gives 3 s after such trouble before its bounds hold again.  The
+ * controller asks that often, and hosts that differ from it list anew; if all
+ * asked so, calls would grow with the hosts: 230 of 1,239 on a calm day of
+ * twelve hosts. */
+#define WATCH_OFTEN_MS 2000
+#define WATCH_RARELY_MS 9000
 /* Changes that come close together are read with one call: each call counts,
  * and the bound on leaving targets (2 s) leaves room for it. */
-#define WATCH_PAUSE MS(120)
+#define WATCH_PAUSE MS(250)
 /* Between tries while the store does not answer; the first follows sooner.
  * Each call counts, refused ones too; but what left while this host was cut
  * off must be known 3 s after its return, of which the doubt about lapsed
@@ -35,6 +39,7 @@
 	int listing; /* else watching */
 	int listed;  /* once, at least */
 	int open;
+	uint64_t call; /* the one that counts; others were given up */
 	uint64_t base;
 	uint64_t list_base;
 	char after[NAME_MAX_GS];
@@ -46,6 +51,7 @@
 	struct feed feeds[FEEDS];
 	struct known known;
 	struct shared *site;
+	int rarely;	  /* the controller asks often */
 	uint64_t version; /* of the site in force */
 	int stop;
 };
@@ -211,6 +217,8 @@
 		w->feeds[i].listing = 1;
 		w->feeds[i].after[0] = '\0';
 		w->feeds[i].next = now;
+		w->feeds[i].open = 0;
+		w->feeds[i].call++;
 	}
 }
 
@@ -223,6 +231,8 @@
 	    strcmp(st->tag, KIND_SITE) == 0 ? FEED_SITE : FEED_TARGETS;
 	struct feed *f = &w->feeds[kind];
 
+	if (st->gen != f->call)
+		return;
 	f->open = 0;
 	if (st->result == STORE_FORGOTTEN) {
 		log_line(LOG_NOTICE, "watch", "History of %s gone, listing.",
@@ -244,8 +254,6 @@
 		took_page(w, kind, st, now);
 		return;
 	}
-	if (f->listing)
-		return;
 	if (st->version > f->base)
 		f->base = st->version;
 	f->next = now + (st->nfound > 0 ? WATCH_PAUSE : 0);
@@ -268,8 +276,9 @@
 			known_list_begin(&w->known);
 	} else {
 		st->base = f->base;
-		st->wait_ms = WATCH_MS;
+		st->wait_ms = w->rarely ? WATCH_RARELY_MS : WATCH_OFTEN_MS;
 	}
+	st->gen = ++f->call;
 	f->open = 1;
 	store_send(s->kernel, st);
 }
@@ -305,6 +314,36 @@
 	shared_unref(sh);
 }
 
+/* Takes one message. */
+static void
+take(struct service *s, struct msg *m, usec now)
+{
+	struct watch *w = s->state;
+
+	switch (m->kind) {
+	case MSG_STORED:
+		take_stored(s, m->data, now);
+		break;
+	case MSG_TOLD:
+		take_told(s, m->data);
+		break;
+	case MSG_RELIST:
+		list_all(w, now);
+		break;
+	case MSG_OFTEN:
+		w->rarely = 0;
+		break;
+	case MSG_RARELY:
+		w->rarely = 1;
+		break;
+	case MSG_QUIT:
+		w->stop = 1;
+		break;
+	default:
+		break;
+	}
+}
+
 /* The thread. */
 static void
 watch_run(struct service *s)
@@ -317,12 +356,8 @@
 	while (!w->stop) {
 		m = ring_wait(s->in, TICK_US);
 		now = clock_mono();
-		if (m != NULL && m->kind == MSG_STORED)
-			take_stored(s, m->data, now);
-		else if (m != NULL && m->kind == MSG_TOLD)
-			take_told(s, m->data);
-		else if (m != NULL && m->kind == MSG_QUIT)
-			w->stop = 1;
+		if (m != NULL)
+			take(s, m, now);
 		msg_free(m);
 		tick(s, now);
 	}
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -2225,7 +2225,7 @@
   (ProtobufCMessageInit) gspar__lease_give__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__promise_ask__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gspar__promise_ask__field_descriptors[5] =
 {
   {
     "cell",
@@ -2275,17 +2275,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "late",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__PromiseAsk, late),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__promise_ask__field_indices_by_name[] = {
   3,   /* field[3] = boot */
   0,   /* field[0] = cell */
+  4,   /* field[4] = late */
   2,   /* field[2] = seq */
   1,   /* field[1] = term */
 };
 static const ProtobufCIntRange gspar__promise_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gspar__promise_ask__descriptor =
 {
@@ -2295,7 +2308,7 @@
   "Gspar__PromiseAsk",
   "gspar",
   sizeof(Gspar__PromiseAsk),
-  4,
+  5,
   gspar__promise_ask__field_descriptors,
   gspar__promise_ask__field_indices_by_name,
   1,  gspar__promise_ask__number_ranges,
@@ -3691,7 +3704,7 @@
   (ProtobufCMessageInit) gspar__key_owners__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[10] =
 {
   {
     "term",
@@ -3789,11 +3802,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "record",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Owners, record),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fleet",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Owners, fleet),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__owners__field_indices_by_name[] = {
   2,   /* field[2] = controller */
+  9,   /* field[9] = fleet */
   6,   /* field[6] = hosts */
   1,   /* field[1] = number */
+  8,   /* field[8] = record */
   5,   /* field[5] = services */
   7,   /* field[7] = site */
   4,   /* field[4] = targets */
@@ -3803,7 +3842,7 @@
 static const ProtobufCIntRange gspar__owners__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gspar__owners__descriptor =
 {
@@ -3813,7 +3852,7 @@
   "Gspar__Owners",
   "gspar",
   sizeof(Gspar__Owners),
-  8,
+  10,
   gspar__owners__field_descriptors,
   gspar__owners__field_indices_by_name,
   1,  gspar__owners__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -238,10 +238,14 @@
   uint64_t term;
   uint64_t seq;
   uint64_t boot;
+  /*
+   * The asker's own lease has run out: it lives by promises alone.
+   */
+  protobuf_c_boolean late;
 };
 #define GSPAR__PROMISE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__promise_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Gspar__Promise
@@ -529,10 +533,18 @@
   size_t n_hosts;
   Gspar__HostAddr **hosts;
   uint64_t site;
+  /*
+   * The control record's version, as the controller wrote it last.
+   */
+  uint64_t record;
+  /*
+   * Of the targets that the controller knows.
+   */
+  uint64_t fleet;
 };
 #define GSPAR__OWNERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__owners__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
