Cut by neighbourhood, move a hot key to the fastest target, yield when deaf

Cause: by the controller's own view one target stood at twice the mean for five seconds: cutting took the few keys that had been seen and left their busy neighbours. Chance is now shared among 128 neighbours. A single key with a third of all requests sat on a slow target; it goes to the fastest. A controller in a data centre that is cut off kept control through the store and renewed nothing elsewhere; it gives control back when it hears fewer than half of the hosts. Keys that an earlier controller may still have granted are not moved for balance: they would wait 3.7 s.

--- a/decide/dest.c
+++ b/decide/dest.c
@@ -6,8 +6,10 @@
 /* What a target told of others' requests halves in this time: it is about as
  * long as a request runs (36 to 220 ms, by the sites' tables). */
 #define OTHERS_HALF MS(150)
-/* How much one sample changes what was learnt. */
-#define SPEED_GAIN 0.08
+/* How much one sample changes what was learnt; the first ones more, for hot
+ * keys come within the first seconds of a target's life. */
+#define SPEED_GAIN 0.06
+#define SPEED_FIRST 0.35
 #define FAIL_GAIN 0.1
 /* A target is sent work until this many times its slots are under way: its own
  * queue then bridges the way to and fro, and it is far from full. */
@@ -58,14 +60,15 @@
 static void
 learn_speed(struct dest *d, const struct dest_answer *a)
 {
-	double x;
+	double x, gain;
 
 	if (a->expected <= 0 || a->waiting > 0)
 		return;
 	x = (double)a->took / (double)a->expected;
 	/* One request may take many times the usual: it says little. */
 	x = fmin(fmax(x, 0.2), 4);
-	d->speed += SPEED_GAIN * (x - d->speed);
+	gain = SPEED_FIRST / (1 + 0.15 * d->samples++);
+	d->speed += fmax(gain, SPEED_GAIN) * (x - d->speed);
 }
 
 /* A request there ended. */
--- /dev/null
+++ b/decide/hearing.h
@@ -0,0 +1,9 @@
+/* Whether a controller still hears the hosts that it controls for. */
+#ifndef HEARING_H
+#define HEARING_H
+
+#include "clock.h"
+
+int hears_enough(const usec *heard, int n, usec now);
+
+#endif
--- a/decide/keys.c
+++ b/decide/keys.c
@@ -19,7 +19,7 @@
  * and the next owner of the keys. */
 #define WRITE_LATER MS(400)
 /* Between looks at the balance. */
-#define PLAN_EVERY MS(300)
+#define PLAN_EVERY MS(200)
 
 /* Prepares the rules for one service. */
 void
--- a/decide/keys.h
+++ b/decide/keys.h
@@ -148,6 +148,7 @@
 
 	/* What is asked for, by key; decays. */
 	float heat[KEYS];
+	float estimate[KEYS];
 	double gain;
 	usec heat_at;
 	usec next_plan;
--- a/decide/keys_plan.c
+++ b/decide/keys_plan.c
@@ -6,7 +6,7 @@
 
 /* What was asked for halves in this time: long enough to tell a hot key from
  * chance, short enough to spread it within two seconds. */
-#define HEAT_HALF 1.2
+#define HEAT_HALF 0.8
 /* Keys count a little even where nobody asks for them, so that none of them
  * lie all with one target. */
 #define COLD_SHARE 0.06
@@ -26,6 +26,13 @@
 #define RANGES_EACH 6
 #define COLD_FACTOR 0.5
 #define PIECES 4
+/* Keys that are taken to be about as busy as each other, and what one of them
+ * may show by chance. */
+#define NEIGHBOURS 128
+#define BY_CHANCE 2.0f
+/* A key that alone is more than its target's part moves where that target
+ * would have this much less. */
+#define WORTH_MOVING 0.85
 
 /* How much of the load a target can bear beside others. */
 double
@@ -44,11 +51,38 @@
 	    (t->unanswered >= LOST_ORDERS && now - t->alive_at > LOST_AFTER));
 }
 
-/* What a key counts. */
+/* What a key counts, as estimated at the last look. */
 static double
 key_heat(const struct keys *k, uint32_t key)
 {
-	return ((double)k->heat[key] / k->gain);
+	return ((double)k->estimate[key]);
+}
+
+/*
+ * Estimates what each key counts.  Busy keys lie close to one another, and of
+ * most of them a second or two shows no request, or one: taken at its word,
+ * cutting moves the few keys that happened to be seen, and leaves the busy
+ * neighbourhood where it was (a target at twice the mean for five seconds, in
+ * the first ones of a calm day).  So what chance may give is spread over a
+ * neighbourhood, and only what a key has beyond that is its own.
+ */
+static void
+estimate(struct keys *k)
+{
+	float own, shared, gain = (float)k->gain;
+	uint32_t i, first;
+
+	for (first = 0; first < KEYS; first += NEIGHBOURS) {
+		shared = 0;
+		for (i = first; i < first + NEIGHBOURS; i++) {
+			own = k->heat[i] / gain;
+			k->estimate[i] = own > BY_CHANCE ? own - BY_CHANCE : 0;
+			shared += own - k->estimate[i];
+		}
+		shared /= NEIGHBOURS;
+		for (i = first; i < first + NEIGHBOURS; i++)
+			k->estimate[i] += shared;
+	}
 }
 
 /*
@@ -142,6 +176,7 @@
 	int i, n;
 
 	memset(l, 0, sizeof(*l));
+	estimate(k);
 	for (i = 0; i < KEYS; i++)
 		asked += key_heat(k, (uint32_t)i);
 	l->base = asked * COLD_SHARE / KEYS + COLD_LEAST;
@@ -316,12 +351,16 @@
 	}
 }
 
-/* True where a range of the target may move now. */
+/*
+ * True where a range of the target may move now.  Not while a grant that was
+ * not answered, or that an earlier controller may have sent, has not run out:
+ * the keys could not go on before it, and would be without owner for seconds.
+ */
 static int
 movable(const struct key_range *r, int target, usec now)
 {
 	return (r->step == RANGE_OWNED && r->owner == target && r->confirmed &&
-	    now - r->moved_at >= REST);
+	    now >= r->unanswered_until && now - r->moved_at >= REST);
 }
 
 /* Cuts a piece out of its range and gives it to a target. */
@@ -336,6 +375,67 @@
 	keys_give(k, n, to, now);
 }
 
+/* The target that would bear so much more best. */
+static int
+best_for(const struct keys *k, double heat, usec now)
+{
+	const struct key_target *t;
+	double load, best_load = 0;
+	int i, best = NO_TARGET;
+
+	for (i = 0; i < k->ntargets; i++) {
+		t = &k->targets[i];
+		if (t->lost)
+			continue;
+		load = heat / key_target_weight(t, now);
+		if (best == NO_TARGET || load < best_load) {
+			best = i;
+			best_load = load;
+		}
+	}
+	return (best);
+}
+
+/*
+ * Moves a key that alone overloads its target to the fastest one, from where
+ * others will be moved away; 0 where it has nothing to win.  Targets differ by
+ * two to three times: on a slow one a third of all requests for one key would
+ * time out that a fast one serves.
+ */
+static int
+move_hottest(struct keys *k, int from, usec now)
+{
+	const struct key_range *r;
+	struct piece p = {-1, 0, 0, 0};
+	double heat = k->targets[from].heat, there;
+	uint32_t key;
+	int i, to;
+
+	for (i = 0; i < k->nranges; i++) {
+		r = &k->ranges[i];
+		for (key = r->from; movable(r, from, now) && key <= r->to;
+		     key++) {
+			if (p.range >= 0 && key_heat(k, key) <= p.heat)
+				continue;
+			p.range = i;
+			p.from = p.to = key;
+			p.heat = key_heat(k, key);
+		}
+	}
+	if (p.range < 0 || p.heat < heat / 2)
+		return (0);
+	to = best_for(k, p.heat, now);
+	there = p.heat / key_target_weight(&k->targets[to], now);
+	if (to == from ||
+	    there > WORTH_MOVING * p.heat /
+		    key_target_weight(&k->targets[from], now))
+		return (0);
+	move_piece(k, &p, to, now);
+	k->targets[from].heat -= p.heat;
+	k->targets[to].heat += p.heat;
+	return (1);
+}
+
 /* Plans one move from the most loaded target to the least; 0 where none is
  * worth it. */
 static int
@@ -370,7 +470,7 @@
 				    k, i, l->base, 0.15 * high, need, &p);
 		}
 	if (p.range < 0)
-		return (0);
+		return (move_hottest(k, from, now));
 	move_piece(k, &p, to, now);
 	k->targets[from].heat -= p.heat;
 	k->targets[to].heat += p.heat;
--- a/decide/term.c
+++ b/decide/term.c
@@ -9,6 +9,8 @@
 #define STUCK_AFTER MS(3000)
 /* Between reads of a host that is no standby. */
 #define IDLE_READ MS(1000)
+/* A host that is not listed leaves listed ones so long to take what is free. */
+#define FREE_WAIT MS(150)
 /* Spreads the first takers of a new cell. */
 #define FIRST_SPREAD MS(200)
 /* Between asks for promises while the platform answers in time. */
@@ -445,6 +447,14 @@
 	t->eligible = 0;
 }
 
+/* This host may take control again after it gave it back. */
+void
+term_return(struct term *t)
+{
+	t->resigned = 0;
+	t->eligible = 1;
+}
+
 /* True where the record has stood unchanged for a whole lease and more. */
 static int
 lapsed(const struct term *t, usec now)
@@ -456,7 +466,10 @@
 	if (t->version == 0)
 		need = (usec)(t->conf.self.boot % (uint64_t)FIRST_SPREAD);
 	else if (t->rec.holder.host[0] == '\0')
-		need = 0;
+		/* Where all hear of it at once, standbys go first. */
+		need = t->conf.told && !lists(&t->rec, &t->conf.self)
+		    ? FREE_WAIT
+		    : 0;
 	else if (replaces(&t->conf.self, &t->rec.holder))
 		/* This process has the holder's place: the holder has ended. */
 		return (1);
@@ -518,7 +531,7 @@
 	}
 	if (t->get_open || now < t->next_get || !must_read(t, now))
 		return;
-	every = lists(&t->rec, &t->conf.self) || t->version == 0
+	every = lists(&t->rec, &t->conf.self) || t->version == 0 || free_now
 	    ? t->conf.renew / 2
 	    : IDLE_READ;
 	t->next_get = now + every;
--- a/decide/term.h
+++ b/decide/term.h
@@ -122,6 +122,7 @@
 void term_standbys(struct term *, const struct member *, int);
 void term_process_seen(struct term *, usec now, const struct member *);
 void term_resign(struct term *, usec now);
+void term_return(struct term *);
 int term_may_renew(const struct term *, usec now);
 int term_settled(const struct term *, usec now);
 int term_may_dispatch(const struct term *, usec now);
--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -19,7 +19,7 @@
  * more than half a second after a caller left. */
 #define GONE_EVERY MS(100)
 /* Between reports of what was asked for. */
-#define HEAT_EVERY MS(400)
+#define HEAT_EVERY MS(200)
 /* A key on its way to another target is waited for; a planned move takes as
  * long as the requests that run (36 to 220 ms), a little more when they are
  * many. */
@@ -198,14 +198,20 @@
 
 /* How long a request that arrives now would wait in a line. */
 static usec
-line_wait(const struct direct *d, const struct pending *p, const struct line *l)
+line_wait(const struct direct *d, const struct pending *p, const struct line *l,
+    usec now)
 {
 	const struct pending *q;
+	double gap = l->gap;
 	int ahead = 0;
 
+	/* Nothing has started for longer than usual: it goes on so. */
+	if (l->waiting > 0 && (double)(now - l->last_start) > gap)
+		gap = (double)(now - l->last_start);
+
 	for (q = d->first; q != NULL && q != p; q = q->next)
 		ahead += q->waiting && q->line == l;
-	return ((usec)(ahead * l->gap));
+	return ((usec)(ahead * gap));
 }
 
 /*
@@ -216,15 +222,13 @@
 static void
 wait_for_room(struct direct *d, struct pending *p, struct line *l, usec now)
 {
-	usec wait;
+	usec wait = line_wait(d, p, l, now);
 
-	if (!p->waiting) {
-		wait = line_wait(d, p, l);
-		if (now + wait + (usec)p->learnt->work > p->deadline) {
+	if (now + wait + (usec)p->learnt->work > p->deadline) {
+		if (!p->waiting)
 			p->line = l;
-			end(d, p, GS_TOO_LATE, wait, now);
-			return;
-		}
+		end(d, p, p->ran > 0 ? GS_DEADLINE : GS_TOO_LATE, wait, now);
+		return;
 	}
 	wait_in(p, l);
 }
--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -5,6 +5,7 @@
 #include <apr_general.h>
 
 #include "decode.h"
+#include "hearing.h"
 #include "keeper.h"
 #include "record.h"
 #include "target.h"
@@ -20,6 +21,11 @@
 /* A host that knows other targets than its controller for so long has missed
  * something, and asks the store anew, not more often than this. */
 #define FLEET_DIFFERS MS(500)
+/* A new controller is not heard of by all at once. */
+#define DEAF_AFTER MS(2000)
+/* One that gave control back because it heard too few leaves it to others for
+ * so long; a cut between data centres lasts for seconds. */
+#define YIELD_FOR MS(4000)
 #define RELIST_EVERY MS(2500)
 /* What control adds to a lease of its own; hosts hold none from it. */
 #define HANDOVER MS(100)
@@ -404,6 +410,38 @@
 	    k->s->kernel, "watch", often ? MSG_OFTEN : MSG_RARELY, NULL, NULL);
 }
 
+/*
+ * Gives control back where most hosts are not heard any more, and leaves it to
+ * others for a while.  This host counts as one that is heard.
+ */
+static void
+yield_if_deaf(struct keeper *k, usec now)
+{
+	usec heard[KEEPER_HOSTS + 1];
+	int i, n = 0;
+
+	if (!k->acting) {
+		k->acting_since = now;
+		if (k->yielded && now >= k->eligible_at && !k->stopping) {
+			k->yielded = 0;
+			term_return(&k->term);
+		}
+		return;
+	}
+	for (i = 0; i < k->nhosts; i++) {
+		if (!k->hosts[i].stopping)
+			heard[n++] = k->hosts[i].heard;
+	}
+	if (k->yielded || k->resigned || now - k->acting_since < DEAF_AFTER ||
+	    hears_enough(heard, n, now))
+		return;
+	log_line(LOG_WARNING, "control",
+	    "Most of %d hosts are not heard, control is given back.", n);
+	k->yielded = 1;
+	k->eligible_at = now + YIELD_FOR;
+	term_resign(&k->term, now);
+}
+
 /* Does what is due. */
 static void
 tick(struct keeper *k, usec now)
@@ -416,7 +454,7 @@
 	term_tick(&k->term, now);
 	follow_term(k, now);
 	if (k->acting && term_may_renew(&k->term, now) &&
-	    term_settled(&k->term, now) && !k->resigned) {
+	    term_settled(&k->term, now) && !k->resigned && !k->yielded) {
 		for (i = 0; i < k->nkeys; i++)
 			keys_tick(k->keys[i], now);
 		spread_tick(k, now);
@@ -425,6 +463,7 @@
 	forget_hosts(k, now);
 	compare_fleet(k, now);
 	tell_role(k);
+	yield_if_deaf(k, now);
 }
 
 /* Goes on with an orderly stop: control goes to another first. */
@@ -443,6 +482,9 @@
 		k->resigned = 1;
 		term_resign(&k->term, now);
 	}
+	/* Others need not wait until they miss the signs of life. */
+	if (k->resigned && k->term.role == TERM_FOLLOWER)
+		spread_farewell(k, now);
 	if (k->term.role == TERM_FOLLOWER || now - k->stop_since > HAND_OVER) {
 		k->stop_since = 0;
 		kernel_done(k->s->kernel, "control");
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -90,6 +90,9 @@
 
 	CURLM *multi;
 	struct order_call *calls;
+	usec acting_since;
+	int yielded; /* control was given back, for this host hears too few */
+	usec eligible_at;
 	int stopping;
 	int resigned;
 	usec stop_since;
@@ -111,6 +114,7 @@
 uint64_t spread_number(const struct keeper *);
 void spread_publish(struct keeper *, usec now);
 void spread_tick(struct keeper *, usec now);
+void spread_farewell(struct keeper *, usec now);
 void spread_take(struct keeper *, const Gspar__Owners *, usec now);
 void report_tick(struct keeper *, usec now);
 void report_take(
--- a/gspard/keeper_spread.c
+++ b/gspard/keeper_spread.c
@@ -228,6 +228,13 @@
 	}
 }
 
+/* Tells all hosts that this one no longer controls. */
+void
+spread_farewell(struct keeper *k, usec now)
+{
+	send_alive(k, now);
+}
+
 /* Tells hosts what is due, as controller. */
 void
 spread_tick(struct keeper *k, usec now)
