--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 fleet:
 	@for d in $(LIBS) gspard; do $(MAKE) -s -C $$d || exit 1; done
 	@mkdir -p target
-	@cp build/plain/gspard/gspard target/gspard
+	@cp build/plain/gspard/gspard target/.gspard.new
+	@mv -f target/.gspard.new target/gspard
 
 progs: $(PROGS) $(TESTS)
 $(PROGS) $(TESTS):
--- a/decide/dest.h
+++ b/decide/dest.h
@@ -19,7 +19,7 @@
 	int mine;      /* requests of this host under way there */
 	double others; /* of all others, as of heard */
 	usec heard;    /* when it last told its load */
-	int samples;	       /* from which speed was learnt */
+	int samples;   /* from which speed was learnt */
 	double speed;  /* time it takes, over what others take */
 	double fails;  /* share of its answers that are failures */
 	int strikes;   /* in a row without an answer */
--- a/decide/keys.c
+++ b/decide/keys.c
@@ -1,23 +1,10 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include <jansson.h>
-
 #include "keys.h"
 
-/* A target's clock may be slow by one part in fifty: it holds longer. */
-#define CLOCK_SLOW 1.02
-/* What the network, and a sender's own pause, may add to an order's way. */
-#define WAY MS(150)
 /* Between tries of an order that was not answered. */
 #define ORDER_AGAIN MS(150)
-/* Between tries at the store. */
-#define STORE_AGAIN MS(250)
-/* What need not be known at once is written this much later, with others: a
- * controller that takes over before it would have to wait for both the earlier
- * and the next owner of the keys. */
-#define WRITE_LATER MS(400)
 /* Between looks at the balance. */
 #define PLAN_EVERY MS(200)
 
@@ -76,7 +63,8 @@
 static usec
 held_after(const struct keys *k, usec now)
 {
-	return (now + WAY + (usec)((double)k->conf.hold * CLOCK_SLOW));
+	return (
+	    now + KEYS_WAY + (usec)((double)k->conf.hold * KEYS_CLOCK_SLOW));
 }
 
 /* Notes that something must be written; urgent where a plan waits for it. */
@@ -120,8 +108,8 @@
 }
 
 /* The target with an id, made where there is none; NO_TARGET where full. */
-static int
-target_add(struct keys *k, const char *id)
+int
+keys_target_add(struct keys *k, const char *id)
 {
 	struct key_target *t;
 	int n = target_find(k, id), i;
@@ -173,7 +161,7 @@
 		k->targets[i].listed = 0;
 	for (i = 0; i < f->ntargets; i++) {
 		if (strcmp(f->targets[i].service, k->service) != 0 ||
-		    (n = target_add(k, f->targets[i].id)) == NO_TARGET)
+		    (n = keys_target_add(k, f->targets[i].id)) == NO_TARGET)
 			continue;
 		t = &k->targets[n];
 		name_copy(t->addr, sizeof(t->addr), f->targets[i].addr);
@@ -215,280 +203,6 @@
 	k->targets[n].speed += 0.15 * (speed - k->targets[n].speed);
 }
 
-/* One range as it is kept in the store. */
-static json_t *
-range_json(const struct keys *k, const struct key_range *r)
-{
-	return (json_pack("[I,s,I,s,I]", (json_int_t)r->from,
-	    r->owner == NO_TARGET ? "" : k->targets[r->owner].id,
-	    (json_int_t)r->fence,
-	    r->next == NO_TARGET ? "" : k->targets[r->next].id,
-	    (json_int_t)r->next_fence));
-}
-
-/* Everything as it is kept in the store; the caller frees it. */
-static char *
-to_json(const struct keys *k)
-{
-	json_t *o, *list = json_array();
-	char *text;
-	int i;
-
-	for (i = 0; i < k->nranges; i++)
-		json_array_append_new(list, range_json(k, &k->ranges[i]));
-	o = json_pack("{s:I,s:I,s:I,s:I,s:o}", "term", (json_int_t)k->term,
-	    "write", (json_int_t)k->write_seq, "fence",
-	    (json_int_t)k->top_fence, "hold_ms",
-	    (json_int_t)(k->conf.hold / 1000), "ranges", list);
-	text = json_dumps(o, JSON_COMPACT);
-	json_decref(o);
-	return (text);
-}
-
-/* The target that a stored range names. */
-static int
-stored_target(struct keys *k, const json_t *v)
-{
-	const char *id = json_string_value(v);
-
-	return (id == NULL || id[0] == '\0' ? NO_TARGET : target_add(k, id));
-}
-
-/*
- * Reads one range.  What an earlier controller granted last is not known: each
- * may be held until its last grant, sent just before it lost control, has run
- * out, whether or not a release is answered before.
- */
-static void
-read_range(struct keys *k, const json_t *v, usec clear_at)
-{
-	struct key_range *r = &k->ranges[k->nranges++];
-
-	memset(r, 0, sizeof(*r));
-	r->from = (uint32_t)json_integer_value(json_array_get(v, 0));
-	r->owner = stored_target(k, json_array_get(v, 1));
-	r->fence = (uint64_t)json_integer_value(json_array_get(v, 2));
-	r->next = stored_target(k, json_array_get(v, 3));
-	r->next_fence = (uint64_t)json_integer_value(json_array_get(v, 4));
-	if (r->owner == NO_TARGET) {
-		/* Nobody but the next can hold it. */
-		r->owner = r->next;
-		r->fence = r->next_fence;
-		r->next = NO_TARGET;
-	}
-	r->granted_until = clear_at;
-	r->unanswered_until = clear_at;
-	r->step = r->next == NO_TARGET ? RANGE_OWNED : RANGE_PLANNED;
-	/* The next may have been granted the keys already. */
-	r->letting_go = r->next != NO_TARGET;
-}
-
-/* Reads what the store holds; 0, or -1 where it makes no sense. */
-static int
-from_json(struct keys *k, const char *json, size_t n, usec now)
-{
-	json_t *o = json_loadb(json, n, 0, NULL), *list;
-	usec hold, clear_at;
-	size_t i;
-	int k2;
-
-	list = json_object_get(o, "ranges");
-	if (!json_is_array(list) || json_array_size(list) == 0 ||
-	    json_array_size(list) > KEYS_RANGES) {
-		json_decref(o);
-		return (-1);
-	}
-	k->top_fence =
-	    (uint64_t)json_integer_value(json_object_get(o, "fence"));
-	hold = MS(json_integer_value(json_object_get(o, "hold_ms")));
-	if (hold < k->conf.hold)
-		hold = k->conf.hold;
-	clear_at =
-	    now + k->conf.order_wait + WAY + (usec)((double)hold * CLOCK_SLOW);
-	k->nranges = 0;
-	for (i = 0; i < json_array_size(list); i++)
-		read_range(k, json_array_get(list, i), clear_at);
-	for (k2 = 0; k2 < k->nranges; k2++)
-		k->ranges[k2].to =
-		    k2 + 1 < k->nranges ? k->ranges[k2 + 1].from - 1 : KEYS - 1;
-	json_decref(o);
-	return (0);
-}
-
-/* Sends a write of everything. */
-static void
-put(struct keys *k)
-{
-	k->write_seq++;
-	k->dirty = 0;
-	k->urgent = 0;
-	free(k->put_text);
-	k->put_text = to_json(k);
-	k->put_base = k->version;
-	k->put_open = 1;
-	k->put_lost = 0;
-	k->out->put(k->arg, k->service, k->put_base, k->put_text);
-}
-
-/*
- * Writes what was read under this term, with higher fences.  Until this is
- * done nothing is ordered: a write of an earlier controller may still be on
- * its way, and land after all that was read; once this one is done it cannot.
- */
-static void
-claim(struct keys *k)
-{
-	int i;
-
-	k->top_fence++;
-	for (i = 0; i < k->nranges; i++) {
-		k->ranges[i].fence = k->top_fence;
-		if (k->ranges[i].next != NO_TARGET)
-			k->ranges[i].next_fence = k->top_fence + 1;
-		k->ranges[i].fence_by = k->write_seq + 1;
-		k->ranges[i].plan_by = k->write_seq + 1;
-	}
-	k->top_fence++;
-	put(k);
-}
-
-/* One range without an owner over all keys. */
-static void
-first_range(struct keys *k)
-{
-	memset(&k->ranges[0], 0, sizeof(k->ranges[0]));
-	k->ranges[0].to = KEYS - 1;
-	k->ranges[0].owner = NO_TARGET;
-	k->ranges[0].next = NO_TARGET;
-	k->nranges = 1;
-}
-
-/* A write is known to be done. */
-static void
-stored(struct keys *k, uint64_t version, usec now)
-{
-	k->put_open = 0;
-	k->put_lost = 0;
-	k->version = version;
-	k->stored_seq = k->write_seq;
-	if (k->claimed)
-		return;
-	k->claimed = 1;
-	k->next_plan = now;
-	k->number++;
-	k->out->event(k->arg, k->service, "owners claimed");
-}
-
-/* True where what the store holds is our open write. */
-static int
-is_ours(const struct keys *k, const char *json, size_t n)
-{
-	json_t *o = json_loadb(json, n, 0, NULL);
-	int ours;
-
-	ours = (uint64_t)json_integer_value(json_object_get(o, "term")) ==
-		k->term &&
-	    (uint64_t)json_integer_value(json_object_get(o, "write")) ==
-		k->write_seq;
-	json_decref(o);
-	return (ours);
-}
-
-/* Control is another's: what was planned here is void. */
-static void
-lost_claim(struct keys *k, usec now)
-{
-	k->out->event(k->arg, k->service, "owners were written by another");
-	k->claimed = 0;
-	k->loaded = 0;
-	k->put_open = 0;
-	k->put_lost = 0;
-	k->norders = 0;
-	k->next_try = now + STORE_AGAIN;
-}
-
-/* A read of the object was answered; found is 0 where there is none. */
-void
-keys_got(struct keys *k, usec now, int found, uint64_t version,
-    const char *json, size_t n)
-{
-	k->get_open = 0;
-	if (!k->active || (k->put_open && !k->put_lost))
-		return;
-	if (k->put_lost) {
-		if (found && is_ours(k, json, n))
-			stored(k, version, now);
-		else if (!found ? k->put_base == 0 : version == k->put_base) {
-			/* Not there yet; whichever lands first ends both. */
-			k->put_lost = 0;
-			k->out->put(
-			    k->arg, k->service, k->put_base, k->put_text);
-		} else
-			lost_claim(k, now);
-		return;
-	}
-	k->version = found ? version : 0;
-	if (!found)
-		first_range(k);
-	else if (from_json(k, json, n, now) != 0) {
-		k->out->event(
-		    k->arg, k->service, "owners in the store make no sense");
-		k->next_try = now + STORE_AGAIN;
-		return;
-	}
-	k->loaded = 1;
-	claim(k);
-}
-
-/* A read failed. */
-void
-keys_get_failed(struct keys *k, usec now)
-{
-	k->get_open = 0;
-	k->next_try = now + STORE_AGAIN;
-}
-
-/* Names the write sent last, among all of this and earlier terms. */
-uint64_t
-keys_write(const struct keys *k)
-{
-	return (k->term << 32 | k->write_seq);
-}
-
-/*
- * The outcome of a write.  One of an earlier term must not be taken for the
- * write that is open now: plans would be acted on that the store does not hold.
- */
-void
-keys_put_ended(struct keys *k, usec now, uint64_t write, enum put_result res,
-    uint64_t version)
-{
-	if (!k->put_open || write != keys_write(k))
-		return;
-	if (res == PUT_DONE) {
-		stored(k, version, now);
-		return;
-	}
-	k->put_lost = 1;
-	k->next_try = res == PUT_CONFLICT ? now : now + STORE_AGAIN;
-}
-
-/* Reads and writes the store as is due. */
-static void
-tick_store(struct keys *k, usec now)
-{
-	int want = !k->loaded || k->put_lost;
-
-	if (want && !k->get_open && now >= k->next_try) {
-		k->get_open = 1;
-		k->next_try = now + STORE_AGAIN;
-		k->out->get(k->arg, k->service);
-	}
-	if (k->claimed && !k->put_open && k->dirty &&
-	    (k->urgent || k->closing || now - k->dirty_since >= WRITE_LATER))
-		put(k);
-}
-
 /* Sends an order for keys from one range to another, both of one owner. */
 static void
 send_order(struct keys *k, int target, int release, uint32_t from, uint32_t to,
@@ -796,7 +510,7 @@
 
 	if (!k->active)
 		return;
-	tick_store(k, now);
+	keys_store_tick(k, now);
 	if (!keys_settled(k))
 		return;
 	for (i = 0; i < k->nranges; i++)
@@ -807,7 +521,7 @@
 	k->next_plan = now + PLAN_EVERY;
 	join(k, now);
 	keys_plan(k, now);
-	tick_store(k, now);
+	keys_store_tick(k, now);
 }
 
 /* Who owns what, for hosts that send requests. */
--- a/decide/keys.h
+++ b/decide/keys.h
@@ -13,6 +13,11 @@
 #include "owners.h"
 #include "term.h"
 
+/* A target's clock may be slow by one part in fifty: it holds longer. */
+#define KEYS_CLOCK_SLOW 1.02
+/* What the network, and a sender's own pause, may add to an order's way. */
+#define KEYS_WAY MS(150)
+
 #define KEYS_TARGETS 1024
 #define KEYS_RANGES 4096
 #define KEYS_ORDERS 2048
@@ -178,6 +183,12 @@
 int keys_quiet(const struct keys *);
 void keys_view(const struct keys *, struct owner_service *);
 
+/* keys_store.c */
+void keys_store_tick(struct keys *, usec now);
+
+/* For keys_store.c. */
+int keys_target_add(struct keys *, const char *id);
+
 /* keys_plan.c */
 void keys_plan(struct keys *, usec now);
 int keys_split(struct keys *, int range, uint32_t at);
--- a/decide/keys_plan.c
+++ b/decide/keys_plan.c
@@ -363,9 +363,9 @@
 	    now >= r->unanswered_until && now - r->moved_at >= REST);
 }
 
-/* Cuts a piece out of its range and gives it to a target. */
+/* Cuts a piece out of its range and gives it from one target to another. */
 static void
-move_piece(struct keys *k, const struct piece *p, int to, usec now)
+move_piece(struct keys *k, const struct piece *p, int from, int to, usec now)
 {
 	int n = keys_split(k, p->range, p->from);
 
@@ -373,6 +373,8 @@
 	    (p->to < k->ranges[n].to && keys_split(k, n, p->to + 1) < 0))
 		return;
 	keys_give(k, n, to, now);
+	k->targets[from].heat -= p->heat;
+	k->targets[to].heat += p->heat;
 }
 
 /* The target that would bear so much more best. */
@@ -430,9 +432,7 @@
 	    there > WORTH_MOVING * p.heat /
 		    key_target_weight(&k->targets[from], now))
 		return (0);
-	move_piece(k, &p, to, now);
-	k->targets[from].heat -= p.heat;
-	k->targets[to].heat += p.heat;
+	move_piece(k, &p, from, to, now);
 	return (1);
 }
 
@@ -471,9 +471,7 @@
 		}
 	if (p.range < 0)
 		return (move_hottest(k, from, now));
-	move_piece(k, &p, to, now);
-	k->targets[from].heat -= p.heat;
-	k->targets[to].heat += p.heat;
+	move_piece(k, &p, from, to, now);
 	return (1);
 }
 
--- a/decide/term.c
+++ b/decide/term.c
@@ -7,6 +7,9 @@
 #define UNLISTED_WAIT MS(2000)
 /* A standby stays with a holder that cannot write for this long. */
 #define STUCK_AFTER MS(3000)
+/* The same where the holder says itself that its lease has run out: the record
+ * is read only then, and has stood for a lease already. */
+#define STUCK_TOLD MS(1200)
 /* Between reads of a host that is no standby. */
 #define IDLE_READ MS(1000)
 /* A host that is not listed leaves listed ones so long to take what is free. */
@@ -364,7 +367,8 @@
 	 * can renew but never change.
 	 */
 	if (t->known && term == t->rec.term &&
-	    t->last_seen - t->first_seen > STUCK_AFTER)
+	    t->last_seen - t->first_seen >
+		(t->conf.told ? STUCK_TOLD : STUCK_AFTER))
 		return (0);
 	t->promised_until = lease_granter_end(now, t->conf.lease);
 	return (1);
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -11,9 +11,13 @@
 #include "heat.h"
 #include "owners.h"
 #include "target_ops.h"
+#include "transfer.h"
 
 #define LEARNT_SIZE 256
 #define EASY_KEPT 32
+/* Between looks whether a caller is still there: targets must not go on for
+ * more than half a second after a caller left. */
+#define FLOW_LOOK_EVERY MS(100)
 
 /* Requests that wait for the same thing: how fast they get on. */
 struct line {
@@ -56,14 +60,9 @@
 
 /* One send to a target. */
 struct attempt {
-	const struct target_ops *ops;
-	CURL *easy;
-	struct curl_slist *heads;
-	struct reply reply;
+	struct transfer t;
 	struct spot *spot;
 	usec sent;
-	int begun;  /* bytes may have left */
-	int resent; /* the HTTP client wanted to send a second time */
 };
 
 struct pending {
@@ -111,8 +110,11 @@
 	int stop;
 };
 
-/* direct.c */
-void direct_ended(struct direct *, struct pending *, CURLcode, usec now);
+/* direct_flow.c */
+void flow_send(struct direct *, struct pending *, usec now);
+void flow_pump(struct direct *, usec now);
+void flow_end(struct direct *, struct pending *, int code, usec wait, usec now);
+void flow_ended(struct direct *, struct pending *, CURLcode, usec now);
 
 /* direct_send.c */
 int attempt_start(struct direct *, struct pending *, struct spot *, usec now);
--- /dev/null
+++ b/gspard/direct_flow.c
@@ -0,0 +1,493 @@
+/*
+ * The way of one request: to its target, to a queue or to a refusal, and what
+ * follows a send that gave no answer.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "direct.h"
+#include "hist.h"
+
+/* A key on its way to another target is waited for; a planned move takes as
+ * long as the requests that run (36 to 220 ms), a little more when they are
+ * many. */
+#define PARK_MOST MS(1000)
+/* Sends that did not reach a target, or not the right one, are not limited by
+ * the rule's attempts, for nothing ran; but they end. */
+#define TRIES_MOST 4
+/* A target without a connection for so long is not worth waiting for. */
+#define UNREACHED_WAIT MS(200)
+/* Between tries of a request that was sent to the wrong target. */
+#define MISSENT_WAIT MS(250)
+/* Callers are asked to come back after this long at least, and at most after a
+ * third of their time: beyond that they do not come. */
+#define RETRY_LEAST_MS 40
+#define RETRY_PART 3
+/* How much one gap between starts changes what was learnt. */
+#define GAP_GAIN 0.2
+#define WORK_GAIN 0.05
+
+/* When to come back, in milliseconds, where it is better later than now. */
+static uint32_t
+retry_after(const struct pending *p, usec wait, usec now)
+{
+	usec most = (p->deadline - now) / RETRY_PART / 1000 * 2 / 3;
+	usec ms = wait / 1000;
+
+	if (ms > most)
+		ms = most;
+	return ((uint32_t)(ms < RETRY_LEAST_MS ? RETRY_LEAST_MS : ms));
+}
+
+/* Takes a request out of the list. */
+static void
+unlink_pending(struct direct *d, struct pending *p)
+{
+	if (p->waiting && p->line != NULL)
+		p->line->waiting--;
+	p->waiting = 0;
+	if (p->prev != NULL)
+		p->prev->next = p->next;
+	else
+		d->first = p->next;
+	if (p->next != NULL)
+		p->next->prev = p->prev;
+	else
+		d->last = p->prev;
+}
+
+/* Ends a request whose answer is filled in. */
+static void
+finish(struct direct *d, struct pending *p, usec now)
+{
+	struct call *c = p->call;
+
+	hist_add(H_REQUEST, now - p->arrived);
+	attempt_drop(d, p);
+	unlink_pending(d, p);
+	if (p->last != NULL)
+		p->last->users--;
+	free(p);
+	call_end(c);
+}
+
+/* Ends a request with a code of ours. */
+void
+flow_end(struct direct *d, struct pending *p, int code, usec wait, usec now)
+{
+	struct answer *a = &p->call->answer;
+	const char *target = p->last == NULL ? "-" : p->last->id;
+
+	a->code = code;
+	a->outcome = (int)result_outcome(code);
+	a->retry_ms = retry_after(p, wait, now);
+	log_request("router", p->call->id,
+	    "%s: service %s, target %s, key %d, tries %d, after %lld ms of "
+	    "%lld, load there %.1f, waiting %d, retry in %u ms",
+	    result_name(code), p->svc->name, target, p->call->key_number,
+	    p->tries, (long long)((now - p->arrived) / 1000),
+	    (long long)((p->deadline - p->arrived) / 1000),
+	    p->last == NULL ? 0.0 : dest_load(&p->last->dest, now),
+	    p->line == NULL ? 0 : p->line->waiting, a->retry_ms);
+	finish(d, p, now);
+}
+
+/* Ends a request with the target's answer. */
+static void
+deliver(struct direct *d, struct pending *p, usec now)
+{
+	struct answer *a = &p->call->answer;
+	struct reply *r = &p->at->t.reply;
+
+	a->code = GS_OK;
+	a->status = r->status;
+	a->heads = r->heads;
+	a->body = r->body;
+	memset(&r->heads, 0, sizeof(r->heads));
+	memset(&r->body, 0, sizeof(r->body));
+	finish(d, p, now);
+}
+
+/* Lets a request wait in a line until the pump finds a way for it. */
+static void
+wait_in(struct pending *p, struct line *l)
+{
+	if (p->waiting && p->line == l)
+		return;
+	if (p->waiting)
+		p->line->waiting--;
+	else
+		count_add(C_WAITED, 1);
+	p->waiting = 1;
+	p->line = l;
+	l->waiting++;
+}
+
+/* Notes that a request of a line starts. */
+static void
+line_start(struct pending *p, struct line *l, usec now)
+{
+	if (l->waiting > 0 && l->last_start != 0)
+		l->gap += GAP_GAIN * ((double)(now - l->last_start) - l->gap);
+	l->last_start = now;
+	if (p->waiting)
+		p->line->waiting--;
+	p->waiting = 0;
+}
+
+/* Sends a request to a target. */
+static void
+send_to(struct direct *d, struct pending *p, struct spot *s, struct line *l,
+    usec now)
+{
+	line_start(p, l, now);
+	p->line = l;
+	hist_add(H_QUEUE, now - p->arrived);
+	if (attempt_start(d, p, s, now) != 0) {
+		flow_end(d, p, GS_NOMEM, 0, now);
+		return;
+	}
+	if (p->last != NULL)
+		p->last->users--;
+	p->last = s;
+	s->users++;
+	p->tries++;
+	p->parked = 0;
+}
+
+/* How long a request that arrives now would wait in a line. */
+static usec
+line_wait(const struct direct *d, const struct pending *p, const struct line *l,
+    usec now)
+{
+	const struct pending *q;
+	double gap = l->gap;
+	int ahead = 0;
+
+	/* Nothing has started for longer than usual: it goes on so. */
+	if (l->waiting > 0 && (double)(now - l->last_start) > gap)
+		gap = (double)(now - l->last_start);
+
+	for (q = d->first; q != NULL && q != p; q = q->next)
+		ahead += q->waiting && q->line == l;
+	return ((usec)(ahead * gap));
+}
+
+/*
+ * Lets a request wait for room, or refuses it at once where it could not start
+ * in time: its caller may still find another host with room, and what is sure
+ * to be late must not hold up what is not.
+ */
+static void
+wait_for_room(struct direct *d, struct pending *p, struct line *l, usec now)
+{
+	usec wait = line_wait(d, p, l, now);
+
+	if (now + wait + (usec)p->learnt->work > p->deadline) {
+		if (!p->waiting)
+			p->line = l;
+		flow_end(
+		    d, p, p->ran > 0 ? GS_DEADLINE : GS_TOO_LATE, wait, now);
+		return;
+	}
+	wait_in(p, l);
+}
+
+/* A request whose key nobody owns at this moment: waits, or is refused. */
+static void
+park(struct direct *d, struct pending *p, const struct owner_range *r, usec now)
+{
+	usec back = r == NULL ? 0 : r->back_at;
+
+	if (p->parked == 0) {
+		p->parked = now;
+		count_add(C_PARKED, 1);
+	}
+	if (back > 0 && back + (usec)p->learnt->work > p->deadline) {
+		flow_end(d, p, GS_NO_OWNER, back - now, now);
+		return;
+	}
+	if (now - p->parked > PARK_MOST && back < now) {
+		flow_end(d, p, GS_NO_OWNER, MS(500), now);
+		return;
+	}
+	wait_in(p, &p->svc->line);
+}
+
+/* Sends a request for a key to its owner, or lets it wait. */
+static void
+try_owner(struct direct *d, struct pending *p, usec now)
+{
+	const struct owners *o = d->owners == NULL ? NULL : d->owners->p;
+	const struct owner_range *r;
+	struct spot *s;
+
+	r = owners_find(o, p->svc->name, (uint32_t)p->call->key_number);
+	s = r == NULL || r->target < 0 || r->moving
+	    ? NULL
+	    : spot_find(d, o->targets[r->target]);
+	if (s == NULL || s->dest.leaving || s->refuted) {
+		park(d, p, r, now);
+		return;
+	}
+	/* Sent to the wrong one under this very view: wait for a newer. */
+	if (p->missent == o->number && now < p->not_before) {
+		wait_in(p, &s->line);
+		return;
+	}
+	if (now < s->dest.shunned_until &&
+	    s->dest.shunned_until - now > UNREACHED_WAIT) {
+		flow_end(d, p, GS_NO_OWNER, s->dest.shunned_until - now, now);
+		return;
+	}
+	if (dest_room(&s->dest, now, &d->conf))
+		send_to(d, p, s, &s->line, now);
+	else
+		wait_for_room(d, p, &s->line, now);
+}
+
+/* True where a service has a target that is not leaving. */
+static int
+has_targets(const struct direct *d, const struct svc *v)
+{
+	const struct spot *s;
+
+	for (s = d->spots; s != NULL; s = s->next) {
+		if (!s->dest.leaving && strcmp(s->service, v->name) == 0)
+			return (1);
+	}
+	return (0);
+}
+
+/* Sends a request to any target of its service, or lets it wait. */
+static void
+try_any(struct direct *d, struct pending *p, usec now)
+{
+	struct spot *s = pick_any(d, p, now);
+
+	if (s != NULL)
+		send_to(d, p, s, &p->svc->line, now);
+	else if (!has_targets(d, p->svc) && d->have_fleet)
+		flow_end(d, p, GS_NO_OWNER, MS(300), now);
+	else
+		wait_for_room(d, p, &p->svc->line, now);
+}
+
+/* Finds a way for a request. */
+void
+flow_send(struct direct *d, struct pending *p, usec now)
+{
+	if (p->svc->keyed && p->call->key_number >= 0)
+		try_owner(d, p, now);
+	else
+		try_any(d, p, now);
+}
+
+/* What the end of a send says of its target. */
+static enum dest_end
+target_end(const struct attempt *a, CURLcode res, enum reply_kind kind)
+{
+	if (!a->t.begun)
+		return (DEST_UNREACHED);
+	if (res != CURLE_OK || kind == REPLY_FOREIGN)
+		return (DEST_BROKE);
+	if (kind == REPLY_MISSENT)
+		return (DEST_MISSENT);
+	if (kind == REPLY_REFUSED)
+		return (DEST_REFUSED);
+	return (kind == REPLY_FAILURE ? DEST_FAILED : DEST_ANSWERED);
+}
+
+/* Learns from the end of a send. */
+static void
+learn(struct pending *p, enum dest_end e, usec now)
+{
+	struct attempt *a = p->at;
+	struct dest_answer ans = {e, now - a->sent, (usec)p->learnt->work,
+	    a->t.reply.running, a->t.reply.waiting};
+
+	dest_ended(&a->spot->dest, now, &ans);
+	a->spot->answers += e <= DEST_MISSENT;
+	if (e != DEST_ANSWERED)
+		return;
+	hist_add(H_TARGET, now - a->sent);
+	p->learnt->work +=
+	    WORK_GAIN * ((double)(now - a->sent) - p->learnt->work);
+}
+
+/* True where a request that may have run may be sent once more. */
+static int
+may_repeat(const struct pending *p, usec now)
+{
+	return (p->rule->idempotent && p->ran < p->rule->attempts &&
+	    p->tries < TRIES_MOST &&
+	    now + (usec)p->learnt->work < p->deadline &&
+	    budget_retry(&p->svc->again));
+}
+
+/* True where one that is known not to have run may be sent once more. */
+static int
+may_resend(const struct pending *p, int arrived, usec now)
+{
+	if (p->tries >= TRIES_MOST ||
+	    now + (usec)p->learnt->work >= p->deadline)
+		return (0);
+	/* Only what arrived at a target counts against the budget. */
+	return (!arrived || budget_retry(&p->svc->again));
+}
+
+/* Sends a request once more. */
+static void
+again(struct direct *d, struct pending *p, usec now)
+{
+	attempt_drop(d, p);
+	count_add(C_RETRIES, 1);
+	flow_send(d, p, now);
+}
+
+/* The target did not run it: sends it on, or says when to come back. */
+static void
+not_run(struct direct *d, struct pending *p, enum reply_kind kind, usec now)
+{
+	const struct owners *o = d->owners == NULL ? NULL : d->owners->p;
+	struct spot *s = p->at->spot;
+
+	if (kind == REPLY_MISSENT) {
+		count_add(C_MISSENT, 1);
+		/* Another target has taken the address over. */
+		if (p->at->t.reply.instance[0] != '\0' &&
+		    strcmp(p->at->t.reply.instance, s->id) != 0)
+			s->refuted = 1;
+		p->missent = o == NULL ? 0 : o->number;
+		p->not_before = now + MISSENT_WAIT;
+	} else
+		count_add(C_TARGET_FULL, 1);
+	log_request("router", p->call->id,
+	    "%s by target %s at %s, key %d, owners %llu, try %d",
+	    kind == REPLY_MISSENT ? "not owned" : "refused", s->id, s->addr,
+	    p->call->key_number,
+	    o == NULL ? 0ull : (unsigned long long)o->number, p->tries);
+	if (may_resend(p, 1, now))
+		again(d, p, now);
+	else
+		flow_end(d, p, GS_SHED, (usec)p->learnt->work, now);
+}
+
+/* Nothing whole came back, and the target may have run it. */
+static void
+maybe_run(struct direct *d, struct pending *p, CURLcode res, usec now)
+{
+	int code = p->at->t.reply.too_large ? GS_ANSWER_LARGE : GS_TARGET_LOST;
+
+	count_add(res == CURLE_OK ? C_FOREIGN : C_BROKE, 1);
+	p->ran++;
+	log_request("router", p->call->id,
+	    "no whole answer from target %s at %s after %lld ms: %s, try %d",
+	    p->at->spot->id, p->at->spot->addr,
+	    (long long)((now - p->at->sent) / 1000),
+	    res == CURLE_OK ? "not to this request" : curl_easy_strerror(res),
+	    p->tries);
+	if (code == GS_TARGET_LOST && may_repeat(p, now))
+		again(d, p, now);
+	else
+		flow_end(d, p, code, 0, now);
+}
+
+/* The target was not reached. */
+static void
+unreached(struct direct *d, struct pending *p, CURLcode res, usec now)
+{
+	count_add(C_UNREACHED, 1);
+	log_request("router", p->call->id, "target %s at %s not reached: %s",
+	    p->at->spot->id, p->at->spot->addr, curl_easy_strerror(res));
+	if (may_resend(p, 0, now))
+		again(d, p, now);
+	else
+		flow_end(d, p, GS_NO_OWNER, MS(200), now);
+}
+
+/* A send ended: takes its outcome. */
+void
+flow_ended(struct direct *d, struct pending *p, CURLcode res, usec now)
+{
+	struct attempt *a = p->at;
+	enum reply_kind kind = REPLY_FOREIGN;
+
+	if (res == CURLE_OK)
+		kind = d->ops->kind(&a->t.reply, p->call);
+	learn(p, target_end(a, res, kind), now);
+	if (!a->t.begun)
+		unreached(d, p, res, now);
+	else if (res != CURLE_OK)
+		maybe_run(d, p, res, now);
+	else if (kind == REPLY_REFUSED || kind == REPLY_MISSENT)
+		not_run(d, p, kind, now);
+	else if (kind == REPLY_FOREIGN)
+		maybe_run(d, p, res, now);
+	else {
+		p->ran++;
+		if (kind == REPLY_FAILURE && may_repeat(p, now))
+			again(d, p, now);
+		else
+			deliver(d, p, now);
+	}
+}
+
+/* The time of a request is up. */
+static void
+expire(struct direct *d, struct pending *p, usec now)
+{
+	if (p->at == NULL) {
+		flow_end(d, p, p->ran > 0 ? GS_DEADLINE : GS_TOO_LATE, 0, now);
+		return;
+	}
+	learn(p, DEST_TIMED_OUT, now);
+	flow_end(d, p, p->at->t.begun ? GS_DEADLINE : GS_TOO_LATE, 0, now);
+}
+
+/* The caller of a request has left: what runs for it is cut. */
+static void
+left(struct direct *d, struct pending *p, usec now)
+{
+	struct dest_answer ans = {DEST_ANSWERED, 0, 0, -1, 0};
+
+	if (p->at != NULL)
+		dest_ended(&p->at->spot->dest, now, &ans);
+	p->call->answer.code = GS_CANCELLED;
+	p->call->answer.outcome =
+	    p->ran > 0 || p->at != NULL ? OUT_UNKNOWN : OUT_NOT_RUN;
+	finish(d, p, now);
+}
+
+/* Looks after one request; it may be gone afterwards. */
+static void
+look_after(struct direct *d, struct pending *p, usec now)
+{
+	if (now >= p->next_look) {
+		p->next_look = now + FLOW_LOOK_EVERY;
+		if (call_gone(p->call)) {
+			left(d, p, now);
+			return;
+		}
+	}
+	if (now >= p->deadline)
+		expire(d, p, now);
+	else if (p->waiting && p->tries == 0 && p->parked == 0 &&
+	    now + (usec)(p->learnt->work / 2) > p->deadline)
+		/* Too late to be worth a slot: others can still be in time. */
+		flow_end(d, p, GS_TOO_LATE, 0, now);
+	else if (p->waiting)
+		flow_send(d, p, now);
+}
+
+/* Looks after all requests, most urgent first. */
+void
+flow_pump(struct direct *d, usec now)
+{
+	struct pending *p, *next;
+
+	for (p = d->first; p != NULL; p = next) {
+		next = p->next;
+		look_after(d, p, now);
+	}
+}
--- a/gspard/direct_send.c
+++ b/gspard/direct_send.c
@@ -1,13 +1,9 @@
 /* One send of a request to a target: the HTTP transfer and what it tells. */
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include "direct.h"
-#include "sockopt.h"
 
 /* An answer's body beyond this is not held in memory. */
 #define ANSWER_MAX (48u * 1024 * 1024)
@@ -21,48 +17,6 @@
 /* What the way back takes, so that a target gives up before the caller. */
 #define WAY_MS 3
 
-/* Collects the answer's body. */
-static size_t
-on_body(char *p, size_t size, size_t n, void *arg)
-{
-	struct attempt *a = arg;
-
-	if (a->reply.body.n + size * n > a->reply.body_max) {
-		a->reply.too_large = 1;
-		return (0);
-	}
-	return (str_add(&a->reply.body, p, size * n) == 0 ? size * n : 0);
-}
-
-/* Passes a header line on to the target's form. */
-static size_t
-on_head(char *p, size_t size, size_t n, void *arg)
-{
-	struct attempt *a = arg;
-
-	a->ops->head(&a->reply, p, size * n);
-	return (size * n);
-}
-
-/*
- * Called just before the request goes out, and once more if the HTTP client
- * wants to send it again because a kept connection died unanswered.  The
- * target may have run the first: a reservation would be made twice.  So the
- * second is refused, and whether to send again is decided here alone.
- */
-static int
-on_send(void *arg, char *ip, char *local, int port, int local_port)
-{
-	struct attempt *a = arg;
-
-	if (a->begun) {
-		a->resent = 1;
-		return (CURL_PREREQFUNC_ABORT);
-	}
-	a->begun = 1;
-	return (CURL_PREREQFUNC_OK);
-}
-
 /* A transfer handle, used again where one is free. */
 static CURL *
 easy_get(struct direct *d)
@@ -76,15 +30,13 @@
 static void
 attempt_free(struct direct *d, struct attempt *a)
 {
-	curl_multi_remove_handle(d->multi, a->easy);
+	curl_multi_remove_handle(d->multi, a->t.easy);
 	if (d->nkept < EASY_KEPT) {
-		curl_easy_reset(a->easy);
-		d->kept[d->nkept++] = a->easy;
+		curl_easy_reset(a->t.easy);
+		d->kept[d->nkept++] = a->t.easy;
 	} else
-		curl_easy_cleanup(a->easy);
-	curl_slist_free_all(a->heads);
-	str_free(&a->reply.heads);
-	str_free(&a->reply.body);
+		curl_easy_cleanup(a->t.easy);
+	transfer_end(&a->t);
 	free(a);
 }
 
@@ -92,54 +44,39 @@
 static void
 set_request(struct attempt *a, const struct call *c)
 {
-	char url[FLEET_ADDR + 16];
-
-	snprintf(url, sizeof(url), "http://%s/", a->spot->addr);
-	curl_easy_setopt(a->easy, CURLOPT_URL, url);
-	curl_easy_setopt(a->easy, CURLOPT_PATH_AS_IS, 1L);
-	curl_easy_setopt(a->easy, CURLOPT_REQUEST_TARGET, c->uri);
+	curl_easy_setopt(a->t.easy, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(a->t.easy, CURLOPT_REQUEST_TARGET, c->uri);
 	if (c->body.n > 0) {
-		curl_easy_setopt(a->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+		curl_easy_setopt(a->t.easy, CURLOPT_POSTFIELDSIZE_LARGE,
 		    (curl_off_t)c->body.n);
-		curl_easy_setopt(a->easy, CURLOPT_POSTFIELDS, c->body.p);
+		curl_easy_setopt(a->t.easy, CURLOPT_POSTFIELDS, c->body.p);
 	} else if (strcmp(c->method, "POST") == 0 ||
 	    strcmp(c->method, "PUT") == 0) {
-		curl_easy_setopt(a->easy, CURLOPT_POSTFIELDSIZE, 0L);
-		curl_easy_setopt(a->easy, CURLOPT_POSTFIELDS, "");
+		curl_easy_setopt(a->t.easy, CURLOPT_POSTFIELDSIZE, 0L);
+		curl_easy_setopt(a->t.easy, CURLOPT_POSTFIELDS, "");
 	}
 	if (strcmp(c->method, "HEAD") == 0)
-		curl_easy_setopt(a->easy, CURLOPT_NOBODY, 1L);
+		curl_easy_setopt(a->t.easy, CURLOPT_NOBODY, 1L);
 	else
-		curl_easy_setopt(a->easy, CURLOPT_CUSTOMREQUEST, c->method);
-	curl_easy_setopt(a->easy, CURLOPT_HTTPHEADER, a->heads);
+		curl_easy_setopt(a->t.easy, CURLOPT_CUSTOMREQUEST, c->method);
 }
 
 /* Sets how the transfer goes. */
 static void
 set_transfer(struct attempt *a, const struct pending *p, usec left)
 {
+	char url[FLEET_ADDR + 16];
 	long ms = (long)(left / 1000);
 
-	curl_easy_setopt(a->easy, CURLOPT_PRIVATE, p);
-	curl_easy_setopt(a->easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(a->easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-	curl_easy_setopt(a->easy, CURLOPT_PROTOCOLS_STR, "http");
-	curl_easy_setopt(a->easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(a->easy, CURLOPT_CONNECTTIMEOUT_MS,
-	    ms < CONNECT_MS ? ms + 1 : CONNECT_MS);
-	curl_easy_setopt(a->easy, CURLOPT_MAXAGE_CONN,
+	snprintf(url, sizeof(url), "http://%s/", a->spot->addr);
+	transfer_set(&a->t, url, ms < CONNECT_MS ? ms + 1 : CONNECT_MS);
+	curl_easy_setopt(a->t.easy, CURLOPT_PRIVATE, p);
+	curl_easy_setopt(a->t.easy, CURLOPT_MAXAGE_CONN,
 	    p->rule->idempotent ? IDLE_S : IDLE_ONCE_S);
-	curl_easy_setopt(a->easy, CURLOPT_SOCKOPTFUNCTION, sockopt_alive);
-	curl_easy_setopt(a->easy, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(a->easy, CURLOPT_WRITEDATA, a);
-	curl_easy_setopt(a->easy, CURLOPT_HEADERFUNCTION, on_head);
-	curl_easy_setopt(a->easy, CURLOPT_HEADERDATA, a);
-	curl_easy_setopt(a->easy, CURLOPT_PREREQFUNCTION, on_send);
-	curl_easy_setopt(a->easy, CURLOPT_PREREQDATA, a);
 	/* What failed once is sent on a new connection: the kept ones may have
 	 * died together. */
 	if (p->tries > 0)
-		curl_easy_setopt(a->easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(a->t.easy, CURLOPT_FRESH_CONNECT, 1L);
 }
 
 /* Sends a request to a target; 0, or -1 without memory. */
@@ -150,23 +87,22 @@
 	usec left = p->deadline - now;
 
 	a = calloc(1, sizeof(*a));
-	if (a == NULL || (a->easy = easy_get(d)) == NULL) {
+	if (a == NULL || (a->t.easy = easy_get(d)) == NULL) {
 		free(a);
 		return (-1);
 	}
 	a->spot = spot;
 	a->sent = now;
-	a->ops = d->ops;
-	a->reply.running = -1;
-	a->reply.body_max = ANSWER_MAX;
-	a->heads =
+	a->t.ops = d->ops;
+	a->t.body_max = ANSWER_MAX;
+	a->t.heads =
 	    d->ops->request(p->call, spot->id, (int)(left / 1000) - WAY_MS);
-	set_request(a, p->call);
 	set_transfer(a, p, left);
+	set_request(a, p->call);
 	p->at = a;
 	dest_sent(&spot->dest);
 	count_add(C_SENT, 1);
-	curl_multi_add_handle(d->multi, a->easy);
+	curl_multi_add_handle(d->multi, a->t.easy);
 	return (0);
 }
 
@@ -200,7 +136,7 @@
 		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &p);
 		curl_easy_getinfo(
 		    m->easy_handle, CURLINFO_RESPONSE_CODE, &status);
-		p->at->reply.status = (int)status;
-		direct_ended(d, p, res, now);
+		p->at->t.reply.status = (int)status;
+		flow_ended(d, p, res, now);
 	}
 }
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -103,7 +103,20 @@
 void keeper_host_seen(struct keeper *, const struct member *, const char *dc,
     int stopping, usec now);
 void keeper_peers(struct keeper *);
+
+/* keeper_term.c */
+void keeper_term_open(struct keeper *);
+void keeper_name_standbys(struct keeper *, usec now);
+void keeper_yield_if_deaf(struct keeper *, usec now);
+void keeper_record_stored(struct keeper *, const struct store *, usec now);
+void keeper_promise_ask(struct keeper *, const struct msg *, usec now);
+void keeper_promise(struct keeper *, const struct msg *, usec now);
+
+/* keeper_keys.c */
 struct keys *keeper_keys(struct keeper *, const char *service);
+void keeper_add_services(struct keeper *, usec now);
+void keeper_keys_stored(struct keeper *, const struct store *, usec now);
+enum put_result keeper_put_result(const struct store *);
 
 /* keeper_order.c */
 void order_send(struct keeper *, const char *service, const struct key_order *);
--- /dev/null
+++ b/gspard/keeper_keys.c
@@ -0,0 +1,160 @@
+/* The rules for keys, between the store, the targets and this host. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "decode.h"
+#include "keeper.h"
+
+/* Keys are granted for this long, and again after a third of it.  A lost
+ * target's keys are without owner for about as long; control that changes
+ * hands in that time leaves no key without one. */
+#define HOLD MS(3000)
+#define RENEW_PART 3
+#define ORDER_WAIT MS(500)
+/* Targets register one after another when all starts. */
+#define SETTLE MS(1500)
+/* A call about the owners of a service's keys. */
+static struct store *
+owners_store(enum store_op op, const char *service)
+{
+	struct store *st;
+	char path[NAME_MAX_GS * 2];
+
+	snprintf(path, sizeof(path), "%s/%s", KIND_OWNERS, service);
+	st = store_new(op, "control", path);
+	if (st != NULL)
+		snprintf(st->tag, sizeof(st->tag), "keys %s", service);
+	return (st);
+}
+
+/* Reads the owners of a service's keys. */
+static void
+get_owners(void *arg, const char *service)
+{
+	struct keeper *k = arg;
+	struct store *st = owners_store(STORE_GET, service);
+
+	if (st != NULL)
+		store_send(k->s->kernel, st);
+}
+
+/* Writes the owners of a service's keys. */
+static void
+put_owners(void *arg, const char *service, uint64_t base, const char *json)
+{
+	struct keeper *k = arg;
+	struct store *st = owners_store(STORE_PUT, service);
+
+	if (st == NULL)
+		return;
+	st->base = base;
+	st->gen = keys_write(keeper_keys(k, service));
+	str_set(&st->body, json, strlen(json));
+	store_send(k->s->kernel, st);
+}
+
+/* Sends an order, if this host still controls at this very moment. */
+static void
+send_order(void *arg, const char *service, const struct key_order *o)
+{
+	struct keeper *k = arg;
+
+	/*
+	 * The clock is read once more: a host that was paused since the tick
+	 * began would otherwise order under a lease that has run out, while
+	 * another gives the same keys to others.
+	 */
+	if (!term_may_renew(&k->term, clock_mono())) {
+		keys_ordered(keeper_keys(k, service), clock_mono(), o->id,
+		    ORDER_NOT_SENT, "");
+		return;
+	}
+	order_send(k, service, o);
+}
+
+/* Logs what was decided about keys. */
+static void
+keys_event(void *arg, const char *service, const char *what)
+{
+	log_line(LOG_INFO, "control", "Service %s: %s.", service, what);
+}
+
+static const struct keys_out keys_out = {
+    get_owners, put_owners, send_order, keys_event};
+
+/* The rules for the keys of a service, or NULL. */
+struct keys *
+keeper_keys(struct keeper *k, const char *service)
+{
+	int i;
+
+	for (i = 0; i < k->nkeys; i++) {
+		if (strcmp(k->keys[i]->service, service) == 0)
+			return (k->keys[i]);
+	}
+	return (NULL);
+}
+
+/* Makes rules for a keyed service that is new. */
+static void
+add_keys(struct keeper *k, const char *service, usec now)
+{
+	const struct bounds *b = &kernel_conf(k->s->kernel)->bounds;
+	struct keys_conf kc = {HOLD, 0, ORDER_WAIT, SETTLE};
+	struct keys *ks;
+
+	if (k->nkeys == KEEPER_SERVICES ||
+	    (ks = calloc(1, sizeof(*ks))) == NULL)
+		return;
+	if (kc.hold > MS(b->hold_max_ms))
+		kc.hold = MS(b->hold_max_ms);
+	kc.renew = kc.hold / RENEW_PART;
+	keys_init(ks, service, &kc, &keys_out, k);
+	k->keys[k->nkeys++] = ks;
+	if (k->fleet != NULL)
+		keys_fleet(ks, k->fleet->p, now);
+	if (k->acting)
+		keys_begin(ks, k->term.rec.term, now);
+}
+
+/* Rules for all keyed services; only a controller needs them. */
+void
+keeper_add_services(struct keeper *k, usec now)
+{
+	const struct site *t = k->site == NULL ? NULL : k->site->p;
+	int i;
+
+	for (i = 0; t != NULL && i < t->nservices; i++) {
+		if (t->services[i].keyed &&
+		    keeper_keys(k, t->services[i].name) == NULL)
+			add_keys(k, t->services[i].name, now);
+	}
+}
+
+/* What came of a write to the store. */
+enum put_result
+keeper_put_result(const struct store *st)
+{
+	if (st->result == STORE_DONE)
+		return (PUT_DONE);
+	return (st->result == STORE_CONFLICT ? PUT_CONFLICT : PUT_LOST);
+}
+
+/* Takes the outcome of a call about the owners of a service's keys. */
+void
+keeper_keys_stored(struct keeper *k, const struct store *st, usec now)
+{
+	struct keys *ks = keeper_keys(k, st->tag + 5);
+
+	if (ks == NULL)
+		return;
+	if (st->op == STORE_PUT)
+		keys_put_ended(
+		    ks, now, st->gen, keeper_put_result(st), st->version);
+	else if (st->result == STORE_DONE || st->result == STORE_ABSENT)
+		keys_got(ks, now, st->result == STORE_DONE, st->version,
+		    st->body.p, st->body.n);
+	else
+		keys_get_failed(ks, now);
+}
--- a/gspard/keeper_order.c
+++ b/gspard/keeper_order.c
@@ -7,7 +7,7 @@
 
 #include "hist.h"
 #include "keeper.h"
-#include "sockopt.h"
+#include "transfer.h"
 
 /* A release is answered when the work that runs on its keys has ended. */
 #define RELEASE_WAIT_MS 2500
@@ -16,49 +16,13 @@
 struct order_call {
 	struct order_call *next;
 	struct order_call **link;
-	const struct target_ops *ops;
+	struct transfer t;
 	char service[NAME_MAX_GS];
 	struct key_order order;
-	struct reply reply;
-	CURL *easy;
-	struct curl_slist *heads;
 	char body[256];
 	usec sent;
-	int begun;
 };
 
-/* Collects and forgets the answer's body. */
-static size_t
-on_body(char *p, size_t size, size_t n, void *arg)
-{
-	return (size * n);
-}
-
-/* Passes a header line on to the target's form. */
-static size_t
-on_head(char *p, size_t size, size_t n, void *arg)
-{
-	struct order_call *c = arg;
-
-	c->ops->head(&c->reply, p, size * n);
-	return (size * n);
-}
-
-/*
- * Lets an order go out once only.  Sent a second time by the HTTP client its
- * time would count from a later arrival than the rules reckon with.
- */
-static int
-on_send(void *arg, char *ip, char *local, int port, int local_port)
-{
-	struct order_call *c = arg;
-
-	if (c->begun)
-		return (CURL_PREREQFUNC_ABORT);
-	c->begun = 1;
-	return (CURL_PREREQFUNC_OK);
-}
-
 /*
  * Options of an order's connection.  Closed, it drops what the network still
  * holds up: a grant delivered when a cut heals would count from then on.
@@ -69,7 +33,7 @@
 	struct linger l = {1, 0};
 
 	setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
-	return (sockopt_alive(arg, fd, purpose));
+	return (transfer_alive(arg, fd, purpose));
 }
 
 /* Frees a call; an open one is cut. */
@@ -79,10 +43,9 @@
 	*c->link = c->next;
 	if (c->next != NULL)
 		c->next->link = c->link;
-	curl_multi_remove_handle(k->multi, c->easy);
-	curl_easy_cleanup(c->easy);
-	curl_slist_free_all(c->heads);
-	str_free(&c->reply.heads);
+	curl_multi_remove_handle(k->multi, c->t.easy);
+	curl_easy_cleanup(c->t.easy);
+	transfer_end(&c->t);
 	free(c);
 }
 
@@ -91,30 +54,21 @@
 set_call(struct order_call *c, long wait_ms)
 {
 	char url[FLEET_ADDR + 32], line[NAME_MAX_GS + 32];
-	const char *path = c->ops->order(&c->order, c->body, sizeof(c->body));
+	const char *path = c->t.ops->order(&c->order, c->body, sizeof(c->body));
 
 	snprintf(url, sizeof(url), "http://%s%s", c->order.addr, path);
-	c->heads =
-	    curl_slist_append(c->heads, "Content-Type: application/json");
-	c->heads = curl_slist_append(c->heads, "Expect:");
-	c->heads = curl_slist_append(c->heads, "Accept:");
-	c->ops->expect(c->order.target, line, sizeof(line));
-	c->heads = curl_slist_append(c->heads, line);
-	curl_easy_setopt(c->easy, CURLOPT_URL, url);
-	curl_easy_setopt(c->easy, CURLOPT_PRIVATE, c);
-	curl_easy_setopt(c->easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(c->easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS, wait_ms);
-	curl_easy_setopt(c->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_MS);
-	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->heads);
-	curl_easy_setopt(c->easy, CURLOPT_POSTFIELDS, c->body);
-	curl_easy_setopt(c->easy, CURLOPT_MAXAGE_CONN, 4L);
-	curl_easy_setopt(c->easy, CURLOPT_SOCKOPTFUNCTION, order_sockopt);
-	curl_easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(c->easy, CURLOPT_HEADERFUNCTION, on_head);
-	curl_easy_setopt(c->easy, CURLOPT_HEADERDATA, c);
-	curl_easy_setopt(c->easy, CURLOPT_PREREQFUNCTION, on_send);
-	curl_easy_setopt(c->easy, CURLOPT_PREREQDATA, c);
+	c->t.heads =
+	    curl_slist_append(c->t.heads, "Content-Type: application/json");
+	c->t.heads = curl_slist_append(c->t.heads, "Expect:");
+	c->t.heads = curl_slist_append(c->t.heads, "Accept:");
+	c->t.ops->expect(c->order.target, line, sizeof(line));
+	c->t.heads = curl_slist_append(c->t.heads, line);
+	transfer_set(&c->t, url, CONNECT_MS);
+	curl_easy_setopt(c->t.easy, CURLOPT_PRIVATE, c);
+	curl_easy_setopt(c->t.easy, CURLOPT_TIMEOUT_MS, wait_ms);
+	curl_easy_setopt(c->t.easy, CURLOPT_POSTFIELDS, c->body);
+	curl_easy_setopt(c->t.easy, CURLOPT_MAXAGE_CONN, 4L);
+	curl_easy_setopt(c->t.easy, CURLOPT_SOCKOPTFUNCTION, order_sockopt);
 }
 
 /* Sends an order. */
@@ -127,15 +81,14 @@
 	    o->release ? RELEASE_WAIT_MS : (long)(keys->conf.order_wait / 1000);
 
 	c = calloc(1, sizeof(*c));
-	if (c == NULL || (c->easy = curl_easy_init()) == NULL) {
+	if (c == NULL || (c->t.easy = curl_easy_init()) == NULL) {
 		free(c);
 		keys_ordered(keys, clock_mono(), o->id, ORDER_NOT_SENT, "");
 		return;
 	}
-	c->ops = k->ops;
+	c->t.ops = k->ops;
 	c->order = *o;
 	c->sent = clock_mono();
-	c->reply.running = -1;
 	name_copy(c->service, sizeof(c->service), service);
 	c->next = k->calls;
 	c->link = &k->calls;
@@ -144,7 +97,7 @@
 	k->calls = c;
 	set_call(c, wait);
 	count_add(C_GRANTS, 1);
-	curl_multi_add_handle(k->multi, c->easy);
+	curl_multi_add_handle(k->multi, c->t.easy);
 }
 
 /* Takes the outcome of one order. */
@@ -154,8 +107,8 @@
 	struct keys *keys = keeper_keys(k, c->service);
 	long status = 0;
 
-	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (!c->begun)
+	curl_easy_getinfo(c->t.easy, CURLINFO_RESPONSE_CODE, &status);
+	if (!c->t.begun)
 		status = ORDER_NOT_SENT;
 	else if (res != CURLE_OK || status == 421 || status >= 500)
 		status = ORDER_SILENT;
@@ -173,7 +126,7 @@
 		hist_add(H_ORDER, now - c->sent);
 	if (keys != NULL)
 		keys_ordered(
-		    keys, now, c->order.id, (int)status, c->reply.handover);
+		    keys, now, c->order.id, (int)status, c->t.reply.handover);
 	call_free(k, c);
 }
 
--- a/gspard/keeper_spread.c
+++ b/gspard/keeper_spread.c
@@ -215,7 +215,9 @@
 	    (char *)(k->resigned ? "" : kernel_conf(k->s->kernel)->host);
 	w.site = t == NULL ? 0 : t->version;
 	w.record = k->term.version;
-	w.fleet = fleet == NULL || now - k->fleet_since < FLEET_STILL
+	/* Nor while this host does not reach the store: others know better. */
+	w.fleet = fleet == NULL || now - k->fleet_since < FLEET_STILL ||
+		term_late(&k->term, now)
 	    ? 0
 	    : fleet->digest;
 	f.body_case = GSPAR__FRAME__BODY_OWNERS;
--- a/gspard/platform.c
+++ b/gspard/platform.c
@@ -6,24 +6,24 @@
 #include <curl/curl.h>
 
 #include "objects.h"
-#include "sockopt.h"
 #include "store.h"
+#include "transfer.h"
 
 /* An answer after this long is worth nothing to any lease. */
 #define CALL_MS 1500
 #define IDLE_MS 1000
 
-struct call;
+struct store_call;
 struct platform {
 	CURLM *multi;
-	struct call *open;
+	struct store_call *open;
 	int at; /* the address in use */
 	int stop;
 };
 
-struct call {
-	struct call *next;
-	struct call **link;
+struct store_call {
+	struct store_call *next;
+	struct store_call **link;
 	struct store *store;
 	const struct store_form *form;
 	CURL *easy;
@@ -36,7 +36,7 @@
 static size_t
 on_body(char *p, size_t size, size_t n, void *arg)
 {
-	struct call *c = arg;
+	struct store_call *c = arg;
 
 	return (str_add(&c->body, p, size * n) == 0 ? size * n : 0);
 }
@@ -45,7 +45,7 @@
 static size_t
 on_head(char *p, size_t size, size_t n, void *arg)
 {
-	struct call *c = arg;
+	struct store_call *c = arg;
 
 	if (c->form->head != NULL)
 		c->form->head(c->store, p, size * n);
@@ -54,7 +54,7 @@
 
 /* Frees a call and takes it off the list of open ones. */
 static void
-call_free(struct call *c)
+call_free(struct store_call *c)
 {
 	*c->link = c->next;
 	if (c->next != NULL)
@@ -80,7 +80,7 @@
 begin(struct service *s, struct store *st)
 {
 	struct platform *p = s->state;
-	struct call *c;
+	struct store_call *c;
 	struct store_http h;
 
 	memset(&h, 0, sizeof(h));
@@ -105,7 +105,7 @@
 	curl_easy_setopt(
 	    c->easy, CURLOPT_TIMEOUT_MS, (long)(CALL_MS + st->wait_ms));
 	curl_easy_setopt(c->easy, CURLOPT_CONNECTTIMEOUT_MS, 500L);
-	curl_easy_setopt(c->easy, CURLOPT_SOCKOPTFUNCTION, sockopt_alive);
+	curl_easy_setopt(c->easy, CURLOPT_SOCKOPTFUNCTION, transfer_alive);
 	curl_easy_setopt(
 	    c->easy, CURLOPT_USERAGENT, kernel_conf(s->kernel)->host);
 	curl_easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, on_body);
@@ -137,7 +137,7 @@
  * would skip an address that works.
  */
 static void
-turn(struct service *s, const struct call *c)
+turn(struct service *s, const struct store_call *c)
 {
 	const struct conf *conf = kernel_conf(s->kernel);
 	struct platform *p = s->state;
@@ -151,7 +151,7 @@
 
 /* Sends a call's outcome back to who asked. */
 static void
-finish(struct service *s, struct call *c, CURLcode res)
+finish(struct service *s, struct store_call *c, CURLcode res)
 {
 	struct store *st = c->store;
 	struct msg *m;
@@ -203,7 +203,7 @@
 reap(struct service *s)
 {
 	struct platform *p = s->state;
-	struct call *c;
+	struct store_call *c;
 	CURLMsg *cm;
 	int left;
 
--- a/gspard/target_ops.h
+++ b/gspard/target_ops.h
@@ -15,7 +15,6 @@
 	int status;
 	struct str heads; /* to be passed on: lines with CRLF */
 	struct str body;
-	size_t body_max;
 	int too_large;
 	char id[128];		    /* of the request it answers, or "" */
 	char instance[NAME_MAX_GS]; /* of the target, where it says so */
--- /dev/null
+++ b/gspard/transfer.h
@@ -0,0 +1,20 @@
+/* One HTTP transfer to a target: a request or an order. */
+#ifndef TRANSFER_H
+#define TRANSFER_H
+
+#include "target_ops.h"
+
+struct transfer {
+	const struct target_ops *ops;
+	CURL *easy;
+	struct curl_slist *heads;
+	struct reply reply;
+	size_t body_max; /* of the answer; 0 is not wanted */
+	int begun;	 /* bytes may have left */
+};
+
+int transfer_alive(void *, curl_socket_t, curlsocktype);
+void transfer_set(struct transfer *, const char *url, long connect_ms);
+void transfer_end(struct transfer *);
+
+#endif
--- a/regress/run.sh
+++ b/regress/run.sh
@@ -84,6 +84,7 @@
     --std=c11 -Ilib -Idecide -Iproto -Igspard -Iplatform lib decide gspard gsparctl platform standin
 run lint-manuals sh -c 'mandoc -T lint -W warning */*.[1-9]'
 run docs-errors sh regress/errors.sh
+run words sh regress/words.sh
 run examples sh regress/examples.sh
 for t in build/asan/unit/t_*; do
 	case $t in *.o | *.d) continue ;; esac
--- a/regress/unit/t_keys.c
+++ b/regress/unit/t_keys.c
@@ -615,6 +615,65 @@
 	CU_ASSERT_EQUAL(double_held, 0);
 }
 
+/*
+ * A single key gets a third of all requests, and its owner is slow.  It goes
+ * to the fastest target, and the other keys of that one go elsewhere.
+ */
+static void
+hot_key(void)
+{
+	uint16_t keys[30];
+	int i, n, was = NO_TARGET, fast = 7;
+
+	start(8);
+	for (i = 0; i < 40; i++)
+		for (n = 0; n < nfakes; n++)
+			keys_learnt(&ctl[0], fakes[n].id, n == fast ? 0.6 : 1.3,
+			    5, now);
+	for (i = 0; i < 25; i++) {
+		for (n = 0; n < 30; n++)
+			keys[n] = n < 10 ? 1000 : (uint16_t)(chance() * 65536);
+		keys_heat(&ctl[0], keys, 30, 1, now);
+		run(MS(200));
+	}
+	for (i = 0; i < ctl[0].nranges; i++) {
+		if (ctl[0].ranges[i].from <= 1000 &&
+		    ctl[0].ranges[i].to >= 1000)
+			was = ctl[0].ranges[i].owner;
+	}
+	CU_ASSERT_NOT_EQUAL_FATAL(was, NO_TARGET);
+	CU_ASSERT_STRING_EQUAL(ctl[0].targets[was].id, fakes[fast].id);
+	CU_ASSERT_EQUAL(double_held, 0);
+}
+
+/*
+ * A controller has just taken over, and a hot run needs cutting.  What an
+ * earlier one granted last is not known, so keys cannot go on for seconds:
+ * they stay where they are served, instead of being without owner meanwhile.
+ */
+static void
+no_moves_after_takeover(void)
+{
+	int i;
+
+	start(9);
+	control(-1);
+	run(MS(600));
+	control(1);
+	run(MS(300));
+	for (i = 0; i < 10; i++) {
+		ask(25, 15);
+		run(MS(200));
+	}
+	CU_ASSERT_EQUAL(longest_unheld, 0);
+	for (i = 0; i < 20; i++) {
+		ask(25, 15);
+		run(MS(200));
+	}
+	CU_ASSERT(owners_of_hot() >= 4);
+	CU_ASSERT(longest_unheld < MS(500));
+}
+
 /* One random trouble. */
 static void
 trouble(void)
@@ -680,6 +739,8 @@
     {"gone but alive", gone_but_alive},
     {"takeover", takeover},
     {"store away", store_away},
+    {"hot key", hot_key},
+    {"no moves after a takeover", no_moves_after_takeover},
     {"random schedules", random_schedules},
 };
 UNIT_MAIN("keys", tests)
--- a/regress/unit/t_term.c
+++ b/regress/unit/t_term.c
@@ -417,6 +417,101 @@
 	CU_ASSERT_EQUAL(term_asked(&a.t, now, b.t.rec.term, 1000), 0);
 }
 
+/* Hosts whose holder tells them the record's version, two of them. */
+static void
+start_told(struct node *a, struct node *b)
+{
+	start(a, b);
+	a->t.conf.told = 1;
+	b->t.conf.told = 1;
+}
+
+/*
+ * A standby that hears its controller does not read the record, for reads of
+ * all standbys make most of a calm fleet's calls.  Once it hears nothing it
+ * takes over as soon as if it had read all the time: what it heard last is the
+ * witness of since when the record stands.
+ */
+static void
+told_standby_reads_nothing(void)
+{
+	struct node a, b;
+	usec now, lost;
+	int gets = 0;
+
+	start_told(&a, &b);
+	for (now = MS(1000); now < MS(6000); now += MS(10)) {
+		term_heard(&b.t, now, a.t.version);
+		run(&a, NULL, now, now + MS(10));
+		term_tick(&b.t, now);
+		gets += b.gets;
+		serve(&b, now);
+	}
+	CU_ASSERT(gets <= 1);
+	CU_ASSERT_EQUAL(b.t.role, TERM_FOLLOWER);
+	lost = now;
+	for (; now < lost + MS(4000) && b.t.role != TERM_HOLDER;
+	     now += MS(10)) {
+		b.t.lonely = now - lost > MS(400);
+		term_tick(&b.t, now);
+		serve(&b, now);
+	}
+	CU_ASSERT_EQUAL(b.t.role, TERM_HOLDER);
+	CU_ASSERT(now - lost < LEASE + MS(300));
+	/* Never while the old holder could still renew. */
+	CU_ASSERT(!term_may_renew(&a.t, now));
+}
+
+/*
+ * All hosts restart at once.  The record names a holder and standbys of which
+ * nobody is left to withdraw: keys would stay without owner for ever.  The new
+ * process at the holder's address proves that the holder has ended, and takes
+ * over at once.
+ */
+static void
+restarted_holder_takes_over_at_once(void)
+{
+	struct node a, b, a2;
+	usec now;
+
+	start_told(&a, &b);
+	name_copy(a.t.conf.self.addr, sizeof(a.t.conf.self.addr), "10.0.0.1:1");
+	a.t.put_open = 0;
+	store.rec.holder = a.t.conf.self;
+	node_init(&a2, "a", 5000);
+	name_copy(
+	    a2.t.conf.self.addr, sizeof(a2.t.conf.self.addr), "10.0.0.1:1");
+	a2.t.conf.told = 1;
+	for (now = MS(2000); now < MS(2300); now += MS(10)) {
+		term_tick(&a2.t, now);
+		serve(&a2, now);
+	}
+	CU_ASSERT_EQUAL(a2.t.role, TERM_HOLDER);
+	CU_ASSERT(term_settled(&a2.t, now + HOST_LEASE + MS(100)));
+}
+
+/* A process of the same name at another address proves nothing. */
+static void
+same_name_elsewhere_proves_nothing(void)
+{
+	struct node a, b, a2;
+	usec now;
+
+	start_told(&a, &b);
+	store.rec.holder = a.t.conf.self;
+	name_copy(
+	    store.rec.holder.addr, sizeof(store.rec.holder.addr), "10.0.0.1:1");
+	node_init(&a2, "a", 5000);
+	name_copy(
+	    a2.t.conf.self.addr, sizeof(a2.t.conf.self.addr), "10.0.0.9:1");
+	a2.t.conf.told = 1;
+	for (now = MS(2000); now < MS(2000) + LEASE; now += MS(10)) {
+		term_tick(&a2.t, now);
+		serve(&a2, now);
+	}
+	CU_ASSERT_EQUAL(a2.t.role, TERM_FOLLOWER);
+}
+
 static const struct unit_test tests[] = {
     {"standby takes over", standby_takes_over},
     {"outage changes nothing", outage_changes_nothing},
@@ -431,5 +526,8 @@
     {"unlisted taker waits", unlisted_taker_waits_for_withdrawal},
     {"holder cut off alone", holder_cut_off_alone},
     {"resigning gives back", resigning_gives_back},
+    {"told standby reads nothing", told_standby_reads_nothing},
+    {"restarted holder takes over", restarted_holder_takes_over_at_once},
+    {"same name elsewhere", same_name_elsewhere_proves_nothing},
 };
 UNIT_MAIN("term", tests)
--- a/rules.mk
+++ b/rules.mk
@@ -40,7 +40,9 @@
 endif
 
 $(OBJ)/%.o: %.c | $(OBJ)
-	$(CC) $(CFLAGS) -MMD -c -o $@ $<
+	$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
 $(OBJ):
 	@mkdir -p $@
+# A header that was removed must not stop a build that still has it listed.
+%.h: ;
 -include $(wildcard $(OBJ)/*.d)
