--- a/regress/demo.lua
+++ b/regress/demo.lua
@@ -24,3 +24,21 @@
 io.write(read_file("timeline"))
 f:stop_all()
 say("all stopped in order")
+
+-- The same daemon on a platform of objects, whose targets know grants.
+dofile("regress/scenario/lib_site.lua")
+say("starting a store of objects, 3 hosts and 6 targets")
+local s = standard_site()
+local _, body = s:ask_key("h1", 40000)
+say("key 40000 is served by %s", body:match("^%S+"))
+s:kill_server(body:match("^%S+"))
+from = now_ms()
+await("the key served again", 10000, function()
+	return s:ask_key("h2", 40000) == 200
+end)
+_, body = s:ask_key("h2", 40000)
+say("killed; served again by %s after %.0f ms", body:match("^%S+"),
+    now_ms() - from)
+s:stop_all()
+s:journals_ok()
+say("no two targets held a key at one time; all stopped in order")
