--- a/regress/demo.lua
+++ b/regress/demo.lua
@@ -28,7 +28,7 @@
 -- The same daemon on a platform of objects, whose targets know grants.
 dofile("regress/scenario/lib_site.lua")
 say("starting a store of objects, 3 hosts and 6 targets")
-local s = standard_site()
+local s = standard_site { next = 40 }
 local _, body = s:ask_key("h1", 40000)
 say("key 40000 is served by %s", body:match("^%S+"))
 s:kill_server(body:match("^%S+"))
--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -10,7 +10,8 @@
 
 function Site.new(opt)
 	local s = setmetatable({ hosts = {}, order = {}, servers = {},
-	    sorder = {}, opt = opt, next = 2, version = 0, asked = 0 }, Site)
+	    sorder = {}, opt = opt, next = opt.next or 2, version = 0,
+	    asked = 0 }, Site)
 	s.store, s.control = s:port(), s:port()
 	spawn(path("store.log"), BUILD .. "/standin/store", "-l", s.store, "-c",
 	    s.control)
