Tell targets by frames: only the controller follows the store

The controller tells changes, and all to a host whose report shows another digest; a host that hears no controller that follows the store follows it itself within a second.

--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -23,8 +23,11 @@
 struct fleet {
 	struct fleet_target *targets;
 	int ntargets;
+	int whole;	 /* of what was told: all, not only what changed */
 	uint64_t digest; /* of who is there and who leaves; the same at each
 			    host that knows the same */
 };
 
+void fleet_free(void *);
+
 #endif
--- a/decide/known.c
+++ b/decide/known.c
@@ -80,6 +80,18 @@
 	k->changed = 1;
 }
 
+/* The target is gone for sure. */
+static void
+mark_gone(struct known *k, struct known_target *e, usec now)
+{
+	e->missing_since = 0;
+	if (e->gone_since == 0)
+		e->gone_since = now;
+	e->t.leaving = 1;
+	e->t.gone = 1;
+	k->changed = 1;
+}
+
 /* The target's entry is no longer there. */
 static void
 lost(struct known *k, struct known_target *e, usec now)
@@ -90,10 +102,7 @@
 		e->missing_since = now;
 		return;
 	}
-	e->gone_since = now;
-	e->t.leaving = 1;
-	e->t.gone = 1;
-	k->changed = 1;
+	mark_gone(k, e, now);
 }
 
 /* An entry was removed. */
@@ -106,6 +115,34 @@
 		lost(k, e, now);
 }
 
+/*
+ * Takes in what the controller tells: its word counts, also where it doubted
+ * an entry that was missing.  What it does not name in a whole list is gone.
+ */
+void
+known_told(struct known *k, const struct fleet *f, usec now)
+{
+	const struct fleet_target *t;
+	struct known_target *e;
+	int i;
+
+	if (f->whole)
+		known_list_begin(k);
+	for (i = 0; i < f->ntargets; i++) {
+		t = &f->targets[i];
+		if (!t->gone)
+			known_put(k, t, now);
+		else if ((e = find(k, t->id)) != NULL) {
+			e->seen = 1;
+			mark_gone(k, e, now);
+		}
+	}
+	for (i = 0; f->whole && i < k->n; i++) {
+		if (!k->list[i].seen)
+			mark_gone(k, &k->list[i], now);
+	}
+}
+
 /* A whole list is about to be read. */
 void
 known_list_begin(struct known *k)
--- a/decide/known.h
+++ b/decide/known.h
@@ -40,7 +40,7 @@
 void known_list_end(struct known *, usec now);
 void known_batch(struct known *, int gone, usec now);
 void known_tick(struct known *, usec now);
+void known_told(struct known *, const struct fleet *, usec now);
 struct fleet *known_fleet(struct known *);
-void fleet_free(void *);
 
 #endif
--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -20,30 +20,31 @@
 
 enum msg_kind {
 	MSG_NONE,
-	MSG_CALL,      /* door to router: a caller's request */
-	MSG_FRAME,     /* peer to any: a frame came */
-	MSG_SEND,      /* any to peer: a frame goes */
-	MSG_PEER_DOWN, /* peer to all: a connection was lost */
-	MSG_UNSENT,    /* peer to router: a request that did not leave */
-	MSG_PEERS,     /* control to peer: the hosts and their addresses */
-	MSG_STORE,     /* any to platform: a call */
-	MSG_STORED,    /* platform to any: its outcome */
-	MSG_CATALOGUE, /* control to all: the entries in force */
-	MSG_VIEW,      /* control to router and dispatch */
-	MSG_LEASE,     /* control to dispatch: lease and duties */
-	MSG_TARGETS,   /* dispatch to control: what it holds */
-	MSG_STATUS,    /* admin to control: a question */
-	MSG_READY,     /* router to door: callers can be served */
-	MSG_SITE,      /* watch to all: routes and services in force */
-	MSG_FLEET,     /* watch to router and control: the targets */
-	MSG_OWNERS,    /* control to router: who owns which keys */
-	MSG_HEAT,      /* router to control: what was asked for */
-	MSG_TOLD,      /* control to watch: a configuration that a host told */
-	MSG_RELIST,    /* control to watch: something was missed */
-	MSG_OFTEN,     /* control to watch: ask for changes often ... */
-	MSG_RARELY,    /* ... or rarely, the controller does */
-	MSG_STOP,      /* kernel to all: stop in order */
-	MSG_QUIT       /* kernel to all: end the thread now */
+	MSG_CALL,	/* door to router: a caller's request */
+	MSG_FRAME,	/* peer to any: a frame came */
+	MSG_SEND,	/* any to peer: a frame goes */
+	MSG_PEER_DOWN,	/* peer to all: a connection was lost */
+	MSG_UNSENT,	/* peer to router: a request that did not leave */
+	MSG_PEERS,	/* control to peer: the hosts and their addresses */
+	MSG_STORE,	/* any to platform: a call */
+	MSG_STORED,	/* platform to any: its outcome */
+	MSG_CATALOGUE,	/* control to all: the entries in force */
+	MSG_VIEW,	/* control to router and dispatch */
+	MSG_LEASE,	/* control to dispatch: lease and duties */
+	MSG_TARGETS,	/* dispatch to control: what it holds */
+	MSG_STATUS,	/* admin to control: a question */
+	MSG_READY,	/* router to door: callers can be served */
+	MSG_SITE,	/* watch to all: routes and services in force */
+	MSG_FLEET,	/* watch to router and control: the targets */
+	MSG_OWNERS,	/* control to router: who owns which keys */
+	MSG_HEAT,	/* router to control: what was asked for */
+	MSG_TOLD,	/* control to watch: a configuration that a host told */
+	MSG_RELIST,	/* control to watch: something was missed */
+	MSG_FOLLOW,	/* control to watch: follow the store ... */
+	MSG_BE_TOLD,	/* ... or do not, the controller tells */
+	MSG_FLEET_TOLD, /* control to watch: targets that the controller told */
+	MSG_STOP,	/* kernel to all: stop in order */
+	MSG_QUIT	/* kernel to all: end the thread now */
 };
 
 struct msg {
--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -15,7 +15,7 @@
 #define HOST_FORGOTTEN MS(30000)
 /* A host that knows other targets than its controller for so long has missed
  * something, and asks the store anew, not more often than this. */
-#define FLEET_DIFFERS MS(500)
+#define FLEET_DIFFERS MS(1300)
 #define RELIST_EVERY MS(2500)
 /* How long a stop waits for moves of keys to end before it gives control back,
  * and for control to be given back at all. */
@@ -155,17 +155,22 @@
 	msg_post(k->s->kernel, "watch", MSG_RELIST, NULL, NULL);
 }
 
-/* Tells the watch service whether it is the one to ask for changes often. */
+/*
+ * Tells the watch service whether to follow the store itself: as controller,
+ * and where no controller is heard that does.  The platform gives 2 s until a
+ * leaving target gets no more, of which noticing takes less than half.
+ */
 static void
-tell_role(struct keeper *k)
+tell_role(struct keeper *k, usec now)
 {
-	int often = k->acting || k->term.lonely;
+	int follow =
+	    k->acting || k->term.lonely || now - k->fleet_heard > LONELY_AFTER;
 
-	if (often == k->told_often)
+	if (follow == k->told_follow)
 		return;
-	k->told_often = often;
-	msg_post(
-	    k->s->kernel, "watch", often ? MSG_OFTEN : MSG_RARELY, NULL, NULL);
+	k->told_follow = follow;
+	msg_post(k->s->kernel, "watch", follow ? MSG_FOLLOW : MSG_BE_TOLD, NULL,
+	    NULL);
 }
 
 /* Does what is due. */
@@ -183,12 +188,13 @@
 	    term_settled(&k->term, now) && !k->resigned && !k->yielded) {
 		for (i = 0; i < k->nkeys; i++)
 			keys_tick(k->keys[i], now);
+		fleet_spread(k, now);
 		spread_tick(k, now);
 	}
 	report_tick(k, now);
 	forget_hosts(k, now);
 	compare_fleet(k, now);
-	tell_role(k);
+	tell_role(k, now);
 	keeper_yield_if_deaf(k, now);
 }
 
@@ -260,6 +266,9 @@
 	case GSPAR__FRAME__BODY_HOST_REPORT:
 		report_take(k, m->host, m->frame->host_report, now);
 		break;
+	case GSPAR__FRAME__BODY_FLEET_TOLD:
+		fleet_take(k, m->frame->fleet_told, now);
+		break;
 	case GSPAR__FRAME__BODY_SITE_TOLD:
 		take_told(k, m->frame->site_told);
 		break;
@@ -368,7 +377,7 @@
 	k->s = s;
 	k->ops = &objects_target;
 	k->heard = clock_mono();
-	k->told_often = -1;
+	k->told_follow = -1;
 	keeper_term_open(k);
 	ring_on_put(s->in, wake, k->multi);
 	return (0);
@@ -391,6 +400,7 @@
 		heat_report_free(k->heat);
 	shared_unref(k->site);
 	shared_unref(k->fleet);
+	shared_unref(k->spread);
 	curl_multi_cleanup(k->multi);
 	free(k);
 }
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -52,6 +52,7 @@
 	uint64_t owners; /* the number that it has */
 	uint64_t told;	 /* the number last sent to it, and when */
 	usec told_at;
+	usec fleet_at; /* when it was told all targets */
 	int stopping;
 };
 
@@ -77,7 +78,9 @@
 	uint64_t told_fleet; /* digest of the controller's; 0 is not told */
 	usec differs_since;
 	usec next_relist;
-	int told_often;
+	int told_follow;
+	usec fleet_heard; /* last sign of a controller that knows the targets */
+	struct shared *spread; /* the targets that were told to all */
 	struct heat_report *heat;
 
 	/* Who owns what, as published here. */
@@ -123,6 +126,11 @@
 void orders_reap(struct keeper *, usec now);
 void orders_drop(struct keeper *);
 
+/* keeper_fleet.c */
+void fleet_spread(struct keeper *, usec now);
+void fleet_compare(struct keeper *, const char *host, uint64_t, usec now);
+void fleet_take(struct keeper *, const Gspar__FleetTold *, usec now);
+
 /* keeper_spread.c */
 uint64_t spread_number(const struct keeper *);
 void spread_publish(struct keeper *, usec now);
--- /dev/null
+++ b/gspard/keeper_fleet.c
@@ -0,0 +1,167 @@
+/* The targets, told from the controller to all other hosts. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "keeper.h"
+
+/* A host that still knows other targets is told all again after this. */
+#define TELL_AGAIN MS(600)
+/* Hosts hear of a change by frames on their way; this is no difference yet. */
+#define STILL MS(400)
+/* A host not heard for so long is not told. */
+#define HOST_LOST MS(3000)
+
+/* The targets known here, or NULL. */
+static const struct fleet *
+fleet_of(const struct shared *sh)
+{
+	return (sh == NULL ? NULL : sh->p);
+}
+
+/* A target of a list by its id, or NULL. */
+static const struct fleet_target *
+find(const struct fleet *f, const char *id)
+{
+	int i;
+
+	for (i = 0; f != NULL && i < f->ntargets; i++) {
+		if (strcmp(f->targets[i].id, id) == 0)
+			return (&f->targets[i]);
+	}
+	return (NULL);
+}
+
+/* True where others need to hear of a target's state. */
+static int
+differs(const struct fleet_target *a, const struct fleet_target *b)
+{
+	return (b == NULL || a->leaving != b->leaving || a->gone != b->gone ||
+	    a->cold_until != b->cold_until || strcmp(a->addr, b->addr) != 0);
+}
+
+/* Fills in one target. */
+static void
+fill(Gspar__TargetTold *w, const struct fleet_target *t, usec now)
+{
+	gspar__target_told__init(w);
+	w->id = (char *)t->id;
+	w->addr = (char *)t->addr;
+	w->service = (char *)t->service;
+	w->dc = (char *)t->dc;
+	w->slots = (uint32_t)t->slots;
+	w->leaving = t->leaving;
+	w->gone = t->gone;
+	if (t->cold_until > now)
+		w->cold_ms = (uint32_t)((t->cold_until - now) / 1000);
+}
+
+/* Sends targets that differ from those of an earlier list, or all, to a host
+ * or, where that is NULL, to all hosts. */
+static void
+tell(struct keeper *k, const struct fleet *f, const struct fleet *was,
+    const char *host, usec now)
+{
+	const char *self = kernel_conf(k->s->kernel)->host;
+	Gspar__Frame fr = GSPAR__FRAME__INIT;
+	Gspar__FleetTold w = GSPAR__FLEET_TOLD__INIT;
+	Gspar__TargetTold *told;
+	int i;
+
+	told = calloc((size_t)f->ntargets + 1, sizeof(*told));
+	w.targets = calloc((size_t)f->ntargets + 1, sizeof(*w.targets));
+	if (told == NULL || w.targets == NULL) {
+		free(told);
+		free(w.targets);
+		return;
+	}
+	w.term = k->term.rec.term;
+	w.whole = was == NULL;
+	for (i = 0; i < f->ntargets; i++) {
+		if (was != NULL &&
+		    !differs(&f->targets[i], find(was, f->targets[i].id)))
+			continue;
+		fill(&told[w.n_targets], &f->targets[i], now);
+		w.targets[w.n_targets] = &told[w.n_targets];
+		w.n_targets++;
+	}
+	fr.body_case = GSPAR__FRAME__BODY_FLEET_TOLD;
+	fr.fleet_told = &w;
+	for (i = 0; i < k->nhosts; i++) {
+		if (host != NULL ? strcmp(k->hosts[i].who.host, host) == 0
+				 : now - k->hosts[i].heard < HOST_LOST &&
+			    strcmp(k->hosts[i].who.host, self) != 0)
+			send_frame(k->s->kernel, k->hosts[i].who.host, 0, &fr);
+	}
+	free(told);
+	free(w.targets);
+}
+
+/*
+ * Tells all hosts what changed, as controller.  If each followed the store by
+ * itself, each change would cost a call for each host: 3,201 calls on a calm
+ * day of 76 hosts.
+ */
+void
+fleet_spread(struct keeper *k, usec now)
+{
+	const struct fleet *f = fleet_of(k->fleet), *was = fleet_of(k->spread);
+
+	if (f == NULL || f == was || term_late(&k->term, now))
+		return;
+	if (was != NULL)
+		tell(k, f, was, NULL, now);
+	shared_unref(k->spread);
+	k->spread = shared_ref(k->fleet);
+}
+
+/* Tells a host all targets, where its report shows that it knows others. */
+void
+fleet_compare(struct keeper *k, const char *host, uint64_t digest, usec now)
+{
+	const struct fleet *f = fleet_of(k->fleet);
+	struct keeper_host *h;
+	int i;
+
+	if (f == NULL || digest == f->digest || now - k->fleet_since < STILL ||
+	    term_late(&k->term, now))
+		return;
+	for (i = 0; i < k->nhosts; i++) {
+		h = &k->hosts[i];
+		if (strcmp(h->who.host, host) != 0 ||
+		    now - h->fleet_at < TELL_AGAIN)
+			continue;
+		h->fleet_at = now;
+		tell(k, f, NULL, host, now);
+	}
+}
+
+/* Takes in what the controller tells, and hands it to who keeps the list. */
+void
+fleet_take(struct keeper *k, const Gspar__FleetTold *w, usec now)
+{
+	const Gspar__TargetTold *t;
+	struct fleet_target *to;
+	struct fleet *f;
+	size_t i;
+
+	if (k->acting || w->term < k->controller_term)
+		return;
+	f = calloc(1, sizeof(*f));
+	if (f == NULL)
+		return;
+	f->targets = calloc(w->n_targets + 1, sizeof(*f->targets));
+	f->whole = w->whole;
+	for (i = 0; f->targets != NULL && i < w->n_targets; i++) {
+		t = w->targets[i];
+		to = &f->targets[f->ntargets++];
+		name_copy(to->id, sizeof(to->id), t->id);
+		name_copy(to->addr, sizeof(to->addr), t->addr);
+		name_copy(to->service, sizeof(to->service), t->service);
+		name_copy(to->dc, sizeof(to->dc), t->dc);
+		to->slots = (int)t->slots;
+		to->leaving = t->leaving;
+		to->gone = t->gone;
+		to->cold_until = MS(t->cold_ms);
+	}
+	msg_post(k->s->kernel, "watch", MSG_FLEET_TOLD, f, fleet_free);
+}
--- a/gspard/keeper_spread.c
+++ b/gspard/keeper_spread.c
@@ -216,6 +216,7 @@
 	w.site = t == NULL ? 0 : t->version;
 	w.record = k->term.version;
 	/* Nor while this host does not reach the store: others know better. */
+	w.follows = fleet != NULL && !term_late(&k->term, now);
 	w.fleet = fleet == NULL || now - k->fleet_since < FLEET_STILL ||
 		term_late(&k->term, now)
 	    ? 0
@@ -343,6 +344,8 @@
 	if (!w->whole) {
 		term_heard(&k->term, now, w->record);
 		k->told_fleet = w->fleet;
+		if (w->follows)
+			k->fleet_heard = now;
 	}
 	if (!w->whole || w->number < k->number)
 		return;
@@ -409,6 +412,7 @@
 	const struct conf *conf = kernel_conf(k->s->kernel);
 	const struct site *t = k->site == NULL ? NULL : k->site->p;
 	Gspar__Frame f = GSPAR__FRAME__INIT;
+	const struct fleet *fleet = k->fleet == NULL ? NULL : k->fleet->p;
 	Gspar__HostReport w = GSPAR__HOST_REPORT__INIT;
 	Gspar__KeyHeat keys[KEEPER_SERVICES], *klist[KEEPER_SERVICES];
 	Gspar__TargetLearnt *targets, **tlist;
@@ -423,6 +427,7 @@
 	w.stopping = k->stopping;
 	w.owners = k->number;
 	w.site = t == NULL ? 0 : t->version;
+	w.fleet = fleet == NULL ? 0 : fleet->digest;
 	if (targets != NULL && tlist != NULL && room != NULL) {
 		fill_report(&w, h, keys, klist, targets, tlist, room);
 		f.body_case = GSPAR__FRAME__BODY_HOST_REPORT;
@@ -469,6 +474,8 @@
 	}
 	if (t != NULL && w->site < t->version)
 		site_tell(k, host);
+	if (k->acting)
+		fleet_compare(k, host, w->fleet, now);
 	for (i = 0; i < w->n_heat; i++) {
 		ks = keeper_keys(k, w->heat[i]->service);
 		for (n = 0; n < w->heat[i]->n_keys && n < HEAT_KEPT; n++)
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -14,13 +14,9 @@
 
 #define TICK_US MS(100)
 /* A watch is asked anew after this long without a change.  One that waits may
- * miss changes when the store drops its history, and hears so only then; the
- * platform gives 3 s after such trouble before its bounds hold again.  The
- * controller asks that often, and hosts that differ from it list anew; if all
- * asked so, calls would grow with the hosts: 230 of 1,239 on a calm day of
- * twelve hosts. */
-#define WATCH_OFTEN_MS 2000
-#define WATCH_RARELY_MS 9000
+ * miss changes when the store drops its history, and hears so only then.  Only
+ * the controller, and hosts that hear none, follow the store. */
+#define WATCH_MS 1000
 /* Changes that come close together are read with one call: each call counts,
  * and the bound on leaving targets (2 s) leaves room for it. */
 #define WATCH_PAUSE MS(250)
@@ -51,7 +47,7 @@
 	struct feed feeds[FEEDS];
 	struct known known;
 	struct shared *site;
-	int rarely;	  /* the controller asks often */
+	int told;	  /* the controller follows the store for this host */
 	uint64_t version; /* of the site in force */
 	int stop;
 };
@@ -276,7 +272,7 @@
 			known_list_begin(&w->known);
 	} else {
 		st->base = f->base;
-		st->wait_ms = w->rarely ? WATCH_RARELY_MS : WATCH_OFTEN_MS;
+		st->wait_ms = WATCH_MS;
 	}
 	st->gen = ++f->call;
 	f->open = 1;
@@ -293,6 +289,8 @@
 	int i;
 
 	for (i = 0; i < FEEDS; i++) {
+		if (w->told && !w->feeds[i].listing)
+			continue;
 		/* One kind tells whether the store is back; others wait. */
 		if (i > 0 && w->feeds[0].backoff != 0 &&
 		    w->feeds[i].backoff != 0)
@@ -330,11 +328,15 @@
 	case MSG_RELIST:
 		list_all(w, now);
 		break;
-	case MSG_OFTEN:
-		w->rarely = 0;
+	case MSG_FOLLOW:
+		w->told = 0;
+		list_all(w, now);
+		break;
+	case MSG_BE_TOLD:
+		w->told = 1;
 		break;
-	case MSG_RARELY:
-		w->rarely = 1;
+	case MSG_FLEET_TOLD:
+		known_told(&w->known, m->data, now);
 		break;
 	case MSG_QUIT:
 		w->stop = 1;
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -1267,6 +1267,96 @@
   assert(message->base.descriptor == &gspar__site_told__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gspar__target_told__init
+                     (Gspar__TargetTold         *message)
+{
+  static const Gspar__TargetTold init_value = GSPAR__TARGET_TOLD__INIT;
+  *message = init_value;
+}
+size_t gspar__target_told__get_packed_size
+                     (const Gspar__TargetTold *message)
+{
+  assert(message->base.descriptor == &gspar__target_told__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gspar__target_told__pack
+                     (const Gspar__TargetTold *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gspar__target_told__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gspar__target_told__pack_to_buffer
+                     (const Gspar__TargetTold *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gspar__target_told__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gspar__TargetTold *
+       gspar__target_told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gspar__TargetTold *)
+     protobuf_c_message_unpack (&gspar__target_told__descriptor,
+                                allocator, len, data);
+}
+void   gspar__target_told__free_unpacked
+                     (Gspar__TargetTold *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gspar__target_told__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gspar__fleet_told__init
+                     (Gspar__FleetTold         *message)
+{
+  static const Gspar__FleetTold init_value = GSPAR__FLEET_TOLD__INIT;
+  *message = init_value;
+}
+size_t gspar__fleet_told__get_packed_size
+                     (const Gspar__FleetTold *message)
+{
+  assert(message->base.descriptor == &gspar__fleet_told__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gspar__fleet_told__pack
+                     (const Gspar__FleetTold *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gspar__fleet_told__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gspar__fleet_told__pack_to_buffer
+                     (const Gspar__FleetTold *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gspar__fleet_told__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gspar__FleetTold *
+       gspar__fleet_told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gspar__FleetTold *)
+     protobuf_c_message_unpack (&gspar__fleet_told__descriptor,
+                                allocator, len, data);
+}
+void   gspar__fleet_told__free_unpacked
+                     (Gspar__FleetTold *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gspar__fleet_told__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gspar__frame__init
                      (Gspar__Frame         *message)
 {
@@ -3421,7 +3511,7 @@
   (ProtobufCMessageInit) gspar__key_heat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__host_report__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gspar__host_report__field_descriptors[9] =
 {
   {
     "boot",
@@ -3519,11 +3609,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fleet",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostReport, fleet),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__host_report__field_indices_by_name[] = {
   1,   /* field[1] = addr */
   0,   /* field[0] = boot */
   2,   /* field[2] = dc */
+  8,   /* field[8] = fleet */
   6,   /* field[6] = heat */
   4,   /* field[4] = owners */
   5,   /* field[5] = site */
@@ -3533,7 +3636,7 @@
 static const ProtobufCIntRange gspar__host_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gspar__host_report__descriptor =
 {
@@ -3543,7 +3646,7 @@
   "Gspar__HostReport",
   "gspar",
   sizeof(Gspar__HostReport),
-  8,
+  9,
   gspar__host_report__field_descriptors,
   gspar__host_report__field_indices_by_name,
   1,  gspar__host_report__number_ranges,
@@ -3704,7 +3807,7 @@
   (ProtobufCMessageInit) gspar__key_owners__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[11] =
 {
   {
     "term",
@@ -3826,10 +3929,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "follows",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Owners, follows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__owners__field_indices_by_name[] = {
   2,   /* field[2] = controller */
   9,   /* field[9] = fleet */
+  10,   /* field[10] = follows */
   6,   /* field[6] = hosts */
   1,   /* field[1] = number */
   8,   /* field[8] = record */
@@ -3842,7 +3958,7 @@
 static const ProtobufCIntRange gspar__owners__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gspar__owners__descriptor =
 {
@@ -3852,7 +3968,7 @@
   "Gspar__Owners",
   "gspar",
   sizeof(Gspar__Owners),
-  10,
+  11,
   gspar__owners__field_descriptors,
   gspar__owners__field_indices_by_name,
   1,  gspar__owners__number_ranges,
@@ -3910,7 +4026,200 @@
   (ProtobufCMessageInit) gspar__site_told__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__frame__field_descriptors[16] =
+static const ProtobufCFieldDescriptor gspar__target_told__field_descriptors[8] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetTold, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "addr",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetTold, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetTold, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dc",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetTold, dc),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetTold, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetTold, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetTold, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetTold, cold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gspar__target_told__field_indices_by_name[] = {
+  1,   /* field[1] = addr */
+  7,   /* field[7] = cold_ms */
+  3,   /* field[3] = dc */
+  6,   /* field[6] = gone */
+  0,   /* field[0] = id */
+  5,   /* field[5] = leaving */
+  2,   /* field[2] = service */
+  4,   /* field[4] = slots */
+};
+static const ProtobufCIntRange gspar__target_told__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor gspar__target_told__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gspar.TargetTold",
+  "TargetTold",
+  "Gspar__TargetTold",
+  "gspar",
+  sizeof(Gspar__TargetTold),
+  8,
+  gspar__target_told__field_descriptors,
+  gspar__target_told__field_indices_by_name,
+  1,  gspar__target_told__number_ranges,
+  (ProtobufCMessageInit) gspar__target_told__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gspar__fleet_told__field_descriptors[3] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__FleetTold, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__FleetTold, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__FleetTold, n_targets),
+    offsetof(Gspar__FleetTold, targets),
+    &gspar__target_told__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gspar__fleet_told__field_indices_by_name[] = {
+  2,   /* field[2] = targets */
+  0,   /* field[0] = term */
+  1,   /* field[1] = whole */
+};
+static const ProtobufCIntRange gspar__fleet_told__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gspar__fleet_told__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gspar.FleetTold",
+  "FleetTold",
+  "Gspar__FleetTold",
+  "gspar",
+  sizeof(Gspar__FleetTold),
+  3,
+  gspar__fleet_told__field_descriptors,
+  gspar__fleet_told__field_indices_by_name,
+  1,  gspar__fleet_told__number_ranges,
+  (ProtobufCMessageInit) gspar__fleet_told__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gspar__frame__field_descriptors[17] =
 {
   {
     "hello",
@@ -4104,12 +4413,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fleet_told",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__Frame, body_case),
+    offsetof(Gspar__Frame, fleet_told),
+    &gspar__fleet_told__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__frame__field_indices_by_name[] = {
   8,   /* field[8] = answer */
   9,   /* field[9] = cancel */
   11,   /* field[11] = catalogue_ask */
   12,   /* field[12] = catalogue_entry */
+  16,   /* field[16] = fleet_told */
   0,   /* field[0] = hello */
   13,   /* field[13] = host_report */
   1,   /* field[1] = lease_ask */
@@ -4126,7 +4448,7 @@
 static const ProtobufCIntRange gspar__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor gspar__frame__descriptor =
 {
@@ -4136,7 +4458,7 @@
   "Gspar__Frame",
   "gspar",
   sizeof(Gspar__Frame),
-  16,
+  17,
   gspar__frame__field_descriptors,
   gspar__frame__field_indices_by_name,
   1,  gspar__frame__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -43,6 +43,8 @@
 typedef struct Gspar__KeyOwners Gspar__KeyOwners;
 typedef struct Gspar__Owners Gspar__Owners;
 typedef struct Gspar__SiteTold Gspar__SiteTold;
+typedef struct Gspar__TargetTold Gspar__TargetTold;
+typedef struct Gspar__FleetTold Gspar__FleetTold;
 typedef struct Gspar__Frame Gspar__Frame;
 
 
@@ -471,10 +473,14 @@
   Gspar__KeyHeat **heat;
   size_t n_targets;
   Gspar__TargetLearnt **targets;
+  /*
+   * Of the targets that the host knows.
+   */
+  uint64_t fleet;
 };
 #define GSPAR__HOST_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__host_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 struct  Gspar__HostAddr
@@ -541,10 +547,14 @@
    * Of the targets that the controller knows.
    */
   uint64_t fleet;
+  /*
+   * The controller follows the store and tells what changes.
+   */
+  protobuf_c_boolean follows;
 };
 #define GSPAR__OWNERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__owners__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
@@ -561,6 +571,45 @@
     , 0, {0,NULL} }
 
 
+/*
+ * A target as the controller knows it.
+ */
+struct  Gspar__TargetTold
+{
+  ProtobufCMessage base;
+  char *id;
+  char *addr;
+  char *service;
+  char *dc;
+  uint32_t slots;
+  protobuf_c_boolean leaving;
+  protobuf_c_boolean gone;
+  /*
+   * How much longer it is slow after its start, in milliseconds.
+   */
+  uint32_t cold_ms;
+};
+#define GSPAR__TARGET_TOLD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gspar__target_told__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * From the controller: all targets, or those that changed.
+ */
+struct  Gspar__FleetTold
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  protobuf_c_boolean whole;
+  size_t n_targets;
+  Gspar__TargetTold **targets;
+};
+#define GSPAR__FLEET_TOLD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gspar__fleet_told__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 typedef enum {
   GSPAR__FRAME__BODY__NOT_SET = 0,
   GSPAR__FRAME__BODY_HELLO = 1,
@@ -578,7 +627,8 @@
   GSPAR__FRAME__BODY_CATALOGUE_ENTRY = 13,
   GSPAR__FRAME__BODY_HOST_REPORT = 14,
   GSPAR__FRAME__BODY_OWNERS = 15,
-  GSPAR__FRAME__BODY_SITE_TOLD = 16
+  GSPAR__FRAME__BODY_SITE_TOLD = 16,
+  GSPAR__FRAME__BODY_FLEET_TOLD = 17
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GSPAR__FRAME__BODY__CASE)
 } Gspar__Frame__BodyCase;
 
@@ -603,6 +653,7 @@
     Gspar__HostReport *host_report;
     Gspar__Owners *owners;
     Gspar__SiteTold *site_told;
+    Gspar__FleetTold *fleet_told;
   };
 };
 #define GSPAR__FRAME__INIT \
@@ -1142,6 +1193,44 @@
 void   gspar__site_told__free_unpacked
                      (Gspar__SiteTold *message,
                       ProtobufCAllocator *allocator);
+/* Gspar__TargetTold methods */
+void   gspar__target_told__init
+                     (Gspar__TargetTold         *message);
+size_t gspar__target_told__get_packed_size
+                     (const Gspar__TargetTold   *message);
+size_t gspar__target_told__pack
+                     (const Gspar__TargetTold   *message,
+                      uint8_t             *out);
+size_t gspar__target_told__pack_to_buffer
+                     (const Gspar__TargetTold   *message,
+                      ProtobufCBuffer     *buffer);
+Gspar__TargetTold *
+       gspar__target_told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gspar__target_told__free_unpacked
+                     (Gspar__TargetTold *message,
+                      ProtobufCAllocator *allocator);
+/* Gspar__FleetTold methods */
+void   gspar__fleet_told__init
+                     (Gspar__FleetTold         *message);
+size_t gspar__fleet_told__get_packed_size
+                     (const Gspar__FleetTold   *message);
+size_t gspar__fleet_told__pack
+                     (const Gspar__FleetTold   *message,
+                      uint8_t             *out);
+size_t gspar__fleet_told__pack_to_buffer
+                     (const Gspar__FleetTold   *message,
+                      ProtobufCBuffer     *buffer);
+Gspar__FleetTold *
+       gspar__fleet_told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gspar__fleet_told__free_unpacked
+                     (Gspar__FleetTold *message,
+                      ProtobufCAllocator *allocator);
 /* Gspar__Frame methods */
 void   gspar__frame__init
                      (Gspar__Frame         *message);
@@ -1247,6 +1336,12 @@
 typedef void (*Gspar__SiteTold_Closure)
                  (const Gspar__SiteTold *message,
                   void *closure_data);
+typedef void (*Gspar__TargetTold_Closure)
+                 (const Gspar__TargetTold *message,
+                  void *closure_data);
+typedef void (*Gspar__FleetTold_Closure)
+                 (const Gspar__FleetTold *message,
+                  void *closure_data);
 typedef void (*Gspar__Frame_Closure)
                  (const Gspar__Frame *message,
                   void *closure_data);
@@ -1284,6 +1379,8 @@
 extern const ProtobufCMessageDescriptor gspar__key_owners__descriptor;
 extern const ProtobufCMessageDescriptor gspar__owners__descriptor;
 extern const ProtobufCMessageDescriptor gspar__site_told__descriptor;
+extern const ProtobufCMessageDescriptor gspar__target_told__descriptor;
+extern const ProtobufCMessageDescriptor gspar__fleet_told__descriptor;
 extern const ProtobufCMessageDescriptor gspar__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/regress/unit/t_keys.c
+++ b/regress/unit/t_keys.c
@@ -314,7 +314,7 @@
 tell_fleet(struct keys *k)
 {
 	struct fleet_target t[TARGETS * 8];
-	struct fleet f = {t, 0, 0};
+	struct fleet f = {t, 0, 0, 0};
 	int i;
 
 	memset(t, 0, sizeof(t));
