--- a/decide/keys_plan.c
+++ b/decide/keys_plan.c
@@ -198,9 +198,13 @@
 	l->total = asked + l->base * KEYS;
 }
 
-/* The target with the least load for its weight; not `but`. */
+/*
+ * The target with the least load for its weight; not `but`.  Where `alone` is
+ * not 0 it is the load that counts, and not what each has now.
+ */
 static int
-least(const struct keys *k, const struct key_target *but, usec now)
+least(
+    const struct keys *k, const struct key_target *but, double alone, usec now)
 {
 	const struct key_target *t;
 	double load, best_load = 0;
@@ -210,7 +214,8 @@
 		t = &k->targets[i];
 		if (t->lost || (but != NULL && t == but))
 			continue;
-		load = t->heat / key_target_weight(t, now);
+		load =
+		    (alone > 0 ? alone : t->heat) / key_target_weight(t, now);
 		if (best == NO_TARGET || load < best_load) {
 			best = i;
 			best_load = load;
@@ -288,7 +293,7 @@
 	for (i = 1; i < pieces && step > 0; i++)
 		keys_split(k, n + i - 1, k->ranges[n + i - 1].from + step);
 	for (i = 0; i < pieces && (step > 0 || i == 0); i++, n++) {
-		to = least(k, NULL, now);
+		to = least(k, NULL, 0, now);
 		if (to == NO_TARGET)
 			return;
 		heat = range_heat(k, &k->ranges[n], l->base);
@@ -377,27 +382,6 @@
 	k->targets[to].heat += p->heat;
 }
 
-/* The target that would bear so much more best. */
-static int
-best_for(const struct keys *k, double heat, usec now)
-{
-	const struct key_target *t;
-	double load, best_load = 0;
-	int i, best = NO_TARGET;
-
-	for (i = 0; i < k->ntargets; i++) {
-		t = &k->targets[i];
-		if (t->lost)
-			continue;
-		load = heat / key_target_weight(t, now);
-		if (best == NO_TARGET || load < best_load) {
-			best = i;
-			best_load = load;
-		}
-	}
-	return (best);
-}
-
 /*
  * Moves a key that alone overloads its target to the fastest one, from where
  * others will be moved away; 0 where it has nothing to win.  Targets differ by
@@ -426,7 +410,7 @@
 	}
 	if (p.range < 0 || p.heat < heat / 2)
 		return (0);
-	to = best_for(k, p.heat, now);
+	to = least(k, NULL, p.heat, now);
 	there = p.heat / key_target_weight(&k->targets[to], now);
 	if (to == from ||
 	    there > WORTH_MOVING * p.heat /
@@ -447,7 +431,7 @@
 
 	if (from == NO_TARGET)
 		return (0);
-	to = least(k, &k->targets[from], now);
+	to = least(k, &k->targets[from], 0, now);
 	if (to == NO_TARGET)
 		return (0);
 	wf = key_target_weight(&k->targets[from], now);
--- /dev/null
+++ b/gspard/keeper_report.c
@@ -0,0 +1,127 @@
+/* What hosts tell their controller: requests for keys, targets, and what they
+ * have. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "keeper.h"
+
+/* Fills in what the router learnt. */
+static void
+fill_report(Gspar__HostReport *w, const struct heat_report *h,
+    Gspar__KeyHeat *keys, Gspar__KeyHeat **klist, Gspar__TargetLearnt *targets,
+    Gspar__TargetLearnt **tlist, uint32_t *room)
+{
+	const struct heat *heat;
+	int i, n;
+
+	for (i = 0; i < h->nkeys; i++) {
+		heat = &h->keys[i].heat;
+		gspar__key_heat__init(&keys[i]);
+		klist[i] = &keys[i];
+		keys[i].service = h->keys[i].service;
+		keys[i].keys = room;
+		keys[i].n_keys = (size_t)heat->n;
+		keys[i].each = (uint32_t)((uint64_t)heat->seen * 1000 /
+		    (uint64_t)(heat->n > 0 ? heat->n : 1));
+		for (n = 0; n < heat->n; n++)
+			*room++ = heat->keys[n];
+	}
+	for (i = 0; i < h->ntargets; i++) {
+		gspar__target_learnt__init(&targets[i]);
+		tlist[i] = &targets[i];
+		targets[i].target = h->targets[i].id;
+		targets[i].speed = (uint32_t)(h->targets[i].speed * 1000);
+		targets[i].answers = (uint32_t)h->targets[i].answers;
+	}
+	w->heat = klist;
+	w->n_heat = (size_t)h->nkeys;
+	w->targets = tlist;
+	w->n_targets = (size_t)h->ntargets;
+}
+
+/* Sends this host's report to the controller. */
+static void
+send_report(struct keeper *k, const struct heat_report *h)
+{
+	const struct conf *conf = kernel_conf(k->s->kernel);
+	const struct site *t = k->site == NULL ? NULL : k->site->p;
+	Gspar__Frame f = GSPAR__FRAME__INIT;
+	const struct fleet *fleet = k->fleet == NULL ? NULL : k->fleet->p;
+	Gspar__HostReport w = GSPAR__HOST_REPORT__INIT;
+	Gspar__KeyHeat keys[KEEPER_SERVICES], *klist[KEEPER_SERVICES];
+	Gspar__TargetLearnt *targets, **tlist;
+	uint32_t *room;
+
+	targets = calloc((size_t)h->ntargets + 1, sizeof(*targets));
+	tlist = calloc((size_t)h->ntargets + 1, sizeof(*tlist));
+	room = calloc((size_t)h->nkeys * HEAT_KEPT + 1, sizeof(*room));
+	w.boot = kernel_boot(k->s->kernel);
+	w.addr = (char *)conf->reached;
+	w.dc = (char *)conf->dc;
+	w.stopping = k->stopping;
+	w.owners = k->number;
+	w.site = t == NULL ? 0 : t->version;
+	w.fleet = fleet == NULL ? 0 : fleet->digest;
+	if (targets != NULL && tlist != NULL && room != NULL) {
+		fill_report(&w, h, keys, klist, targets, tlist, room);
+		f.body_case = GSPAR__FRAME__BODY_HOST_REPORT;
+		f.host_report = &w;
+		send_frame(k->s->kernel, k->controller, 0, &f);
+	}
+	free(targets);
+	free(tlist);
+	free(room);
+}
+
+/* Sends what the router reported last. */
+void
+report_tick(struct keeper *k, usec now)
+{
+	if (k->heat == NULL)
+		return;
+	if (k->controller[0] != '\0')
+		send_report(k, k->heat);
+	heat_report_free(k->heat);
+	k->heat = NULL;
+}
+
+/* Takes a host's report, as controller. */
+void
+report_take(
+    struct keeper *k, const char *host, const Gspar__HostReport *w, usec now)
+{
+	const struct site *t = k->site == NULL ? NULL : k->site->p;
+	uint16_t keys[HEAT_KEPT];
+	struct member m;
+	struct keys *ks;
+	size_t i, n;
+	int j;
+
+	memset(&m, 0, sizeof(m));
+	name_copy(m.host, sizeof(m.host), host);
+	name_copy(m.addr, sizeof(m.addr), w->addr);
+	m.boot = w->boot;
+	keeper_host_seen(k, &m, w->dc, w->stopping, now);
+	for (j = 0; j < k->nhosts; j++) {
+		if (strcmp(k->hosts[j].who.host, host) == 0)
+			k->hosts[j].owners = w->owners;
+	}
+	if (t != NULL && w->site < t->version)
+		site_tell(k, host);
+	if (k->acting)
+		fleet_compare(k, host, w->fleet, now);
+	for (i = 0; i < w->n_heat; i++) {
+		ks = keeper_keys(k, w->heat[i]->service);
+		for (n = 0; n < w->heat[i]->n_keys && n < HEAT_KEPT; n++)
+			keys[n] = (uint16_t)w->heat[i]->keys[n];
+		if (ks != NULL)
+			keys_heat(
+			    ks, keys, (int)n, w->heat[i]->each / 1000.0, now);
+	}
+	for (i = 0; i < w->n_targets; i++) {
+		for (j = 0; j < k->nkeys; j++)
+			keys_learnt(k->keys[j], w->targets[i]->target,
+			    w->targets[i]->speed / 1000.0,
+			    (int)w->targets[i]->answers, now);
+	}
+}
