Replace a controller that only its standbys keep; believe no old news

The controller and both standbys were cut off from the store, not from the hosts, so it went on by their promises for 12 s and learnt nothing; when it was back it told all hosts, before its own watch had answered, that the target was fine. Now its signs of life say that it lives by promises, and a host that reaches the store looks for another by that; a controller tells targets only while its watch answers; what a target said of leaving is not taken back by late news.

--- a/decide/known.c
+++ b/decide/known.c
@@ -73,6 +73,9 @@
 		memset(e, 0, sizeof(*e));
 	}
 	e->t = *t;
+	/* What is heard late must not take that back. */
+	e->said_so |= t->leaving && !t->gone;
+	e->t.leaving |= e->said_so;
 	e->t.cold_until = cold > 0 ? now + cold : 0;
 	e->missing_since = 0;
 	e->gone_since = 0;
--- a/decide/known.h
+++ b/decide/known.h
@@ -18,7 +18,8 @@
 	usec missing_since; /* its entry went in an outage; 0 where it is there
 			     */
 	usec gone_since;
-	int seen; /* while a list is read */
+	int said_so; /* it said itself that it leaves: it never comes back */
+	int seen;    /* while a list is read */
 };
 
 struct known {
--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -42,6 +42,8 @@
 	MSG_RELIST,	/* control to watch: something was missed */
 	MSG_FOLLOW,	/* control to watch: follow the store ... */
 	MSG_BE_TOLD,	/* ... or do not, the controller tells */
+	MSG_FRESH,	/* watch to control: the store answers for targets */
+	MSG_STALE,	/* watch to control: it does not, or is not asked */
 	MSG_FLEET_TOLD, /* control to watch: targets that the controller told */
 	MSG_STOP,	/* kernel to all: stop in order */
 	MSG_QUIT	/* kernel to all: end the thread now */
--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -168,6 +168,13 @@
 
 	if (follow == k->told_follow)
 		return;
+	if (k->told_follow >= 0)
+		log_line(LOG_NOTICE, "control",
+		    follow ? "Following the store, no controller is heard "
+			     "that does: %s, heard %lld ms ago."
+			   : "The controller %s follows the store, heard "
+			     "%lld ms ago.",
+		    k->controller, (long long)((now - k->heard) / 1000));
 	k->told_follow = follow;
 	msg_post(k->s->kernel, "watch", follow ? MSG_FOLLOW : MSG_BE_TOLD, NULL,
 	    NULL);
@@ -312,6 +319,12 @@
 	case MSG_FLEET:
 		take_fleet(k, m, now);
 		break;
+	case MSG_FRESH:
+		k->fresh = 1;
+		break;
+	case MSG_STALE:
+		k->fresh = 0;
+		break;
 	case MSG_HEAT:
 		if (k->heat != NULL)
 			heat_report_free(k->heat);
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -79,6 +79,7 @@
 	usec differs_since;
 	usec next_relist;
 	int told_follow;
+	int fresh;	  /* the store itself answers here for targets */
 	usec fleet_heard; /* last sign of a controller that knows the targets */
 	struct shared *spread; /* the targets that were told to all */
 	struct heat_report *heat;
--- a/gspard/keeper_fleet.c
+++ b/gspard/keeper_fleet.c
@@ -106,7 +106,7 @@
 {
 	const struct fleet *f = fleet_of(k->fleet), *was = fleet_of(k->spread);
 
-	if (f == NULL || f == was || term_late(&k->term, now))
+	if (f == NULL || f == was || !k->fresh || term_late(&k->term, now))
 		return;
 	if (was != NULL)
 		tell(k, f, was, NULL, now);
@@ -123,7 +123,7 @@
 	int i;
 
 	if (f == NULL || digest == f->digest || now - k->fleet_since < STILL ||
-	    term_late(&k->term, now))
+	    !k->fresh || term_late(&k->term, now))
 		return;
 	for (i = 0; i < k->nhosts; i++) {
 		h = &k->hosts[i];
--- a/gspard/keeper_spread.c
+++ b/gspard/keeper_spread.c
@@ -13,6 +13,10 @@
 /* The list of targets is told once it has stood still: others hear of changes
  * from the store themselves, a little earlier or later. */
 #define FLEET_STILL MS(300)
+/* Where the controller says that it does not reach the store, a host waits for
+ * one more sign of life (300 ms) before it follows the store itself: that
+ * leaves 550 of the 900 ms that silence takes. */
+#define FOLLOW_NEXT MS(550)
 #define STATE_MOVING 1u
 #define STATE_BACK 2u
 
@@ -242,8 +246,9 @@
 	w.site = t == NULL ? 0 : t->version;
 	w.record = k->term.version;
 	/* Nor while this host does not reach the store: others know better. */
-	w.follows = fleet != NULL && !term_late(&k->term, now);
-	w.fleet = fleet == NULL || now - k->fleet_since < FLEET_STILL ||
+	w.follows = fleet != NULL && k->fresh && !term_late(&k->term, now);
+	w.late = term_late(&k->term, now);
+	w.fleet = !w.follows || now - k->fleet_since < FLEET_STILL ||
 		term_late(&k->term, now)
 	    ? 0
 	    : fleet->digest;
@@ -367,7 +372,15 @@
 	if (w->term < k->controller_term || k->acting)
 		return;
 	k->controller_term = w->term;
-	k->heard = w->controller[0] == '\0' ? 0 : now;
+	/*
+	 * One that lives by its standbys' promises, while this host reaches the
+	 * store, should be replaced, though it is heard: its standbys may be
+	 * cut off from the store with it, and none of them would ever know.
+	 */
+	if (w->controller[0] == '\0')
+		k->heard = 0;
+	else if (!w->late || !k->fresh)
+		k->heard = now;
 	name_copy(k->controller, sizeof(k->controller), w->controller);
 	for (i = 0; i < w->n_hosts; i++) {
 		memset(&m, 0, sizeof(m));
@@ -383,6 +396,9 @@
 		k->told_fleet = w->fleet;
 		if (w->follows)
 			k->fleet_heard = now;
+		else if (k->fleet_heard > now - FOLLOW_NEXT)
+			/* Unless its next sign says otherwise. */
+			k->fleet_heard = now - FOLLOW_NEXT;
 	}
 	if (!w->whole || w->number < k->number)
 		return;
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -47,6 +47,7 @@
 	struct feed feeds[FEEDS];
 	struct known known;
 	struct shared *site;
+	int fresh;	  /* the store answered last time for targets */
 	int told;	  /* the controller follows the store for this host */
 	uint64_t version; /* of the site in force */
 	int stop;
@@ -183,6 +184,46 @@
 		known_list_end(&w->known, now);
 }
 
+/* Publishes the targets where they changed. */
+static void
+publish_fleet(struct service *s, usec now)
+{
+	struct watch *w = s->state;
+	struct shared *sh;
+	struct fleet *fleet;
+
+	known_tick(&w->known, now);
+	if (!w->known.changed || !w->feeds[FEED_TARGETS].listed)
+		return;
+	w->known.changed = 0;
+	fleet = known_fleet(&w->known);
+	if (fleet == NULL || (sh = shared_new(fleet, fleet_free)) == NULL) {
+		fleet_free(fleet);
+		return;
+	}
+	publish(s, "router", MSG_FLEET, sh);
+	publish(s, "control", MSG_FLEET, sh);
+	shared_unref(sh);
+}
+
+/*
+ * Tells the control service whether what is known here of targets is the
+ * store's own word.  A controller that was cut off would otherwise tell all
+ * hosts, once it is back, what it knew before, and a target that left
+ * meanwhile would get work again.
+ */
+static void
+set_fresh(struct service *s, int fresh)
+{
+	struct watch *w = s->state;
+
+	if (w->fresh == fresh)
+		return;
+	w->fresh = fresh;
+	msg_post(
+	    s->kernel, "control", fresh ? MSG_FRESH : MSG_STALE, NULL, NULL);
+}
+
 /* A call failed; the next try comes later each time. */
 static void
 failed(struct service *s, struct feed *f, const struct store *st, usec now)
@@ -198,6 +239,7 @@
 		f->backoff = RETRY_MOST;
 	f->next = now + f->backoff;
 	known_store_failed(&w->known, now);
+	set_fresh(s, 0);
 }
 
 /*
@@ -248,6 +290,9 @@
 	take_found(s, kind, st, now);
 	if (st->op == STORE_LIST) {
 		took_page(w, kind, st, now);
+		publish_fleet(s, now);
+		if (kind == FEED_TARGETS && !f->listing)
+			set_fresh(s, 1);
 		return;
 	}
 	if (st->version > f->base)
@@ -284,8 +329,6 @@
 tick(struct service *s, usec now)
 {
 	struct watch *w = s->state;
-	struct shared *sh;
-	struct fleet *fleet;
 	int i;
 
 	for (i = 0; i < FEEDS; i++) {
@@ -298,18 +341,7 @@
 		if (!w->feeds[i].open && now >= w->feeds[i].next)
 			ask(s, &w->feeds[i]);
 	}
-	known_tick(&w->known, now);
-	if (!w->known.changed || !w->feeds[FEED_TARGETS].listed)
-		return;
-	w->known.changed = 0;
-	fleet = known_fleet(&w->known);
-	if (fleet == NULL || (sh = shared_new(fleet, fleet_free)) == NULL) {
-		fleet_free(fleet);
-		return;
-	}
-	publish(s, "router", MSG_FLEET, sh);
-	publish(s, "control", MSG_FLEET, sh);
-	shared_unref(sh);
+	publish_fleet(s, now);
 }
 
 /* Takes one message. */
@@ -334,6 +366,7 @@
 		break;
 	case MSG_BE_TOLD:
 		w->told = 1;
+		set_fresh(s, 0);
 		break;
 	case MSG_FLEET_TOLD:
 		known_told(&w->known, m->data, now);
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -3820,7 +3820,7 @@
   (ProtobufCMessageInit) gspar__key_owners__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[13] =
+static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[14] =
 {
   {
     "term",
@@ -3978,6 +3978,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "late",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Owners, late),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__owners__field_indices_by_name[] = {
   2,   /* field[2] = controller */
@@ -3985,6 +3997,7 @@
   10,   /* field[10] = follows */
   12,   /* field[12] = host_count */
   6,   /* field[6] = hosts */
+  13,   /* field[13] = late */
   1,   /* field[1] = number */
   8,   /* field[8] = record */
   5,   /* field[5] = services */
@@ -3997,7 +4010,7 @@
 static const ProtobufCIntRange gspar__owners__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor gspar__owners__descriptor =
 {
@@ -4007,7 +4020,7 @@
   "Gspar__Owners",
   "gspar",
   sizeof(Gspar__Owners),
-  13,
+  14,
   gspar__owners__field_descriptors,
   gspar__owners__field_indices_by_name,
   1,  gspar__owners__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -564,10 +564,14 @@
    * Hosts that send to targets, those lost lately included.
    */
   uint32_t host_count;
+  /*
+   * Its lease in the store has run out: it lives by promises alone.
+   */
+  protobuf_c_boolean late;
 };
 #define GSPAR__OWNERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__owners__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -124,6 +124,11 @@
 	    ready = self:port(), peers = self:port(), admin = self:port() }
 	self.hosts[name] = h
 	table.insert(self.order, name)
+	if self.opt.store_wires then
+		h.store, h.wire = self:port(), self:port()
+		spawn(path(name .. ".wire.log"), BUILD .. "/standin/wire",
+		    "-l", h.store, "-t", self.store, "-c", h.wire)
+	end
 	self:write_settings(name)
 	return h
 end
@@ -138,7 +143,7 @@
 	    "heartbeat = 900ms\ndrain = 2s\ngrace = 6s\nconfig_apply = 2s\n" ..
 	    "budget_window = 10s\nmax_hold = 10s\nretry_budget_ratio = 0.2\n" ..
 	    "%s\n", name, h.dc, h.callers, h.ready, h.peers, h.admin,
-	    self.store, more or "retry_budget_slack = 60"))
+	    h.store or self.store, more or "retry_budget_slack = 60"))
 end
 
 function Site:start_host(name)
@@ -189,12 +194,24 @@
 	return tonumber(body:match("\ngspar_" .. counter .. "_total (%d+)"))
 end
 
--- The host that controls, by the record in the store.
-function Site:controller()
+-- Cuts a host off from the store, or no more; needs store_wires.
+function Site:cut_store(name, on)
+	http("POST", "http://" .. self.hosts[name].wire .. "/fault?cut=" ..
+	    (on and "*" or ""), "")
+end
+
+-- The control record in the store, or nil.
+function Site:record()
 	local st, text = http("GET", "http://" .. self.store ..
 	    "/objects/gspar-control/main")
 	local r = st == 200 and json(text)
-	return r and r.spec and r.spec.holder and r.spec.holder.host
+	return r and r.spec
+end
+
+-- The host that controls, by the record in the store.
+function Site:controller()
+	local r = self:record()
+	return r and r.holder and r.holder.host
 end
 
 -- Waits until keys all over are served through every host.
--- /dev/null
+++ b/regress/scenario/site_storecut.lua
@@ -0,0 +1,44 @@
+-- The controller and both of its standbys are cut off from the store; all hosts
+-- hear each other, and one reaches the store.  The controller goes on by its
+-- standbys' promises, and would for ever: it learns of no target that leaves,
+-- and can move no key.  The one that reaches the store replaces it.  When the
+-- others are back, nobody believes what they knew before.
+dofile("regress/scenario/lib_site.lua")
+local s = standard_site { hosts = 4, store_wires = true, keyed = 4, plain = 4 }
+local r = await("two standbys", 8000, function()
+	local r = s:record()
+	return r and #r.standbys == 2 and r
+end)
+local cut = { r.holder.host, r.standbys[1].host, r.standbys[2].host }
+for _, n in ipairs(cut) do
+	s:cut_store(n, true)
+end
+sleep_ms(2500)
+s:drain("i-1")
+s:drain("i-5")
+local gone = now_ms()
+local l = s:load(7000)
+check(s:controller() ~= r.holder.host, "the controller was not replaced")
+-- Who knows that a target left sends it nothing, and nobody can move its keys
+-- until control has changed hands: requests for those are refused meanwhile.
+check(l.any + l.once == 0 and l.key <= 20, "failed: %d any, %d once, %d keyed",
+    l.any, l.once, l.key)
+say("replaced by the one that reaches the store")
+for _, n in ipairs(cut) do
+	s:cut_store(n, false)
+end
+local back = now_ms()
+l = s:load(4000)
+check(l.any + l.once + l.key == 0, "failed: %d any, %d once, %d keyed", l.any,
+    l.once, l.key)
+for _, id in ipairs { "i-1", "i-5" } do
+	for t in read_file(id .. ".journal"):gmatch("run %S+ (%d+)") do
+		check(tonumber(t) / 1000 < gone + 6500,
+		    "%s got work %.0f ms after it left", id,
+		    tonumber(t) / 1000 - gone)
+		check(tonumber(t) / 1000 < back, "work by an old belief")
+	end
+end
+s:stop_all()
+s:journals_ok()
+say("and nobody believes what the others knew before")
--- a/regress/unit/t_known.c
+++ b/regress/unit/t_known.c
@@ -167,6 +167,27 @@
 	CU_ASSERT_EQUAL(usable(MS(5300)), 2);
 }
 
+/*
+ * A target said that it leaves.  A controller that was cut off meanwhile is
+ * back and tells what it knew before: the target gets no work by that.
+ */
+static void
+never_back(void)
+{
+	struct fleet_target t;
+	struct fleet f = {&t, 1, 0, 0};
+
+	start(3);
+	memset(&t, 0, sizeof(t));
+	name_copy(t.id, sizeof(t.id), "t1");
+	t.leaving = 1;
+	known_put(&k, &t, MS(1000));
+	CU_ASSERT_EQUAL(usable(MS(1000)), 2);
+	t.leaving = 0;
+	known_told(&k, &f, MS(9000));
+	CU_ASSERT_EQUAL(usable(MS(9000)), 2);
+}
+
 /* Hosts that know the same have the same digest, in whatever order. */
 static void
 digest(void)
@@ -198,6 +219,7 @@
     {"many at once", many_at_once},
     {"two at once", two_at_once},
     {"told", told},
+    {"never back", never_back},
     {"digest", digest},
 };
 UNIT_MAIN("known", tests)
