--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -11,6 +11,8 @@
 #define TICK_MS 25
 /* A host that hears no controller for so long looks for another. */
 #define LONELY_AFTER MS(900)
+/* A host not heard for so long is no longer told anything. */
+#define HOST_LOST MS(3000)
 /* Hosts not heard for so long are forgotten. */
 #define HOST_FORGOTTEN MS(30000)
 /* A host that knows other targets than its controller for so long has missed
@@ -77,6 +79,16 @@
 	h->stopping = stopping;
 }
 
+/*
+ * True where a host is told what the controller tells.  A new controller has
+ * heard nobody yet, and hosts that cannot read the record would not know of it.
+ */
+int
+keeper_tells(const struct keeper_host *h, usec now)
+{
+	return (now - h->heard < HOST_LOST || now < h->try_until);
+}
+
 /* Forgets hosts that were not heard for long. */
 static void
 forget_hosts(struct keeper *k, usec now)
@@ -103,6 +115,8 @@
 		keeper_add_services(k, now);
 		for (i = 0; i < k->nkeys; i++)
 			keys_begin(k->keys[i], r->term, now);
+		for (i = 0; i < k->nhosts; i++)
+			k->hosts[i].try_until = now + HOST_LOST;
 		k->hosts_changed = 1;
 	} else if (!holds && k->acting) {
 		for (i = 0; i < k->nkeys; i++) {
@@ -191,9 +205,9 @@
 		keeper_name_standbys(k, now);
 	term_tick(&k->term, now);
 	follow_term(k, now);
-	if (k->acting && term_may_renew(&k->term, now) &&
-	    term_settled(&k->term, now) && !k->resigned && !k->yielded) {
-		for (i = 0; i < k->nkeys; i++)
+	if (k->acting && term_may_renew(&k->term, now) && !k->resigned &&
+	    !k->yielded) {
+		for (i = 0; i < k->nkeys && term_settled(&k->term, now); i++)
 			keys_tick(k->keys[i], now);
 		fleet_spread(k, now);
 		spread_tick(k, now);
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -49,6 +49,7 @@
 	struct member who;
 	char dc[NAME_MAX_GS];
 	usec heard;
+	usec try_until;	 /* told, though not heard: control is new here */
 	uint64_t owners; /* the number that it has */
 	uint64_t told;	 /* the number last sent to it, and when */
 	usec told_at;
@@ -105,6 +106,7 @@
 };
 
 /* keeper.c */
+int keeper_tells(const struct keeper_host *, usec now);
 void keeper_host_seen(struct keeper *, const struct member *, const char *dc,
     int stopping, usec now);
 void keeper_peers(struct keeper *);
--- a/gspard/keeper_fleet.c
+++ b/gspard/keeper_fleet.c
@@ -8,8 +8,6 @@
 #define TELL_AGAIN MS(600)
 /* Hosts hear of a change by frames on their way; this is no difference yet. */
 #define STILL MS(400)
-/* A host not heard for so long is not told. */
-#define HOST_LOST MS(3000)
 
 /* The targets known here, or NULL. */
 static const struct fleet *
@@ -88,7 +86,7 @@
 	fr.fleet_told = &w;
 	for (i = 0; i < k->nhosts; i++) {
 		if (host != NULL ? strcmp(k->hosts[i].who.host, host) == 0
-				 : now - k->hosts[i].heard < HOST_LOST &&
+				 : keeper_tells(&k->hosts[i], now) &&
 			    strcmp(k->hosts[i].who.host, self) != 0)
 			send_frame(k->s->kernel, k->hosts[i].who.host, 0, &fr);
 	}
--- a/gspard/keeper_spread.c
+++ b/gspard/keeper_spread.c
@@ -8,8 +8,6 @@
 #define ALIVE_EVERY MS(300)
 /* A host that did not say it has a change is told again after this. */
 #define TELL_AGAIN MS(600)
-/* A host not heard for so long is no longer counted. */
-#define HOST_LOST MS(3000)
 /* The list of targets is told once it has stood still: others hear of changes
  * from the store themselves, a little earlier or later. */
 #define FLEET_STILL MS(300)
@@ -137,7 +135,7 @@
 static int
 needs(const struct keeper_host *h, uint64_t number, usec now)
 {
-	return (now - h->heard < HOST_LOST && h->owners != number &&
+	return (keeper_tells(h, now) && h->owners != number &&
 	    (h->told != number || now - h->told_at >= TELL_AGAIN));
 }
 
@@ -231,7 +229,7 @@
 		hosts[i].addr = h->who.addr;
 		hosts[i].dc = h->dc;
 		hosts[i].boot = h->who.boot;
-		if (now - h->heard < HOST_LOST)
+		if (keeper_tells(h, now))
 			list[w.n_hosts++] = &hosts[i];
 	}
 	/* Who is there changes rarely; the rest is a few bytes. */
@@ -256,7 +254,7 @@
 	f.owners = &w;
 	for (i = 0; i < k->nhosts; i++) {
 		h = &k->hosts[i];
-		if (now - h->heard < HOST_LOST &&
+		if (keeper_tells(h, now) &&
 		    strcmp(h->who.host, kernel_conf(k->s->kernel)->host) != 0)
 			send_frame(k->s->kernel, h->who.host, 0, &f);
 	}
@@ -269,6 +267,22 @@
 	send_alive(k, now);
 }
 
+/*
+ * True once this controller knows who owns what.  Until then hosts go on by
+ * what the earlier one told: what would be told now names no owner at all.
+ */
+static int
+knows_owners(const struct keeper *k)
+{
+	int i;
+
+	for (i = 0; i < k->nkeys; i++) {
+		if (!keys_settled(k->keys[i]))
+			return (0);
+	}
+	return (1);
+}
+
 /* Tells hosts what is due, as controller. */
 void
 spread_tick(struct keeper *k, usec now)
@@ -279,7 +293,7 @@
 
 	for (i = 0; i < k->nhosts && !behind; i++)
 		behind = needs(&k->hosts[i], number, now);
-	if (behind && (o = collect(k)) != NULL) {
+	if (behind && knows_owners(k) && (o = collect(k)) != NULL) {
 		send_changes(k, o, now);
 		publish(k, o);
 	}
