--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -90,12 +90,26 @@
 	flow_send(d, p, now);
 }
 
+/* Sets this host's part of each service's repeats by the settings in force and
+ * the number of hosts. */
+static void
+set_budgets(struct direct *d)
+{
+	const struct bounds *b = &kernel_conf(d->s->kernel)->bounds;
+	int i;
+
+	for (i = 0; i < d->nsvcs; i++) {
+		d->svcs[i].again.max = b->retry_slack / d->conf.hosts;
+		d->svcs[i].again.share = b->retry_share;
+	}
+}
+
 /* Reports what was asked for and what was learnt of targets. */
 static void
 report(struct direct *d, usec now)
 {
 	struct heat_report *h;
-	struct spot *s;
+	struct target_state *s;
 	int i;
 
 	d->next_heat = now + HEAT_EVERY;
@@ -108,7 +122,7 @@
 		heat_report_keys(h, d->svcs[i].name, &d->svcs[i].heat);
 		heat_clear(&d->svcs[i].heat);
 	}
-	for (s = d->spots; s != NULL; s = s->next) {
+	for (s = d->targets; s != NULL; s = s->next) {
 		heat_report_target(h, s->id, s->dest.speed, s->answers);
 		s->answers = 0;
 	}
@@ -142,26 +156,12 @@
 	m->data = NULL;
 }
 
-/* Takes the number of hosts, of which the shares of limits depend. */
-static void
-take_hosts(struct direct *d, int hosts)
-{
-	const struct bounds *b = &kernel_conf(d->s->kernel)->bounds;
-	int i;
-
-	if (hosts <= 0 || hosts == d->conf.hosts)
-		return;
-	d->conf.hosts = hosts;
-	for (i = 0; i < d->nsvcs; i++) {
-		d->svcs[i].again.max = b->retry_slack / hosts;
-		d->svcs[i].again.share = b->retry_share;
-	}
-}
-
 /* Takes one message. */
 static void
 take(struct direct *d, struct msg *m, usec now)
 {
+	int hosts;
+
 	switch (m->kind) {
 	case MSG_CALL:
 		take_call(d, m->data, now);
@@ -170,11 +170,13 @@
 		swap(&d->site, m);
 		break;
 	case MSG_FLEET:
-		spots_take(d, ((struct shared *)m->data)->p, now);
+		targets_take(d, ((struct shared *)m->data)->p, now);
 		break;
 	case MSG_OWNERS:
 		swap(&d->owners, m);
-		take_hosts(d, ((struct owners *)d->owners->p)->hosts);
+		hosts = ((struct owners *)d->owners->p)->hosts;
+		if (hosts > 0)
+			d->conf.hosts = hosts;
 		break;
 	case MSG_QUIT:
 		d->stop = 1;
@@ -203,9 +205,11 @@
 		now = clock_mono();
 		attempts_reap(d, now);
 		flow_pump(d, now);
-		spots_sweep(d);
-		if (now >= d->next_heat)
+		targets_sweep(d);
+		if (now >= d->next_heat) {
+			set_budgets(d);
 			report(d, now);
+		}
 		curl_multi_perform(d->multi, &running);
 		curl_multi_poll(d->multi, NULL, 0,
 		    d->first != NULL ? TICK_MS : IDLE_MS, NULL);
@@ -247,7 +251,7 @@
 direct_close(struct service *s)
 {
 	struct direct *d = s->state;
-	struct spot *p;
+	struct target_state *p;
 
 	ring_on_put(s->in, NULL, NULL);
 	while (d->first != NULL)
@@ -255,8 +259,8 @@
 	while (d->nkept > 0)
 		curl_easy_cleanup(d->kept[--d->nkept]);
 	curl_multi_cleanup(d->multi);
-	while ((p = d->spots) != NULL) {
-		d->spots = p->next;
+	while ((p = d->targets) != NULL) {
+		d->targets = p->next;
 		free(p);
 	}
 	shared_unref(d->site);
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -27,17 +27,17 @@
 };
 
 /* A target, as long as its entry or a request is there. */
-struct spot {
-	struct spot *next;
+struct target_state {
+	struct target_state *next;
 	char id[NAME_MAX_GS];
 	char addr[FLEET_ADDR];
 	char service[NAME_MAX_GS];
 	struct dest dest;
 	struct line line;
 	int listed;
-	int answers; /* since the last report */
-	int users;   /* requests that name it */
-	int refuted; /* another target answers at its address */
+	int answers;  /* since the last report */
+	int users;    /* requests that name it */
+	int replaced; /* another target answers at its address */
 };
 
 /* What is kept of a service across versions of the configuration. */
@@ -62,7 +62,7 @@
 /* One send to a target. */
 struct attempt {
 	struct transfer t;
-	struct spot *spot;
+	struct target_state *target;
 	usec sent;
 };
 
@@ -84,7 +84,7 @@
 	int waiting;
 	int ran; /* targets that may have run it */
 	int tries;
-	struct spot *last;
+	struct target_state *last;
 	struct line *line; /* where it waits */
 	struct attempt *at;
 };
@@ -95,7 +95,7 @@
 	CURLM *multi;
 	apr_pool_t *pool;
 	apr_hash_t *by_id;
-	struct spot *spots;
+	struct target_state *targets;
 	struct shared *site;
 	struct shared *owners;
 	struct dest_conf conf;
@@ -120,16 +120,18 @@
 void flow_ended(struct direct *, struct pending *, CURLcode, usec now);
 
 /* direct_send.c */
-int attempt_start(struct direct *, struct pending *, struct spot *, usec now);
+int attempt_start(
+    struct direct *, struct pending *, struct target_state *, usec now);
 void attempt_drop(struct direct *, struct pending *);
 void attempts_reap(struct direct *, usec now);
 
 /* direct_pick.c */
-void spots_take(struct direct *, const struct fleet *, usec now);
-void spots_sweep(struct direct *);
-struct spot *spot_find(struct direct *, const char *id);
+void targets_take(struct direct *, const struct fleet *, usec now);
+void targets_sweep(struct direct *);
+struct target_state *target_state_find(struct direct *, const char *id);
 struct svc *svc_of(struct direct *, const char *name);
 struct learnt *learnt_of(struct direct *, const struct rule *);
-struct spot *pick_any(struct direct *, const struct pending *, usec now);
+struct target_state *pick_any(
+    struct direct *, const struct pending *, usec now);
 
 #endif
--- a/gspard/direct_flow.c
+++ b/gspard/direct_flow.c
@@ -137,8 +137,8 @@
 
 /* Sends a request to a target. */
 static void
-send_to(struct direct *d, struct pending *p, struct spot *s, struct line *l,
-    usec now)
+send_to(struct direct *d, struct pending *p, struct target_state *s,
+    struct line *l, usec now)
 {
 	line_start(p, l, now);
 	p->line = l;
@@ -220,13 +220,13 @@
 {
 	const struct owners *o = d->owners == NULL ? NULL : d->owners->p;
 	const struct owner_range *r;
-	struct spot *s;
+	struct target_state *s;
 
 	r = owners_find(o, p->svc->name, (uint32_t)p->call->key_number);
 	s = r == NULL || r->target < 0 || r->moving
 	    ? NULL
-	    : spot_find(d, o->targets[r->target]);
-	if (s == NULL || s->dest.leaving || s->refuted) {
+	    : target_state_find(d, o->targets[r->target]);
+	if (s == NULL || s->dest.leaving || s->replaced) {
 		park(d, p, r, now);
 		return;
 	}
@@ -256,9 +256,9 @@
 static int
 has_targets(const struct direct *d, const struct svc *v)
 {
-	const struct spot *s;
+	const struct target_state *s;
 
-	for (s = d->spots; s != NULL; s = s->next) {
+	for (s = d->targets; s != NULL; s = s->next) {
 		if (!s->dest.leaving && strcmp(s->service, v->name) == 0)
 			return (1);
 	}
@@ -269,7 +269,7 @@
 static void
 try_any(struct direct *d, struct pending *p, usec now)
 {
-	struct spot *s = pick_any(d, p, now);
+	struct target_state *s = pick_any(d, p, now);
 
 	if (s != NULL)
 		send_to(d, p, s, &p->svc->line, now);
@@ -312,8 +312,8 @@
 	struct dest_answer ans = {e, now - a->sent, (usec)p->learnt->work,
 	    a->t.reply.running, a->t.reply.waiting};
 
-	dest_ended(&a->spot->dest, now, &ans);
-	a->spot->answers += e <= DEST_MISSENT;
+	dest_ended(&a->target->dest, now, &ans);
+	a->target->answers += e <= DEST_MISSENT;
 	if (e != DEST_ANSWERED)
 		return;
 	hist_add(H_TARGET, now - a->sent);
@@ -357,14 +357,14 @@
 not_run(struct direct *d, struct pending *p, enum reply_kind kind, usec now)
 {
 	const struct owners *o = d->owners == NULL ? NULL : d->owners->p;
-	struct spot *s = p->at->spot;
+	struct target_state *s = p->at->target;
 
 	if (kind == REPLY_MISSENT) {
 		count_add(C_MISSENT, 1);
 		/* Another target has taken the address over. */
 		if (p->at->t.reply.instance[0] != '\0' &&
 		    strcmp(p->at->t.reply.instance, s->id) != 0)
-			s->refuted = 1;
+			s->replaced = 1;
 		p->missents =
 		    o != NULL && p->missent == o->number ? p->missents + 1 : 1;
 		p->missent = o == NULL ? 0 : o->number;
@@ -392,7 +392,7 @@
 	p->ran++;
 	log_request("router", p->call->id,
 	    "no whole answer from target %s at %s after %lld ms: %s, try %d",
-	    p->at->spot->id, p->at->spot->addr,
+	    p->at->target->id, p->at->target->addr,
 	    (long long)((now - p->at->sent) / 1000),
 	    res == CURLE_OK ? "not to this request" : curl_easy_strerror(res),
 	    p->tries);
@@ -408,7 +408,7 @@
 {
 	count_add(C_UNREACHED, 1);
 	log_request("router", p->call->id, "target %s at %s not reached: %s",
-	    p->at->spot->id, p->at->spot->addr, curl_easy_strerror(res));
+	    p->at->target->id, p->at->target->addr, curl_easy_strerror(res));
 	if (may_resend(p, 0, now))
 		again(d, p, now);
 	else
@@ -461,7 +461,7 @@
 	struct dest_answer ans = {DEST_ANSWERED, 0, 0, -1, 0};
 
 	if (p->at != NULL)
-		dest_ended(&p->at->spot->dest, now, &ans);
+		dest_ended(&p->at->target->dest, now, &ans);
 	p->call->answer.code = GS_CANCELLED;
 	p->call->answer.outcome =
 	    p->ran > 0 || p->at != NULL ? OUT_UNKNOWN : OUT_NOT_RUN;
--- a/gspard/direct_pick.c
+++ b/gspard/direct_pick.c
@@ -10,8 +10,8 @@
 #define WORK_FIRST 100000.0
 
 /* A target by id, or NULL. */
-struct spot *
-spot_find(struct direct *d, const char *id)
+struct target_state *
+target_state_find(struct direct *d, const char *id)
 {
 	return (apr_hash_get(d->by_id, id, APR_HASH_KEY_STRING));
 }
@@ -21,7 +21,7 @@
 take_entry(struct direct *d, const struct fleet_target *t, usec now)
 {
 	const struct conf *conf = kernel_conf(d->s->kernel);
-	struct spot *p = spot_find(d, t->id);
+	struct target_state *p = target_state_find(d, t->id);
 
 	if (p == NULL) {
 		p = calloc(1, sizeof(*p));
@@ -29,8 +29,8 @@
 			return;
 		name_copy(p->id, sizeof(p->id), t->id);
 		dest_init(&p->dest, t->slots);
-		p->next = d->spots;
-		d->spots = p;
+		p->next = d->targets;
+		d->targets = p;
 		apr_hash_set(d->by_id, p->id, APR_HASH_KEY_STRING, p);
 	}
 	name_copy(p->addr, sizeof(p->addr), t->addr);
@@ -44,16 +44,16 @@
 
 /* Takes in the list of targets. */
 void
-spots_take(struct direct *d, const struct fleet *f, usec now)
+targets_take(struct direct *d, const struct fleet *f, usec now)
 {
-	struct spot *p;
+	struct target_state *p;
 	int i;
 
-	for (p = d->spots; p != NULL; p = p->next)
+	for (p = d->targets; p != NULL; p = p->next)
 		p->listed = 0;
 	for (i = 0; i < f->ntargets; i++)
 		take_entry(d, &f->targets[i], now);
-	for (p = d->spots; p != NULL; p = p->next) {
+	for (p = d->targets; p != NULL; p = p->next) {
 		if (!p->listed)
 			p->dest.leaving = 1;
 	}
@@ -62,9 +62,9 @@
 
 /* Frees targets that are on no list and have no requests of ours. */
 void
-spots_sweep(struct direct *d)
+targets_sweep(struct direct *d)
 {
-	struct spot **at = &d->spots, *p;
+	struct target_state **at = &d->targets, *p;
 
 	while ((p = *at) != NULL) {
 		if (p->listed || p->users > 0 || p->line.waiting > 0) {
@@ -123,13 +123,13 @@
 
 /* The target of a service that would answer soonest; NULL where none has
  * room.  The one that failed this request is the last choice. */
-struct spot *
+struct target_state *
 pick_any(struct direct *d, const struct pending *p, usec now)
 {
-	struct spot *s, *best = NULL;
+	struct target_state *s, *best = NULL;
 	double cost, least = 0;
 
-	for (s = d->spots; s != NULL; s = s->next) {
+	for (s = d->targets; s != NULL; s = s->next) {
 		if (strcmp(s->service, p->svc->name) != 0 ||
 		    !dest_room(&s->dest, now, &d->conf))
 			continue;
--- a/gspard/direct_send.c
+++ b/gspard/direct_send.c
@@ -68,7 +68,7 @@
 	char url[FLEET_ADDR + 16];
 	long ms = (long)(left / 1000);
 
-	snprintf(url, sizeof(url), "http://%s/", a->spot->addr);
+	snprintf(url, sizeof(url), "http://%s/", a->target->addr);
 	transfer_set(&a->t, url, ms < CONNECT_MS ? ms + 1 : CONNECT_MS);
 	curl_easy_setopt(a->t.easy, CURLOPT_PRIVATE, p);
 	curl_easy_setopt(a->t.easy, CURLOPT_MAXAGE_CONN,
@@ -81,7 +81,8 @@
 
 /* Sends a request to a target; 0, or -1 without memory. */
 int
-attempt_start(struct direct *d, struct pending *p, struct spot *spot, usec now)
+attempt_start(
+    struct direct *d, struct pending *p, struct target_state *target, usec now)
 {
 	struct attempt *a;
 	usec left = p->deadline - now;
@@ -91,16 +92,16 @@
 		free(a);
 		return (-1);
 	}
-	a->spot = spot;
+	a->target = target;
 	a->sent = now;
 	a->t.ops = d->ops;
 	a->t.body_max = ANSWER_MAX;
 	a->t.heads =
-	    d->ops->request(p->call, spot->id, (int)(left / 1000) - WAY_MS);
+	    d->ops->request(p->call, target->id, (int)(left / 1000) - WAY_MS);
 	set_transfer(a, p, left);
 	set_request(a, p->call);
 	p->at = a;
-	dest_sent(&spot->dest);
+	dest_sent(&target->dest);
 	count_add(C_SENT, 1);
 	curl_multi_add_handle(d->multi, a->t.easy);
 	return (0);
