Tell the controller's address with its signs of life

Two restarted hosts parked every keyed request until its deadline: each had heard the controller before it had read the record, took its name from that and its address from nowhere, could not report, and was forgotten. Ruled out: the cut of the store, the connections between hosts (none lost after). Scenario site_rejoin, with a slow store: not served within 3 s in three of three runs before, served in three of three now.

--- a/gspard/keeper_spread.c
+++ b/gspard/keeper_spread.c
@@ -216,7 +216,9 @@
 {
 	Gspar__Frame f = GSPAR__FRAME__INIT;
 	Gspar__Owners w = GSPAR__OWNERS__INIT;
+	const struct conf *conf = kernel_conf(k->s->kernel);
 	Gspar__HostAddr hosts[KEEPER_HOSTS], *list[KEEPER_HOSTS];
+	Gspar__HostAddr self = GSPAR__HOST_ADDR__INIT;
 	const struct site *t = k->site == NULL ? NULL : k->site->p;
 	const struct fleet *fleet = k->fleet == NULL ? NULL : k->fleet->p;
 	struct keeper_host *h;
@@ -237,6 +239,11 @@
 		w.n_hosts = 0;
 	k->hosts_changed = 0;
 	w.hosts = list;
+	self.host = (char *)conf->host;
+	self.addr = (char *)conf->reached;
+	self.dc = (char *)conf->dc;
+	self.boot = kernel_boot(k->s->kernel);
+	w.self = &self;
 	w.term = k->term.rec.term;
 	w.number = spread_number(k);
 	w.controller =
@@ -374,13 +381,25 @@
 	return (o);
 }
 
+/* Takes in a host that the controller names. */
+static void
+host_told(struct keeper *k, const Gspar__HostAddr *w, usec now)
+{
+	struct member m;
+
+	memset(&m, 0, sizeof(m));
+	name_copy(m.host, sizeof(m.host), w->host);
+	name_copy(m.addr, sizeof(m.addr), w->addr);
+	m.boot = w->boot;
+	keeper_host_seen(k, &m, w->dc, 0, now);
+}
+
 /* Takes in what the controller says. */
 void
 spread_take(struct keeper *k, const Gspar__Owners *w, usec now)
 {
 	const struct site *t = k->site == NULL ? NULL : k->site->p;
 	struct owners *o;
-	struct member m;
 	size_t i;
 
 	if (w->term < k->controller_term || k->acting)
@@ -396,13 +415,15 @@
 	else if (!w->late || !k->fresh)
 		k->heard = now;
 	name_copy(k->controller, sizeof(k->controller), w->controller);
-	for (i = 0; i < w->n_hosts; i++) {
-		memset(&m, 0, sizeof(m));
-		name_copy(m.host, sizeof(m.host), w->hosts[i]->host);
-		name_copy(m.addr, sizeof(m.addr), w->hosts[i]->addr);
-		m.boot = w->hosts[i]->boot;
-		keeper_host_seen(k, &m, w->hosts[i]->dc, 0, now);
-	}
+	/*
+	 * Its address too: a host that has just started may hear it before it
+	 * has read the record, and could not report to it, so it would be
+	 * forgotten by it, and know no owners, for good.
+	 */
+	if (w->self != NULL)
+		host_told(k, w->self, now);
+	for (i = 0; i < w->n_hosts; i++)
+		host_told(k, w->hosts[i], now);
 	if (t != NULL && !w->whole && w->site < t->version)
 		site_tell(k, w->controller);
 	if (!w->whole) {
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -3820,7 +3820,7 @@
   (ProtobufCMessageInit) gspar__key_owners__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[14] =
+static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[15] =
 {
   {
     "term",
@@ -3990,6 +3990,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "self",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Owners, self),
+    &gspar__host_addr__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__owners__field_indices_by_name[] = {
   2,   /* field[2] = controller */
@@ -4000,6 +4012,7 @@
   13,   /* field[13] = late */
   1,   /* field[1] = number */
   8,   /* field[8] = record */
+  14,   /* field[14] = self */
   5,   /* field[5] = services */
   11,   /* field[11] = since */
   7,   /* field[7] = site */
@@ -4010,7 +4023,7 @@
 static const ProtobufCIntRange gspar__owners__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor gspar__owners__descriptor =
 {
@@ -4020,7 +4033,7 @@
   "Gspar__Owners",
   "gspar",
   sizeof(Gspar__Owners),
-  14,
+  15,
   gspar__owners__field_descriptors,
   gspar__owners__field_indices_by_name,
   1,  gspar__owners__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -568,10 +568,14 @@
    * Its lease in the store has run out: it lives by promises alone.
    */
   protobuf_c_boolean late;
+  /*
+   * The controller itself: who has just started knows no address.
+   */
+  Gspar__HostAddr *self;
 };
 #define GSPAR__OWNERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__owners__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL }
 
 
 /*
