Fresh again after a failed call; step down when another is heard to control

Cause: a controller whose watch failed once never told targets again until it listed anew, so each host followed the store itself.

--- a/decide/term.c
+++ b/decide/term.c
@@ -328,6 +328,21 @@
 	t->heard_at = now;
 }
 
+/*
+ * Another was heard to control under a later term: its write took effect, so
+ * this host's control is over, though its lease or its promises still run.  It
+ * would go on for a lease by what it knew when it was cut off.
+ */
+void
+term_outdone(struct term *t, usec now, uint64_t term)
+{
+	if (t->role != TERM_HOLDER || term <= t->rec.term)
+		return;
+	follow(t, "control lost to another, by its word");
+	t->known = 0;
+	t->next_get = now;
+}
+
 /* True where the holder's own lease has run out, or is about to. */
 int
 term_late(const struct term *t, usec now)
--- a/decide/term.h
+++ b/decide/term.h
@@ -117,6 +117,7 @@
 void term_asked_late(struct term *, usec now);
 int term_late(const struct term *, usec now);
 void term_heard(struct term *, usec now, uint64_t version);
+void term_outdone(struct term *, usec now, uint64_t term);
 void term_promised(struct term *, usec now, const struct member *,
     uint64_t term, int yes, usec asked);
 void term_standbys(struct term *, const struct member *, int);
--- a/gspard/keeper_spread.c
+++ b/gspard/keeper_spread.c
@@ -402,6 +402,8 @@
 	struct owners *o;
 	size_t i;
 
+	if (k->acting)
+		term_outdone(&k->term, now, w->term);
 	if (w->term < k->controller_term || k->acting)
 		return;
 	k->controller_term = w->term;
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -224,6 +224,15 @@
 	    s->kernel, "control", fresh ? MSG_FRESH : MSG_STALE, NULL, NULL);
 }
 
+/* Changes came, or none in the time given; goes on from there. */
+static void
+took_changes(struct feed *f, const struct store *st, usec now)
+{
+	if (st->version > f->base)
+		f->base = st->version;
+	f->next = now + (st->nfound > 0 ? WATCH_PAUSE : 0);
+}
+
 /* A call failed; the next try comes later each time. */
 static void
 failed(struct service *s, struct feed *f, const struct store *st, usec now)
@@ -288,16 +297,14 @@
 	f->backoff = 0;
 	known_store_answered(&w->known, now);
 	take_found(s, kind, st, now);
-	if (st->op == STORE_LIST) {
+	if (st->op == STORE_LIST)
 		took_page(w, kind, st, now);
-		publish_fleet(s, now);
-		if (kind == FEED_TARGETS && !f->listing)
-			set_fresh(s, 1);
-		return;
-	}
-	if (st->version > f->base)
-		f->base = st->version;
-	f->next = now + (st->nfound > 0 ? WATCH_PAUSE : 0);
+	else
+		took_changes(f, st, now);
+	/* First what it told, then that this is the store's own word. */
+	publish_fleet(s, now);
+	if (kind == FEED_TARGETS && !f->listing && !w->told)
+		set_fresh(s, 1);
 }
 
 /* Starts the call that a feed is due for. */
--- a/regress/unit/t_term.c
+++ b/regress/unit/t_term.c
@@ -490,6 +490,26 @@
 	CU_ASSERT(term_settled(&a2.t, now + HOST_LEASE + MS(100)));
 }
 
+/*
+ * A holder that was cut off from the store hears another that took over.  It
+ * stops at once: what it knows is old, and its promises run for a while yet.
+ */
+static void
+outdone(void)
+{
+	struct node a, b;
+
+	start(&a, &b);
+	store.down = 1;
+	run(&a, &b, MS(1000), MS(3000));
+	CU_ASSERT(term_may_renew(&a.t, MS(3000)));
+	term_outdone(&a.t, MS(3000), a.t.rec.term);
+	CU_ASSERT(term_may_renew(&a.t, MS(3000)));
+	term_outdone(&a.t, MS(3000), a.t.rec.term + 1);
+	CU_ASSERT(!term_may_renew(&a.t, MS(3000)));
+	CU_ASSERT_EQUAL(a.t.role, TERM_FOLLOWER);
+}
+
 /* A process of the same name at another address proves nothing. */
 static void
 same_name_elsewhere_proves_nothing(void)
@@ -528,6 +548,7 @@
     {"resigning gives back", resigning_gives_back},
     {"told standby reads nothing", told_standby_reads_nothing},
     {"restarted holder takes over", restarted_holder_takes_over_at_once},
+    {"outdone", outdone},
     {"same name elsewhere", same_name_elsewhere_proves_nothing},
 };
 UNIT_MAIN("term", tests)
