Only who controlled says that control is free; large hosts stand by first

Cause: each host that stopped told all others that there was no controller. They followed the store from then on until its next sign of life: 225 calls at each stop of a fleet of 76 hosts, and no reports meanwhile.

Beside it: all hosts of a new fleet looked at the record in step and wrote it together (77 writes, 227 reads of 76 hosts), and each listed everything twice when it started. Now a host looks again when its own time has come, and the watch is not told what it does already.

--- /dev/null
+++ b/decide/standby.h
@@ -0,0 +1,20 @@
+/* Which hosts stand by for the controller of a site, and which are fit to. */
+#ifndef STANDBY_H
+#define STANDBY_H
+
+#include "term.h"
+
+/* A host that could stand by. */
+struct candidate {
+	struct member who;
+	char dc[NAME_MAX_GS];
+	int bears;  /* hosts that it could control; 0 is not known */
+	int is_one; /* stands by already */
+};
+
+int hosts_borne(double cores, double link_mbps);
+usec first_wait(int bears);
+int standbys_pick(const struct candidate *, int n, const char *dc,
+    struct member out[STANDBYS]);
+
+#endif
--- a/decide/term.c
+++ b/decide/term.c
@@ -248,6 +248,14 @@
 	}
 }
 
+/* How long this host sees no record before it makes the first. */
+static usec
+first_need(const struct term *t)
+{
+	return (t->conf.first_wait +
+	    (usec)(t->conf.self.boot % (uint64_t)FIRST_SPREAD));
+}
+
 /* Notes a read record and how long it has stood unchanged. */
 static void
 see(struct term *t, usec now, uint64_t version, const struct record *r)
@@ -275,6 +283,14 @@
 	if (lists(&t->rec, &t->conf.self) &&
 	    t->next_get > now + t->conf.renew / 2)
 		t->next_get = now + t->conf.renew / 2;
+	/*
+	 * The next look at a new cell is when this host's time has come. Looked
+	 * at in step, all hosts of a fleet that starts find with the same look
+	 * that their time has come, and all write: 77 writes and 227 reads of
+	 * 76 hosts that start.
+	 */
+	if (version == 0 && t->first_seen == now)
+		t->next_get = now + first_need(t);
 }
 
 /* A read of the record was answered; found is 0 where there is none. */
@@ -483,7 +499,7 @@
 	if (!t->known || t->get_open)
 		return (0);
 	if (t->version == 0)
-		need = (usec)(t->conf.self.boot % (uint64_t)FIRST_SPREAD);
+		need = first_need(t);
 	else if (t->rec.holder.host[0] == '\0')
 		/* Where all hear of it at once, standbys go first. */
 		need = t->conf.told && !lists(&t->rec, &t->conf.self)
--- a/decide/term.h
+++ b/decide/term.h
@@ -41,6 +41,8 @@
 	/* The holder tells others the record's version (term_heard): standbys
 	 * that hear it need not read the record. */
 	int told;
+	/* Before this host takes control where nobody has had it. */
+	usec first_wait;
 };
 
 struct promise {
--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -207,13 +207,11 @@
 
 	if (follow == k->told_follow)
 		return;
-	if (k->told_follow >= 0)
-		log_line(LOG_NOTICE, "control",
-		    follow ? "Following the store, no controller is heard "
-			     "that does: %s, heard %lld ms ago."
-			   : "The controller %s follows the store, heard "
-			     "%lld ms ago.",
-		    k->controller, (long long)((now - k->heard) / 1000));
+	log_line(LOG_NOTICE, "control",
+	    follow ? "Following the store, no controller is heard that does: "
+		     "%s, heard %lld ms ago."
+		   : "The controller %s follows the store, heard %lld ms ago.",
+	    k->controller, (long long)((now - k->heard) / 1000));
 	k->told_follow = follow;
 	msg_post(k->s->kernel, "watch", follow ? MSG_FOLLOW : MSG_BE_TOLD, NULL,
 	    NULL);
@@ -258,10 +256,16 @@
 	}
 	if (!k->resigned && (quiet || now - k->stop_since > QUIET_WITHIN)) {
 		k->resigned = 1;
+		k->had_control = k->acting;
 		term_resign(&k->term, now);
 	}
-	/* Others need not wait until they miss the signs of life. */
-	if (k->resigned && k->term.role == TERM_FOLLOWER)
+	/*
+	 * Others need not wait until they miss the signs of life.  Said by a
+	 * host that did not control, it would take their controller from them:
+	 * each planned stop made all others ask the store, 225 calls of a fleet
+	 * of 76 hosts, and report to nobody until the next sign of life.
+	 */
+	if (k->had_control && k->term.role == TERM_FOLLOWER)
 		spread_farewell(k, now);
 	if (k->term.role == TERM_FOLLOWER || now - k->stop_since > HAND_OVER) {
 		k->stop_since = 0;
@@ -418,7 +422,7 @@
 	k->s = s;
 	k->ops = &objects_target;
 	k->heard = clock_mono();
-	k->told_follow = -1;
+	k->told_follow = 1; /* as the watch service begins */
 	keeper_term_open(k);
 	ring_on_put(s->in, transfers_wake, k->multi);
 	return (0);
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -54,6 +54,7 @@
 	uint64_t told;	 /* the number last sent to it, and when */
 	usec told_at;
 	usec fleet_at; /* when it was told all targets */
+	int bears;     /* hosts that it could control */
 	int stopping;
 };
 
@@ -97,6 +98,7 @@
 	usec eligible_at;
 	int stopping;
 	int resigned;
+	int had_control; /* when it resigned */
 	usec stop_since;
 	int stop;
 };
--- a/gspard/keeper_report.c
+++ b/gspard/keeper_report.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "keeper.h"
+#include "standby.h"
 
 /* Fills in what the router learnt. */
 static void
@@ -59,6 +60,7 @@
 	w.addr = (char *)conf->reached;
 	w.dc = (char *)conf->dc;
 	w.stopping = k->stopping;
+	w.bears = (uint32_t)hosts_borne(conf->cores, conf->link_mbps);
 	w.owners = k->number;
 	w.site = t == NULL ? 0 : t->version;
 	w.fleet = fleet == NULL ? 0 : fleet->digest;
@@ -103,8 +105,10 @@
 	name_copy(m.addr, sizeof(m.addr), w->addr);
 	m.boot = w->boot;
 	keeper_host_seen(k, &m, w->dc, w->stopping, now);
-	if ((h = keeper_host(k, host)) != NULL)
+	if ((h = keeper_host(k, host)) != NULL) {
 		h->owners = w->owners;
+		h->bears = (int)w->bears;
+	}
 	if (t != NULL && w->site < t->version)
 		site_tell(k, host);
 	if (k->acting)
--- a/gspard/keeper_term.c
+++ b/gspard/keeper_term.c
@@ -6,6 +6,7 @@
 #include "hearing.h"
 #include "keeper.h"
 #include "record.h"
+#include "standby.h"
 
 #define RECORD_PATH KIND_CONTROL "/main"
 /* A host not heard for so long can be no standby. */
@@ -94,6 +95,7 @@
 	tc.renew = MS(conf->renew_ms);
 	tc.host_lease = HANDOVER;
 	tc.told = 1;
+	tc.first_wait = first_wait(hosts_borne(conf->cores, conf->link_mbps));
 	term_init(&k->term, &tc, &term_out, k, tc.self.boot);
 }
 
@@ -105,38 +107,41 @@
 	    strcmp(h->who.host, keeper_self(k)) != 0);
 }
 
-/*
- * Names the standbys: those there are, as long as they are heard, then hosts
- * of other data centres before those of this one, so that one is left whatever
- * data centre is lost.
- */
+/* True where a process stands by by the record. */
+static int
+stands_by(const struct keeper *k, const struct member *m)
+{
+	const struct record *r = &k->term.rec;
+	int i;
+
+	for (i = 0; i < r->nstandby; i++) {
+		if (r->standby[i].boot == m->boot &&
+		    strcmp(r->standby[i].host, m->host) == 0)
+			return (1);
+	}
+	return (0);
+}
+
+/* Names the standbys, among the hosts that are heard. */
 void
 keeper_name_standbys(struct keeper *k, usec now)
 {
-	const char *dc = kernel_conf(k->s->kernel)->dc;
+	struct candidate c[KEEPER_HOSTS];
 	struct member want[STANDBYS];
 	const struct keeper_host *h;
-	int i, j, round, n = 0, was, listed;
-
-	for (round = 0; round < 3; round++) {
-		for (i = 0; i < k->nhosts && n < STANDBYS; i++) {
-			h = &k->hosts[i];
-			listed = 0;
-			for (j = 0; j < n; j++)
-				listed |=
-				    strcmp(want[j].host, h->who.host) == 0;
-			was = 0;
-			for (j = 0; j < k->term.rec.nstandby; j++)
-				was |= strcmp(k->term.rec.standby[j].host,
-					   h->who.host) == 0 &&
-				    k->term.rec.standby[j].boot == h->who.boot;
-			if (listed || !can_stand_by(k, h, now) ||
-			    (round == 0 && !was) ||
-			    (round == 1 && strcmp(h->dc, dc) == 0))
-				continue;
-			want[n++] = h->who;
-		}
+	int i, n = 0;
+
+	for (i = 0; i < k->nhosts; i++) {
+		h = &k->hosts[i];
+		if (!can_stand_by(k, h, now))
+			continue;
+		c[n].who = h->who;
+		name_copy(c[n].dc, sizeof(c[n].dc), h->dc);
+		c[n].bears = h->bears;
+		c[n].is_one = stands_by(k, &h->who);
+		n++;
 	}
+	n = standbys_pick(c, n, kernel_conf(k->s->kernel)->dc, want);
 	term_standbys(&k->term, want, n);
 }
 
--- a/lib/conf.c
+++ b/lib/conf.c
@@ -26,6 +26,8 @@
 static const struct key keys[] = {
     {"host", "name", K_NAME, AT(host), 0, 0},
     {"host", "dc", K_NAME, AT(dc), 0, 0},
+    {"host", "cores", K_REAL, AT(cores), 0, 4096},
+    {"host", "link_mbps", K_REAL, AT(link_mbps), 0, 1000000},
     {"listen", "callers", K_ADDR, AT(callers), 0, 0},
     {"listen", "peers", K_ADDR, AT(peers), 0, 0},
     {"listen", "reached", K_ADDR, AT(reached), 0, 0},
@@ -354,7 +356,8 @@
 {
 	if (strcmp(k->section, "bounds") == 0 || k->at == AT(ready))
 		return (c->form == FORM_OBJECTS);
-	return (k->kind != K_INT && k->kind != K_FORM && k->at != AT(reached));
+	return (k->kind != K_INT && k->kind != K_FORM && k->kind != K_REAL &&
+	    k->at != AT(reached));
 }
 
 /* The leases must nest, or a loss would take longer than is promised. */
--- a/lib/conf.h
+++ b/lib/conf.h
@@ -37,6 +37,8 @@
 struct conf {
 	char host[NAME_MAX_GS];
 	char dc[NAME_MAX_GS];
+	double cores;	  /* of a processor; 0 is not told */
+	double link_mbps; /* of its link, Mbit/s; 0 is not told */
 	char callers[ADDR_MAX_GS];
 	char peers[ADDR_MAX_GS];
 	char reached[ADDR_MAX_GS]; /* peers, as other hosts reach it */
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -3511,7 +3511,7 @@
   (ProtobufCMessageInit) gspar__key_heat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__host_report__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gspar__host_report__field_descriptors[10] =
 {
   {
     "boot",
@@ -3621,9 +3621,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "bears",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostReport, bears),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__host_report__field_indices_by_name[] = {
   1,   /* field[1] = addr */
+  9,   /* field[9] = bears */
   0,   /* field[0] = boot */
   2,   /* field[2] = dc */
   8,   /* field[8] = fleet */
@@ -3636,7 +3649,7 @@
 static const ProtobufCIntRange gspar__host_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gspar__host_report__descriptor =
 {
@@ -3646,7 +3659,7 @@
   "Gspar__HostReport",
   "gspar",
   sizeof(Gspar__HostReport),
-  9,
+  10,
   gspar__host_report__field_descriptors,
   gspar__host_report__field_indices_by_name,
   1,  gspar__host_report__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -477,10 +477,14 @@
    * Of the targets that the host knows.
    */
   uint64_t fleet;
+  /*
+   * Hosts that it could control; 0 is not known.
+   */
+  uint32_t bears;
 };
 #define GSPAR__HOST_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__host_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Gspar__HostAddr
--- a/regress/unit/t_term.c
+++ b/regress/unit/t_term.c
@@ -2,6 +2,7 @@
  * Control of a cell in virtual time: a small platform that holds one record
  * and can be down or lose an answer, and the rules of one or two hosts.
  */
+#include <stdio.h>
 #include <string.h>
 
 #include "term.h"
@@ -532,7 +533,45 @@
 	CU_ASSERT_EQUAL(a2.t.role, TERM_FOLLOWER);
 }
 
+/*
+ * A whole fleet starts for the first time.  Each host finds no record; if all
+ * look again in step, all write it at once, the store refuses what is beyond
+ * its rate, and the one whose write was done hears of it late.
+ */
+static void
+first_start_of_many(void)
+{
+	static struct node n[76];
+	int i, puts = 0, gets = 0, holders = 0;
+	usec now;
+
+	memset(&store, 0, sizeof(store));
+	for (i = 0; i < 76; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "h%d", i);
+		node_init(&n[i], name, 1000003u * 7919u * (unsigned)(i + 1));
+		n[i].t.conf.told = 1;
+	}
+	/* All ask, then the store answers all, a few milliseconds later. */
+	for (now = MS(1000); now < MS(1000) + RENEW + MS(400); now += MS(3)) {
+		for (i = 0; i < 76; i++) {
+			term_tick(&n[i].t, now);
+			puts += n[i].puts;
+			gets += n[i].gets;
+		}
+		for (i = 0; i < 76; i++)
+			serve(&n[i], now);
+	}
+	for (i = 0; i < 76; i++)
+		holders += n[i].t.role == TERM_HOLDER;
+	CU_ASSERT_EQUAL(holders, 1);
+	CU_ASSERT(puts <= 10);
+	CU_ASSERT(gets <= 2 * 76 + 20);
+}
+
 static const struct unit_test tests[] = {
+    {"first start of many", first_start_of_many},
     {"standby takes over", standby_takes_over},
     {"outage changes nothing", outage_changes_nothing},
     {"after an outage promises go on", after_an_outage_promises_go_on},
