--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -287,6 +287,7 @@
 			local st3 = self:ask_key(h, key)
 			r.key = r.key + (st3 == 200 and 0 or 1)
 			r.last = st3 ~= 200 and st3 or r.last
+			r.last_at = st3 ~= 200 and now_ms() or r.last_at
 		end
 	end
 	return r
