Take the answer to a release also where another heir was planned meanwhile

Cause: a range whose heir was lost while its owner was asked to let go was planned anew; the answer to the release then counted for nothing and the range was taken for one with an order under way, for as long as the controller lived.

--- a/decide/keys.c
+++ b/decide/keys.c
@@ -443,9 +443,10 @@
 		r = &k->ranges[i];
 		if (r->from < o.from || r->to > o.to || r->owner != o.target)
 			continue;
-		if (o.release && r->step == RANGE_GIVING)
+		/* Also where another heir was planned meanwhile. */
+		if (o.release)
 			released(r, status, handover, now);
-		else if (!o.release)
+		else
 			granted(k, r, status, now);
 	}
 	k->number += o.release;
--- a/regress/unit/t_keys.c
+++ b/regress/unit/t_keys.c
@@ -781,7 +781,36 @@
 	}
 }
 
+/*
+ * A target leaves, and is asked to let its keys go; the one that was to have
+ * them is lost before the answer comes, and another is planned.  The answer
+ * counted for nothing then, and the keys stayed without owner as long as the
+ * controller.
+ */
+static void
+heir_lost_meanwhile(void)
+{
+	int s, t;
+
+	for (s = 0; s < 30; s++) {
+		start((uint64_t)s);
+		run(MS(5000));
+		longest_unheld = 0;
+		fakes[0].leaving = 1;
+		tell_fleet(&ctl[0]);
+		run(MS(20) + (usec)(chance() * MS(200)));
+		/* Half of the others lose their entries, and end. */
+		for (t = 1; t <= TARGETS / 2; t++)
+			fakes[t].listed = fakes[t].up = 0;
+		tell_fleet(&ctl[0]);
+		run(MS(9000));
+		CU_ASSERT(longest_unheld < MS(5000));
+		CU_ASSERT_EQUAL(double_held, 0);
+	}
+}
+
 static const struct unit_test tests[] = {
+    {"heir lost meanwhile", heir_lost_meanwhile},
     {"read late", read_late},
     {"first shares", first_shares},
     {"hot run", hot_run},
