--- a/decide/keys.c
+++ b/decide/keys.c
@@ -3,8 +3,6 @@
 
 #include "keys.h"
 
-/* Between tries of an order that was not answered. */
-#define ORDER_AGAIN MS(150)
 /* Between looks at the balance. */
 #define PLAN_EVERY MS(200)
 
@@ -59,14 +57,6 @@
 	k->put_text = NULL;
 }
 
-/* How long after an order's end the target may hold what it grants. */
-static usec
-held_after(const struct keys *k, usec now)
-{
-	return (
-	    now + KEYS_WAY + (usec)((double)k->conf.hold * KEYS_CLOCK_SLOW));
-}
-
 /* Notes that something must be written; urgent where a plan waits for it. */
 void
 keys_dirty(struct keys *k, usec now, int urgent)
@@ -203,255 +193,6 @@
 	k->targets[n].speed += 0.15 * (speed - k->targets[n].speed);
 }
 
-/* Sends an order for keys from one range to another, both of one owner. */
-static void
-send_order(struct keys *k, int target, int release, uint32_t from, uint32_t to,
-    uint64_t fence, const char *handover)
-{
-	struct key_order o;
-	struct open_order *open;
-
-	if (k->norders == KEYS_ORDERS)
-		return;
-	memset(&o, 0, sizeof(o));
-	o.id = ++k->order_id;
-	o.release = release;
-	o.from = from;
-	o.to = to;
-	o.fence = fence;
-	o.hold_ms = (int)(k->conf.hold / 1000);
-	name_copy(o.handover, sizeof(o.handover), handover);
-	name_copy(o.target, sizeof(o.target), k->targets[target].id);
-	name_copy(o.addr, sizeof(o.addr), k->targets[target].addr);
-	open = &k->orders[k->norders++];
-	open->id = o.id;
-	open->target = target;
-	open->release = release;
-	open->from = from;
-	open->to = to;
-	k->out->order(k->arg, k->service, &o);
-}
-
-/*
- * True where a range's grant may be sent or renewed.  A range that was to be
- * let go is not granted to its owner again, also when its next owner is lost
- * and another is planned: an earlier controller may have granted it to that
- * next, and both would hold it.
- */
-static int
-may_grant(const struct keys *k, const struct key_range *r)
-{
-	return (!r->letting_go && r->owner != NO_TARGET && !r->open &&
-	    k->targets[r->owner].listed && k->stored_seq >= r->fence_by);
-}
-
-/* A range planned to go elsewhere is renewed until its owner is asked. */
-static int
-renews(const struct keys *k, const struct key_range *r, usec now)
-{
-	return (may_grant(k, r) && now >= r->renew_at);
-}
-
-/* Grants the ranges from one index on that one call can name. */
-static int
-grant_run(struct keys *k, int first, usec now)
-{
-	struct key_range *a = &k->ranges[first], *r;
-	int n = first, i;
-	usec until = held_after(k, now) + k->conf.order_wait;
-
-	while (n + 1 < k->nranges && a->handover[0] == '\0') {
-		r = &k->ranges[n + 1];
-		if (!may_grant(k, r) || r->owner != a->owner ||
-		    r->fence != a->fence || r->handover[0] != '\0')
-			break;
-		n++;
-	}
-	for (i = first; i <= n; i++) {
-		r = &k->ranges[i];
-		r->open = 1;
-		r->renew_at = now + k->conf.renew;
-		r->granted_before = r->granted_until;
-		if (r->granted_until < until)
-			r->granted_until = until;
-	}
-	send_order(
-	    k, a->owner, 0, a->from, k->ranges[n].to, a->fence, a->handover);
-	return (n);
-}
-
-/* Sends all grants that are due. */
-static void
-tick_grants(struct keys *k, usec now)
-{
-	int i;
-
-	for (i = 0; i < k->nranges; i++) {
-		if (renews(k, &k->ranges[i], now))
-			i = grant_run(k, i, now);
-	}
-}
-
-/*
- * When nobody but the next owner can hold the range: a pure rule over what was
- * sent and answered.
- *
- * A release that was answered ends what the owner held then.  A grant that was
- * never answered may be carried out seconds later, also after that release;
- * its time still counts from its arrival, so it ends by unanswered_until.
- * Without an answered release the owner may hold by its last grant.
- */
-static usec
-clear_at(const struct key_range *r)
-{
-	if (r->owner == NO_TARGET)
-		return (r->granted_until);
-	return (r->released ? r->unanswered_until : r->granted_until);
-}
-
-/* Nobody holds the range any more: it is the next's. */
-static void
-take_next(struct keys *k, struct key_range *r, usec now)
-{
-	r->owner = r->next;
-	r->fence = r->next_fence;
-	r->fence_by = r->plan_by;
-	r->next = NO_TARGET;
-	r->next_fence = 0;
-	r->step = RANGE_OWNED;
-	r->confirmed = 0;
-	if (!r->released)
-		r->handover[0] = '\0';
-	r->released = 0;
-	r->letting_go = 0;
-	r->fresh = 1;
-	r->granted_until = 0;
-	r->unanswered_until = 0;
-	r->renew_at = now;
-	r->moved_at = now;
-	k->number++;
-	keys_dirty(k, now, 0);
-}
-
-/* Moves one range on towards its next owner. */
-static void
-tick_range(struct keys *k, struct key_range *r, usec now)
-{
-	if (r->step == RANGE_PLANNED && k->stored_seq >= r->plan_by) {
-		r->step = RANGE_GIVING;
-		if (!r->letting_go) {
-			r->released = 0;
-			r->handover[0] = '\0';
-		}
-		r->letting_go = 1;
-		r->renew_at = now;
-		k->number++;
-	}
-	if (r->step != RANGE_GIVING)
-		return;
-	if (!r->open && now >= clear_at(r)) {
-		take_next(k, r, now);
-		return;
-	}
-	if (r->owner == NO_TARGET || r->released || r->open ||
-	    now < r->renew_at || !k->targets[r->owner].listed)
-		return;
-	r->open = 1;
-	send_order(k, r->owner, 1, r->from, r->to, r->fence, "");
-}
-
-/* A grant that was not answered may be held until then, or what it renewed. */
-static void
-unanswered(struct key_range *r, usec until)
-{
-	if (r->unanswered_until < until)
-		r->unanswered_until = until;
-	if (r->granted_until < r->unanswered_until)
-		r->granted_until = r->unanswered_until;
-}
-
-/* A grant ended for one range. */
-static void
-granted(struct keys *k, struct key_range *r, int status, usec now)
-{
-	usec until = held_after(k, now);
-
-	r->open = 0;
-	if (r->fresh) {
-		r->fresh = 0;
-		k->number++;
-	}
-	if (status == 200) {
-		r->confirmed = 1;
-		r->handover[0] = '\0';
-		r->granted_until =
-		    until > r->unanswered_until ? until : r->unanswered_until;
-		return;
-	}
-	if (status <= 0) {
-		/* Tries that cannot have arrived must not put off the moment
-		 * from which a lost target's keys are free. */
-		r->granted_until = r->granted_before;
-		if (status != ORDER_NOT_SENT)
-			unanswered(r,
-			    status == ORDER_UNREAD ? until + KEYS_UNREAD
-						   : until);
-		r->renew_at = now + ORDER_AGAIN;
-		return;
-	}
-	/* It has seen a higher fence: only a written one may be used. */
-	r->fence = ++k->top_fence;
-	r->fence_by = k->write_seq + 1;
-	r->renew_at = now;
-	keys_dirty(k, now, 1);
-}
-
-/* A release ended for one range. */
-static void
-released(struct key_range *r, int status, const char *handover, usec now)
-{
-	r->open = 0;
-	if (status != 200) {
-		r->renew_at = now + ORDER_AGAIN;
-		return;
-	}
-	r->released = 1;
-	name_copy(r->handover, sizeof(r->handover), handover);
-}
-
-/* An order ended with an HTTP status, ORDER_SILENT or ORDER_NOT_SENT. */
-void
-keys_ordered(
-    struct keys *k, usec now, uint64_t id, int status, const char *handover)
-{
-	struct open_order o;
-	struct key_range *r;
-	int i;
-
-	for (i = 0; i < k->norders && k->orders[i].id != id; i++)
-		;
-	if (i == k->norders)
-		return;
-	o = k->orders[i];
-	k->orders[i] = k->orders[--k->norders];
-	if (status > 0) {
-		k->targets[o.target].alive_at = now;
-		k->targets[o.target].unanswered = 0;
-	} else
-		k->targets[o.target].unanswered++;
-	for (i = 0; i < k->nranges; i++) {
-		r = &k->ranges[i];
-		if (r->from < o.from || r->to > o.to || r->owner != o.target)
-			continue;
-		/* Also where another heir was planned meanwhile. */
-		if (o.release)
-			released(r, status, handover, now);
-		else
-			granted(k, r, status, now);
-	}
-	k->number += o.release;
-}
-
 /* Joins neighbours that one grant can name. */
 static void
 join(struct keys *k, usec now)
@@ -531,8 +272,8 @@
 	if (!keys_settled(k))
 		return;
 	for (i = 0; i < k->nranges; i++)
-		tick_range(k, &k->ranges[i], now);
-	tick_grants(k, now);
+		keys_range_tick(k, &k->ranges[i], now);
+	keys_grants_tick(k, now);
 	if (now < k->next_plan || k->closing)
 		return;
 	k->next_plan = now + PLAN_EVERY;
@@ -563,7 +304,7 @@
 		/* Sent before the grant is there, a request would be turned
 		 * away, and count as a repeat when it is sent again. */
 		o->moving = r->letting_go || r->fresh;
-		o->back_at = r->letting_go ? clear_at(r) : 0;
+		o->back_at = r->letting_go ? keys_clear_at(r) : 0;
 		if (o->moving && !r->released && r->open)
 			o->back_at = 0;
 	}
--- a/decide/keys.h
+++ b/decide/keys.h
@@ -191,6 +191,11 @@
 int keys_quiet(const struct keys *);
 void keys_view(const struct keys *, struct owner_service *);
 
+/* keys_grant.c */
+void keys_range_tick(struct keys *, struct key_range *, usec now);
+void keys_grants_tick(struct keys *, usec now);
+usec keys_clear_at(const struct key_range *);
+
 /* keys_store.c */
 void keys_store_tick(struct keys *, usec now);
 
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -117,7 +117,12 @@
 void flow_send(struct direct *, struct pending *, usec now);
 void flow_pump(struct direct *, usec now);
 void flow_end(struct direct *, struct pending *, int code, usec wait, usec now);
+void flow_finish(struct direct *, struct pending *, usec now);
+
+/* direct_outcome.c */
 void flow_ended(struct direct *, struct pending *, CURLcode, usec now);
+void flow_expire(struct direct *, struct pending *, usec now);
+void flow_left(struct direct *, struct pending *, usec now);
 
 /* direct_send.c */
 int attempt_start(
--- /dev/null
+++ b/gspard/direct_outcome.c
@@ -0,0 +1,211 @@
+/*
+ * What follows a send: what its end says of the target and of the request, and
+ * whether that is answered, sent once more or given up.
+ */
+#include <string.h>
+
+#include "direct.h"
+#include "hist.h"
+
+/* Sends that did not reach a target, or not the right one, are not limited by
+ * the rule's attempts, for nothing ran; but they end. */
+#define TRIES_MOST 4
+/* Between tries of a request that was sent to the wrong target. */
+#define MISSENT_WAIT MS(250)
+/* How much one answer changes what was learnt of the time requests take. */
+#define WORK_GAIN 0.05
+
+/* Ends a request with the target's answer. */
+static void
+deliver(struct direct *d, struct pending *p, usec now)
+{
+	struct answer *a = &p->call->answer;
+	struct reply *r = &p->at->t.reply;
+
+	a->code = GS_OK;
+	a->status = r->status;
+	a->heads = r->heads;
+	a->body = r->body;
+	memset(&r->heads, 0, sizeof(r->heads));
+	memset(&r->body, 0, sizeof(r->body));
+	flow_finish(d, p, now);
+}
+
+/* What the end of a send says of its target. */
+static enum dest_end
+target_end(const struct attempt *a, CURLcode res, enum reply_kind kind)
+{
+	if (!a->t.begun)
+		return (DEST_UNREACHED);
+	if (res != CURLE_OK || kind == REPLY_FOREIGN)
+		return (DEST_BROKE);
+	if (kind == REPLY_MISSENT)
+		return (DEST_MISSENT);
+	if (kind == REPLY_REFUSED)
+		return (DEST_REFUSED);
+	return (kind == REPLY_FAILURE ? DEST_FAILED : DEST_ANSWERED);
+}
+
+/* Learns from the end of a send. */
+static void
+learn(struct pending *p, enum dest_end e, usec now)
+{
+	struct attempt *a = p->at;
+	struct dest_answer ans = {e, now - a->sent, (usec)p->learnt->work,
+	    a->t.reply.running, a->t.reply.waiting};
+
+	dest_ended(&a->target->dest, now, &ans);
+	a->target->answers += e <= DEST_MISSENT;
+	if (e != DEST_ANSWERED)
+		return;
+	hist_add(H_TARGET, now - a->sent);
+	p->learnt->work +=
+	    WORK_GAIN * ((double)(now - a->sent) - p->learnt->work);
+	p->svc->work += WORK_GAIN * ((double)(now - a->sent) - p->svc->work);
+}
+
+/* True where a request that may have run may be sent once more. */
+static int
+may_repeat(const struct pending *p, usec now)
+{
+	return (p->rule->idempotent && p->ran < p->rule->attempts &&
+	    p->tries < TRIES_MOST &&
+	    now + (usec)p->learnt->work < p->deadline &&
+	    budget_retry(&p->svc->again));
+}
+
+/* True where one that is known not to have run may be sent once more. */
+static int
+may_resend(const struct pending *p, int arrived, usec now)
+{
+	if (p->tries >= TRIES_MOST ||
+	    now + (usec)p->learnt->work >= p->deadline)
+		return (0);
+	/* Only what arrived at a target counts against the budget. */
+	return (!arrived || budget_retry(&p->svc->again));
+}
+
+/* Sends a request once more. */
+static void
+again(struct direct *d, struct pending *p, usec now)
+{
+	attempt_drop(d, p);
+	count_add(C_RETRIES, 1);
+	flow_send(d, p, now);
+}
+
+/* The target did not run it: sends it on, or says when to come back. */
+static void
+not_run(struct direct *d, struct pending *p, enum reply_kind kind, usec now)
+{
+	const struct owners *o = d->owners == NULL ? NULL : d->owners->p;
+	struct target_state *s = p->at->target;
+
+	if (kind == REPLY_MISSENT) {
+		count_add(C_MISSENT, 1);
+		/* Another target has taken the address over. */
+		if (p->at->t.reply.instance[0] != '\0' &&
+		    strcmp(p->at->t.reply.instance, s->id) != 0)
+			s->replaced = 1;
+		p->missents =
+		    o != NULL && p->missent == o->number ? p->missents + 1 : 1;
+		p->missent = o == NULL ? 0 : o->number;
+		p->not_before = now + MISSENT_WAIT;
+	} else
+		count_add(C_TARGET_FULL, 1);
+	log_request("router", p->call->id,
+	    "%s by target %s at %s, key %d, owners %llu, try %d",
+	    kind == REPLY_MISSENT ? "not owned" : "refused", s->id, s->addr,
+	    p->call->key_number,
+	    o == NULL ? 0ull : (unsigned long long)o->number, p->tries);
+	if (may_resend(p, 1, now))
+		again(d, p, now);
+	else
+		flow_end(d, p, GS_SHED, (usec)p->learnt->work, now);
+}
+
+/* Nothing whole came back, and the target may have run it. */
+static void
+maybe_run(struct direct *d, struct pending *p, CURLcode res, usec now)
+{
+	int code = p->at->t.reply.too_large ? GS_ANSWER_LARGE : GS_TARGET_LOST;
+
+	count_add(res == CURLE_OK ? C_FOREIGN : C_BROKE, 1);
+	p->ran++;
+	log_request("router", p->call->id,
+	    "no whole answer from target %s at %s after %lld ms: %s, try %d",
+	    p->at->target->id, p->at->target->addr,
+	    (long long)((now - p->at->sent) / 1000),
+	    res == CURLE_OK ? "not to this request" : curl_easy_strerror(res),
+	    p->tries);
+	if (code == GS_TARGET_LOST && may_repeat(p, now))
+		again(d, p, now);
+	else
+		flow_end(d, p, code, 0, now);
+}
+
+/* The target was not reached. */
+static void
+unreached(struct direct *d, struct pending *p, CURLcode res, usec now)
+{
+	count_add(C_UNREACHED, 1);
+	log_request("router", p->call->id, "target %s at %s not reached: %s",
+	    p->at->target->id, p->at->target->addr, curl_easy_strerror(res));
+	if (may_resend(p, 0, now))
+		again(d, p, now);
+	else
+		flow_end(d, p, GS_NO_OWNER, MS(200), now);
+}
+
+/* A send ended: takes its outcome. */
+void
+flow_ended(struct direct *d, struct pending *p, CURLcode res, usec now)
+{
+	struct attempt *a = p->at;
+	enum reply_kind kind = REPLY_FOREIGN;
+
+	if (res == CURLE_OK)
+		kind = d->ops->kind(&a->t.reply, p->call);
+	learn(p, target_end(a, res, kind), now);
+	if (!a->t.begun)
+		unreached(d, p, res, now);
+	else if (res != CURLE_OK)
+		maybe_run(d, p, res, now);
+	else if (kind == REPLY_REFUSED || kind == REPLY_MISSENT)
+		not_run(d, p, kind, now);
+	else if (kind == REPLY_FOREIGN)
+		maybe_run(d, p, res, now);
+	else {
+		p->ran++;
+		if (kind == REPLY_FAILURE && may_repeat(p, now))
+			again(d, p, now);
+		else
+			deliver(d, p, now);
+	}
+}
+
+/* The time of a request is up. */
+void
+flow_expire(struct direct *d, struct pending *p, usec now)
+{
+	if (p->at == NULL) {
+		flow_end(d, p, p->ran > 0 ? GS_DEADLINE : GS_TOO_LATE, 0, now);
+		return;
+	}
+	learn(p, DEST_TIMED_OUT, now);
+	flow_end(d, p, p->at->t.begun ? GS_DEADLINE : GS_TOO_LATE, 0, now);
+}
+
+/* The caller of a request has left: what runs for it is cut. */
+void
+flow_left(struct direct *d, struct pending *p, usec now)
+{
+	struct dest_answer ans = {DEST_ANSWERED, 0, 0, -1, 0};
+
+	if (p->at != NULL)
+		dest_ended(&p->at->target->dest, now, &ans);
+	p->call->answer.code = GS_CANCELLED;
+	p->call->answer.outcome =
+	    p->ran > 0 || p->at != NULL ? OUT_UNKNOWN : OUT_NOT_RUN;
+	flow_finish(d, p, now);
+}
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -17,6 +17,9 @@
 #define KEEPER_HOSTS 512
 #define KEEPER_SERVICES 16
 #define ASKED_KEPT 64
+/* Of a range on the wire: on its way, or that and when it is back, in ms. */
+#define STATE_MOVING 1u
+#define STATE_BACK 2u
 
 /* What the router learnt since its last report. */
 struct heat_keys {
@@ -142,10 +145,13 @@
 uint64_t spread_number(const struct keeper *);
 void spread_tick(struct keeper *, usec now);
 void spread_farewell(struct keeper *, usec now);
-void spread_take(struct keeper *, const Gspar__Owners *, usec now);
+void owners_publish(struct keeper *, struct owners *);
 void report_tick(struct keeper *, usec now);
 void report_take(
     struct keeper *, const char *host, const Gspar__HostReport *, usec now);
 void site_tell(struct keeper *, const char *host);
 
+/* keeper_hear.c */
+void spread_take(struct keeper *, const Gspar__Owners *, usec now);
+
 #endif
