Doubt removed entries only after an outage that was just now

Ruled out: the change being lost between hosts (lines of each answer and of each change told: nobody said that it had gone before 29.948, exactly the doubt after the removal at 27.689).

Now what failed is settled when another follows the store for this host, and calls from before that say nothing.

--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -338,8 +338,11 @@
 static void
 take_fleet(struct keeper *k, struct msg *m, usec now)
 {
+	const struct fleet *was = keeper_fleet(k);
 	int i;
 
+	if (was != NULL)
+		lately_changed(&k->fleet_was, was->digest, now);
 	msg_keep(m, &k->fleet);
 	k->fleet_since = now;
 	for (i = 0; i < k->nkeys; i++)
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -10,6 +10,7 @@
 #include "gspard.h"
 #include "heat.h"
 #include "keys.h"
+#include "lately.h"
 #include "owners.h"
 #include "target_ops.h"
 #include "term.h"
@@ -80,7 +81,8 @@
 	struct shared *site;
 	struct shared *fleet;
 	usec fleet_since;
-	uint64_t told_fleet; /* digest of the controller's; 0 is not told */
+	struct lately fleet_was; /* digests of earlier lists */
+	uint64_t told_fleet;	 /* digest of the controller's; 0 is not told */
 	usec differs_since;
 	usec next_relist;
 	int told_follow;
--- a/gspard/keeper_fleet.c
+++ b/gspard/keeper_fleet.c
@@ -6,8 +6,9 @@
 
 /* A host that still knows other targets is told all again after this. */
 #define TELL_AGAIN MS(600)
-/* Hosts hear of a change by frames on their way; this is no difference yet. */
-#define STILL MS(400)
+/* A change reaches hosts by frames, and their reports, each 200 ms, name what
+ * they had before it so much longer. */
+#define ON_THE_WAY MS(400)
 
 /* A target of a list by its id, or NULL. */
 static const struct fleet_target *
@@ -113,8 +114,9 @@
 	const struct fleet *f = keeper_fleet(k);
 	struct keeper_host *h = keeper_host(k, host);
 
-	if (f == NULL || digest == f->digest || now - k->fleet_since < STILL ||
-	    !k->fresh || term_late(&k->term, now))
+	if (f == NULL || digest == f->digest ||
+	    lately_stood(&k->fleet_was, digest, ON_THE_WAY, now) || !k->fresh ||
+	    term_late(&k->term, now))
 		return;
 	if (h == NULL || now - h->fleet_at < TELL_AGAIN)
 		return;
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -247,7 +247,9 @@
 	if (f->backoff > RETRY_MOST)
 		f->backoff = RETRY_MOST;
 	f->next = now + f->backoff;
-	known_store_failed(&w->known, now);
+	/* A call from before it was told may end now. */
+	if (!w->told)
+		known_store_failed(&w->known, now);
 	set_fresh(s, 0);
 }
 
@@ -351,6 +353,22 @@
 	publish_fleet(s, now);
 }
 
+/*
+ * Another follows the store for this host, so it answers him now, though it may
+ * not have answered here.  Left at that, a host that takes control minutes
+ * later would take the store for just back, doubt each entry that is removed,
+ * and let all hosts use a target for two seconds more than it may be used.
+ */
+static void
+be_told(struct watch *w, usec now)
+{
+	int i;
+
+	known_store_answered(&w->known, now);
+	for (i = 0; i < FEEDS; i++)
+		w->feeds[i].backoff = 0;
+}
+
 /* Takes one message. */
 static void
 take(struct service *s, struct msg *m, usec now)
@@ -373,6 +391,7 @@
 		break;
 	case MSG_BE_TOLD:
 		w->told = 1;
+		be_told(w, now);
 		set_fresh(s, 0);
 		break;
 	case MSG_FLEET_TOLD:
