--- a/regress/soak/checks.lua
+++ b/regress/soak/checks.lua
@@ -85,7 +85,8 @@
 		for _, r in ipairs(list) do
 			local t = s.servers[r.server]
 			check(not t.leaves or r.at < t.leaves + LEAVE_MS or
-			    faults:troubled(t.leaves - STABLE_MS, r.at),
+			    faults:troubled(t.leaves - STABLE_MS, r.at, nil,
+			    true),
 			    "%s ran on %s, %.0f ms after it began to leave",
 			    rid, r.server, r.at - (t.leaves or 0))
 		end
@@ -128,7 +129,7 @@
 				    self.count)
 				check(now - self.written < APPLY_MS + 300 or
 				    self.faults:troubled(self.written -
-				    STABLE_MS, now_ms()),
+				    STABLE_MS, now_ms(), nil, true),
 				    "version %d not in force on %s %.0f ms later",
 				    self.count, n, now - self.written)
 			elseif has then
--- a/regress/soak/faults.lua
+++ b/regress/soak/faults.lua
@@ -300,11 +300,13 @@
 end
 
 -- True where something unplanned was broken between two moments; `but` is a
--- fault that does not count.
-function Faults:troubled(from, till, but)
+-- fault that does not count.  Where `hosts` is true only what hosts are told
+-- counts: faults of hosts, between them, and of the store.
+function Faults:troubled(from, till, but, hosts)
 	local function hits(f, ended)
 		return f ~= but and not f.planned and f.from < till and
-		    (not ended or f.till > from)
+		    (not ended or f.till > from) and
+		    (not hosts or not f.server)
 	end
 	for _, f in ipairs(self.open) do
 		if hits(f, false) then
--- a/standin/server.c
+++ b/standin/server.c
@@ -209,6 +209,7 @@
 {
 	const char *id = web_head(q, "X-Request-Id");
 	char text[600], load[32];
+	const char *to = foreign ? "another" : id; /* whom the answer is for */
 	int n;
 
 	ran++;
@@ -225,11 +226,11 @@
 	pthread_cond_broadcast(&freed);
 	snprintf(load, sizeof(load), "%d,%d,%d", running, waiting, slots);
 	n = snprintf(text, sizeof(text), "%s %s %s %.*s\n", name, q->path,
-	    id == NULL ? "-" : id, (int)(q->body.n < 100 ? q->body.n : 100),
+	    to == NULL ? "-" : to, (int)(q->body.n < 100 ? q->body.n : 100),
 	    q->body.p == NULL ? "" : q->body.p);
 	str_set(&a->body, text, (size_t)n);
 	a->status = fail ? 500 : 200;
-	web_add(a, "X-Request-Id", foreign ? "another" : id);
+	web_add(a, "X-Request-Id", to);
 	web_add(a, "X-Response-Signature", name);
 	web_add(a, "X-Server-Load", load);
 	if (lose_answers > 0) {
