A stopping host lets idle callers go, and answers all others before its end

Causes, both shown by scenarios that failed first: - A caller that kept a connection idle since before a stop was refused in the host's last moments (idle_call: 334 to 336 of 400 requests got 503 on our own interface), or cut when the library closed all connections at once. - On the platform of objects a request that came late, or was sent once more, could outlive the host: at the kill its connection ended without a word (site_late). The threads took 1.3 s to end besides: each waited once more for a second, 200 and 100 ms after it was told to quit.

Now a stop closes idle connections for reading, so that the library ends them without having read part of a request; the router takes, once the balancer has noticed, only what is sure to be answered before the end, and bounds the rest by it (decide/leave). Calls left are answered by the router's own thread: the door was closed before the router ended them.

--- a/gspard/call.h
+++ b/gspard/call.h
@@ -61,6 +61,7 @@
 int door_inflight(void);
 int door_connections(struct kernel *);
 void door_shut(struct kernel *);
+void door_end_idle(struct kernel *);
 void door_bar(struct kernel *);
 
 #endif
--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -82,6 +82,13 @@
 	p->deadline = now + MS(c->left_ms > LAST_MS ? c->left_ms - LAST_MS : 0);
 	if (p->rule->timeout > 0 && p->deadline > now + p->rule->timeout)
 		p->deadline = now + p->rule->timeout;
+	if (d->leave != NULL && !leave_takes(d->leave, now, p->deadline)) {
+		free(p);
+		refuse_call(c, GS_STOPPING);
+		return;
+	}
+	if (d->leave != NULL)
+		p->deadline = leave_deadline(d->leave, p->deadline);
 	p->next_look = now + FLOW_LOOK_EVERY;
 	budget_first(&p->svc->again);
 	if (p->svc->keyed && c->key_number >= 0)
@@ -147,6 +154,18 @@
 	kernel_done(d->s->kernel, "ready");
 }
 
+/* The host stops: what is under way is to end before it does. */
+static void
+begin_leave(struct direct *d, struct msg *m)
+{
+	struct pending *p;
+
+	d->leave = m->data;
+	m->data = NULL;
+	for (p = d->first; p != NULL; p = p->next)
+		p->deadline = leave_deadline(d->leave, p->deadline);
+}
+
 /* Takes one message. */
 static void
 take(struct direct *d, struct msg *m, usec now)
@@ -169,6 +188,9 @@
 		if (hosts > 0)
 			d->conf.hosts = hosts;
 		break;
+	case MSG_STOP:
+		begin_leave(d, m);
+		break;
 	case MSG_QUIT:
 		d->stop = 1;
 		break;
@@ -202,9 +224,13 @@
 			report(d, now);
 		}
 		curl_multi_perform(d->multi, &running);
-		curl_multi_poll(d->multi, NULL, 0,
-		    d->first != NULL ? TICK_MS : IDLE_MS, NULL);
+		if (!d->stop)
+			curl_multi_poll(d->multi, NULL, 0,
+			    d->first != NULL ? TICK_MS : IDLE_MS, NULL);
 	}
+	/* Here and not later: the door cannot close with calls under way. */
+	while (d->first != NULL)
+		flow_end(d, d->first, GS_STOPPING, 0, clock_mono());
 }
 
 /* Makes the service ready. */
@@ -230,7 +256,7 @@
 	return (0);
 }
 
-/* Ends what is left, and frees all. */
+/* Frees all. */
 static void
 direct_close(struct service *s)
 {
@@ -238,8 +264,7 @@
 	struct target_state *p;
 
 	ring_on_put(s->in, NULL, NULL);
-	while (d->first != NULL)
-		flow_end(d, d->first, GS_STOPPING, 0, clock_mono());
+	free(d->leave);
 	while (d->nkept > 0)
 		curl_easy_cleanup(d->kept[--d->nkept]);
 	curl_multi_cleanup(d->multi);
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -9,6 +9,7 @@
 #include "dest.h"
 #include "fleet.h"
 #include "heat.h"
+#include "leave.h"
 #include "owners.h"
 #include "target_ops.h"
 #include "transfer.h"
@@ -98,6 +99,7 @@
 	struct target_state *targets;
 	struct shared *site;
 	struct shared *owners;
+	struct leave *leave; /* this host stops; NULL where it does not */
 	struct dest_conf conf;
 	struct svc svcs[SITE_SERVICES];
 	int nsvcs;
--- a/gspard/door.c
+++ b/gspard/door.c
@@ -14,6 +14,7 @@
 
 #include "bind.h"
 #include "caller.h"
+#include "callers.h"
 #include "door_ops.h"
 #include "slow.h"
 
@@ -34,6 +35,7 @@
 	struct shared *in_force; /* catalogue, or configuration */
 	unsigned idle_s;
 	struct slow *slow;
+	struct callers *callers;
 	int sock;
 	int stop;
 	int stopping;
@@ -65,6 +67,7 @@
 	info = MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
 	c->fd = info == NULL ? -1 : info->connect_fd;
 	slow_add(d->slow, c, clock_mono());
+	callers_busy(d->callers, conn, 1);
 	return (c);
 }
 
@@ -79,6 +82,7 @@
 	if (c == NULL)
 		return;
 	*state = NULL;
+	callers_busy(d->callers, conn, 0);
 	slow_remove(d->slow, c);
 	if (c->submitted && why != MHD_REQUEST_TERMINATED_COMPLETED_OK)
 		count_add(C_CALLER_GONE, 1);
@@ -329,6 +333,15 @@
 	close(fd);
 }
 
+/* Ends the connections of callers that have no request under way. */
+void
+door_end_idle(struct kernel *k)
+{
+	struct door *d = kernel_find(k, "door")->state;
+
+	callers_end_idle(d->callers);
+}
+
 /* How many callers are connected. */
 int
 door_connections(struct kernel *k)
@@ -405,6 +418,7 @@
 	    NULL, handle, s, MHD_OPTION_LISTEN_SOCKET, d->sock,
 	    MHD_OPTION_URI_LOG_CALLBACK, keep_uri, d,
 	    MHD_OPTION_NOTIFY_COMPLETED, completed, d,
+	    MHD_OPTION_NOTIFY_CONNECTION, callers_changed, d->callers,
 	    MHD_OPTION_CONNECTION_TIMEOUT, IDLE_SECONDS,
 	    MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, MHD_OPTION_END);
 	if (d->daemon == NULL)
@@ -495,7 +509,8 @@
 	if (apr_pool_create(&d->pool, NULL) == APR_SUCCESS &&
 	    apr_thread_mutex_create(
 		&d->lock, APR_THREAD_MUTEX_DEFAULT, d->pool) == APR_SUCCESS &&
-	    (d->slow = slow_new()) != NULL)
+	    (d->slow = slow_new()) != NULL &&
+	    (d->callers = callers_new()) != NULL)
 		return (0);
 	close(d->sock);
 	free(d);
@@ -514,6 +529,7 @@
 		close(d->sock);
 	shared_unref(d->in_force);
 	slow_free(d->slow);
+	callers_free(d->callers);
 	apr_pool_destroy(d->pool);
 	free(d);
 }
--- a/gspard/gspard.c
+++ b/gspard/gspard.c
@@ -12,6 +12,7 @@
 
 #include "call.h"
 #include "gspard.h"
+#include "leave.h"
 #include "settings.h"
 
 /* How long a stop waits for handing over, and then for calls to end. */
@@ -20,10 +21,13 @@
 /* How long kept connections are served on, each told to close. */
 #define LINGER_MS 300
 #define SETTLE_MS 50
+/* Between looks whether they have. */
+#define LOOK_MS 10
+/* The router answers what is left at the end of its time; so much later it has
+ * been heard by its callers. */
+#define ANSWERED_MS 150
 /* A request is awaited so long on a connection that was let in. */
 #define LATE_MS 250
-/* A balancer that probes once a second and believes the second miss. */
-#define PROBED_OUT_MS 2600
 
 static const char *file;
 static int check_only;
@@ -95,6 +99,22 @@
 		apr_sleep(MS(1));
 }
 
+/*
+ * Serves who is connected until all have had their answers, at most until a
+ * moment; who is idle is let go.  Then no more is taken.
+ */
+static void
+end_connections(struct kernel *k, usec until)
+{
+	while (door_connections(k) > 0 && clock_mono() < until) {
+		door_end_idle(k);
+		apr_sleep(MS(LOOK_MS));
+	}
+	door_bar(k);
+	/* The library needs a moment to write the last answers. */
+	apr_sleep(MS(SETTLE_MS));
+}
+
 /*
  * Stops in order.  The host first says so to the balancer and hands its
  * targets and control over, while it still takes and relays requests; then it
@@ -103,8 +123,6 @@
 static void
 stop(struct kernel *k)
 {
-	int waited;
-
 	log_line(LOG_NOTICE, "kernel", "Stopping.");
 	event_add("kernel", 0, "stopping");
 	order_stop(k, "door");
@@ -116,12 +134,7 @@
 	apr_sleep(MS(LINGER_MS));
 	door_shut(k);
 	apr_sleep(MS(LATE_MS));
-	door_bar(k);
-	for (waited = 0; door_inflight() > 0 && waited < CALLS_END_MS;
-	     waited += 10)
-		apr_sleep(MS(10));
-	/* The library needs a moment to write the last answers. */
-	apr_sleep(MS(SETTLE_MS));
+	end_connections(k, clock_mono() + MS(CALLS_END_MS));
 	log_line(LOG_NOTICE, "kernel", "Stopped.");
 }
 
@@ -134,25 +147,24 @@
 static void
 stop_objects(struct kernel *k)
 {
-	usec now = clock_mono();
-	usec shut = now + MS(PROBED_OUT_MS);
-	usec end = now + MS(kernel_conf(k)->bounds.stop_ms) * 5 / 6;
+	struct leave plan =
+	    leave_plan(clock_mono(), MS(kernel_conf(k)->bounds.stop_ms));
+	struct leave *copy = malloc(sizeof(*copy));
 
 	log_line(LOG_NOTICE, "kernel", "Stopping, %d calls under way.",
 	    door_inflight());
 	order_stop(k, "probe");
 	order_stop(k, "door");
+	if (copy != NULL) {
+		*copy = plan;
+		msg_post(k, "router", MSG_STOP, copy, free);
+	}
 	order_stop(k, "control");
-	if (end < shut + MS(LATE_MS))
-		shut = end - MS(LATE_MS);
-	while (clock_mono() < shut)
-		apr_sleep(MS(20));
+	while (clock_mono() < plan.shut)
+		apr_sleep(MS(LOOK_MS));
 	door_shut(k);
-	while (clock_mono() < end && door_connections(k) > 0 &&
-	    (door_inflight() > 0 || clock_mono() < shut + MS(LATE_MS)))
-		apr_sleep(MS(20));
-	door_bar(k);
-	apr_sleep(MS(SETTLE_MS));
+	apr_sleep(MS(LATE_MS));
+	end_connections(k, plan.end + MS(ANSWERED_MS));
 	log_line(LOG_NOTICE, "kernel", "Stopped, %d calls under way.",
 	    door_inflight());
 }
--- a/gspard/platform.c
+++ b/gspard/platform.c
@@ -234,7 +234,8 @@
 		take(s);
 		curl_multi_perform(p->multi, &running);
 		reap(s);
-		curl_multi_poll(p->multi, NULL, 0, IDLE_MS, NULL);
+		if (!p->stop)
+			curl_multi_poll(p->multi, NULL, 0, IDLE_MS, NULL);
 	}
 }
 
