A small controller gives control to a large standby that reaches the store

While the large hosts were cut off from the store, one with a tenth of a core and 10 Mbit/s took control, and kept it. When 21 targets left at once its link stood still for more than 900 ms: no host heard it, nor it any host.

Now a controller that bears fewer hosts than there are says so; a standby that bears them looks each second whether the store answers it, and reports that; the controller then gives control back in good order, once moves are written. Scenario site_larger: control stayed at the small host before, and no request fails on the way now. That a host is told all targets is logged.

--- a/decide/standby.c
+++ b/decide/standby.c
@@ -73,3 +73,36 @@
 	}
 	return (got);
 }
+
+/* True where a controller cannot bear its fleet. */
+int
+strained(int bears, int hosts)
+{
+	return (bears > 0 && bears < hosts);
+}
+
+/*
+ * True where a controller that cannot bear its fleet should give control to one
+ * of its standbys.
+ *
+ * A small host may have taken control while large ones were cut off from the
+ * store.  With 81 hosts and 358 targets, and 21 targets leaving at once, its
+ * link of 10 Mbit/s stood still for over 900 ms: all looked for another
+ * controller, and some hosts used targets 2.7 s after they had begun to leave.
+ * A standby takes over in milliseconds; it must bear the fleet, or more of it,
+ * and reach the store, or control would go to and fro.
+ */
+int
+larger_stands_by(const struct candidate *c, int n, int bears, int hosts)
+{
+	int i;
+
+	if (!strained(bears, hosts))
+		return (0);
+	for (i = 0; i < n; i++) {
+		if (c[i].is_one && c[i].store &&
+		    (c[i].bears >= hosts || c[i].bears >= 2 * bears))
+			return (1);
+	}
+	return (0);
+}
--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -27,9 +27,7 @@
  * something, and asks the store anew, not more often than this. */
 #define FLEET_DIFFERS MS(1300)
 #define RELIST_EVERY MS(2500)
-/* How long a stop waits for moves of keys to end before it gives control back,
- * and for control to be given back at all. */
-#define QUIET_WITHIN MS(900)
+/* How long a stop waits for control to be given back. */
 #define HAND_OVER MS(1800)
 
 /* Tells the peer service which hosts there are. */
@@ -247,33 +245,19 @@
 	compare_fleet(k, now);
 	tell_role(k, now);
 	keeper_yield_if_deaf(k, now);
+	keeper_yield_to_larger(k, now);
+	keeper_witness(k, now);
 }
 
 /* Goes on with an orderly stop: control goes to another first. */
 static void
 stop_tick(struct keeper *k, usec now)
 {
-	int i, quiet = 1;
-
 	if (!k->stopping || k->stop_since == 0)
 		return;
-	for (i = 0; i < k->nkeys; i++) {
-		keys_close(k->keys[i]);
-		quiet &= keys_quiet(k->keys[i]);
-	}
-	if (!k->resigned && (quiet || now - k->stop_since > QUIET_WITHIN)) {
-		k->resigned = 1;
-		k->had_control = k->acting;
-		term_resign(&k->term, now);
-	}
-	/*
-	 * Others need not wait until they miss the signs of life.  Said by a
-	 * host that did not control, it would take their controller from them:
-	 * each planned stop made all others ask the store, 225 calls of a fleet
-	 * of 76 hosts, and report to nobody until the next sign of life.
-	 */
-	if (k->had_control && k->term.role == TERM_FOLLOWER)
-		spread_farewell(k, now);
+	if (k->giving_since == 0)
+		k->giving_since = now;
+	keeper_give_back(k, now);
 	if (k->term.role == TERM_FOLLOWER || now - k->stop_since > HAND_OVER) {
 		k->stop_since = 0;
 		kernel_done(k->s->kernel, "control");
@@ -412,8 +396,9 @@
 		tick(k, now);
 		stop_tick(k, now);
 		curl_multi_perform(k->multi, &running);
-		curl_multi_poll(
-		    k->multi, NULL, 0, k->acting ? TICK_MS : 4 * TICK_MS, NULL);
+		if (!k->stop)
+			curl_multi_poll(k->multi, NULL, 0,
+			    k->acting ? TICK_MS : 4 * TICK_MS, NULL);
 	}
 }
 
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -59,6 +59,7 @@
 	usec told_at;
 	usec fleet_at; /* when it was told all targets */
 	int bears;     /* hosts that it could control */
+	int store;     /* the store has answered it just now */
 	int stopping;
 };
 
@@ -70,7 +71,10 @@
 	usec asked_at[ASKED_KEPT];
 	char controller[NAME_MAX_GS];
 	uint64_t controller_term;
-	usec heard; /* the controller, last */
+	usec heard;   /* the controller, last */
+	int strained; /* the controller says that it bears fewer hosts */
+	usec next_witness;
+	usec store_seen; /* the store answered about the control record */
 
 	struct keeper_host hosts[KEEPER_HOSTS];
 	int nhosts;
@@ -102,6 +106,7 @@
 	int yielded; /* control was given back, for this host hears too few */
 	usec eligible_at;
 	int stopping;
+	usec giving_since; /* control is given to another; 0 is not */
 	int resigned;
 	int had_control; /* when it resigned */
 	usec stop_since;
@@ -122,6 +127,10 @@
 void keeper_term_open(struct keeper *);
 void keeper_name_standbys(struct keeper *, usec now);
 void keeper_yield_if_deaf(struct keeper *, usec now);
+void keeper_yield_to_larger(struct keeper *, usec now);
+void keeper_give_back(struct keeper *, usec now);
+void keeper_witness(struct keeper *, usec now);
+int keeper_bears(const struct keeper *);
 void keeper_record_stored(struct keeper *, const struct store *, usec now);
 void keeper_promise_ask(struct keeper *, const struct msg *, usec now);
 void keeper_promise(struct keeper *, const struct msg *, usec now);
--- a/gspard/keeper_fleet.c
+++ b/gspard/keeper_fleet.c
@@ -121,6 +121,9 @@
 	if (h == NULL || now - h->fleet_at < TELL_AGAIN)
 		return;
 	h->fleet_at = now;
+	log_line(LOG_INFO, "control",
+	    "Host %s knows other targets, is told all %d of them.", host,
+	    f->ntargets);
 	tell(k, f, NULL, host, now);
 }
 
--- a/gspard/keeper_hear.c
+++ b/gspard/keeper_hear.c
@@ -129,6 +129,7 @@
 		site_tell(k, w->controller);
 	if (!w->whole) {
 		term_heard(&k->term, now, w->record);
+		k->strained = w->strained;
 		k->told_fleet = w->fleet;
 		if (w->follows)
 			k->fleet_heard = now;
--- a/gspard/keeper_report.c
+++ b/gspard/keeper_report.c
@@ -4,7 +4,10 @@
 #include <string.h>
 
 #include "keeper.h"
-#include "standby.h"
+
+/* An answer of the store so long ago says that it answers: a standby that is
+ * wanted looks each second. */
+#define STORE_LATELY MS(1600)
 
 /* Fills in what the router learnt. */
 static void
@@ -42,7 +45,7 @@
 
 /* Sends this host's report to the controller. */
 static void
-send_report(struct keeper *k, const struct heat_report *h)
+send_report(struct keeper *k, const struct heat_report *h, usec now)
 {
 	const struct conf *conf = kernel_conf(k->s->kernel);
 	const struct site *t = keeper_site(k);
@@ -60,7 +63,8 @@
 	w.addr = (char *)conf->reached;
 	w.dc = (char *)conf->dc;
 	w.stopping = k->stopping;
-	w.bears = (uint32_t)hosts_borne(conf->cores, conf->link_mbps);
+	w.bears = (uint32_t)keeper_bears(k);
+	w.store = k->store_seen != 0 && now - k->store_seen < STORE_LATELY;
 	w.owners = k->number;
 	w.site = t == NULL ? 0 : t->version;
 	w.fleet = fleet == NULL ? 0 : fleet->digest;
@@ -82,7 +86,7 @@
 	if (k->heat == NULL)
 		return;
 	if (k->controller[0] != '\0')
-		send_report(k, k->heat);
+		send_report(k, k->heat, now);
 	heat_report_free(k->heat);
 	k->heat = NULL;
 }
@@ -108,6 +112,7 @@
 	if ((h = keeper_host(k, host)) != NULL) {
 		h->owners = w->owners;
 		h->bears = (int)w->bears;
+		h->store = w->store;
 	}
 	if (t != NULL && w->site < t->version)
 		site_tell(k, host);
--- a/gspard/keeper_spread.c
+++ b/gspard/keeper_spread.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "keeper.h"
+#include "standby.h"
 
 /* Between signs of life of the controller. */
 #define ALIVE_EVERY MS(300)
@@ -246,6 +247,7 @@
 	/* Nor while this host does not reach the store: others know better. */
 	w.follows = fleet != NULL && k->fresh && !late;
 	w.late = late;
+	w.strained = strained(keeper_bears(k), k->nhosts);
 	if (w.follows && now - k->fleet_since >= FLEET_STILL)
 		w.fleet = fleet->digest;
 	f.body_case = GSPAR__FRAME__BODY_OWNERS;
--- a/gspard/keeper_term.c
+++ b/gspard/keeper_term.c
@@ -18,6 +18,10 @@
 /* One that gave control back because it heard too few leaves it to others for
  * so long; a cut between data centres lasts for seconds. */
 #define YIELD_FOR MS(4000)
+/* How long moves of keys may take to end before control is given back. */
+#define QUIET_WITHIN MS(900)
+/* Between looks of a standby whether the store answers it. */
+#define WITNESS_EVERY MS(1000)
 
 /* Asks the store for the control record. */
 static void
@@ -95,7 +99,7 @@
 	tc.renew = MS(conf->renew_ms);
 	tc.host_lease = HANDOVER;
 	tc.told = 1;
-	tc.first_wait = first_wait(hosts_borne(conf->cores, conf->link_mbps));
+	tc.first_wait = first_wait(keeper_bears(k));
 	term_init(&k->term, &tc, &term_out, k, tc.self.boot);
 }
 
@@ -122,12 +126,10 @@
 	return (0);
 }
 
-/* Names the standbys, among the hosts that are heard. */
-void
-keeper_name_standbys(struct keeper *k, usec now)
+/* The hosts that can be standbys; how many. */
+static int
+candidates(const struct keeper *k, struct candidate *c, usec now)
 {
-	struct candidate c[KEEPER_HOSTS];
-	struct member want[STANDBYS];
 	const struct keeper_host *h;
 	int i, n = 0;
 
@@ -139,8 +141,20 @@
 		name_copy(c[n].dc, sizeof(c[n].dc), h->dc);
 		c[n].bears = h->bears;
 		c[n].is_one = stands_by(k, &h->who);
+		c[n].store = h->store;
 		n++;
 	}
+	return (n);
+}
+
+/* Names the standbys, among the hosts that are heard. */
+void
+keeper_name_standbys(struct keeper *k, usec now)
+{
+	struct candidate c[KEEPER_HOSTS];
+	struct member want[STANDBYS];
+	int n = candidates(k, c, now);
+
 	n = standbys_pick(c, n, kernel_conf(k->s->kernel)->dc, want);
 	term_standbys(&k->term, want, n);
 }
@@ -177,21 +191,128 @@
 	term_resign(&k->term, now);
 }
 
+/*
+ * Reads the control record.  One that another has written, and that makes no
+ * sense, names no controller: control is free, under a term after the last that
+ * was heard.  Refused, it would stand for ever, for nobody may write over what
+ * he could not read.
+ */
+static void
+read_record(struct keeper *k, const struct store *st, struct record *r)
+{
+	if (record_read(&st->body, r) == 0)
+		return;
+	log_line(LOG_ERR, "control",
+	    "The control record makes no sense, version %llu: free.",
+	    (unsigned long long)st->version);
+	memset(r, 0, sizeof(*r));
+	r->term = k->controller_term;
+}
+
+/*
+ * Gives control back in good order, once moves of keys have ended and are
+ * written: whoever takes control then need not wait for owners before and after
+ * a move.
+ */
+void
+keeper_give_back(struct keeper *k, usec now)
+{
+	int i, quiet = 1;
+
+	for (i = 0; i < k->nkeys; i++) {
+		keys_close(k->keys[i]);
+		quiet &= keys_quiet(k->keys[i]);
+	}
+	if (!k->resigned && (quiet || now - k->giving_since > QUIET_WITHIN)) {
+		k->resigned = 1;
+		k->had_control = k->acting;
+		term_resign(&k->term, now);
+	}
+	/*
+	 * Others need not wait until they miss the signs of life.  Said by a
+	 * host that did not control, it would take their controller from them:
+	 * each planned stop made all others ask the store, 225 calls of a fleet
+	 * of 76 hosts, and report to nobody until the next sign of life.
+	 */
+	if (k->had_control && k->term.role == TERM_FOLLOWER)
+		spread_farewell(k, now);
+}
+
+/* Hosts that this one could control. */
+int
+keeper_bears(const struct keeper *k)
+{
+	const struct conf *conf = kernel_conf(k->s->kernel);
+
+	return (hosts_borne(conf->cores, conf->link_mbps));
+}
+
+/* Gives control to a standby that bears the fleet, where this host does not. */
+void
+keeper_yield_to_larger(struct keeper *k, usec now)
+{
+	struct candidate c[KEEPER_HOSTS];
+	int n;
+
+	if (k->stopping)
+		return;
+	if (k->giving_since != 0) {
+		keeper_give_back(k, now);
+		if (k->term.role == TERM_HOLDER)
+			return;
+		k->giving_since = 0;
+		k->resigned = 0;
+		k->had_control = 0;
+		k->yielded = 1;
+		k->eligible_at = now + YIELD_FOR;
+		return;
+	}
+	if (!k->acting || k->yielded || now - k->acting_since < DEAF_AFTER)
+		return;
+	n = candidates(k, c, now);
+	if (!larger_stands_by(c, n, keeper_bears(k), k->nhosts))
+		return;
+	log_line(LOG_NOTICE, "control",
+	    "This host bears %d of %d hosts, control goes to a larger one.",
+	    keeper_bears(k), k->nhosts);
+	k->giving_since = now;
+}
+
+/*
+ * Looks whether the store answers this host, while it stands by for a
+ * controller that should give control to a larger one.  Else hosts that are
+ * told by a controller do not ask the store, and could not say.
+ */
+void
+keeper_witness(struct keeper *k, usec now)
+{
+	struct member self = k->term.conf.self;
+
+	if (!k->strained || k->acting || now < k->next_witness ||
+	    !stands_by(k, &self) || strained(keeper_bears(k), k->nhosts))
+		return;
+	k->next_witness = now + WITNESS_EVERY;
+	get_record(k);
+}
+
 /* Takes the outcome of a call about the control record. */
 void
 keeper_record_stored(struct keeper *k, const struct store *st, usec now)
 {
 	struct record r;
 
+	if (st->result == STORE_DONE)
+		k->store_seen = now;
 	if (st->op == STORE_PUT) {
 		if (st->gen == k->term.put_rec.write_id)
 			term_put_ended(
 			    &k->term, now, keeper_put_result(st), st->version);
 	} else if (st->result == STORE_ABSENT)
 		term_got(&k->term, now, 0, 0, NULL);
-	else if (st->result == STORE_DONE && record_read(&st->body, &r) == 0)
+	else if (st->result == STORE_DONE) {
+		read_record(k, st, &r);
 		term_got(&k->term, now, 1, st->version, &r);
-	else
+	} else
 		term_get_failed(&k->term, now);
 }
 
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -3511,7 +3511,7 @@
   (ProtobufCMessageInit) gspar__key_heat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__host_report__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gspar__host_report__field_descriptors[11] =
 {
   {
     "boot",
@@ -3633,6 +3633,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostReport, store),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__host_report__field_indices_by_name[] = {
   1,   /* field[1] = addr */
@@ -3644,12 +3656,13 @@
   4,   /* field[4] = owners */
   5,   /* field[5] = site */
   3,   /* field[3] = stopping */
+  10,   /* field[10] = store */
   7,   /* field[7] = targets */
 };
 static const ProtobufCIntRange gspar__host_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gspar__host_report__descriptor =
 {
@@ -3659,7 +3672,7 @@
   "Gspar__HostReport",
   "gspar",
   sizeof(Gspar__HostReport),
-  10,
+  11,
   gspar__host_report__field_descriptors,
   gspar__host_report__field_indices_by_name,
   1,  gspar__host_report__number_ranges,
@@ -3833,7 +3846,7 @@
   (ProtobufCMessageInit) gspar__key_owners__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[15] =
+static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[16] =
 {
   {
     "term",
@@ -4015,6 +4028,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "strained",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Owners, strained),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__owners__field_indices_by_name[] = {
   2,   /* field[2] = controller */
@@ -4029,6 +4054,7 @@
   5,   /* field[5] = services */
   11,   /* field[11] = since */
   7,   /* field[7] = site */
+  15,   /* field[15] = strained */
   4,   /* field[4] = targets */
   0,   /* field[0] = term */
   3,   /* field[3] = whole */
@@ -4036,7 +4062,7 @@
 static const ProtobufCIntRange gspar__owners__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor gspar__owners__descriptor =
 {
@@ -4046,7 +4072,7 @@
   "Gspar__Owners",
   "gspar",
   sizeof(Gspar__Owners),
-  15,
+  16,
   gspar__owners__field_descriptors,
   gspar__owners__field_indices_by_name,
   1,  gspar__owners__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -481,10 +481,14 @@
    * Hosts that it could control; 0 is not known.
    */
   uint32_t bears;
+  /*
+   * The store has answered it just now.
+   */
+  protobuf_c_boolean store;
 };
 #define GSPAR__HOST_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__host_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Gspar__HostAddr
@@ -576,10 +580,14 @@
    * The controller itself: who has just started knows no address.
    */
   Gspar__HostAddr *self;
+  /*
+   * There are more hosts than the controller can bear.
+   */
+  protobuf_c_boolean strained;
 };
 #define GSPAR__OWNERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__owners__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0 }
 
 
 /*
--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -140,13 +140,14 @@
 function Site:write_settings(name, more)
 	local h = self.hosts[name]
 	write_file(name .. ".conf", string.format(
-	    "[host]\nname = %s\ndc = %s\n[listen]\ncallers = %s\n" ..
+	    "[host]\nname = %s\ndc = %s\n%s\n[listen]\ncallers = %s\n" ..
 	    "ready = %s\npeers = %s\nreached = %s\nadmin = %s\n[platform]\n" ..
 	    "form = objects\naddress = %s\n[leases]\ncontrol_ms = 1500\n" ..
 	    "renew_ms = 500\nhost_ms = 1500\ngrant_ms = 1500\n[bounds]\n" ..
 	    "heartbeat = 900ms\ndrain = 2s\ngrace = 6s\nconfig_apply = 2s\n" ..
 	    "budget_window = 10s\nmax_hold = 10s\nretry_budget_ratio = 0.2\n" ..
-	    "%s\n", name, h.dc, h.callers, h.ready, h.peers,
+	    "%s\n", name, h.dc, (self.opt.size or {})[name] or
+	    "cores = 1\nlink_mbps = 1000", h.callers, h.ready, h.peers,
 	    h.reached, h.admin,
 	    h.store or self.store, more or "retry_budget_slack = 60"))
 end
--- /dev/null
+++ b/regress/scenario/site_larger.lua
@@ -0,0 +1,33 @@
+-- A small host starts alone and takes control; then two large ones come, and a
+-- fourth host.  The small one cannot bear so many: it gives control to a large
+-- one that stands by, in good order.  Callers notice nothing: every key keeps
+-- its owner, and nothing is refused.
+dofile("regress/scenario/lib_site.lua")
+local s = standard_site { hosts = 1, size = { h1 = "cores = 0.1\nlink_mbps = 0.4" } }
+check(s:controller() == "h1", "not controlled by h1")
+s:add_host("h2", "north")
+s:add_host("h3", "south")
+s:add_host("h4", "north")
+for _, n in ipairs { "h2", "h3", "h4" } do
+	s:start_host(n)
+	await(n .. " ready", 8000, function()
+		return s:is_ready(n)
+	end)
+end
+s:await_keys()
+local r = { any = 0, once = 0, key = 0 }
+await("control at a large host", 10000, function()
+	local l = s:load(200)
+	for k in pairs(r) do
+		r[k] = r[k] + l[k]
+	end
+	return s:controller() ~= "h1" and s:controller()
+end)
+check(s:controller() ~= "", "control is free")
+local l = s:load(1500)
+check(r.any + r.once + r.key + l.any + l.once + l.key == 0,
+    "failed: %d %d %d, then %d %d %d", r.any, r.once, r.key, l.any, l.once,
+    l.key)
+say("control is at a large host, nobody noticed")
+s:stop_all()
+s:journals_ok()
