Control goes on while the store is away, though hosts are stopped

- A stopping controller whose store is away goes on until its last moment.
- A standby that stops in order promises for 12 s instead of a lease, for its process never takes control again; an unlisted taker waits as long where the standby has ended or answers it while it stops (decide/term).

Unit term "left standby" and "left promise is waited for": the first could not renew 1.5 s after the standby's end before; the second guards against two controllers.

--- a/decide/term.c
+++ b/decide/term.c
@@ -373,12 +373,21 @@
 	t->get_open = 0;
 }
 
+/* How long a promise of a kind lasts. */
+static usec
+promise_span(const struct term *t, enum promise_kind kind)
+{
+	if (kind == PROMISE_LEFT && t->conf.left_promise > t->conf.lease)
+		return (t->conf.left_promise);
+	return (t->conf.lease);
+}
+
 /*
- * A holder asks for this host's promise not to take over.  True where it is
- * given.  The promise is for one process: one that restarted has another boot
- * number, has forgotten what it promised, and must not be counted.
+ * A holder asks for this host's promise not to take over.  The promise is for
+ * one process: one that restarted has another boot number, has forgotten what
+ * it promised, and must not be counted.
  */
-int
+enum promise_kind
 term_asked(struct term *t, usec now, uint64_t term, uint64_t boot)
 {
 	if (term > t->top_term)
@@ -387,11 +396,20 @@
 	/* Asked, so listed in a record newer than the one read last. */
 	if (!lists(&t->rec, &t->conf.self))
 		t->next_get = now;
-	if (boot != t->conf.self.boot || t->resigned || t->put_open)
-		return (0);
+	if (boot != t->conf.self.boot || t->put_open)
+		return (PROMISE_NONE);
 	/* Whoever answered a later term has withdrawn from the earlier. */
 	if (t->role == TERM_HOLDER || term < t->rec.term || term < t->top_term)
-		return (0);
+		return (PROMISE_NONE);
+	/*
+	 * It stops, and never takes control again: its promise can outlive it.
+	 * While the store is away no other standby can be named, and a holder
+	 * that lost this promise with the process would let all keys lapse.
+	 */
+	if (t->left)
+		return (PROMISE_LEFT);
+	if (t->resigned)
+		return (PROMISE_NONE);
 	/*
 	 * This host reaches the platform and sees that the holder has long
 	 * been unable to write: staying with it would freeze the cell, for it
@@ -400,9 +418,19 @@
 	if (t->known && term == t->rec.term &&
 	    t->last_seen - t->first_seen >
 		(t->conf.told ? STUCK_TOLD : STUCK_AFTER))
-		return (0);
+		return (PROMISE_NONE);
 	t->promised_until = lease_granter_end(now, t->conf.lease);
-	return (1);
+	return (PROMISE_LEASE);
+}
+
+/* The earlier holder's last promise ends within a span; then a whole host lease
+ * until what it gave has lapsed. */
+static void
+settle_after(struct term *t, usec now, usec span)
+{
+	t->must_withdraw = 0;
+	t->settle_at =
+	    lease_granter_end(lease_granter_end(now, span), t->conf.host_lease);
 }
 
 /*
@@ -411,7 +439,7 @@
  */
 void
 term_promised(struct term *t, usec now, const struct member *who, uint64_t term,
-    int yes, usec asked)
+    enum promise_kind kind, usec asked)
 {
 	struct promise *p;
 
@@ -425,19 +453,18 @@
 		 * old holder no more promises, and what it gave runs out
 		 * within a control lease; then a whole host lease.  A new
 		 * process of the same name is no proof that the old is gone.
+		 * One that stops may have given its last, longer one.
 		 */
-		t->must_withdraw = 0;
-		t->settle_at = lease_granter_end(
-		    lease_granter_end(now, t->conf.lease), t->conf.host_lease);
+		settle_after(t, now, promise_span(t, kind));
 		t->out->event(t->arg, "a standby withdrew");
 		return;
 	}
-	if (!yes)
+	if (kind == PROMISE_NONE)
 		return;
 	p = promise_of(t, who);
 	if (asked > p->asked) {
 		p->asked = asked;
-		p->until = lease_holder_end(asked, t->conf.lease);
+		p->until = lease_holder_end(asked, promise_span(t, kind));
 	}
 }
 
@@ -459,10 +486,8 @@
 		standby |= replaces(m, &t->taken_from.standby[i]);
 	if (!holder && !standby)
 		return;
-	t->must_withdraw = 0;
-	t->settle_at = lease_granter_end(
-	    holder ? now : lease_granter_end(now, t->conf.lease),
-	    t->conf.host_lease);
+	/* The standby may have stopped in order, and left a longer promise. */
+	settle_after(t, now, holder ? 0 : promise_span(t, PROMISE_LEFT));
 	t->out->event(t->arg, "a process of the earlier controller has ended");
 }
 
@@ -474,7 +499,7 @@
 	memcpy(t->want, m, sizeof(*m) * (size_t)t->nwant);
 }
 
-/* This host stops for good: it promises nothing and takes nothing more. */
+/* This host gives control back, promises nothing and takes nothing more. */
 void
 term_resign(struct term *t, usec now)
 {
@@ -482,6 +507,14 @@
 	t->eligible = 0;
 }
 
+/* This host's process stops: the same, and for good. */
+void
+term_leave(struct term *t, usec now)
+{
+	term_resign(t, now);
+	t->left = 1;
+}
+
 /* This host may take control again after it gave it back. */
 void
 term_return(struct term *t)
--- a/decide/term.h
+++ b/decide/term.h
@@ -28,6 +28,10 @@
 	int nstandby;
 };
 
+/* What a standby promises: not to take control for a while, or, where it stops
+ * for good, for longer than it will be there. */
+enum promise_kind { PROMISE_NONE, PROMISE_LEASE, PROMISE_LEFT };
+
 enum term_role { TERM_FOLLOWER, TERM_TAKING, TERM_HOLDER };
 
 /* What came of a write. */
@@ -41,6 +45,9 @@
 	/* The holder tells others the record's version (term_heard): standbys
 	 * that hear it need not read the record. */
 	int told;
+	/* How long the promise of a standby that stops for good lasts; 0 is as
+	 * long as any other. */
+	usec left_promise;
 	/* Before this host takes control where nobody has had it. */
 	usec first_wait;
 };
@@ -66,6 +73,7 @@
 	enum term_role role;
 	int eligible;
 	int resigned;
+	int left; /* this process stops: it never takes control again */
 
 	/* The record as last read; version 0 is none. */
 	int known;
@@ -115,17 +123,19 @@
     const struct record *);
 void term_get_failed(struct term *, usec now);
 void term_put_ended(struct term *, usec now, enum put_result, uint64_t version);
-int term_asked(struct term *, usec now, uint64_t term, uint64_t boot);
+enum promise_kind term_asked(
+    struct term *, usec now, uint64_t term, uint64_t boot);
 void term_asked_late(struct term *, usec now);
 int term_late(const struct term *, usec now);
 void term_heard(struct term *, usec now, uint64_t version);
 void term_outdone(struct term *, usec now, uint64_t term);
 void term_promised(struct term *, usec now, const struct member *,
-    uint64_t term, int yes, usec asked);
+    uint64_t term, enum promise_kind, usec asked);
 void term_standbys(struct term *, const struct member *, int);
 void term_process_seen(struct term *, usec now, const struct member *);
 void term_resign(struct term *, usec now);
 void term_return(struct term *);
+void term_leave(struct term *, usec now);
 int term_may_renew(const struct term *, usec now);
 int term_settled(const struct term *, usec now);
 int term_may_dispatch(const struct term *, usec now);
--- a/gspard/ctl_cell.c
+++ b/gspard/ctl_cell.c
@@ -388,7 +388,7 @@
 	p.term = ask->term;
 	p.seq = ask->seq;
 	p.boot = kernel_boot(c->s->kernel);
-	p.yes = term_asked(&c->term, now, ask->term, ask->boot);
+	p.yes = term_asked(&c->term, now, ask->term, ask->boot) != PROMISE_NONE;
 	f.body_case = GSPAR__FRAME__BODY_PROMISE;
 	f.promise = &p;
 	send_frame(c->s->kernel, m->host, m->conn, &f);
@@ -406,7 +406,8 @@
 	memset(&who, 0, sizeof(who));
 	name_copy(who.host, sizeof(who.host), m->host);
 	who.boot = p->boot;
-	term_promised(&c->term, now, &who, p->term, p->yes,
+	term_promised(&c->term, now, &who, p->term,
+	    p->yes ? PROMISE_LEASE : PROMISE_NONE,
 	    c->asked_at[p->seq % ASKED_KEPT]);
 }
 
--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -160,6 +160,8 @@
 {
 	struct pending *p;
 
+	if (m->data == NULL)
+		return;
 	d->leave = m->data;
 	m->data = NULL;
 	for (p = d->first; p != NULL; p = p->next)
--- a/gspard/gspard.c
+++ b/gspard/gspard.c
@@ -99,6 +99,21 @@
 		apr_sleep(MS(1));
 }
 
+/* Sends the order to stop, and until when, to a service. */
+static void
+order_leave(struct kernel *k, const char *name, const struct leave *plan)
+{
+	struct leave *copy = malloc(sizeof(*copy));
+
+	if (copy == NULL) {
+		order_stop(k, name);
+		return;
+	}
+	*copy = *plan;
+	while (msg_post(k, name, MSG_STOP, copy, NULL) != 0)
+		apr_sleep(MS(1));
+}
+
 /*
  * Serves who is connected until all have had their answers, at most until a
  * moment; who is idle is let go.  Then no more is taken.
@@ -149,22 +164,24 @@
 {
 	struct leave plan =
 	    leave_plan(clock_mono(), MS(kernel_conf(k)->bounds.stop_ms));
-	struct leave *copy = malloc(sizeof(*copy));
+	usec left;
 
 	log_line(LOG_NOTICE, "kernel", "Stopping, %d calls under way.",
 	    door_inflight());
 	order_stop(k, "probe");
 	order_stop(k, "door");
-	if (copy != NULL) {
-		*copy = plan;
-		msg_post(k, "router", MSG_STOP, copy, free);
-	}
-	order_stop(k, "control");
+	order_leave(k, "router", &plan);
+	order_leave(k, "control", &plan);
 	while (clock_mono() < plan.shut)
 		apr_sleep(MS(LOOK_MS));
 	door_shut(k);
 	apr_sleep(MS(LATE_MS));
 	end_connections(k, plan.end + MS(ANSWERED_MS));
+	/* A controller that cannot give control back, for the store is away,
+	 * goes on with it as long as it may. */
+	left = plan.end - clock_mono();
+	if (left > 0)
+		kernel_wait(k, "control", (int)(left / 1000));
 	log_line(LOG_NOTICE, "kernel", "Stopped, %d calls under way.",
 	    door_inflight());
 }
--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -27,8 +27,8 @@
  * something, and asks the store anew, not more often than this. */
 #define FLEET_DIFFERS MS(1300)
 #define RELIST_EVERY MS(2500)
-/* How long a stop waits for control to be given back. */
-#define HAND_OVER MS(1800)
+/* Before the end of a stop a controller whose store is away gives up. */
+#define LAST_ORDERS MS(200)
 
 /* Tells the peer service which hosts there are. */
 void
@@ -253,13 +253,11 @@
 static void
 stop_tick(struct keeper *k, usec now)
 {
-	if (!k->stopping || k->stop_since == 0)
+	if (!k->stopping || k->gone)
 		return;
-	if (k->giving_since == 0)
-		k->giving_since = now;
 	keeper_give_back(k, now);
-	if (k->term.role == TERM_FOLLOWER || now - k->stop_since > HAND_OVER) {
-		k->stop_since = 0;
+	if (k->term.role == TERM_FOLLOWER || now > k->leave_by) {
+		k->gone = 1;
 		kernel_done(k->s->kernel, "control");
 	}
 }
@@ -333,6 +331,15 @@
 		keys_fleet(k->keys[i], k->fleet->p, now);
 }
 
+/* The host stops; the plan is not there where memory was short. */
+static void
+begin_stop(struct keeper *k, const struct leave *plan, usec now)
+{
+	k->stopping = 1;
+	k->giving_since = now;
+	k->leave_by = (plan == NULL ? now : plan->end) - LAST_ORDERS;
+}
+
 /* Takes one message. */
 static void
 take(struct keeper *k, struct msg *m, usec now)
@@ -365,8 +372,8 @@
 		m->data = NULL;
 		break;
 	case MSG_STOP:
-		k->stopping = 1;
-		k->stop_since = now;
+		begin_stop(k, m->data, now);
+		free(m->data);
 		break;
 	case MSG_QUIT:
 		k->stop = 1;
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -11,6 +11,7 @@
 #include "heat.h"
 #include "keys.h"
 #include "lately.h"
+#include "leave.h"
 #include "owners.h"
 #include "target_ops.h"
 #include "term.h"
@@ -109,7 +110,8 @@
 	usec giving_since; /* control is given to another; 0 is not */
 	int resigned;
 	int had_control; /* when it resigned */
-	usec stop_since;
+	usec leave_by;	 /* a stop gives control up by then */
+	int gone;	 /* a stop has nothing more to do */
 	int stop;
 };
 
--- a/gspard/keeper_term.c
+++ b/gspard/keeper_term.c
@@ -13,6 +13,14 @@
 #define STANDBY_HEARD MS(1200)
 /* What control adds to a lease of its own; hosts hold none from it. */
 #define HANDOVER MS(100)
+/*
+ * The promise of a standby that stops lasts so long beyond its last words.
+ * Outages of the store and planned stops come together: with 8 s of the one
+ * and a stop of up to 5 s, and the start that follows, a controller goes on.
+ * Longer, and a fleet whose controller is gone for good and both of whose
+ * standbys were killed would wait longer before keys are granted again.
+ */
+#define LEFT_PROMISE MS(12000)
 /* A new controller is not heard of by all at once. */
 #define DEAF_AFTER MS(2000)
 /* One that gave control back because it heard too few leaves it to others for
@@ -99,6 +107,7 @@
 	tc.renew = MS(conf->renew_ms);
 	tc.host_lease = HANDOVER;
 	tc.told = 1;
+	tc.left_promise = LEFT_PROMISE;
 	tc.first_wait = first_wait(keeper_bears(k));
 	term_init(&k->term, &tc, &term_out, k, tc.self.boot);
 }
@@ -209,6 +218,30 @@
 	r->term = k->controller_term;
 }
 
+/*
+ * True where a stopping controller goes on with control.  While the store is
+ * away nobody can take it: given up, no key is renewed, and all are without
+ * owner 3 s later until the store is back.
+ */
+static int
+must_stay(const struct keeper *k, usec now)
+{
+	return (k->acting && k->stopping && now < k->leave_by &&
+	    term_late(&k->term, now) && term_may_renew(&k->term, now));
+}
+
+/* Resigns, for good where the host stops. */
+static void
+resign(struct keeper *k, usec now)
+{
+	k->resigned = 1;
+	k->had_control = k->acting;
+	if (k->stopping)
+		term_leave(&k->term, now);
+	else
+		term_resign(&k->term, now);
+}
+
 /*
  * Gives control back in good order, once moves of keys have ended and are
  * written: whoever takes control then need not wait for owners before and after
@@ -223,11 +256,9 @@
 		keys_close(k->keys[i]);
 		quiet &= keys_quiet(k->keys[i]);
 	}
-	if (!k->resigned && (quiet || now - k->giving_since > QUIET_WITHIN)) {
-		k->resigned = 1;
-		k->had_control = k->acting;
-		term_resign(&k->term, now);
-	}
+	if (!k->resigned && (quiet || now - k->giving_since > QUIET_WITHIN) &&
+	    !must_stay(k, now))
+		resign(k, now);
 	/*
 	 * Others need not wait until they miss the signs of life.  Said by a
 	 * host that did not control, it would take their controller from them:
@@ -323,18 +354,30 @@
 	const Gspar__PromiseAsk *ask = m->frame->promise_ask;
 	Gspar__Frame f = GSPAR__FRAME__INIT;
 	Gspar__Promise p = GSPAR__PROMISE__INIT;
+	enum promise_kind kind;
 
 	p.term = ask->term;
 	p.seq = ask->seq;
 	p.boot = kernel_boot(k->s->kernel);
 	if (ask->late)
 		term_asked_late(&k->term, now);
-	p.yes = term_asked(&k->term, now, ask->term, ask->boot);
+	kind = term_asked(&k->term, now, ask->term, ask->boot);
+	p.yes = kind != PROMISE_NONE;
+	p.left = kind == PROMISE_LEFT;
 	f.body_case = GSPAR__FRAME__BODY_PROMISE;
 	f.promise = &p;
 	send_frame(k->s->kernel, m->host, m->conn, &f);
 }
 
+/* What a standby's answer promises. */
+static enum promise_kind
+promise_told(const Gspar__Promise *p)
+{
+	if (!p->yes)
+		return (PROMISE_NONE);
+	return (p->left ? PROMISE_LEFT : PROMISE_LEASE);
+}
+
 /* Takes a standby's answer. */
 void
 keeper_promise(struct keeper *k, const struct msg *m, usec now)
@@ -347,6 +390,6 @@
 	memset(&who, 0, sizeof(who));
 	name_copy(who.host, sizeof(who.host), m->host);
 	who.boot = p->boot;
-	term_promised(&k->term, now, &who, p->term, p->yes,
+	term_promised(&k->term, now, &who, p->term, promise_told(p),
 	    k->asked_at[p->seq % ASKED_KEPT]);
 }
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -2405,7 +2405,7 @@
   (ProtobufCMessageInit) gspar__promise_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__promise__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gspar__promise__field_descriptors[6] =
 {
   {
     "cell",
@@ -2467,10 +2467,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "left",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Promise, left),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__promise__field_indices_by_name[] = {
   3,   /* field[3] = boot */
   0,   /* field[0] = cell */
+  5,   /* field[5] = left */
   2,   /* field[2] = seq */
   1,   /* field[1] = term */
   4,   /* field[4] = yes */
@@ -2478,7 +2491,7 @@
 static const ProtobufCIntRange gspar__promise__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gspar__promise__descriptor =
 {
@@ -2488,7 +2501,7 @@
   "Gspar__Promise",
   "gspar",
   sizeof(Gspar__Promise),
-  5,
+  6,
   gspar__promise__field_descriptors,
   gspar__promise__field_indices_by_name,
   1,  gspar__promise__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -258,10 +258,14 @@
   uint64_t seq;
   uint64_t boot;
   protobuf_c_boolean yes;
+  /*
+   * It stops, and its promise lasts longer than it is there.
+   */
+  protobuf_c_boolean left;
 };
 #define GSPAR__PROMISE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__promise__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/regress/unit/t_term.c
+++ b/regress/unit/t_term.c
@@ -107,7 +107,8 @@
 static void
 promise(struct node *a, struct node *b, usec now)
 {
-	int i, yes;
+	enum promise_kind yes;
+	int i;
 
 	for (i = 0; i < a->nasked; i++) {
 		if (b == NULL || a->asked[i].boot != b->t.conf.self.boot)
@@ -511,6 +512,81 @@
 	CU_ASSERT_EQUAL(a.t.role, TERM_FOLLOWER);
 }
 
+/* Host a holds the cell, b stands by; the store goes, and b stops in order. */
+static void
+start_left(struct node *a, struct node *b)
+{
+	start(a, b);
+	a->t.conf.left_promise = b->t.conf.left_promise = MS(12000);
+	store.down = 1;
+	run(a, b, MS(1000), MS(2000));
+	term_leave(&b->t, MS(2000));
+	run(a, b, MS(2000), MS(4000));
+}
+
+/*
+ * The store is away, and a standby is stopped in order.  Its promise ended with
+ * it, so the holder let all keys lapse though nobody could take control: more
+ * than half of all requests of two seconds were refused.  It never takes
+ * control again, and so its last promise outlives it.
+ */
+static void
+left_standby(void)
+{
+	struct node a, b;
+
+	start_left(&a, &b);
+	run(&a, NULL, MS(4000), MS(15000));
+	CU_ASSERT(term_may_renew(&a.t, MS(15000)));
+	run(&a, NULL, MS(15000), MS(17000));
+	CU_ASSERT(!term_may_renew(&a.t, MS(17000)));
+	CU_ASSERT_EQUAL(b.t.role, TERM_FOLLOWER);
+}
+
+/*
+ * The same, and the store is back for a host that is not listed, but not for
+ * the holder, which lives by the promise that was left.  The standby's new
+ * process proves that the old has ended, but not what it promised last: the
+ * taker waits until that is over.
+ */
+static void
+left_promise_is_waited_for(void)
+{
+	struct node a, b, c;
+	struct member b2;
+	usec now;
+
+	start_left(&a, &b);
+	name_copy(store.rec.standby[0].addr, sizeof(b2.addr), "10.0.0.2:1");
+	node_init(&c, "c", 3000);
+	c.t.conf.left_promise = MS(12000);
+	c.t.lonely = 1;
+	store.down = 0;
+	run(NULL, &c, MS(4000), MS(9000));
+	CU_ASSERT_EQUAL(c.t.role, TERM_HOLDER);
+	b2 = b.t.conf.self;
+	b2.boot = 2001;
+	name_copy(b2.addr, sizeof(b2.addr), "10.0.0.2:1");
+	term_process_seen(&c.t, MS(9000), &b2);
+	for (now = MS(4000); now < MS(30000); now += MS(10)) {
+		term_tick(&a.t, now);
+		a.gets = a.puts = a.nasked = 0;
+		CU_ASSERT(
+		    !term_may_renew(&a.t, now) || !term_settled(&c.t, now));
+	}
+	CU_ASSERT(term_settled(&c.t, MS(30000)));
+	/* Its last word to the taker is no withdrawal either. */
+	start_left(&a, &b);
+	node_init(&c, "c", 3000);
+	c.t.conf.left_promise = MS(12000);
+	c.t.lonely = 1;
+	store.down = 0;
+	run(NULL, &c, MS(4000), MS(9000));
+	term_promised(&c.t, MS(9000), &b.t.conf.self, c.t.rec.term,
+	    term_asked(&b.t, MS(9000), c.t.rec.term, 2000), MS(9000));
+	CU_ASSERT(!term_settled(&c.t, MS(9000) + MS(12000)));
+}
+
 /* A process of the same name at another address proves nothing. */
 static void
 same_name_elsewhere_proves_nothing(void)
@@ -588,6 +664,8 @@
     {"told standby reads nothing", told_standby_reads_nothing},
     {"restarted holder takes over", restarted_holder_takes_over_at_once},
     {"outdone", outdone},
+    {"left standby", left_standby},
+    {"left promise is waited for", left_promise_is_waited_for},
     {"same name elsewhere", same_name_elsewhere_proves_nothing},
 };
 UNIT_MAIN("term", tests)
