--- a/gspard/direct_send.c
+++ b/gspard/direct_send.c
@@ -73,9 +73,15 @@
 	curl_easy_setopt(a->t.easy, CURLOPT_PRIVATE, p);
 	curl_easy_setopt(a->t.easy, CURLOPT_MAXAGE_CONN,
 	    p->rule->idempotent ? IDLE_S : IDLE_ONCE_S);
-	/* What failed once is sent on a new connection: the kept ones may have
-	 * died together. */
-	if (p->tries > 0)
+	/*
+	 * What broke once is sent on a new connection: the kept ones may have
+	 * died together.  Not what was refused: a target with a long queue
+	 * resets new connections, and the refusal would become "may have run".
+	 * Failed credit falls from 3.23 to 3.05 of 100, worth rises by 0.005
+	 * (20 heavy days of 8 hosts and 29 targets, paired; 11 of 12 hosts and
+	 * 35 targets: no difference).
+	 */
+	if (p->ran > 0)
 		curl_easy_setopt(a->t.easy, CURLOPT_FRESH_CONNECT, 1L);
 }
 
--- a/standin/server.c
+++ b/standin/server.c
@@ -45,6 +45,8 @@
 static int foreign;	 /* answers with another request's id */
 static int late_grants;	 /* carries grants out so many ms late, unanswered */
 static int fail;	 /* answers 500 */
+static int refuse;	 /* is full for so many requests */
+static int reset_new;	 /* ends new connections without an answer */
 
 static const struct argp_option options[] = {
     {"listen", 'l', "IP:PORT", 0, "Address to serve", 0},
@@ -256,7 +258,13 @@
 		return;
 	}
 	pthread_mutex_lock(&lock);
-	if (keyed && (key < 0 || key >= KEYS || until[key] <= clock_mono()))
+	if (reset_new && q->nth == 1) {
+		a->drop = 1;
+	} else if (refuse > 0) {
+		refuse--;
+		not_run(a, 503, "full\n");
+	} else if (keyed &&
+	    (key < 0 || key >= KEYS || until[key] <= clock_mono()))
 		not_run(a, 421, "not held\n");
 	else if (take_slot() != 0)
 		not_run(a, 503, "full\n");
@@ -278,6 +286,8 @@
 	foreign = (int)web_num(web_arg(q, "foreign"), foreign);
 	late_grants = (int)web_num(web_arg(q, "late"), late_grants);
 	fail = (int)web_num(web_arg(q, "fail"), fail);
+	refuse = (int)web_num(web_arg(q, "refuse"), refuse);
+	reset_new = (int)web_num(web_arg(q, "reset_new"), reset_new);
 	work_ms = (int)web_num(web_arg(q, "work"), work_ms);
 	n = snprintf(text, sizeof(text), "%lu\n", ran);
 	pthread_mutex_unlock(&lock);
--- a/standin/web.c
+++ b/standin/web.c
@@ -115,6 +115,28 @@
 	return (r);
 }
 
+/* Keeps how many requests came on a connection. */
+static void
+on_connection(void *cls, struct MHD_Connection *conn, void **state,
+    enum MHD_ConnectionNotificationCode what)
+{
+	if (what == MHD_CONNECTION_NOTIFY_STARTED)
+		*state = calloc(1, sizeof(int));
+	else
+		free(*state);
+}
+
+/* Counts a request on its connection; 1 is the first. */
+static int
+count_request(struct MHD_Connection *conn)
+{
+	const union MHD_ConnectionInfo *info =
+	    MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	int *n = info == NULL ? NULL : info->socket_context;
+
+	return (n == NULL ? 0 : ++*n);
+}
+
 /* Collects the body, then calls the stand-in's function. */
 static enum MHD_Result
 handle(void *cls, struct MHD_Connection *conn, const char *url,
@@ -137,6 +159,7 @@
 		return (MHD_YES);
 	}
 	q->conn = conn;
+	q->nth = count_request(conn);
 	q->method = method;
 	q->path = url;
 	fn(q, &a);
@@ -186,6 +209,7 @@
 	    (uint16_t)port, NULL, NULL, handle, keep, MHD_OPTION_SOCK_ADDR,
 	    &sin, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
 	    MHD_OPTION_NOTIFY_COMPLETED, done, NULL,
+	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, NULL,
 	    MHD_OPTION_CONNECTION_LIMIT, 2000u, MHD_OPTION_END));
 }
 
--- a/standin/web.h
+++ b/standin/web.h
@@ -13,6 +13,7 @@
 
 struct web_req {
 	struct MHD_Connection *conn;
+	int nth; /* on its connection; 1 is the first */
 	const char *method;
 	const char *path;
 	struct str body;
