A target that starts again is met by real processes; the model knows who left

The model has a third configuration: a standby that stops leaves a longer promise and never takes control; an unlisted taker waits for it.

--- a/model/control.pml
+++ b/model/control.pml
@@ -6,16 +6,21 @@
  * Any process may do nothing for as long as it likes (a pause, a cut, an
  * outage, a lost answer are all "nothing more happens"); time goes on.
  *
- * Two configurations keep the search small: with T, or (-DWITH_X) with X.
+ * Three configurations keep the search small: with T, (-DWITH_X) with X, or
+ * (-DWITH_LEFT) with X and a standby that may stop for good.
  *
  * The claim: once a taker counts D's lease as lapsed and gives the shard to
  * another ("moved"), D no longer serves.  Each -D below takes out one
  * safeguard; model/control.sh shows that each is needed.
  */
+#ifdef WITH_LEFT
+#define WITH_X
+#endif
 #define L 2	/* control lease, promises */
 #define HL 2	/* host lease */
+#define LL 4	/* the promise of a standby that stops for good */
 /* Versions of the record in one run. */
-#ifdef WITH_X
+#if defined(WITH_X) && !defined(WITH_LEFT)
 #define PUTS 4
 #else
 #define PUTS 3
@@ -38,12 +43,12 @@
 byte put_age, put_base, put_list;
 bool put_resign;
 
-/* Promises on their way: 0 none, 1 asked, 2 answered. */
+/* Promises on their way: 0 none, 1 asked, 2 answered, 3 by one that stops. */
 byte ask_s, ask_s_age, ask_t, ask_t_age;
 
 /* S, T, X: record as read, for how long unchanged, promise, own write. */
 byte s_ver, s_unch, s_prom, t_ver, t_unch, t_prom, x_ver, x_unch;
-bool s_put, t_put, x_put, s_gone, t_gone;
+bool s_put, t_put, x_put, s_gone, t_gone, s_left, t_left;
 byte s_base, t_base, x_base, x_from;
 byte wait_settle;		/* taker: until it may count lapses */
 byte taker = NONE;
@@ -70,7 +75,11 @@
 #define AGED(on, t) if :: on && t < AGE -> t++ :: else fi
 
 /* Longest that any age matters. */
+#ifdef WITH_LEFT
+#define AGE 4
+#else
 #define AGE 2
+#endif
 
 /* The claim, looked at in every state by the search. */
 proctype Claim()
@@ -111,7 +120,7 @@
 #ifndef WITH_X
 		:: put_list = S + T - h_list
 #endif
-#ifdef WITH_X
+#if defined(WITH_X) && !defined(WITH_LEFT)
 		:: put_list = h_list; put_resign = true
 #endif
 		fi }
@@ -146,6 +155,11 @@
 #endif
 		; ask_s_age = 0
 	   }
+	/* What a standby that stops promised; never less than what it had. */
+	:: atomic { ask_s == 3 -> ask_s = 0;
+		if :: LEFT(LL, ask_s_age) > h_prom_s ->
+			h_prom_s = LEFT(LL, ask_s_age) :: else fi;
+		ask_s_age = 0 }
 	:: atomic { ask_t == 2 -> ask_t = 0; h_prom_t = LEFT(L, ask_t_age);
 		ask_t_age = 0 }
 	/* Check, then give D its lease some time later. */
@@ -178,14 +192,18 @@
 #endif
 
 /* A standby: n its letter. */
-#define STANDBY(me, n_ver, n_unch, n_prom, n_put, n_base, n_gone, n_ask, n_ask_age) \
+#define STANDBY(me, n_ver, n_unch, n_prom, n_put, n_base, n_gone, n_left, n_ask, n_ask_age) \
 	do									\
 	:: atomic { n_ver != ver && taker == NONE ->				\
 		n_ver = ver; n_unch = 0 }					\
-	:: atomic { n_ask == 1 && CAN_PROMISE(n_put, n_gone) ->			\
+	:: atomic { n_ask == 1 && !n_left && CAN_PROMISE(n_put, n_gone) ->	\
 		n_ask = 2; n_prom = L }						\
+	:: atomic { n_ask == 1 && n_left && CAN_PROMISE(n_put, n_gone) ->	\
+		n_ask = 3 }							\
+	:: atomic { MAY_LEAVE && !n_left && !n_put && taker != me -> n_left = true }	\
 	:: atomic { n_ask == 1 -> n_ask = 0; n_ask_age = 0 }			\
-	:: atomic { taker == NONE && !n_put && n_ver == ver && list == me &&	\
+	:: atomic { taker == NONE && !n_put && STAYS(n_left) &&			\
+		n_ver == ver && list == me &&					\
 		((n_unch == L && PROMISE_OVER(n_prom)) || holder == NONE) ->	\
 		n_put = true; n_base = n_ver }					\
 	:: atomic { n_put && taker == NONE && ver == n_base ->			\
@@ -194,6 +212,17 @@
 	:: atomic { taker == me && wait_settle == 0 -> moved = true }		\
 	od
 
+/* One that stops never takes control again. */
+#ifdef LEFT_TAKES
+#define STAYS(l) (true)
+#else
+#define STAYS(l) (!l)
+#endif
+#ifdef WITH_LEFT
+#define MAY_LEAVE (true)
+#else
+#define MAY_LEAVE (false)
+#endif
 #ifdef UNRESOLVED_PROMISES
 #define CAN_PROMISE(p, g) (!g)
 #else
@@ -209,7 +238,7 @@
 proctype StandbyS()
 {
 #ifdef WITH_X
-	STANDBY(S, s_ver, s_unch, s_prom, s_put, s_base, s_gone, ask_s, ask_s_age)
+	STANDBY(S, s_ver, s_unch, s_prom, s_put, s_base, s_gone, s_left, ask_s, ask_s_age)
 #else
 	do
 	:: atomic { ask_s == 1 -> ask_s = 2 }
@@ -220,9 +249,14 @@
 
 proctype StandbyT()
 {
-	STANDBY(T, t_ver, t_unch, t_prom, t_put, t_base, t_gone, ask_t, ask_t_age)
+	STANDBY(T, t_ver, t_unch, t_prom, t_put, t_base, t_gone, t_left, ask_t, ask_t_age)
 }
 
+#ifdef LEFT_NOT_WAITED
+#define LEFT_OVER (L + HL)
+#else
+#define LEFT_OVER (LL + HL)
+#endif
 #ifdef WITHDRAWAL_AT_ONCE
 #define WITHDRAWN HL
 #else
@@ -238,8 +272,11 @@
 		x_from = list; ver++; holder = X; taker = X; x_waits = true;
 		wait_settle = SETTLE }
 	/* The listed standby withdraws: no more promises to H. */
-	:: atomic { taker == X && x_waits && x_from == S ->
+	:: atomic { taker == X && x_waits && x_from == S && !s_left ->
 		s_gone = true; x_waits = false; wait_settle = WITHDRAWN }
+	/* It stopped, and says so or is replaced: it may have left a promise. */
+	:: atomic { taker == X && x_waits && x_from == S && s_left ->
+		s_gone = true; x_waits = false; wait_settle = LEFT_OVER }
 	:: atomic { taker == X && x_waits && x_from == T ->
 		t_gone = true; x_waits = false; wait_settle = WITHDRAWN }
 #ifdef UNLISTED_BY_TIME
--- a/model/control.sh
+++ b/model/control.sh
@@ -8,7 +8,8 @@
 safeguards="LEASE_FROM_ANSWER:T PROMISE_FROM_ARRIVAL:WITH_X
 HOST_LEASE_FROM_ANSWER:T SINGLE_LIST:T RESIGN_RENEWS:WITH_X NO_SETTLE:T
 UNRESOLVED_PROMISES:WITH_X NO_PROMISE_WAIT:WITH_X UNLISTED_BY_TIME:WITH_X
-WITHDRAWAL_AT_ONCE:WITH_X"
+WITHDRAWAL_AT_ONCE:WITH_X LEFT_TAKES:WITH_LEFT
+LEFT_NOT_WAITED:WITH_LEFT"
 
 # errors SAFEGUARD CONFIGURATION: prints how many errors the search finds.
 errors() {
@@ -27,9 +28,11 @@
 res=0
 errors WHOLE T >"$work/t" &
 errors WHOLE WITH_X >"$work/x" &
+errors WHOLE WITH_LEFT >"$work/l" &
 wait
-echo "whole model: $(cat "$work/t") and $(cat "$work/x") errors"
-[ "$(cat "$work/t")$(cat "$work/x")" = 00 ] || res=1
+all="$(cat "$work/t") $(cat "$work/x") $(cat "$work/l")"
+echo "whole model: $all errors"
+[ "$all" = "0 0 0" ] || res=1
 for d in $safeguards; do
 	n=$(errors "${d%:*}" "${d#*:}")
 	echo "without the safeguard against ${d%:*}: $n"
--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -51,6 +51,19 @@
 	    more and more.split or '"service":"' .. service .. '"')
 end
 
+function Site:start_server(t)
+	local args = { "-l", t.at, "-n", t.id, "-j", path(t.id .. ".journal"),
+	    "-s", tostring(t.opt.slots or 4), "-w", tostring(t.opt.work or 5) }
+	if t.opt.keyed then
+		table.insert(args, "-k")
+	end
+	t.pid = spawn(path(t.id .. ".log"), BUILD .. "/standin/server",
+	    table.unpack(args))
+	await(t.id, 3000, function()
+		return http("GET", "http://" .. t.at .. "/_fault") == 200
+	end)
+end
+
 function Site:add_server(service, dc, opt)
 	opt = opt or {}
 	local n = #self.sorder + 1
@@ -68,37 +81,45 @@
 	end
 	self.servers[t.id] = t
 	table.insert(self.sorder, t.id)
-	local args = { "-l", t.at, "-n", t.id, "-j", path(t.id .. ".journal"),
-	    "-s", tostring(opt.slots or 4), "-w", tostring(opt.work or 5) }
-	if opt.keyed then
-		table.insert(args, "-k")
-	end
-	t.pid = spawn(path(t.id .. ".log"), BUILD .. "/standin/server",
-	    table.unpack(args))
-	await(t.id, 3000, function()
-		return http("GET", "http://" .. t.at .. "/_fault") == 200
-	end)
+	t.born = opt.born
+	self:start_server(t)
 	self:register(t.id)
 	return t
 end
 
--- Writes a target's entry, as the target itself would.
+-- A target's entry, as the target itself would write it.
+local function entry(t, state, seq)
+	return string.format('{"metadata":{"name":"%s"},"spec":{"address":"%s",' ..
+	    '%s"info":{"service":"%s","version":"v1","zone":"%s","slots":%d}},' ..
+	    '"status":{"state":"%s","sequence":%d,"cold_left":"0ms"}}', t.id,
+	    t.addr, t.born and '"born":' .. t.born .. "," or "", t.service, t.dc,
+	    t.opt.slots or 4, state, seq)
+end
+
 function Site:register(id)
-	local t = self.servers[id]
 	http("POST", "http://" .. self.store .. "/objects/servers",
-	    string.format('{"metadata":{"name":"%s"},"spec":{"address":"%s",' ..
-	    '"info":{"service":"%s","version":"v1","zone":"%s","slots":%d}},' ..
-	    '"status":{"state":"ready","sequence":1,"cold_left":"0ms"}}', id,
-	    t.addr, t.service, t.dc, t.opt.slots or 4))
+	    entry(self.servers[id], "ready", 1))
+end
+
+function Site:write_entry(id, state, seq)
+	http("PUT", "http://" .. self.store .. "/objects/servers/" .. id,
+	    entry(self.servers[id], state, seq))
 end
 
 function Site:drain(id)
+	self:write_entry(id, "draining", 2)
+end
+
+-- A target ends and starts again under its id, at its address or another.
+function Site:restart_server(id, addr)
 	local t = self.servers[id]
-	http("PUT", "http://" .. self.store .. "/objects/servers/" .. id,
-	    string.format('{"metadata":{"name":"%s"},"spec":{"address":"%s",' ..
-	    '"info":{"service":"%s","version":"v1","zone":"%s","slots":%d}},' ..
-	    '"status":{"state":"draining","sequence":2,"cold_left":"0ms"}}',
-	    id, t.addr, t.service, t.dc, t.opt.slots or 4))
+	kill(t.pid, 9)
+	wait(t.pid)
+	t.addr = addr or t.addr
+	t.at = t.addr
+	t.born = (t.born or 1796262953676) + 1000
+	self:start_server(t)
+	self:write_entry(id, "ready", 1)
 end
 
 function Site:unregister(id)
