One lock for the door's lists; standbys looked at rarely; digests always told

- slow.c and callers.c each made a pool and a mutex for the same door.
- The standbys were picked anew each 25 ms from copies of all hosts; each 100 ms now, and not at all for a controller that bears its fleet.
- The digest of the targets was told with signs of life only once the list had stood still for 300 ms.
While targets are replaced one after the other it never does, and a host that missed a change could not find out.
Changes go before the sign of life on the same connection, so it can always be told.

--- a/decide/known.c
+++ b/decide/known.c
@@ -141,18 +141,26 @@
 	mark_gone(k, e, now);
 }
 
-/* The entry of a target, by its own id, was removed. */
-void
-known_gone(struct known *k, const char *target, usec now)
+/* Does something to each life of a target. */
+static void
+each_life(struct known *k, const char *target, usec now,
+    void (*fn)(struct known *, struct known_target *, usec))
 {
 	int i;
 
 	for (i = 0; i < k->n; i++) {
 		if (incarnation_is_of(k->list[i].t.id, target))
-			lost(k, &k->list[i], now);
+			fn(k, &k->list[i], now);
 	}
 }
 
+/* The entry of a target, by its own id, was removed. */
+void
+known_gone(struct known *k, const char *target, usec now)
+{
+	each_life(k, target, now, lost);
+}
+
 /*
  * The entry of a target can no longer be read, or makes no sense: another has
  * written it.  It names nobody to send work to, whatever the store went
@@ -162,12 +170,7 @@
 void
 known_unusable(struct known *k, const char *target, usec now)
 {
-	int i;
-
-	for (i = 0; i < k->n; i++) {
-		if (incarnation_is_of(k->list[i].t.id, target))
-			mark_gone(k, &k->list[i], now);
-	}
+	each_life(k, target, now, mark_gone);
 }
 
 /*
--- a/gspard/callers.c
+++ b/gspard/callers.c
@@ -6,8 +6,6 @@
 #include <stdlib.h>
 #include <sys/socket.h>
 
-#include <apr_thread_mutex.h>
-
 #include "callers.h"
 
 struct caller {
@@ -18,33 +16,26 @@
 };
 
 struct callers {
-	apr_pool_t *pool;
 	apr_thread_mutex_t *lock;
 	struct caller *first;
 };
 
-/* The list, empty; NULL without memory. */
+/* The list, empty, under the lock of its door; NULL without memory. */
 struct callers *
-callers_new(void)
+callers_new(apr_thread_mutex_t *lock)
 {
 	struct callers *l;
 
 	l = calloc(1, sizeof(*l));
-	if (l == NULL)
-		return (NULL);
-	if (apr_pool_create(&l->pool, NULL) == APR_SUCCESS &&
-	    apr_thread_mutex_create(
-		&l->lock, APR_THREAD_MUTEX_DEFAULT, l->pool) == APR_SUCCESS)
-		return (l);
-	free(l);
-	return (NULL);
+	if (l != NULL)
+		l->lock = lock;
+	return (l);
 }
 
 /* Frees the list, once the library has closed all connections. */
 void
 callers_free(struct callers *l)
 {
-	apr_pool_destroy(l->pool);
 	free(l);
 }
 
--- a/gspard/callers.h
+++ b/gspard/callers.h
@@ -2,11 +2,12 @@
 #ifndef CALLERS_H
 #define CALLERS_H
 
+#include <apr_thread_mutex.h>
 #include <microhttpd.h>
 
 struct callers;
 
-struct callers *callers_new(void);
+struct callers *callers_new(apr_thread_mutex_t *);
 void callers_free(struct callers *);
 void callers_changed(void *, struct MHD_Connection *, void **,
     enum MHD_ConnectionNotificationCode);
--- a/gspard/door.c
+++ b/gspard/door.c
@@ -509,8 +509,8 @@
 	if (apr_pool_create(&d->pool, NULL) == APR_SUCCESS &&
 	    apr_thread_mutex_create(
 		&d->lock, APR_THREAD_MUTEX_DEFAULT, d->pool) == APR_SUCCESS &&
-	    (d->slow = slow_new()) != NULL &&
-	    (d->callers = callers_new()) != NULL)
+	    (d->slow = slow_new(d->lock)) != NULL &&
+	    (d->callers = callers_new(d->lock)) != NULL)
 		return (0);
 	close(d->sock);
 	free(d);
--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -326,7 +326,6 @@
 	if (was != NULL)
 		lately_changed(&k->fleet_was, was->digest, now);
 	msg_keep(m, &k->fleet);
-	k->fleet_since = now;
 	for (i = 0; i < k->nkeys; i++)
 		keys_fleet(k->keys[i], k->fleet->p, now);
 }
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -75,6 +75,7 @@
 	usec heard;   /* the controller, last */
 	int strained; /* the controller says that it bears fewer hosts */
 	usec next_witness;
+	usec next_standbys;
 	usec store_seen; /* the store answered about the control record */
 
 	struct keeper_host hosts[KEEPER_HOSTS];
@@ -85,7 +86,6 @@
 	int acting;
 	struct shared *site;
 	struct shared *fleet;
-	usec fleet_since;
 	struct lately fleet_was; /* digests of earlier lists */
 	uint64_t told_fleet;	 /* digest of the controller's; 0 is not told */
 	usec differs_since;
--- a/gspard/keeper_spread.c
+++ b/gspard/keeper_spread.c
@@ -9,9 +9,6 @@
 #define ALIVE_EVERY MS(300)
 /* A host that did not say it has a change is told again after this. */
 #define TELL_AGAIN MS(600)
-/* The digest of the targets is told once they have stood still: changes reach
- * the others in frames of their own, a little later. */
-#define FLEET_STILL MS(300)
 
 /* The number of what is published: rises also when control changes hands. */
 uint64_t
@@ -248,7 +245,13 @@
 	w.follows = fleet != NULL && k->fresh && !late;
 	w.late = late;
 	w.strained = strained(keeper_bears(k), k->nhosts);
-	if (w.follows && now - k->fleet_since >= FLEET_STILL)
+	/*
+	 * Also while targets come and go: changes are told before the sign of
+	 * life that has their digest, on the same connection, so whoever goes
+	 * on knowing others has missed one.  Told only once the list stood
+	 * still, it was never told while targets were replaced one by one.
+	 */
+	if (w.follows)
 		w.fleet = fleet->digest;
 	f.body_case = GSPAR__FRAME__BODY_OWNERS;
 	f.owners = &w;
--- a/gspard/keeper_term.c
+++ b/gspard/keeper_term.c
@@ -28,6 +28,8 @@
 #define YIELD_FOR MS(4000)
 /* How long moves of keys may take to end before control is given back. */
 #define QUIET_WITHIN MS(900)
+/* Between looks who should stand by: hosts report each 200 ms. */
+#define STANDBYS_EVERY MS(100)
 /* Between looks of a standby whether the store answers it. */
 #define WITNESS_EVERY MS(1000)
 
@@ -162,8 +164,12 @@
 {
 	struct candidate c[KEEPER_HOSTS];
 	struct member want[STANDBYS];
-	int n = candidates(k, c, now);
+	int n;
 
+	if (now < k->next_standbys)
+		return;
+	k->next_standbys = now + STANDBYS_EVERY;
+	n = candidates(k, c, now);
 	n = standbys_pick(c, n, kernel_conf(k->s->kernel)->dc, want);
 	term_standbys(&k->term, want, n);
 }
@@ -298,7 +304,8 @@
 		k->eligible_at = now + YIELD_FOR;
 		return;
 	}
-	if (!k->acting || k->yielded || now - k->acting_since < DEAF_AFTER)
+	if (!k->acting || k->yielded || now - k->acting_since < DEAF_AFTER ||
+	    !strained(keeper_bears(k), k->nhosts))
 		return;
 	n = candidates(k, c, now);
 	if (!larger_stands_by(c, n, keeper_bears(k), k->nhosts))
--- a/gspard/slow.c
+++ b/gspard/slow.c
@@ -9,8 +9,6 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#include <apr_thread_mutex.h>
-
 #include "slow.h"
 
 #define READ_MAX MS(6000)
@@ -19,33 +17,26 @@
 enum { READING, CLAIMED, TOLD };
 
 struct slow {
-	apr_pool_t *pool;
 	apr_thread_mutex_t *lock;
 	struct call *first;
 };
 
-/* The list, empty; NULL without memory. */
+/* The list, empty, under the lock of its door; NULL without memory. */
 struct slow *
-slow_new(void)
+slow_new(apr_thread_mutex_t *lock)
 {
 	struct slow *l;
 
 	l = calloc(1, sizeof(*l));
-	if (l == NULL)
-		return (NULL);
-	if (apr_pool_create(&l->pool, NULL) == APR_SUCCESS &&
-	    apr_thread_mutex_create(
-		&l->lock, APR_THREAD_MUTEX_DEFAULT, l->pool) == APR_SUCCESS)
-		return (l);
-	free(l);
-	return (NULL);
+	if (l != NULL)
+		l->lock = lock;
+	return (l);
 }
 
 /* Frees the list; the calls are the library's. */
 void
 slow_free(struct slow *l)
 {
-	apr_pool_destroy(l->pool);
 	free(l);
 }
 
--- a/gspard/slow.h
+++ b/gspard/slow.h
@@ -2,11 +2,13 @@
 #ifndef SLOW_H
 #define SLOW_H
 
+#include <apr_thread_mutex.h>
+
 #include "call.h"
 
 struct slow;
 
-struct slow *slow_new(void);
+struct slow *slow_new(apr_thread_mutex_t *);
 void slow_free(struct slow *);
 void slow_add(struct slow *, struct call *, usec now);
 void slow_remove(struct slow *, struct call *);
--- a/regress/unit/t_keys.c
+++ b/regress/unit/t_keys.c
@@ -549,6 +549,18 @@
 	return (n);
 }
 
+/* All keys are held, and nothing was broken on the way. */
+static void
+all_held(void)
+{
+	longest_unheld = 0;
+	memset(unheld_since, 0, sizeof(unheld_since));
+	run(MS(1000));
+	CU_ASSERT_EQUAL(longest_unheld, 0);
+	CU_ASSERT_EQUAL(double_held, 0);
+	CU_ASSERT_EQUAL(fence_fell, 0);
+}
+
 static void
 first_shares(void)
 {
@@ -928,12 +940,7 @@
 		run(MS(4000));
 		lose = 0;
 		run(MS(14000));
-		longest_unheld = 0;
-		memset(unheld_since, 0, sizeof(unheld_since));
-		run(MS(1000));
-		CU_ASSERT_EQUAL(longest_unheld, 0);
-		CU_ASSERT_EQUAL(double_held, 0);
-		CU_ASSERT_EQUAL(fence_fell, 0);
+		all_held();
 	}
 }
 
@@ -994,12 +1001,7 @@
 		run(MS(800));
 		control(1);
 		run(MS(9000));
-		longest_unheld = 0;
-		memset(unheld_since, 0, sizeof(unheld_since));
-		run(MS(1000));
-		CU_ASSERT_EQUAL(longest_unheld, 0);
-		CU_ASSERT_EQUAL(double_held, 0);
-		CU_ASSERT_EQUAL(fence_fell, 0);
+		all_held();
 	}
 }
 
