--- a/regress/unit/t_standby.c
+++ b/regress/unit/t_standby.c
@@ -53,6 +53,30 @@
 	CU_ASSERT_STRING_EQUAL(m[1].host, "d");
 }
 
+/*
+ * A small host controls 81, for the large ones were cut off from the store.  It
+ * gives control to a standby that bears them once the store answers that one;
+ * to any other, control would come back to a small one, over and over.
+ */
+static void
+larger_takes_over(void)
+{
+	struct candidate c[] = {host("s1", "north", 55, 0),
+	    host("b1", "north", 312, 1), host("b2", "east", 312, 0)};
+
+	CU_ASSERT(!larger_stands_by(c, 3, 55, 81));
+	c[2].store = 1; /* no standby: it would not be first to take control */
+	CU_ASSERT(!larger_stands_by(c, 3, 55, 81));
+	c[1].store = 1;
+	CU_ASSERT(larger_stands_by(c, 3, 55, 81));
+	/* One that bears its fleet, or has no size, keeps control. */
+	CU_ASSERT(!larger_stands_by(c, 3, 55, 40));
+	CU_ASSERT(!larger_stands_by(c, 3, 0, 81));
+	/* A little larger is not worth it. */
+	c[1].bears = 70;
+	CU_ASSERT(!larger_stands_by(c, 3, 55, 81));
+}
+
 /* Among equals those that stand by stay: each change is a write, and promises
  * of both lists are needed while it is open. */
 static void
@@ -90,6 +114,7 @@
 }
 
 static const struct unit_test tests[] = {
+    {"larger takes over", larger_takes_over},
     {"large ones first", large_first},
     {"data centres apart", data_centres_apart},
     {"stays", stays},
