--- a/decide/incarnation.c
+++ b/decide/incarnation.c
@@ -9,12 +9,14 @@
 #define BORN_AFTER '#'
 
 /* Names a life of a target; born is 0 where it tells none.  0, or -1 where the
- * name is too long. */
+ * name is too long, or the id could be taken for that of a life. */
 int
 incarnation_name(char *name, size_t size, const char *target, uint64_t born)
 {
 	int n;
 
+	if (strchr(target, BORN_AFTER) != NULL)
+		return (-1);
 	if (born == 0)
 		n = snprintf(name, size, "%s", target);
 	else
@@ -27,7 +29,7 @@
 size_t
 incarnation_target(const char *name)
 {
-	const char *at = strrchr(name, BORN_AFTER);
+	const char *at = strchr(name, BORN_AFTER);
 
 	return (at == NULL ? strlen(name) : (size_t)(at - name));
 }
@@ -36,7 +38,7 @@
 static uint64_t
 born(const char *name)
 {
-	const char *at = strrchr(name, BORN_AFTER);
+	const char *at = strchr(name, BORN_AFTER);
 
 	return (at == NULL ? 0 : strtoull(at + 1, NULL, 10));
 }
@@ -50,13 +52,23 @@
 	return (strlen(target) == n && memcmp(name, target, n) == 0);
 }
 
-/* True where both name lives of one target, the same life included. */
+/* True at the end of the target's id in a life's name. */
+static int
+id_ends(char c)
+{
+	return (c == '\0' || c == BORN_AFTER);
+}
+
+/* True where both name lives of one target, the same life included.  Asked of
+ * each target for each other while a list is read, so it ends early. */
 int
 incarnation_same_target(const char *a, const char *b)
 {
-	size_t n = incarnation_target(a);
-
-	return (incarnation_target(b) == n && memcmp(a, b, n) == 0);
+	while (*a == *b && !id_ends(*a)) {
+		a++;
+		b++;
+	}
+	return (id_ends(*a) && id_ends(*b));
 }
 
 /* True where one life of a target came after another: that one has ended. */
--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -19,6 +19,8 @@
 #define HEAT_EVERY MS(200)
 /* An answer given by the host itself leaves so long before the deadline. */
 #define LAST_MS 4
+/* A caller that another host serves comes back after this long. */
+#define ELSEWHERE_MS 40
 /* Connections kept to all targets; by itself the HTTP client keeps about four
  * for each request under way, and more than half of all requests opened one. */
 #define CONNS_KEPT 400
@@ -45,11 +47,13 @@
 		d->last = p;
 }
 
-/* Refuses a call that did not become a request. */
+/* Refuses a call that did not become a request, and says when to come back; 0
+ * is not known. */
 static void
-refuse_call(struct call *c, int code)
+refuse_call(struct call *c, int code, uint32_t retry_ms)
 {
 	c->answer.code = code;
+	c->answer.retry_ms = retry_ms;
 	c->answer.outcome = (int)result_outcome(code);
 	call_end(c);
 }
@@ -65,7 +69,7 @@
 	p = calloc(1, sizeof(*p));
 	if (p == NULL || t == NULL) {
 		free(p);
-		refuse_call(c, p == NULL ? GS_NOMEM : GS_NO_CATALOGUE);
+		refuse_call(c, p == NULL ? GS_NOMEM : GS_NO_CATALOGUE, 0);
 		return;
 	}
 	p->call = c;
@@ -74,7 +78,7 @@
 	n = rule_part(p->rule, p->learnt->count++);
 	if (n < 0 || (p->svc = svc_of(d, t->services[n].name)) == NULL) {
 		free(p);
-		refuse_call(c, GS_NO_SERVICE);
+		refuse_call(c, GS_NO_SERVICE, 0);
 		return;
 	}
 	p->svc->keyed = t->services[n].keyed;
@@ -84,7 +88,7 @@
 		p->deadline = now + p->rule->timeout;
 	if (d->leave != NULL && !leave_takes(d->leave, now, p->deadline)) {
 		free(p);
-		refuse_call(c, GS_STOPPING);
+		refuse_call(c, GS_STOPPING, ELSEWHERE_MS);
 		return;
 	}
 	if (d->leave != NULL)
--- a/regress/unit/t_incarnation.c
+++ b/regress/unit/t_incarnation.c
@@ -31,6 +31,8 @@
 
 	CU_ASSERT_EQUAL(incarnation_name(small, 8, "i-7", 999), 0);
 	CU_ASSERT_EQUAL(incarnation_name(small, 8, "i-7", 10000), -1);
+	/* Nor is an id that looks like a life's name. */
+	CU_ASSERT_EQUAL(incarnation_name(small, 8, "i#7", 0), -1);
 }
 
 static const struct unit_test tests[] = {
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -317,6 +317,12 @@
 	CU_ASSERT(!st->found[0].deleted && st->found[1].deleted);
 	CU_ASSERT_EQUAL(st->version, 51);
 	drop(st);
+	/* A name with a zero byte in it is not that of what comes before. */
+	st = answered(STORE_LIST, 200,
+	    "{\"items\":[{\"metadata\":{\"name\":\"a\\u0000b\"}}],"
+	    "\"has_more\":false,\"current_rev\":44}");
+	CU_ASSERT_EQUAL(st->nfound, 0);
+	drop(st);
 	/* Cut short, it is no list: what it lacks is not gone. */
 	st = answered(STORE_LIST, 200,
 	    "{\"items\":[{\"metadata\":{\"name\":\"a\"}},{\"metad");
