--- a/bench/account.sh
+++ b/bench/account.sh
@@ -24,8 +24,9 @@
 	text = substr($0, RSTART)
 	at = $1 + 0
 	if ($1 !~ /^-?[0-9.]+$/) {
-		at = $0
-		sub(/.*t=/, "", at)
+		match($0, /(^| )t=[0-9.]+/)
+		at = substr($0, RSTART, RLENGTH)
+		sub(/.*=/, "", at)
 		at += 0
 		if (first == "")
 			first = at
--- a/regress/run.sh
+++ b/regress/run.sh
@@ -86,6 +86,7 @@
 run docs-errors sh regress/errors.sh
 run words sh regress/words.sh
 run examples sh regress/examples.sh
+run account sh regress/account.sh
 for t in build/asan/unit/t_*; do
 	case $t in *.o | *.d) continue ;; esac
 	run "unit-${t##*/t_}" "$t"
