Readers of bytes from outside under a coverage-guided fuzzer too; heads of requests

The readers that unit fuzz mutates stand in a file of their own and serve both; inputs that are kept are run in every check.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # make          build everything
 # make check    set up, build, lint and run every test
 # make soak     play a seed of the fault soak: SEED, SECS, HOSTS
+# make fuzz     fuzz the readers of bytes from outside: SECS a reader
 # make demo     start a small fleet, serve requests through it, stop it
 # make bench    run the measurements that docs/CAPACITY.md cites
 SHELL =		/bin/bash
@@ -39,6 +40,10 @@
 soak: all
 	@bash regress/soak/run.sh $(SEED) $(SEED) $(SECS) hosts=$(HOSTS)
 
+# The readers of bytes from outside, guided by coverage: make fuzz SECS=60
+fuzz: deps
+	@sh regress/fuzz.sh $(SECS)
+
 demo: all
 	@bash regress/demo.sh
 
@@ -51,4 +56,4 @@
 clean:
 	rm -rf build target
 
-.PHONY: fleet soak $(PROGS) $(TESTS) all progs deps check demo bench format clean
+.PHONY: fleet soak $(PROGS) $(TESTS) all progs deps check demo bench fuzz format clean
--- /dev/null
+++ b/bench/pair.sh
@@ -0,0 +1,80 @@
+#!/bin/sh
+# Plays the same days and seeds with several trees and compares them in pairs.
+#
+# pair.sh TOOL SITE OUT "DAYS" "SEEDS" NAME=TREE NAME=TREE ...
+#
+# TOOL is the users' bench, SITE a site file, OUT a folder that keeps what each
+# play printed: what is there already is not played again, so a run that was
+# stopped goes on.  The first tree is what the others are compared with.  JOBS
+# plays at once (4), WHY goes into each journal entry.  The table gives for each
+# tree the days in both, the mean worth of the first and of it, the mean of the
+# differences with its standard error, and shares served, refused and failed; a
+# line more for each play with a rule broken.
+[ $# -ge 6 ] || {
+	echo "usage: pair.sh TOOL SITE OUT \"DAYS\" \"SEEDS\" NAME=TREE ..." >&2
+	exit 2
+}
+tool=$1 site=$2 out=$3 days=$4 seeds=$5
+shift 5
+mkdir -p "$out" || exit 1
+out=$(cd "$out" && pwd)
+for t in "$@"; do
+	name=${t%%=*} tree=${t#*=}
+	mkdir -p "$out/$name"
+	(cd "$tree" && "$tool" build >/dev/null 2>&1) || {
+		echo "$tree does not build" >&2
+		exit 1
+	}
+	for d in $days; do
+		for s in $seeds; do
+			[ -s "$out/$name/$d-$s" ] || echo "$d $s"
+		done
+	done | xargs -P "${JOBS:-4}" -L1 sh -c '
+		cd "$3" && "$1" run "$2" "$6" --seed "$7" --jobs 1 \
+		    --why "$5" >"$4/.$6-$7" 2>&1
+		mv "$4/.$6-$7" "$4/$6-$7"' \
+	    sh "$tool" "$site" "$tree" "$out/$name" \
+	    "${WHY:-paired: $name}"
+done
+for t in "$@"; do
+	name=${t%%=*}
+	for f in "$out/$name"/*; do
+		awk -v name="$name" -v play="${f##*/}" '
+		$2 ~ /^[0-9]+\/[0-9]+$/ && $4 ~ /^-?[0-9.]+$/ {
+			print name, play, $4, $5, $6, $7, \
+			    ($0 ~ /BROKEN/ ? "broken" : "-")
+			exit
+		}' "$f"
+	done
+done | awk '
+NR == 1 { base = $1 }
+$1 == base { w[$2] = $3; sv[$2] = $4; rf[$2] = $5; fl[$2] = $6 }
+$7 == "broken" { bad[++nbad] = $1 " " $2 }
+$1 != base && ($2 in w) {
+	if (!($1 in n))
+		order[++trees] = $1
+	n[$1]++
+	d = $3 - w[$2]
+	sum[$1] += d
+	sq[$1] += d * d
+	a[$1] += w[$2]
+	b[$1] += $3
+	s0[$1] += sv[$2]; s1[$1] += $4
+	r0[$1] += rf[$2]; r1[$1] += $5
+	f0[$1] += fl[$2]; f1[$1] += $6
+}
+END {
+	for (i = 1; i <= trees; i++) {
+		t = order[i]
+		k = n[t]
+		m = sum[t] / k
+		var = k > 1 ? (sq[t] - k * m * m) / (k - 1) : 0
+		printf "%s to %s: %d days, worth %.4f to %.4f, %+.4f (%.4f), " \
+		    "served %.4f to %.4f, refused %.4f to %.4f, " \
+		    "failed %.4f to %.4f\n", base, t, k, a[t] / k, b[t] / k, m,
+		    sqrt((var > 0 ? var : 0) / k), s0[t] / k, s1[t] / k,
+		    r0[t] / k, r1[t] / k, f0[t] / k, f1[t] / k
+	}
+	for (i = 1; i <= nbad; i++)
+		print "rule broken: " bad[i]
+}'
--- /dev/null
+++ b/regress/fuzz.sh
@@ -0,0 +1,23 @@
+#!/bin/sh
+# Fuzzes each reader for some seconds, guided by coverage: fuzz.sh [SECS [READER]].
+# What fails is left in build/fuzz; keep it in regress/unit/corpus, its name
+# beginning with the reader's.
+cd "$(dirname "$0")/.." || exit 1
+secs=${1:-60}
+mkdir -p build/fuzz
+pkgs="apr-1 apr-util-1 libprotobuf-c libmicrohttpd libcurl jansson libxxhash"
+clang -std=gnu11 -D_GNU_SOURCE -g -O1 -w -fsanitize=fuzzer,address,undefined \
+    -Ilib -Idecide -Iproto -Iplatform -Igspard -Iregress/unit \
+    $(pkg-config --cflags $pkgs) -o build/fuzz/fuzz regress/fuzz.c \
+    regress/unit/readers.c platform/*.c decide/*.c lib/*.c proto/*.c \
+    $(pkg-config --libs $pkgs) -linih -lpthread -lm || exit 1
+res=0
+for r in ${2:-page events object config owners settings heads told report}; do
+	mkdir -p "build/fuzz/$r"
+	cp regress/unit/corpus/"$r"-* "build/fuzz/$r/" 2>/dev/null
+	FUZZ_READER=$r build/fuzz/fuzz -max_total_time="$secs" -max_len=4096 \
+	    -timeout=5 -rss_limit_mb=1024 -artifact_prefix="build/fuzz/$r-" \
+	    "build/fuzz/$r" >"build/fuzz/$r.log" 2>&1 || res=1
+	echo "$r: $(grep -E 'DONE|ERROR|SUMMARY' "build/fuzz/$r.log" | tail -1)"
+done
+exit $res
--- /dev/null
+++ b/regress/unit/readers.c
@@ -0,0 +1,354 @@
+/*
+ * Readers of bytes from outside: the store's answers and what is in them,
+ * settings, frames of peers, heads of callers' requests.  Each ends the program
+ * where what it read breaks what its users rely on.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "caller.h"
+#include "conf.h"
+#include "decode.h"
+#include "frame.h"
+#include "keys.h"
+#include "objects.h"
+#include "readers.h"
+#include "target.h"
+
+#define ENTRY                                                                  \
+	"{\"metadata\":{\"name\":\"i-1\",\"revision\":7},\"spec\":{"           \
+	"\"address\":\"10.1.2.3:80\",\"born\":1796262953676,\"info\":{"        \
+	"\"service\":\"s\",\"zone\":\"z\",\"slots\":4},\"status\":{"           \
+	"\"state\":\"ready\",\"sequence\":3,\"cold_left\":\"10ms\"}}}"
+#define CONFIG                                                                  \
+	"{\"metadata\":{\"name\":\"main\"},\"spec\":{\"version\":\"0000001f\"," \
+	"\"routes\":{\"r1\":{\"host\":\"a.example\",\"path_prefix\":\"/x/\","   \
+	"\"kind\":\"safe\",\"timeout\":\"1200ms\",\"target_latency\":\"0.3s\"," \
+	"\"priority\":2,\"traffic_split\":[{\"service\":\"s1\",\"weight\":90}," \
+	"{\"service\":\"s2\",\"weight\":10}],\"max_attempts\":2}},"             \
+	"\"services\":{\"s1\":{\"max_conns\":130,\"sharded\":true,"             \
+	"\"warmup\":\"3s\"},\"s2\":{}},\"limits\":{\"max_header_bytes\":100}}}"
+#define PAGE                                                                   \
+	"{\"items\":[" ENTRY "," ENTRY "],\"has_more\":true,\"current_rev\":9}"
+#define EVENTS                                                                 \
+	"{\"events\":[{\"object\":" ENTRY                                      \
+	",\"deleted\":false},{\"object\":" ENTRY                               \
+	",\"deleted\":true}],\"current_rev\":9}"
+#define OWNERS                                                                 \
+	"{\"term\":3,\"write\":4,\"fence\":9,\"hold_ms\":3000,\"ranges\":["    \
+	"[0,\"i-1#17\",3,\"\",0],[300,\"i-2\",4,\"i-1#17\",8],"                \
+	"[65000,\"\",0,\"i-2\",9]]}"
+
+#define SETTINGS                                                               \
+	"[host]\nname = a\ndc = b\ncores = 0.5\n[listen]\ncallers = "          \
+	"127.0.0.1:1\nready = 127.0.0.1:2\npeers = 127.0.0.1:3\nadmin = "      \
+	"127.0.0.1:4\n[platform]\nform = objects\naddress = "                  \
+	"127.0.0.1:5\n[bounds]\nheartbeat = 900ms\nmax_hold = 10s\n"
+#define HEADS                                                                  \
+	"/x/1?q=2\nHost: a.example:80\nX-Request-Id: 9c41d07b\n"               \
+	"X-Deadline-Ms: 800\nX-Shard-Key: 4711\nContent-Length: 5\n"           \
+	"Accept: \nX-Other: value\n"
+
+/* Ends the program where something does not hold. */
+static void
+require(int holds)
+{
+	if (!holds)
+		abort();
+}
+
+/* Reads what a call to the store answered, and each object in it. */
+static void
+read_answer(enum store_op op, const char *p, size_t n)
+{
+	struct store *st = calloc(1, sizeof(*st));
+	struct fleet_target t;
+	const char *why;
+	int i;
+
+	st->op = op;
+	st->status = 200;
+	str_set(&st->body, p, n);
+	objects_form.answer(st);
+	for (i = 0; i < st->nfound; i++) {
+		if (decode_target(st->found[i].raw, st->found[i].name, &t) == 0)
+			require(t.slots >= 1 && t.service[0] != '\0');
+		site_free(decode_site_object(st->found[i].raw, &why));
+	}
+	json_decref(st->parsed);
+	free(st->found);
+	str_free(&st->body);
+	free(st);
+}
+
+static void
+read_page(const char *p, size_t n)
+{
+	read_answer(STORE_LIST, p, n);
+}
+
+static void
+read_events(const char *p, size_t n)
+{
+	read_answer(STORE_WATCH, p, n);
+}
+
+static void
+read_object(const char *p, size_t n)
+{
+	read_answer(STORE_GET, p, n);
+}
+
+static void
+read_config(const char *p, size_t n)
+{
+	json_t *o = json_loadb(p, n, JSON_ALLOW_NUL, NULL);
+	const char *why;
+
+	site_free(decode_site_object(o, &why));
+	json_decref(o);
+}
+
+static void
+no_get(void *arg, const char *service)
+{
+}
+
+static void
+no_put(void *arg, const char *service, uint64_t base, const char *json)
+{
+}
+
+static void
+no_order(void *arg, const char *service, const struct key_order *o)
+{
+}
+
+static void
+no_event(void *arg, const char *service, const char *what)
+{
+}
+
+static const struct keys_out nothing = {no_get, no_put, no_order, no_event};
+static struct keys keys;
+
+/* A controller takes over with what the store holds: whatever that is, its
+ * ranges cover all keys in order. */
+static void
+read_owners(const char *p, size_t n)
+{
+	static const struct keys_conf conf = {
+	    MS(3000), MS(1000), MS(1500), MS(500)};
+	uint32_t at = 0;
+	int i;
+
+	keys_free(&keys);
+	keys_init(&keys, "s", &conf, &nothing, NULL);
+	keys_begin(&keys, 2, MS(1));
+	keys_tick(&keys, MS(2));
+	keys_got(&keys, MS(3), 1, 5, p, n);
+	require(keys.nranges > 0);
+	for (i = 0; i < keys.nranges; i++) {
+		require(keys.ranges[i].from == at && keys.ranges[i].to >= at);
+		at = keys.ranges[i].to + 1;
+	}
+	require(at == KEYS);
+}
+
+static void
+read_frame(const char *p, size_t n)
+{
+	size_t size;
+
+	if (n >= FRAME_HEAD && frame_size((const uint8_t *)p, &size) == 0 &&
+	    size <= n - FRAME_HEAD)
+		frame_free(frame_unpack((const uint8_t *)p + FRAME_HEAD, size));
+}
+
+static void
+no_report(const char *file, int line, const char *what)
+{
+}
+
+/* Settings come from a file. */
+static void
+read_settings(const char *p, size_t n)
+{
+	char path[] = "/tmp/t_fuzz.XXXXXX";
+	static struct conf c;
+	int fd = mkstemp(path);
+	FILE *f = fd < 0 ? NULL : fdopen(fd, "w");
+
+	if (f == NULL)
+		return;
+	fwrite(p, 1, n, f);
+	fclose(f);
+	memset(&c, 0, sizeof(c));
+	conf_read(&c, path, no_report);
+	unlink(path);
+}
+
+/* The headers of the request that is read now. */
+#define HEADS_MOST 16
+static char *names[HEADS_MOST], *values[HEADS_MOST];
+static int nheads;
+
+/* In the place of the HTTP library's: a header by its name. */
+const char *
+MHD_lookup_connection_value(
+    struct MHD_Connection *conn, enum MHD_ValueKind kind, const char *name)
+{
+	int i;
+
+	for (i = 0; i < nheads; i++) {
+		if (strcasecmp(names[i], name) == 0)
+			return (values[i]);
+	}
+	return (NULL);
+}
+
+/* In the place of the HTTP library's: all headers. */
+int
+MHD_get_connection_values(struct MHD_Connection *conn, enum MHD_ValueKind kind,
+    MHD_KeyValueIterator fn, void *arg)
+{
+	int i;
+
+	for (i = 0; i < nheads; i++)
+		fn(arg, kind, names[i], values[i]);
+	return (nheads);
+}
+
+/* Splits a text into the request's path and its headers, as a library would
+ * that lets any bytes through but ends of lines. */
+static void
+split_heads(char *text)
+{
+	char *line, *rest, *colon;
+
+	nheads = 0;
+	strtok_r(text, "\r\n", &rest);
+	while ((line = strtok_r(NULL, "\r\n", &rest)) != NULL &&
+	    nheads < HEADS_MOST) {
+		colon = strchr(line, ':');
+		if (colon == NULL || colon == line)
+			continue;
+		*colon++ = '\0';
+		names[nheads] = line;
+		values[nheads++] = colon + strspn(colon, " ");
+	}
+}
+
+/* A caller's request is read, and sent on to a target. */
+static void
+read_heads(const char *p, size_t n)
+{
+	const char *why;
+	json_t *o = json_loads(CONFIG, 0, NULL);
+	struct site *t = decode_site_object(o, &why);
+	char *text = strndup(p, n);
+	struct call c;
+
+	memset(&c, 0, sizeof(c));
+	split_heads(text);
+	c.uri = text;
+	if (objects_door.parse(&c, t) == GS_OK) {
+		require(c.key_number >= -1 && c.key_number < KEYS);
+		require(c.left_ms >= 0 && c.rule != NULL);
+		curl_slist_free_all(objects_target.request(&c, "i-1#17", 100));
+	}
+	str_free(&c.heads);
+	free(text);
+	site_free(t);
+	json_decref(o);
+}
+
+/* Copies a sample that is text. */
+static size_t
+put(char *to, size_t room, const char *text)
+{
+	size_t n = strlen(text);
+
+	require(n <= room);
+	memcpy(to, text, n);
+	return (n);
+}
+
+#define TEXT_SAMPLE(fn, text)                                                  \
+	static size_t fn(char *to, size_t room)                                \
+	{                                                                      \
+		return (put(to, room, text));                                  \
+	}
+TEXT_SAMPLE(page_sample, PAGE)
+TEXT_SAMPLE(events_sample, EVENTS)
+TEXT_SAMPLE(object_sample, ENTRY)
+TEXT_SAMPLE(config_sample, CONFIG)
+TEXT_SAMPLE(owners_sample, OWNERS)
+TEXT_SAMPLE(settings_sample, SETTINGS)
+TEXT_SAMPLE(heads_sample, HEADS)
+
+/* Copies a frame. */
+static size_t
+put_frame(char *to, size_t room, const Gspar__Frame *f)
+{
+	struct bytes b;
+	size_t n;
+
+	require(frame_pack(&b, f) == 0 && b.n <= room);
+	memcpy(to, b.p, b.n);
+	n = b.n;
+	free(b.p);
+	return (n);
+}
+
+/* Who owns what, as the controller tells. */
+static size_t
+told_sample(char *to, size_t room)
+{
+	Gspar__Frame f = GSPAR__FRAME__INIT;
+	Gspar__Owners o = GSPAR__OWNERS__INIT;
+	Gspar__KeyOwners k = GSPAR__KEY_OWNERS__INIT, *list[] = {&k};
+	uint32_t nums[] = {0, 70000, 5};
+	char *ids[] = {(char *)"i-1#5", (char *)"i-2"};
+
+	k.service = (char *)"s";
+	k.from = k.to = k.owner = k.state = nums;
+	k.n_from = k.n_to = k.n_owner = k.n_state = 3;
+	o.controller = (char *)"h1";
+	o.targets = ids;
+	o.n_targets = 2;
+	o.services = list;
+	o.n_services = 1;
+	f.body_case = GSPAR__FRAME__BODY_OWNERS;
+	f.owners = &o;
+	return (put_frame(to, room, &f));
+}
+
+/* What a host reports. */
+static size_t
+report_sample(char *to, size_t room)
+{
+	Gspar__Frame f = GSPAR__FRAME__INIT;
+	Gspar__HostReport r = GSPAR__HOST_REPORT__INIT;
+
+	r.addr = (char *)"10.0.0.1:1";
+	r.dc = (char *)"z";
+	f.body_case = GSPAR__FRAME__BODY_HOST_REPORT;
+	f.host_report = &r;
+	return (put_frame(to, room, &f));
+}
+
+const struct reader readers[] = {
+    {"page", read_page, page_sample},
+    {"events", read_events, events_sample},
+    {"object", read_object, object_sample},
+    {"config", read_config, config_sample},
+    {"owners", read_owners, owners_sample},
+    {"settings", read_settings, settings_sample},
+    {"heads", read_heads, heads_sample},
+    {"told", read_frame, told_sample},
+    {"report", read_frame, report_sample},
+};
+const int nreaders = sizeof(readers) / sizeof(readers[0]);
