A connection that a stop ended says nothing of whether its caller has left

The library reads it whole, as it should; the router then looked whether the caller was still there, found the end that this host itself had made, cut the target at work and answered 499. Ruled out: the end of the stop (2.1 s later) and the deadline.

Connections that were ended so are known to be, under the lock that ends them, and calls on them are never taken for left.

--- a/gspard/call.h
+++ b/gspard/call.h
@@ -29,6 +29,7 @@
 	int say;
 	struct MHD_Connection *conn;
 	int fd;
+	int ended; /* the connection is closed for reading, by us */
 	char *uri;
 	int started;
 	int refused; /* a result code found before the body was read */
--- a/gspard/callers.c
+++ b/gspard/callers.c
@@ -12,7 +12,8 @@
 	struct caller *next;
 	struct caller **link;
 	int fd;
-	int busy; /* a request is being read or answered */
+	int busy;  /* a request is being read or answered */
+	int ended; /* closed for reading, as one that was idle */
 };
 
 struct callers {
@@ -91,21 +92,28 @@
 		drop(arg, state);
 }
 
-/* Notes that a request on a connection begins, or has had its answer. */
-void
+/*
+ * Notes that a request on a connection begins, or has had its answer.  True
+ * where the connection was ended just before the request came: its end then
+ * says nothing of whether its caller is still there.
+ */
+int
 callers_busy(struct callers *l, struct MHD_Connection *conn, int busy)
 {
 	const union MHD_ConnectionInfo *info;
 	struct caller *c;
+	int ended;
 
 	info =
 	    MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
 	c = info == NULL ? NULL : info->socket_context;
 	if (c == NULL)
-		return;
+		return (0);
 	apr_thread_mutex_lock(l->lock);
 	c->busy = busy;
+	ended = c->ended;
 	apr_thread_mutex_unlock(l->lock);
+	return (ended);
 }
 
 /* True where bytes of a request wait to be read. */
@@ -131,8 +139,10 @@
 
 	apr_thread_mutex_lock(l->lock);
 	for (c = l->first; c != NULL; c = c->next) {
-		if (!c->busy && !has_bytes(c))
-			shutdown(c->fd, SHUT_RD);
+		if (c->ended || c->busy || has_bytes(c))
+			continue;
+		c->ended = 1;
+		shutdown(c->fd, SHUT_RD);
 	}
 	apr_thread_mutex_unlock(l->lock);
 }
--- a/gspard/callers.h
+++ b/gspard/callers.h
@@ -11,7 +11,7 @@
 void callers_free(struct callers *);
 void callers_changed(void *, struct MHD_Connection *, void **,
     enum MHD_ConnectionNotificationCode);
-void callers_busy(struct callers *, struct MHD_Connection *, int busy);
+int callers_busy(struct callers *, struct MHD_Connection *, int busy);
 void callers_end_idle(struct callers *);
 
 #endif
--- a/gspard/door.c
+++ b/gspard/door.c
@@ -67,7 +67,7 @@
 	info = MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
 	c->fd = info == NULL ? -1 : info->connect_fd;
 	slow_add(d->slow, c, clock_mono());
-	callers_busy(d->callers, conn, 1);
+	c->ended = callers_busy(d->callers, conn, 1);
 	return (c);
 }
 
@@ -284,13 +284,18 @@
 	MHD_resume_connection(c->conn);
 }
 
-/* True where the caller has closed its connection. */
+/*
+ * True where the caller has closed its connection.  Not where a stop of this
+ * host closed it for reading, just before the request came: taken for gone, the
+ * caller would lose an answer that its target is at work on.
+ */
 int
 call_gone(const struct call *c)
 {
 	char b;
 
-	return (c->fd >= 0 && recv(c->fd, &b, 1, MSG_PEEK | MSG_DONTWAIT) == 0);
+	return (c->fd >= 0 && !c->ended &&
+	    recv(c->fd, &b, 1, MSG_PEEK | MSG_DONTWAIT) == 0);
 }
 
 /*
