--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -81,7 +81,6 @@
 	end
 	self.servers[t.id] = t
 	table.insert(self.sorder, t.id)
-	t.born = opt.born
 	self:start_server(t)
 	self:register(t.id)
 	return t
--- a/regress/unit/t_fuzz.c
+++ b/regress/unit/t_fuzz.c
@@ -85,7 +85,7 @@
 static void
 feed(const struct reader *r, const char *p, size_t n)
 {
-	char *exact = malloc(n + 1);
+	char *exact = malloc(n > 0 ? n : 1);
 
 	memcpy(exact, p, n);
 	r->read(exact, n);
