Sight: what is told of configurations, and what is lost with connections

Logs could not tell how often a host was told a configuration, nor that a connection was closed with a copy half sent, nor that a read of the store was given up while bytes came in. Now each copy told is a line and counts (gspar_site_told_total, gspar_site_told_bytes_total), a connection that is lost with over 16 KB unsent says so (gspar_peer_unsent_bytes_total), and a failed read of the store tells bytes and time. No decision changes.

--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -97,6 +97,7 @@
 	uint64_t gen; /* the sender's, to know stale outcomes by */
 	struct str body;
 	int status; /* HTTP status, or 0 where no answer came */
+	usec took;  /* from its sending to its end */
 	uint64_t version;
 	enum store_result result;
 	int wait_ms;		 /* of a watch */
--- a/gspard/keeper_spread.c
+++ b/gspard/keeper_spread.c
@@ -321,5 +321,10 @@
 	told.json.len = t->source.n;
 	f.body_case = GSPAR__FRAME__BODY_SITE_TOLD;
 	f.site_told = &told;
+	count_add(C_SITE_TOLD, 1);
+	count_add(C_SITE_TOLD_BYTES, t->source.n);
+	log_line(LOG_INFO, "control",
+	    "Host %s is told configuration %llu, %zu bytes.", host,
+	    (unsigned long long)t->version, t->source.n);
 	send_frame(k->s->kernel, host, 0, &f);
 }
--- a/gspard/peer.c
+++ b/gspard/peer.c
@@ -15,6 +15,9 @@
 #define CONNECT_WITHIN MS(700)
 /* Between tries to reach one host. */
 #define RETRY_AFTER MS(50)
+/* Signs of life and reports are a few hundred bytes: a connection that is lost
+ * with more than so much had something large on its way. */
+#define UNSENT_TOLD 16384
 
 struct tried {
 	char host[NAME_MAX_GS];
@@ -377,6 +380,18 @@
 		conn_write(c);
 }
 
+/* Says that a connection is lost, and with how much that was not sent. */
+static void
+note_lost(const struct conn *c)
+{
+	size_t unsent = c->out.n - c->out_at;
+
+	count_add(C_PEER_UNSENT, unsent);
+	log_line(unsent < UNSENT_TOLD ? LOG_DEBUG : LOG_NOTICE, "peer",
+	    "Connection with %s lost: %s, %zu bytes not sent.",
+	    c->host[0] != '\0' ? c->host : "?", c->why, unsent);
+}
+
 /* Closes what failed, and looks at the rest. */
 static void
 sweep(struct service *s, usec now)
@@ -398,8 +413,7 @@
 		if (c->hello)
 			event_add("peer", 0, "connection with %s lost: %s",
 			    c->host, c->why);
-		log_line(LOG_DEBUG, "peer", "Connection with %s lost: %s.",
-		    c->host[0] != '\0' ? c->host : "?", c->why);
+		note_lost(c);
 		*at = c->next;
 		if (c->pfd.reqevents != 0)
 			apr_pollset_remove(p->set, &c->pfd);
--- a/gspard/platform.c
+++ b/gspard/platform.c
@@ -166,9 +166,10 @@
 		count_add(C_STORE_FAIL, 1);
 		turn(s, c);
 	}
+	st->took = clock_mono() - c->sent;
 	/* A watch ends when its time is over, not when the store is done. */
 	if (st->wait_ms == 0)
-		hist_add(H_STORE, clock_mono() - c->sent);
+		hist_add(H_STORE, st->took);
 	st->status = (int)status;
 	str_free(&st->body);
 	st->body = c->body;
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -265,8 +265,10 @@
 
 	if (f->backoff == 0)
 		log_line(LOG_WARNING, "watch",
-		    "Store does not answer for %s: result %d, status %d.",
-		    f->kind, st->result, st->status);
+		    "Store does not answer for %s: result %d, status %d, "
+		    "%zu bytes in %lld ms.",
+		    f->kind, st->result, st->status, st->body.n,
+		    (long long)(st->took / 1000));
 	f->backoff = f->backoff == 0 ? RETRY_FIRST : f->backoff * 2;
 	if (f->backoff > RETRY_MOST)
 		f->backoff = RETRY_MOST;
--- a/lib/count.h
+++ b/lib/count.h
@@ -32,6 +32,9 @@
 	X(C_CONTROL_BYTES, "control_bytes", "Control payload, both ways")      \
 	X(C_PEER_BAD, "peer_bad_frames", "Frames that closed a connection")    \
 	X(C_PEER_SILENT, "peer_silent", "Connections found silent")            \
+	X(C_PEER_UNSENT, "peer_unsent_bytes", "Lost with their connections")   \
+	X(C_SITE_TOLD, "site_told", "Configurations told to other hosts")      \
+	X(C_SITE_TOLD_BYTES, "site_told_bytes", "Of them, in bytes")           \
 	X(C_STORE_GET, "store_gets", "Reads of the platform")                  \
 	X(C_STORE_PUT, "store_puts", "Writes of the platform")                 \
 	X(C_STORE_FAIL, "store_failures", "Platform calls that failed")        \
