--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -160,6 +160,14 @@
 		spawn(path(name .. ".peers.log"), BUILD .. "/standin/wire",
 		    "-l", h.reached, "-t", h.peers, "-c", h.peer_wire)
 	end
+	local link = self.opt.links and self.opt.links[name]
+	if link then
+		-- All that this host hears from hosts and the store shares it.
+		h.reached, h.store, h.link = self:port(), self:port(), self:port()
+		spawn(path(name .. ".link.log"), BUILD .. "/standin/wire",
+		    "-l", h.reached, "-t", h.peers, "-l", h.store, "-t",
+		    self.store, "-r", tostring(link), "-c", h.link)
+	end
 	self:write_settings(name)
 	return h
 end
--- /dev/null
+++ b/regress/scenario/site_large.lua
@@ -0,0 +1,69 @@
+-- A configuration grows by 4,300 routes, 750 KB, while small hosts have links
+-- of 10 Mbit/s, of which callers take a fifth.  Users saw new routes served by
+-- the old rules seconds after their bound: hosts were told the whole once more
+-- with each report, five times a second; the copies filled their links, signs
+-- of life waited behind them, connections were closed with a copy half sent,
+-- and reads of the store, too slow on full links, were given up and begun anew.
+-- Each host must have each version 2 s after the store took it, and nobody may
+-- lose sight of the controller meanwhile.
+dofile("regress/scenario/lib_site.lua")
+local LINK, BOUND, ROUTES = 1000000, 2000, 4300
+local s = standard_site { hosts = 5, links = { h2 = LINK, h3 = LINK,
+    h4 = LINK, h5 = LINK }, size = { h2 = "cores = 0.1\nlink_mbps = 10",
+    h3 = "cores = 0.1\nlink_mbps = 10", h4 = "cores = 0.1\nlink_mbps = 10",
+    h5 = "cores = 0.1\nlink_mbps = 10" } }
+await("control at the large host", 10000, function()
+	return s:controller() == "h1"
+end)
+
+-- Routes as the platform writes them, all of another host's.
+local function many(n)
+	local all = {}
+	for i = 1, n do
+		table.insert(all, string.format('"r-%07x":{"host":' ..
+		    '"big.example","path_prefix":"/x%07x/","kind":"safe",' ..
+		    '"timeout":"1500ms","target_latency":"600ms",' ..
+		    '"priority":2,"service":"plain","max_attempts":2}',
+		    i * 2654435761 % 268435456, i * 2654435761 % 268435456))
+	end
+	return all
+end
+
+-- How often a line stands in the hosts' logs.
+local function logged(what)
+	local n = 0
+	for _, h in ipairs(s.order) do
+		for _ in read_file(h .. ".log"):gmatch(what) do
+			n = n + 1
+		end
+	end
+	return n
+end
+
+-- Writes routes and looks whether each host serves the last of them in time.
+local function grow(routes, prefix)
+	table.insert(routes, route("new" .. prefix, "/" .. prefix .. "/", "safe",
+	    "plain"))
+	s:configure(routes)
+	local acked = now_ms()
+	sleep_ms(BOUND)
+	for _, n in ipairs(s.order) do
+		local st = s:ask(n, "/" .. prefix .. "/1")
+		check(st == 200, "%s has no %s %d ms later: %d", n, prefix,
+		    math.floor(now_ms() - acked), st)
+	end
+end
+
+local lost = logged("Following the store, no controller is heard")
+local routes = many(ROUTES)
+for _, r in ipairs(s.routes) do
+	table.insert(routes, r)
+end
+grow(routes, "first")
+say("many routes more are in force")
+grow(routes, "second")
+say("one more is")
+check(logged("Following the store, no controller is heard") == lost,
+    "hosts lost sight of the controller")
+check(s:controller() == "h1", "control went elsewhere")
+s:stop_all()
--- a/standin/wire.c
+++ b/standin/wire.c
@@ -1,7 +1,8 @@
 /*
  * Stand-in for the network between hosts: passes connections on, and on
  * request lets those that are open go silent, or cuts some hosts off.  Can be
- * told to pass each frame twice.
+ * told to pass each frame twice.  Several ways in and out may share one rate,
+ * as all connections of a host share its link.
  */
 #include <argp.h>
 #include <arpa/inet.h>
@@ -18,6 +19,12 @@
 #include "web.h"
 
 #define NAME_AREA 1024
+/* Addresses to listen on, each with one to pass on to. */
+#define MAX_PAIRS 4
+/* With a rate, so much is passed at a time, and kept by the kernel for either
+ * side: a link that stands still is felt by who sends. */
+#define RATED_CHUNK 8192
+#define RATED_BUFFER 65536
 
 struct link {
 	int fd[2];
@@ -38,11 +45,16 @@
 static long delay_ms;
 static int doubles;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-static const char *listen_addr, *to_addr, *control_addr;
+static const char *listen_addr[MAX_PAIRS], *to_addr[MAX_PAIRS];
+static const char *control_addr;
+static int nlisten, nto;
+static long rate; /* bytes a second over all connections; 0 is no bound */
+static struct timespec link_free; /* when the link has passed all before */
 
 static const struct argp_option options[] = {
     {"listen", 'l', "IP:PORT", 0, "Address to take connections on", 0},
     {"to", 't', "IP:PORT", 0, "Address to pass them on to", 0},
+    {"rate", 'r', "BYTES", 0, "Pass so many a second, all ways together", 0},
     {"control", 'c', "IP:PORT", 0, "Address for faults", 0},
     {"double", 'd', NULL, 0, "Pass each frame twice, but for the hello", 0},
     {0},
@@ -54,10 +66,17 @@
 {
 	switch (key) {
 	case 'l':
-		listen_addr = arg;
+		if (nlisten == MAX_PAIRS)
+			argp_error(st, "too many addresses");
+		listen_addr[nlisten++] = arg;
 		break;
 	case 't':
-		to_addr = arg;
+		if (nto == MAX_PAIRS)
+			argp_error(st, "too many addresses");
+		to_addr[nto++] = arg;
+		break;
+	case 'r':
+		rate = atol(arg);
 		break;
 	case 'c':
 		control_addr = arg;
@@ -66,7 +85,7 @@
 		doubles = 1;
 		break;
 	case ARGP_KEY_END:
-		if (!listen_addr || !to_addr || !control_addr)
+		if (nlisten == 0 || nto != nlisten || !control_addr)
 			argp_error(st, "all three addresses are needed");
 		break;
 	default:
@@ -183,6 +202,41 @@
 	return (NULL);
 }
 
+/* Waits until the link has passed n more bytes. */
+static void
+wait_link(size_t n)
+{
+	struct timespec now, until;
+
+	if (rate <= 0)
+		return;
+	pthread_mutex_lock(&lock);
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	if (link_free.tv_sec < now.tv_sec ||
+	    (link_free.tv_sec == now.tv_sec && link_free.tv_nsec < now.tv_nsec))
+		link_free = now;
+	link_free.tv_nsec += (long)((double)n / (double)rate * 1e9);
+	while (link_free.tv_nsec >= 1000000000) {
+		link_free.tv_nsec -= 1000000000;
+		link_free.tv_sec++;
+	}
+	until = link_free;
+	pthread_mutex_unlock(&lock);
+	clock_nanosleep(CLOCK_MONOTONIC, TIMER_ABSTIME, &until, NULL);
+}
+
+/* Bounds what the kernel keeps of a rated link's connection. */
+static void
+bound_buffers(int fd)
+{
+	int n = RATED_BUFFER;
+
+	if (rate <= 0)
+		return;
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &n, sizeof(n));
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &n, sizeof(n));
+}
+
 /* Passes bytes one way; what is silent or cut is swallowed. */
 static void *
 pass(void *arg)
@@ -190,11 +244,13 @@
 	struct way *w = arg;
 	struct link *l = w->link;
 	char buf[65536];
+	size_t most = rate > 0 ? RATED_CHUNK : sizeof(buf);
 	ssize_t n;
 	long wait;
 	int drop;
 
-	while ((n = recv(l->fd[w->from], buf, sizeof(buf), 0)) > 0) {
+	while ((n = recv(l->fd[w->from], buf, most, 0)) > 0) {
+		wait_link((size_t)n);
 		pthread_mutex_lock(&lock);
 		if (w->from == 0)
 			note_first(l, buf, (size_t)n);
@@ -232,18 +288,27 @@
 	pthread_detach(t);
 }
 
+/* An address that connections are taken on, and where they are passed to. */
+struct pair {
+	int fd;
+	struct sockaddr_in to;
+};
+
 /* Takes connections in. */
 static void *
 take(void *arg)
 {
-	int fd = *(int *)arg, one;
-	struct sockaddr_in to = address(to_addr);
+	const struct pair *p = arg;
+	int fd = p->fd, one;
+	struct sockaddr_in to = p->to;
 	struct link *l;
 
 	while ((one = accept(fd, NULL, NULL)) >= 0) {
 		l = calloc(1, sizeof(*l));
 		l->fd[0] = one;
 		l->fd[1] = socket(AF_INET, SOCK_STREAM, 0);
+		bound_buffers(l->fd[0]);
+		bound_buffers(l->fd[1]);
 		if (connect(l->fd[1], (struct sockaddr *)&to, sizeof(to)) !=
 		    0) {
 			close(l->fd[0]);
@@ -300,26 +365,38 @@
 	pthread_mutex_unlock(&lock);
 }
 
+/* Listens on an address and passes on what comes there. */
+static void
+serve(const char *from, const char *to)
+{
+	struct sockaddr_in at = address(from);
+	struct pair *p = calloc(1, sizeof(*p));
+	pthread_t t;
+	int on = 1;
+
+	p->to = address(to);
+	p->fd = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(p->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	bound_buffers(p->fd);
+	if (bind(p->fd, (struct sockaddr *)&at, sizeof(at)) != 0 ||
+	    listen(p->fd, 64) != 0)
+		err(1, "%s", from);
+	pthread_create(&t, NULL, take, p);
+}
+
 int
 main(int argc, char **argv)
 {
-	struct sockaddr_in at;
-	pthread_t t;
 	sigset_t set;
-	int fd, sig, on = 1;
+	int i, sig;
 
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	at = address(listen_addr);
-	fd = socket(AF_INET, SOCK_STREAM, 0);
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, (struct sockaddr *)&at, sizeof(at)) != 0 ||
-	    listen(fd, 64) != 0)
-		err(1, "%s", listen_addr);
-	pthread_create(&t, NULL, take, &fd);
+	for (i = 0; i < nlisten; i++)
+		serve(listen_addr[i], to_addr[i]);
 	if (web_start(control_addr, control) == NULL)
 		errx(1, "cannot listen on %s", control_addr);
 	sigwait(&set, &sig);
