--- a/regress/scenario/site_asked.lua
+++ b/regress/scenario/site_asked.lua
@@ -1,12 +1,12 @@
--- A host behind a link of 300 KB/s is cut off from the store when the
+-- A host behind a link of 150 KB/s is cut off from the store when the
 -- configuration grows by 4,300 routes.  It hears of the new version from the
--- controller, cannot read it, and must be told it by the controller: 2.4 s on
+-- controller, cannot read it, and must be told it by the controller: 1 s on
 -- that link.  Its callers got the old routes for good, because a connection on
 -- which 0.7 s pass without an answer was taken for silent and closed with the
 -- copy half sent, over and over.
 dofile("regress/scenario/lib_site.lua")
-local s = standard_site { hosts = 3, links = { h3 = 300000 },
-    size = { h3 = "cores = 0.1\nlink_mbps = 2.4" } }
+local s = standard_site { hosts = 3, links = { h3 = 150000 },
+    size = { h3 = "cores = 0.1\nlink_mbps = 1.2" } }
 await("control elsewhere", 10000, function()
 	return s:controller() ~= "h3" and s:controller()
 end)
