One unreadable object of ours is no answer that did not come

A control record, or the owners of keys, that another has written in bytes that are no JSON came out as "silent": asked for again for ever, nobody took control, or no key of that service was granted. Lists and watches were read item by item already.

Cut short, an answer still says nothing.

--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -329,6 +329,41 @@
 	drop(st);
 }
 
+/*
+ * An object of ours that another has written, in bytes that cannot be read: it
+ * is there, with its revision and nothing in it, so that it can be written
+ * anew.  Taken for an answer that did not come, it was asked for again for
+ * ever: nobody took control, or no key of its service was granted.  Cut short,
+ * an answer says nothing.
+ */
+static void
+unreadable_object(void)
+{
+	struct store *st;
+
+	st = answered(STORE_GET, 200,
+	    "{\"metadata\":{\"name\":\"main\",\"revision\":7},"
+	    "\"spec\":\"\xff\xfe }{\",\"status\":null} ");
+	CU_ASSERT_EQUAL(st->result, STORE_DONE);
+	CU_ASSERT_EQUAL(st->version, 7);
+	CU_ASSERT_EQUAL(st->body.n, 0);
+	drop(st);
+	st = answered(STORE_GET, 200,
+	    "{\"spec\":\"\xff\",\"metadata\":{\"name\":\"main\",\"rev");
+	CU_ASSERT_EQUAL(st->result, STORE_SILENT);
+	drop(st);
+	st = answered(
+	    STORE_GET, 200, "{\"metadata\":{\"name\":\"main\",\"revision\":7}");
+	CU_ASSERT_EQUAL(st->result, STORE_SILENT);
+	drop(st);
+	st = answered(STORE_GET, 200, "[7]");
+	CU_ASSERT_EQUAL(st->result, STORE_SILENT);
+	drop(st);
+	st = answered(STORE_GET, 200, "{\"metadata\":{\"name\":\"\xff\"}}");
+	CU_ASSERT_EQUAL(st->result, STORE_SILENT);
+	drop(st);
+}
+
 /* Reads the head of an answer, line by line. */
 static void
 read_head(struct reply *r, const char *const *lines)
@@ -429,6 +464,7 @@
     {"started again", started_again},
     {"foreign entries", foreign_entries},
     {"unreadable objects", unreadable_objects},
+    {"unreadable object", unreadable_object},
     {"writes", writes},
     {"reads", reads},
     {"lists", lists},
