--- a/decide/site_change.c
+++ b/decide/site_change.c
@@ -62,40 +62,98 @@
 	return (1);
 }
 
-/* Where the rules for the same requests as the i-th end. */
+/* Rules of one configuration that are for the same requests. */
+struct group {
+	const struct site *site;
+	int from;
+	int end; /* the first that is not of the group */
+};
+
+/* The group that begins with a rule. */
+static struct group
+group_at(const struct site *t, int from)
+{
+	struct group g = {t, from, from + 1};
+
+	while (g.end < t->nrules &&
+	    rule_cmp(&t->rules[from], &t->rules[g.end]) == 0)
+		g.end++;
+	return (g);
+}
+
+/* True where two groups have the same rules. */
 static int
-group_end(const struct site *t, int i)
+same_group(const struct group *a, const struct group *b)
 {
-	int n = i + 1;
+	int i, n = a->end - a->from;
 
-	while (n < t->nrules && rule_cmp(&t->rules[i], &t->rules[n]) == 0)
-		n++;
-	return (n);
+	if (n != b->end - b->from)
+		return (0);
+	for (i = 0; i < n; i++) {
+		if (!same(a->site, &a->site->rules[a->from + i], b->site,
+			&b->site->rules[b->from + i]))
+			return (0);
+	}
+	return (1);
 }
 
-/* Adds what became of one group of rules, from is to be before to; 0, or -1. */
+/* Adds all rules of a group to a change; 0, or -1. */
 static int
-add_group(struct site *c, const struct site *was, int from, int from_end,
-    const struct site *now, int to, int to_end)
+add_group(struct site *c, const struct group *g)
 {
 	int i;
 
-	for (i = 0; from_end - from == to_end - to && i < to_end - to; i++) {
-		if (!same(was, &was->rules[from + i], now, &now->rules[to + i]))
-			break;
-	}
-	if (from_end - from == to_end - to && i == to_end - to)
-		return (0);
-	for (i = to; i < to_end; i++) {
-		if (add_copy(c, now, &now->rules[i]) != 0)
+	for (i = g->from; i < g->end; i++) {
+		if (add_copy(c, g->site, &g->site->rules[i]) != 0)
 			return (-1);
 	}
-	if (to < to_end)
-		return (0);
-	if (rule_copy(&c->rules[c->nrules++], &was->rules[from]) != 0)
+	return (0);
+}
+
+/* Adds to a change that there are no such rules any more; 0, or -1. */
+static int
+add_gone(struct site *c, const struct rule *r)
+{
+	struct rule *to = site_add(c);
+
+	if (rule_copy(to, r) != 0)
 		return (-1);
-	c->rules[c->nrules - 1].gone = 1;
-	c->rules[c->nrules - 1].nparts = 0;
+	to->gone = 1;
+	to->nparts = 0;
+	return (0);
+}
+
+/* Adds all rules that differ, both in order; 0, or -1 without memory. */
+static int
+add_changed(struct site *c, const struct site *was, const struct site *now)
+{
+	struct group a = {was, 0, 0}, b = {now, 0, 0};
+	int order, st;
+
+	while (a.from < was->nrules || b.from < now->nrules) {
+		if (a.from < was->nrules)
+			a = group_at(was, a.from);
+		if (b.from < now->nrules)
+			b = group_at(now, b.from);
+		if (a.from == was->nrules)
+			order = 1;
+		else if (b.from == now->nrules)
+			order = -1;
+		else
+			order =
+			    rule_cmp(&was->rules[a.from], &now->rules[b.from]);
+		st = 0;
+		if (order < 0)
+			st = add_gone(c, &was->rules[a.from]);
+		else if (order > 0 || !same_group(&a, &b))
+			st = add_group(c, &b);
+		if (st != 0)
+			return (-1);
+		if (order <= 0)
+			a.from = a.end;
+		if (order >= 0)
+			b.from = b.end;
+	}
 	return (0);
 }
 
@@ -104,27 +162,14 @@
 site_change(const struct site *was, const struct site *now)
 {
 	struct site *c = copy_frame(now, was->nrules + now->nrules);
-	int i = 0, k = 0, i_end, k_end, order;
 
-	while (c != NULL && (i < was->nrules || k < now->nrules)) {
-		if (i == was->nrules)
-			order = 1;
-		else if (k == now->nrules)
-			order = -1;
-		else
-			order = rule_cmp(&was->rules[i], &now->rules[k]);
-		i_end = order <= 0 ? group_end(was, i) : i;
-		k_end = order >= 0 ? group_end(now, k) : k;
-		if (add_group(c, was, i, i_end, now, k, k_end) != 0) {
-			site_free(c);
-			return (NULL);
-		}
-		i = i_end;
-		k = k_end;
-	}
-	if (c != NULL)
-		c->since = was->version;
-	return (c);
+	if (c == NULL)
+		return (NULL);
+	c->since = was->version;
+	if (add_changed(c, was, now) == 0)
+		return (c);
+	site_free(c);
+	return (NULL);
 }
 
 /* Adds the rules of a configuration that a change does not name; 0, or -1. */
--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -23,10 +23,6 @@
 #define HOST_LOST MS(3000)
 /* Hosts not heard for so long are forgotten. */
 #define HOST_FORGOTTEN MS(30000)
-/* A host that knows other targets than its controller for so long has missed
- * something, and asks the store anew, not more often than this. */
-#define FLEET_DIFFERS MS(1300)
-#define RELIST_EVERY MS(2500)
 /* Before the end of a stop a controller whose store is away gives up. */
 #define LAST_ORDERS MS(200)
 
@@ -174,32 +170,6 @@
 	}
 }
 
-/*
- * Looks whether this host knows the targets that its controller knows.  Hosts
- * are told changes by the controller alone: where frames got lost, and telling
- * all again did not help, a leaving target would stay in use here.
- */
-static void
-compare_fleet(struct keeper *k, usec now)
-{
-	const struct fleet *f = keeper_fleet(k);
-
-	if (k->acting || f == NULL || k->told_fleet == 0 ||
-	    k->told_fleet == f->digest) {
-		k->differs_since = 0;
-		return;
-	}
-	if (k->differs_since == 0)
-		k->differs_since = now;
-	if (now - k->differs_since < FLEET_DIFFERS || now < k->next_relist)
-		return;
-	k->next_relist = now + RELIST_EVERY;
-	log_line(LOG_NOTICE, "control",
-	    "Controller knows other targets for %lld ms, listing anew.",
-	    (long long)((now - k->differs_since) / 1000));
-	msg_post(k->s->kernel, "watch", MSG_RELIST, NULL, NULL);
-}
-
 /*
  * Tells the watch service whether to follow the store itself: as controller,
  * and where no controller is heard that does.  The platform gives 2 s until a
@@ -244,7 +214,7 @@
 	site_tick(k, now);
 	report_tick(k, now);
 	forget_hosts(k, now);
-	compare_fleet(k, now);
+	fleet_missed(k, now);
 	tell_role(k, now);
 	keeper_yield_if_deaf(k, now);
 	keeper_yield_to_larger(k, now);
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -163,6 +163,7 @@
 void fleet_spread(struct keeper *, usec now);
 void fleet_compare(struct keeper *, const char *host, uint64_t, usec now);
 void fleet_take(struct keeper *, const Gspar__FleetTold *, usec now);
+void fleet_missed(struct keeper *, usec now);
 
 /* keeper_spread.c */
 uint64_t spread_number(const struct keeper *);
--- a/gspard/keeper_fleet.c
+++ b/gspard/keeper_fleet.c
@@ -9,6 +9,10 @@
 /* A change reaches hosts by frames, and their reports, each 200 ms, name what
  * they had before it so much longer. */
 #define ON_THE_WAY MS(400)
+/* A host that knows other targets than its controller for so long has missed
+ * something, and asks the store anew, not more often than this. */
+#define FLEET_DIFFERS MS(1300)
+#define RELIST_EVERY MS(2500)
 
 /* A target of a list by its id, or NULL. */
 static const struct fleet_target *
@@ -157,3 +161,29 @@
 	}
 	msg_post(k->s->kernel, "watch", MSG_FLEET_TOLD, f, fleet_free);
 }
+
+/*
+ * Looks whether this host knows the targets that its controller knows.  Hosts
+ * are told changes by the controller alone: where frames got lost, and telling
+ * all again did not help, a leaving target would stay in use here.
+ */
+void
+fleet_missed(struct keeper *k, usec now)
+{
+	const struct fleet *f = keeper_fleet(k);
+
+	if (k->acting || f == NULL || k->told_fleet == 0 ||
+	    k->told_fleet == f->digest) {
+		k->differs_since = 0;
+		return;
+	}
+	if (k->differs_since == 0)
+		k->differs_since = now;
+	if (now - k->differs_since < FLEET_DIFFERS || now < k->next_relist)
+		return;
+	k->next_relist = now + RELIST_EVERY;
+	log_line(LOG_NOTICE, "control",
+	    "Controller knows other targets for %lld ms, listing anew.",
+	    (long long)((now - k->differs_since) / 1000));
+	msg_post(k->s->kernel, "watch", MSG_RELIST, NULL, NULL);
+}
--- a/gspard/keeper_site.c
+++ b/gspard/keeper_site.c
@@ -10,7 +10,7 @@
 #include "site_frame.h"
 
 /* What can be told of a configuration: all of it, or a change. */
-struct news {
+struct update {
 	const struct site *site; /* NULL is nothing */
 	struct site_frame frame;
 	size_t size;
@@ -19,7 +19,7 @@
 
 /* Prepares what is to be told; nothing where there is none, or no memory. */
 static void
-news_make(const struct keeper *k, struct news *n, const struct site *t)
+update_make(const struct keeper *k, struct update *n, const struct site *t)
 {
 	double link = kernel_conf(k->s->kernel)->link_mbps;
 
@@ -33,7 +33,7 @@
 
 /* Tells a host. */
 static void
-tell(struct keeper *k, const char *host, struct news *n)
+tell(struct keeper *k, const char *host, struct update *n)
 {
 	Gspar__Frame f = GSPAR__FRAME__INIT;
 
@@ -54,9 +54,9 @@
 static size_t
 tell_whole(struct keeper *k, const char *host)
 {
-	struct news whole;
+	struct update whole;
 
-	news_make(k, &whole, keeper_site(k));
+	update_make(k, &whole, keeper_site(k));
 	tell(k, host, &whole);
 	site_frame_free(&whole.frame);
 	return (whole.size);
@@ -72,7 +72,8 @@
 /* Tells all hosts that lack a version the smallest that does for them, where
  * that fits. */
 static void
-tell_all(struct keeper *k, struct news *change, struct news *whole, usec now)
+tell_all(
+    struct keeper *k, struct update *change, struct update *whole, usec now)
 {
 	uint64_t version = keeper_site(k)->version;
 	struct keeper_host *h;
@@ -104,10 +105,10 @@
 {
 	struct site *changed =
 	    was == NULL ? NULL : site_change(was, keeper_site(k));
-	struct news change, whole;
+	struct update change, whole;
 
-	news_make(k, &change, changed);
-	news_make(k, &whole, keeper_site(k));
+	update_make(k, &change, changed);
+	update_make(k, &whole, keeper_site(k));
 	tell_all(k, &change, &whole, now);
 	k->site_fits = change.fits || whole.fits;
 	k->next_spread = now; /* Hosts hear of it with the next sign of life. */
@@ -203,15 +204,15 @@
 site_take(struct keeper *k, const Gspar__SiteTold *told)
 {
 	const struct site *t = keeper_site(k);
-	struct site *news;
+	struct site *read;
 
 	if (t != NULL && told->version <= t->version)
 		return;
-	if ((news = site_frame_read(told)) == NULL) {
+	if ((read = site_frame_read(told)) == NULL) {
 		log_line(LOG_ERR, "control",
 		    "Configuration %llu that was told makes no sense.",
 		    (unsigned long long)told->version);
 		return;
 	}
-	msg_post(k->s->kernel, "watch", MSG_TOLD, news, site_free);
+	msg_post(k->s->kernel, "watch", MSG_TOLD, read, site_free);
 }
