Waiting for a version that was told is not put off by the next one

A host that was told a version waits 0.4 s for it and then reads the store. Each newer version began the wait anew. Where one change of a quick series is lost, none after it can be applied, so a host would have served by the old rules until the series ended: seconds more than it may. Found on reading, unit behind "lost in a series" failed first (no read in 4 s of a version each 325 ms; after 0.4 s now).

Also a read that had begun before the store took the version gave what was here already, and the next followed 2 s later: the end of a read is told to control now, which reads again at once (unit behind "newer meanwhile" failed first).

--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -41,6 +41,7 @@
 	MSG_TOLD,      /* control to watch: a configuration that a host told */
 	MSG_READ_SITE, /* control to watch: read the configuration now */
 	MSG_SITE_UNREAD, /* watch to control: the store did not give it */
+	MSG_SITE_READ,	 /* watch to control: it has been read */
 	MSG_RELIST,	 /* control to watch: something was missed */
 	MSG_FOLLOW,	 /* control to watch: follow the store ... */
 	MSG_BE_TOLD,	 /* ... or do not, the controller tells */
--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -329,6 +329,9 @@
 	case MSG_SITE_UNREAD:
 		behind_unread(&k->behind);
 		break;
+	case MSG_SITE_READ:
+		behind_read(&k->behind, now);
+		break;
 	case MSG_FLEET:
 		take_fleet(k, m, now);
 		break;
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -265,6 +265,9 @@
 		took_page(w, kind, st, now);
 	else
 		took_changes(f, st, now);
+	/* After the configuration itself, which was published on its way. */
+	if (kind == FEED_SITE && st->op == STORE_LIST && !f->listing)
+		msg_post(s->kernel, "control", MSG_SITE_READ, NULL, NULL);
 	/* First what it told, then that this is the store's own word. */
 	publish_fleet(s, now);
 	if (kind == FEED_TARGETS && !f->listing && !w->told)
--- a/regress/unit/t_behind.c
+++ b/regress/unit/t_behind.c
@@ -77,11 +77,18 @@
 	memset(&b, 0, sizeof(b));
 	behind_heard(&b, 7, 9, 0, now);
 	CU_ASSERT_EQUAL(behind_step(&b, 7, now), BEHIND_READ);
-	behind_heard(&b, 7, 12, 1, now + MS(300));
+	behind_heard(&b, 7, 12, 0, now + MS(300));
 	CU_ASSERT_EQUAL(behind_step(&b, 7, now + MS(300)), BEHIND_WAIT);
+	behind_read(&b, now + MS(600));
 	CU_ASSERT_EQUAL(behind_step(&b, 9, now + MS(600)), BEHIND_READ);
 	CU_ASSERT_EQUAL(behind_step(&b, 9, now + MS(800)), BEHIND_WAIT);
 	CU_ASSERT_EQUAL(behind_step(&b, 12, now + MS(1000)), BEHIND_WAIT);
+	/* A read that had begun before may give what is here already. */
+	behind_heard(&b, 12, 15, 0, now + MS(2000));
+	CU_ASSERT_EQUAL(behind_step(&b, 12, now + MS(2000)), BEHIND_READ);
+	behind_read(&b, now + MS(2010));
+	CU_ASSERT_EQUAL(behind_step(&b, 12, now + MS(2010)), BEHIND_WAIT);
+	CU_ASSERT_EQUAL(behind_step(&b, 12, now + MS(2300)), BEHIND_READ);
 }
 
 /* Versions told one after the other need no read, though each is in force a
@@ -102,11 +109,60 @@
 	}
 }
 
+/*
+ * One change of a series is lost, so none after it can be applied.  Waiting
+ * anew with each version, the host would serve by the old rules until the
+ * series ends: seconds longer than it may.
+ */
+static void
+lost_in_a_series(void)
+{
+	struct behind b;
+	usec at, now = MS(5000), read = 0;
+	uint64_t v = 9;
+
+	memset(&b, 0, sizeof(b));
+	for (at = now; at < now + MS(4000) && read == 0; at += MS(25)) {
+		if ((at - now) % MS(325) == 0) {
+			behind_heard(&b, 7, v, 1, at);
+			v += 3;
+		}
+		if (behind_step(&b, 7, at) == BEHIND_READ)
+			read = at;
+	}
+	CU_ASSERT_EQUAL(read, now + MS(400));
+}
+
+/* The store does not answer in the course of a series: another host is asked
+ * all the same. */
+static void
+store_away_in_a_series(void)
+{
+	struct behind b;
+	usec at, now = MS(5000), asked = 0;
+	uint64_t v = 9;
+
+	memset(&b, 0, sizeof(b));
+	for (at = now; at < now + MS(4000) && asked == 0; at += MS(25)) {
+		if ((at - now) % MS(325) == 0) {
+			behind_heard(&b, 7, v, 0, at);
+			v += 3;
+		}
+		if (at == now + MS(1500))
+			behind_unread(&b);
+		if (behind_step(&b, 7, at) == BEHIND_ASK)
+			asked = at;
+	}
+	CU_ASSERT_EQUAL(asked, now + MS(1500));
+}
+
 static const struct unit_test tests[] = {
     {"told or read", told_or_read},
     {"lost on the way", lost_on_the_way},
     {"store away", store_away},
     {"newer meanwhile", newer_meanwhile},
     {"told in series", told_in_series},
+    {"lost in a series", lost_in_a_series},
+    {"store away in a series", store_away_in_a_series},
 };
 UNIT_MAIN("behind", tests)
