The soak plays large configurations too

routes=3000 puts that many in each version, so that changes, reads of the whole and copies that are asked for go on among resets, cuts and kills.

--- a/regress/run.sh
+++ b/regress/run.sh
@@ -106,6 +106,7 @@
 # A short soak; seeds that ever failed are played again whole.
 run soak-short bash regress/soak/run.sh 1 2 8
 run soak-again bash regress/soak/run.sh 301 302 8 again=1
+run soak-large bash regress/soak/run.sh 501 502 8 routes=3000
 for s in $(grep -v '^#' regress/soak/seeds.txt | cut -d: -f1); do
 	run "soak-seed-$s" bash regress/soak/run.sh "$s" "$s" 20
 done
--- a/regress/soak/soak.lua
+++ b/regress/soak/soak.lua
@@ -2,7 +2,8 @@
 -- outside by signals, by proxies between any two of them, and by the store and
 -- the targets, in series that overlap.  A seed gives the whole schedule.  What
 -- callers and targets saw is checked against what is promised.
--- ARG: seed=N secs=N hosts=N servers=N callers=N ports=N
+-- ARG: seed=N secs=N hosts=N servers=N callers=N ports=N, and routes=N, so many
+-- more in each configuration
 dofile("regress/scenario/lib_site.lua")
 dofile("regress/soak/faults.lua")
 dofile("regress/soak/checks.lua")
@@ -15,6 +16,7 @@
 local s = standard_site { hosts = arg("hosts", 4), plain = arg("servers", 4),
     keyed = arg("servers", 4), store_wires = true, server_wires = true,
     peer_wires = true, work = 8 }
+s.routes = s:many_routes(arg("routes", 0))
 
 local addrs = {}
 for _, n in ipairs(s.order) do
