Mechanisms can be left out one by one, in a build for measurements alone

What each of eighteen mechanisms is worth was never measured: whoever doubts one had to edit the code. Weighed: a table of function pointers that settings choose from (an indirect call on paths that every request takes, and a table that operators' daemons carry), and copies of the tree with patches (they rot). Now lib/feature.h names them; BUILD=ablation reads a list of those that are off from section [ablation], and in any other build each switch is a constant.

An operator's daemon refuses the section (unit conf). Unit feature, in that build alone, shows that each switch of decide/ takes out its mechanism and nothing else. make fleet says how to get a missing header.

--- a/Makefile
+++ b/Makefile
@@ -16,11 +16,19 @@
 
 # The daemon alone, for the machines of the platform: target/gspard.
 fleet:
-	@for d in $(LIBS) gspard; do $(MAKE) -s -C $$d || exit 1; done
+	@for d in $(LIBS) gspard; do \
+	    $(MAKE) -s -C $$d BUILD=$(BUILD) || { \
+		echo "Where a header is missing: make deps installs it." >&2; \
+		exit 1; \
+	    }; done
 	@mkdir -p target
-	@cp build/plain/gspard/gspard target/.gspard.new
+	@cp build/$(BUILD)/gspard/gspard target/.gspard.new
 	@mv -f target/.gspard.new target/gspard
 
+# The daemon with switches, to measure what a mechanism is worth.
+ablation:
+	@$(MAKE) -s BUILD=ablation fleet
+
 progs: $(PROGS) $(TESTS)
 $(PROGS) $(TESTS):
 	@$(MAKE) -s -C $@ BUILD=$(BUILD)
@@ -31,6 +39,7 @@
 check: all
 	@$(MAKE) -s BUILD=asan all
 	@$(MAKE) -s BUILD=tsan all
+	@$(MAKE) -s BUILD=ablation all
 	@bash regress/run.sh
 
 # One seed of the soak: make soak SEED=7 SECS=60 HOSTS=5
@@ -56,4 +65,4 @@
 clean:
 	rm -rf build target
 
-.PHONY: fleet soak $(PROGS) $(TESTS) all progs deps check demo bench fuzz format clean
+.PHONY: fleet ablation soak $(PROGS) $(TESTS) all progs deps check demo bench fuzz format clean
--- a/decide/dest.c
+++ b/decide/dest.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "dest.h"
+#include "feature.h"
 
 /* What a target told of others' requests halves in this time: it is about as
  * long as a request runs (36 to 220 ms, by the sites' tables). */
@@ -53,6 +54,8 @@
 	int times = d->strikes < 4 ? d->strikes : 4;
 	usec span = SHUN_FIRST << (times > 0 ? times - 1 : 0);
 
+	if (!feature_on(FEATURE_SHUN))
+		return;
 	if (span > SHUN_MOST)
 		span = SHUN_MOST;
 	d->shunned_until = now + span;
@@ -64,7 +67,7 @@
 {
 	double x, gain;
 
-	if (a->expected <= 0 || a->waiting > 0)
+	if (a->expected <= 0 || a->waiting > 0 || !feature_on(FEATURE_SPEED))
 		return;
 	x = (double)a->took / (double)a->expected;
 	/* One request may take many times the usual: it says little. */
@@ -100,7 +103,8 @@
 		break;
 	case DEST_REFUSED:
 		d->strikes = 0;
-		if (d->shunned_until < now + SHUN_FULL)
+		if (feature_on(FEATURE_SHUN) &&
+		    d->shunned_until < now + SHUN_FULL)
 			d->shunned_until = now + SHUN_FULL;
 		break;
 	case DEST_UNREACHED:
@@ -121,7 +125,7 @@
 {
 	double age = (double)(now - d->heard);
 
-	if (d->heard == 0)
+	if (d->heard == 0 || !feature_on(FEATURE_OTHERS))
 		return (d->mine);
 	return (d->mine + d->others * exp2(-age / (double)OTHERS_HALF));
 }
@@ -146,7 +150,11 @@
 	double share = FILL * d->slots / (conf->hosts > 0 ? conf->hosts : 1);
 	int most = (int)ceil(share) + 1;
 
-	if (!dest_usable(d, now) || d->mine >= most)
+	if (!dest_usable(d, now))
+		return (0);
+	if (!feature_on(FEATURE_FILL))
+		return (1);
+	if (d->mine >= most)
 		return (0);
 	return (dest_load(d, now) < FILL * d->slots);
 }
@@ -163,11 +171,13 @@
 	double load = dest_load(d, now), ahead = load + 1 - d->slots;
 	double slow = d->speed, cost;
 
-	if (now < d->cold_until)
+	if (now < d->cold_until && feature_on(FEATURE_COLD))
 		slow *= COLD_FACTOR;
 	cost = (double)work * slow * (1 + 0.15 * load / d->slots);
 	if (ahead > 0)
 		cost += (double)others_work * slow * ahead / d->slots;
-	cost *= 1 + 2 * d->fails;
-	return (cost + (d->near ? 0 : (double)FAR_COST));
+	if (feature_on(FEATURE_FAILS))
+		cost *= 1 + 2 * d->fails;
+	return (cost +
+	    (d->near || !feature_on(FEATURE_FAR) ? 0 : (double)FAR_COST));
 }
--- a/decide/keys_plan.c
+++ b/decide/keys_plan.c
@@ -2,6 +2,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "feature.h"
 #include "incarnation.h"
 #include "keys.h"
 
@@ -41,7 +42,9 @@
 {
 	double w = t->slots / fmax(t->speed, 0.25);
 
-	return (now < t->cold_until ? w * COLD_FACTOR : w);
+	if (now < t->cold_until && feature_on(FEATURE_COLD))
+		w *= COLD_FACTOR;
+	return (w);
 }
 
 /* True where a target cannot keep or get keys. */
@@ -73,7 +76,10 @@
 	float own, shared, gain = (float)k->gain;
 	uint32_t i, first;
 
-	for (first = 0; first < KEYS; first += NEIGHBOURS) {
+	for (i = 0; i < KEYS && !feature_on(FEATURE_NEIGHBOURS); i++)
+		k->estimate[i] = k->heat[i] / gain;
+	for (first = 0; first < KEYS && feature_on(FEATURE_NEIGHBOURS);
+	     first += NEIGHBOURS) {
 		shared = 0;
 		for (i = first; i < first + NEIGHBOURS; i++) {
 			own = k->heat[i] / gain;
@@ -395,7 +401,8 @@
 movable(const struct key_range *r, int target, usec now)
 {
 	return (r->step == RANGE_OWNED && r->owner == target && r->confirmed &&
-	    now >= r->unanswered_until && now - r->moved_at >= REST);
+	    now >= r->unanswered_until &&
+	    (now - r->moved_at >= REST || !feature_on(FEATURE_REST)));
 }
 
 /* Cuts a piece out of its range and gives it from one target to another. */
@@ -427,6 +434,8 @@
 	uint32_t key;
 	int i, to;
 
+	if (!feature_on(FEATURE_HOTTEST))
+		return (0);
 	for (i = 0; i < k->nranges; i++) {
 		r = &k->ranges[i];
 		if (!movable(r, from, now))
@@ -509,7 +518,7 @@
 	uint32_t size, best_size = KEYS;
 	int i, best = 0, to;
 
-	if (k->nranges <= RANGES_EACH * l->live)
+	if (k->nranges <= RANGES_EACH * l->live || !feature_on(FEATURE_JOIN))
 		return;
 	for (i = 1; i < k->nranges; i++) {
 		r = &k->ranges[i];
--- a/decide/known.c
+++ b/decide/known.c
@@ -3,6 +3,7 @@
 
 #include <xxhash.h>
 
+#include "feature.h"
 #include "incarnation.h"
 #include "known.h"
 
@@ -134,7 +135,8 @@
 {
 	if (e->gone_since != 0 || e->missing_since != 0)
 		return;
-	if (now < k->doubt_until && !e->t.leaving) {
+	if (now < k->doubt_until && !e->t.leaving &&
+	    feature_on(FEATURE_DOUBT)) {
 		e->missing_since = now;
 		return;
 	}
--- a/decide/standby.c
+++ b/decide/standby.c
@@ -1,6 +1,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "feature.h"
 #include "standby.h"
 
 /* What a controller spends for each host of its fleet, with ten targets each:
@@ -29,6 +30,8 @@
 usec
 first_wait(int bears)
 {
+	if (!feature_on(FEATURE_STANDBY))
+		return (0);
 	return (bears > 0 && bears < BEARS_MANY ? LEAVE_TO_LARGER : 0);
 }
 
@@ -44,6 +47,8 @@
 {
 	int apart = strcmp(c->dc, dc) != 0;
 
+	if (!feature_on(FEATURE_STANDBY))
+		return (c->is_one);
 	if (first != NULL)
 		apart += strcmp(c->dc, first->dc) != 0;
 	return (apart * 1e9 + c->bears * 10.0 + c->is_one);
@@ -97,7 +102,7 @@
 {
 	int i;
 
-	if (!strained(bears, hosts))
+	if (!strained(bears, hosts) || !feature_on(FEATURE_STANDBY))
 		return (0);
 	for (i = 0; i < n; i++) {
 		if (c[i].is_one && c[i].store &&
--- a/gspard/direct_flow.c
+++ b/gspard/direct_flow.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "direct.h"
+#include "feature.h"
 #include "hist.h"
 
 /* A key on its way to another target is waited for; a planned move takes as
@@ -18,6 +19,8 @@
  * third of their time: beyond that they do not come. */
 #define RETRY_LEAST_MS 40
 #define RETRY_PART 3
+/* Where FEATURE_RETRY is off. */
+#define RETRY_FIXED_MS 200
 /* How much one gap between starts changes what was learnt. */
 #define GAP_GAIN 0.2
 
@@ -28,6 +31,8 @@
 	usec most = (p->deadline - now) / RETRY_PART / 1000 * 2 / 3;
 	usec ms = wait / 1000;
 
+	if (!feature_on(FEATURE_RETRY))
+		return (RETRY_FIXED_MS);
 	if (ms > most)
 		ms = most;
 	return ((uint32_t)(ms < RETRY_LEAST_MS ? RETRY_LEAST_MS : ms));
@@ -167,7 +172,8 @@
 {
 	usec wait = line_wait(d, p, l, now);
 
-	if (now + wait + (usec)p->learnt->work > p->deadline) {
+	if (now + wait + (usec)p->learnt->work > p->deadline &&
+	    feature_on(FEATURE_EARLY)) {
 		if (!p->waiting)
 			p->line = l;
 		flow_end(d, p, GS_TOO_LATE, wait, now);
@@ -182,6 +188,10 @@
 {
 	usec back = r == NULL ? 0 : r->back_at;
 
+	if (!feature_on(FEATURE_PARK)) {
+		flow_end(d, p, GS_NO_OWNER, back > now ? back - now : 0, now);
+		return;
+	}
 	if (p->parked == 0) {
 		p->parked = now;
 		count_add(C_PARKED, 1);
@@ -286,6 +296,7 @@
 	if (now >= p->deadline)
 		flow_expire(d, p, now);
 	else if (p->waiting && p->tries == 0 && p->parked == 0 &&
+	    feature_on(FEATURE_EARLY) &&
 	    now + (usec)(p->learnt->work / 2) > p->deadline)
 		/* Too late to be worth a slot: others can still be in time. */
 		flow_end(d, p, GS_TOO_LATE, 0, now);
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "direct.h"
+#include "feature.h"
 #include "hist.h"
 #include "incarnation.h"
 
@@ -82,6 +83,8 @@
 	if (p->tries >= TRIES_MOST ||
 	    now + (usec)p->learnt->work >= p->deadline)
 		return (0);
+	if (arrived && !feature_on(FEATURE_RESEND))
+		return (0);
 	/* Only what arrived at a target counts against the budget. */
 	return (!arrived || budget_retry(&p->svc->again));
 }
--- a/gspard/direct_pick.c
+++ b/gspard/direct_pick.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "direct.h"
+#include "feature.h"
 
 /* Usual time of a request of which nothing was learnt, in microseconds. */
 #define WORK_FIRST 100000.0
@@ -139,7 +140,8 @@
 			cost *= 8;
 		/* Hosts that know the same would all choose the same. */
 		d->seed = d->seed * 6364136223846793005u + 1442695040888963407u;
-		cost *= 1 + (double)(d->seed >> 40) / (1 << 24) * 0.15;
+		if (feature_on(FEATURE_SPREAD))
+			cost *= 1 + (double)(d->seed >> 40) / (1 << 24) * 0.15;
 		if (best == NULL || cost < least) {
 			best = s;
 			least = cost;
--- a/lib/conf.c
+++ b/lib/conf.c
@@ -10,6 +10,7 @@
 #include <ini.h>
 
 #include "conf.h"
+#include "feature.h"
 
 enum kind { K_NAME, K_ADDR, K_PLATFORMS, K_INT, K_FORM, K_SPAN, K_REAL };
 
@@ -302,6 +303,19 @@
 	}
 }
 
+#ifdef ABLATION
+/* Leaves out the mechanisms that section [ablation] names. */
+static void
+store_features(struct reading *r, const char *name, const char *value)
+{
+	if (strcmp(name, "off") != 0 || features_off(value) != 0)
+		fault(r, r->line,
+		    "%s = %s: allowed in section [ablation]: off, and names "
+		    "from lib/feature.c",
+		    name, value);
+}
+#endif
+
 /* Called by the INI reader for each pair. */
 static int
 pair(void *arg, const char *section, const char *name, const char *value)
@@ -310,6 +324,12 @@
 	size_t i;
 	int known = 0;
 
+#ifdef ABLATION
+	if (strcmp(section, "ablation") == 0) {
+		store_features(r, name, value);
+		return (1);
+	}
+#endif
 	if (strcmp(section, "bounds") == 0) {
 		name = bound_name(name);
 		/* The platform may tell of bounds that this host does not use.
--- a/regress/run.sh
+++ b/regress/run.sh
@@ -87,10 +87,12 @@
 run words sh regress/words.sh
 run examples sh regress/examples.sh
 run account sh regress/account.sh
+run ablate sh regress/ablate.sh
 for t in build/asan/unit/t_*; do
 	case $t in *.o | *.d) continue ;; esac
 	run "unit-${t##*/t_}" "$t"
 done
+run unit-feature build/ablation/unit/t_feature
 run unit-jcheck sh regress/unit/jcheck.sh
 for m in model/*.sh; do
 	[ -e "$m" ] && run "model-$(basename "$m" .sh)" sh "$m"
--- a/regress/unit/t_conf.c
+++ b/regress/unit/t_conf.c
@@ -56,6 +56,15 @@
 	CU_ASSERT_PTR_NOT_NULL(strstr(said, "cores: 'many'"));
 }
 
+/* An operator's daemon has no switches: a file that asks for one is refused,
+ * or somebody would believe that a safeguard is off, or run without one. */
+static void
+no_switches(void)
+{
+	CU_ASSERT_NOT_EQUAL(read_text(GOOD "[ablation]\noff = shun\n"), 0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(said, "unknown section [ablation]"));
+}
+
 static void
 good(void)
 {
@@ -144,6 +153,6 @@
 	CU_ASSERT_PTR_NOT_NULL(strstr(said, "cannot be read"));
 }
 
-static const struct unit_test tests[] = {
-    {"good", good}, {"size", size}, {"bounds", bounds}, {"faults", faults}};
+static const struct unit_test tests[] = {{"good", good}, {"size", size},
+    {"bounds", bounds}, {"faults", faults}, {"no switches", no_switches}};
 UNIT_MAIN("conf", tests)
--- /dev/null
+++ b/regress/unit/t_feature.c
@@ -0,0 +1,315 @@
+/*
+ * The switches of BUILD=ablation: each takes its mechanism out, and nothing
+ * else.  Those in gspard/direct_*.c have no test without a network.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "dest.h"
+#include "feature.h"
+#include "keys.h"
+#include "known.h"
+#include "standby.h"
+#include "unit.h"
+
+static const struct dest_conf twelve = {12};
+
+/* Names that are unknown change nothing: a day would be played with the
+ * mechanism that it was to do without. */
+static void
+names(void)
+{
+	int f;
+
+	CU_ASSERT_EQUAL(features_off(""), 0);
+	for (f = 0; f < FEATURES; f++) {
+		CU_ASSERT(feature_on((enum feature)f));
+		CU_ASSERT_EQUAL(features_off(feature_name((enum feature)f)), 0);
+		CU_ASSERT(!feature_on((enum feature)f));
+	}
+	CU_ASSERT_EQUAL(features_off(" far  cold "), 0);
+	CU_ASSERT(!feature_on(FEATURE_FAR));
+	CU_ASSERT(!feature_on(FEATURE_COLD));
+	CU_ASSERT(feature_on(FEATURE_SPREAD));
+	CU_ASSERT_EQUAL(features_off("spread fart"), -1);
+	CU_ASSERT_EQUAL(features_off("fa"), -1);
+	CU_ASSERT(!feature_on(FEATURE_FAR));
+	CU_ASSERT(feature_on(FEATURE_SPREAD));
+	CU_ASSERT_EQUAL(features_off(""), 0);
+	CU_ASSERT(feature_on(FEATURE_FAR));
+}
+
+/* A target of which a host knows something bad in every way. */
+static struct dest
+bad_target(void)
+{
+	struct dest_answer slow = {DEST_ANSWERED, MS(300), MS(100), 4, 0};
+	struct dest_answer failed = {DEST_FAILED, MS(10), MS(100), 4, 9};
+	struct dest d;
+
+	dest_init(&d, 4);
+	d.cold_until = MS(9000);
+	dest_ended(&d, MS(1000), &slow);
+	dest_ended(&d, MS(1000), &failed);
+	return (d);
+}
+
+/* What a request costs there with a mechanism left out. */
+static double
+cost_without(const char *name)
+{
+	struct dest d;
+
+	CU_ASSERT_EQUAL(features_off(name), 0);
+	d = bad_target();
+	return (dest_cost(&d, MS(1000), MS(100), MS(100)));
+}
+
+static void
+costs(void)
+{
+	const char *parts[] = {"cold", "fails", "far", "others", "speed"};
+	double whole = cost_without("");
+	size_t i;
+
+	for (i = 0; i < sizeof(parts) / sizeof(parts[0]); i++)
+		CU_ASSERT(cost_without(parts[i]) < whole - 1);
+	/* What has no part in it changes nothing. */
+	CU_ASSERT_DOUBLE_EQUAL(cost_without("rest join doubt"), whole, 1e-6);
+	CU_ASSERT_DOUBLE_EQUAL(
+	    cost_without("cold fails far others speed"), 100000, 1);
+}
+
+static void
+fill(void)
+{
+	struct dest d;
+
+	CU_ASSERT_EQUAL(features_off(""), 0);
+	dest_init(&d, 4);
+	dest_sent(&d);
+	dest_sent(&d);
+	CU_ASSERT(!dest_room(&d, MS(1000), &twelve));
+	CU_ASSERT_EQUAL(features_off("fill"), 0);
+	CU_ASSERT(dest_room(&d, MS(1000), &twelve));
+	/* It is still not sent to while it leaves. */
+	d.leaving = 1;
+	CU_ASSERT(!dest_room(&d, MS(1000), &twelve));
+}
+
+static void
+shun(void)
+{
+	const enum dest_end ends[] = {DEST_UNREACHED, DEST_REFUSED};
+	struct dest_answer a = {DEST_UNREACHED, 0, MS(100), -1, 0};
+	struct dest d;
+	size_t i;
+
+	for (i = 0; i < 2; i++) {
+		a.end = ends[i];
+		CU_ASSERT_EQUAL(features_off(""), 0);
+		dest_init(&d, 4);
+		dest_ended(&d, MS(1000), &a);
+		CU_ASSERT(!dest_usable(&d, MS(1010)));
+		CU_ASSERT_EQUAL(features_off("shun"), 0);
+		dest_init(&d, 4);
+		dest_ended(&d, MS(1000), &a);
+		CU_ASSERT(dest_usable(&d, MS(1010)));
+	}
+}
+
+/* An entry that lapses just after an outage. */
+static int
+lapsed_is_gone(void)
+{
+	struct known k;
+	struct fleet_target t;
+	int gone;
+
+	memset(&k, 0, sizeof(k));
+	memset(&t, 0, sizeof(t));
+	k.heartbeat = MS(900);
+	name_copy(t.id, sizeof(t.id), "t1");
+	known_put(&k, &t, MS(1));
+	known_store_failed(&k, MS(1000));
+	known_store_answered(&k, MS(4000));
+	known_gone(&k, "t1", MS(4100));
+	gone = k.list[0].t.gone;
+	known_free(&k);
+	return (gone);
+}
+
+static void
+doubt(void)
+{
+	CU_ASSERT_EQUAL(features_off(""), 0);
+	CU_ASSERT(!lapsed_is_gone());
+	CU_ASSERT_EQUAL(features_off("doubt"), 0);
+	CU_ASSERT(lapsed_is_gone());
+}
+
+static void
+standby(void)
+{
+	struct candidate c[3];
+	struct member m[STANDBYS];
+	int i;
+
+	memset(c, 0, sizeof(c));
+	for (i = 0; i < 3; i++) {
+		name_copy(c[i].dc, sizeof(c[i].dc), i == 0 ? "south" : "north");
+		c[i].who.host[0] = (char)('a' + i);
+		c[i].bears = 50 * (i + 1);
+	}
+	CU_ASSERT_EQUAL(features_off(""), 0);
+	standbys_pick(c, 3, "south", m);
+	CU_ASSERT_STRING_EQUAL(m[0].host, "c");
+	CU_ASSERT(first_wait(50) > 0);
+	CU_ASSERT_EQUAL(features_off("standby"), 0);
+	standbys_pick(c, 3, "south", m);
+	CU_ASSERT_STRING_EQUAL(m[0].host, "a");
+	CU_ASSERT_EQUAL(first_wait(50), 0);
+}
+
+/* Two targets, the second three times as fast, with half of the keys each. */
+static struct keys *
+two_targets(void)
+{
+	struct keys *k = calloc(1, sizeof(*k));
+	struct key_range *r;
+	int i;
+
+	k->gain = 1;
+	k->ntargets = 2;
+	k->nranges = 2;
+	for (i = 0; i < 2; i++) {
+		k->targets[i].used = k->targets[i].listed = 1;
+		k->targets[i].slots = 4;
+		k->targets[i].speed = i == 0 ? 1.5 : 0.5;
+		r = &k->ranges[i];
+		r->from = i == 0 ? 0 : KEYS / 2;
+		r->to = i == 0 ? KEYS / 2 - 1 : KEYS - 1;
+		r->owner = i;
+		r->next = NO_TARGET;
+		r->confirmed = 1;
+	}
+	return (k);
+}
+
+/* Where a key is planned to be after one look. */
+static int
+planned(struct keys *k, uint32_t key)
+{
+	int i, to = NO_TARGET;
+
+	keys_plan(k, MS(5000));
+	for (i = 0; i < k->nranges; i++) {
+		if (key >= k->ranges[i].from && key <= k->ranges[i].to)
+			to = k->ranges[i].next != NO_TARGET
+			    ? k->ranges[i].next
+			    : k->ranges[i].owner;
+	}
+	free(k);
+	return (to);
+}
+
+/* One key is all that is asked for. */
+static int
+hottest_goes_to(void)
+{
+	struct keys *k = two_targets();
+
+	k->heat[100] = 1000;
+	return (planned(k, 100));
+}
+
+/* A busy neighbourhood, of which some keys moved just now. */
+static int
+moved_goes_to(usec moved_at)
+{
+	struct keys *k = two_targets();
+	uint32_t i;
+
+	k->ranges[0].moved_at = moved_at;
+	for (i = 0; i < 1000; i++)
+		k->heat[i] = 20;
+	return (planned(k, 0));
+}
+
+static void
+moves(void)
+{
+	CU_ASSERT_EQUAL(features_off(""), 0);
+	CU_ASSERT_EQUAL(hottest_goes_to(), 1);
+	CU_ASSERT_EQUAL(moved_goes_to(0), 1);
+	CU_ASSERT_EQUAL(moved_goes_to(MS(4500)), 0);
+	CU_ASSERT_EQUAL(features_off("hottest"), 0);
+	CU_ASSERT_EQUAL(hottest_goes_to(), 0);
+	CU_ASSERT_EQUAL(features_off("rest"), 0);
+	CU_ASSERT_EQUAL(moved_goes_to(MS(4500)), 1);
+}
+
+/* What a key counts that was asked for once, and one beside it. */
+static void
+neighbours(void)
+{
+	struct keys *k = two_targets();
+
+	CU_ASSERT_EQUAL(features_off(""), 0);
+	k->heat[100] = 1;
+	keys_plan(k, MS(5000));
+	CU_ASSERT_DOUBLE_EQUAL(k->estimate[100], k->estimate[101], 1e-6);
+	CU_ASSERT_EQUAL(features_off("neighbours"), 0);
+	keys_plan(k, MS(5000));
+	CU_ASSERT_DOUBLE_EQUAL(k->estimate[100], 1, 1e-6);
+	CU_ASSERT_DOUBLE_EQUAL(k->estimate[101], 0, 1e-6);
+	free(k);
+}
+
+/* Many small ranges that nobody asks for, by turns with each target. */
+static int
+joined(void)
+{
+	struct keys *k = two_targets();
+	int i, n = 0;
+
+	for (i = 0; i < 40; i++) {
+		k->ranges[i] = k->ranges[0];
+		k->ranges[i].from = (uint32_t)i * 10;
+		k->ranges[i].to = i == 39 ? KEYS - 1 : (uint32_t)i * 10 + 9;
+		k->ranges[i].owner = i % 2;
+	}
+	k->nranges = 40;
+	for (i = 0; i < KEYS; i++)
+		k->heat[i] = i < 400 ? 0 : 1;
+	/* Balance has nothing to do: the large range is its owner's part. */
+	k->targets[1].slots = 40;
+	keys_plan(k, MS(5000));
+	for (i = 0; i < k->nranges; i++)
+		n += k->ranges[i].next != NO_TARGET &&
+		    k->ranges[i].to - k->ranges[i].from == 9;
+	free(k);
+	return (n);
+}
+
+static void
+join(void)
+{
+	CU_ASSERT_EQUAL(features_off(""), 0);
+	CU_ASSERT(joined() > 0);
+	CU_ASSERT_EQUAL(features_off("join"), 0);
+	CU_ASSERT_EQUAL(joined(), 0);
+}
+
+static const struct unit_test tests[] = {
+    {"names", names},
+    {"cost of a target", costs},
+    {"room", fill},
+    {"targets left alone", shun},
+    {"lapsed entries", doubt},
+    {"standbys", standby},
+    {"moves", moves},
+    {"neighbours", neighbours},
+    {"cold ranges", join},
+};
+UNIT_MAIN("feature", tests)
--- a/rules.mk
+++ b/rules.mk
@@ -1,10 +1,12 @@
 # Shared by each directory: set PROG or LIB (or PROGS), SRCS and NEED, then
-# include this file.  BUILD=asan and BUILD=tsan build with a sanitizer.
+# include this file.  BUILD=asan and BUILD=tsan build with a sanitizer,
+# BUILD=ablation with the switches of lib/feature.h.
 CC =		cc
 BUILD ?=	plain
 SAN_plain =
 SAN_asan =	-fsanitize=address,undefined -fno-omit-frame-pointer
 SAN_tsan =	-fsanitize=thread
+SAN_ablation =	-DABLATION
 TOP :=		$(dir $(lastword $(MAKEFILE_LIST)))
 OBJ =		$(TOP)build/$(BUILD)/$(notdir $(CURDIR))
 PKGS =		apr-1 apr-util-1 libprotobuf-c libmicrohttpd libcurl jansson \
