--- a/bench/pair.sh
+++ b/bench/pair.sh
@@ -5,11 +5,13 @@
 #
 # TOOL is the users' bench, SITE a site file, OUT a folder that keeps what each
 # play printed: what is there already is not played again, so a run that was
-# stopped goes on.  The first tree is what the others are compared with.  JOBS
-# plays at once (4), WHY goes into each journal entry.  The table gives for each
-# tree the days in both, the mean worth of the first and of it, the mean of the
-# differences with its standard error, and shares served, refused and failed; a
-# line more for each play with a rule broken.
+# stopped goes on.  The first tree is what the others are compared with.  Each
+# day and seed is played with all trees one after the other, JOBS plays at once
+# (4): whatever else the machine does falls on both sides of a pair.  WHY goes
+# into each journal entry, with the tree's name.  The table gives for each tree
+# the days in both, the mean worth of the first and of it, the mean of the
+# differences with its standard error, and shares served, refused, failed and
+# late; a line more for each play with a rule broken, or without a result.
 [ $# -ge 6 ] || {
 	echo "usage: pair.sh TOOL SITE OUT \"DAYS\" \"SEEDS\" NAME=TREE ..." >&2
 	exit 2
@@ -18,37 +20,53 @@
 shift 5
 mkdir -p "$out" || exit 1
 out=$(cd "$out" && pwd)
+
+# A day's own line in what a play printed.
+row='$2 ~ /^[0-9]+\/[0-9]+$/ && $4 ~ /^-?[0-9.]+$/'
+
 for t in "$@"; do
-	name=${t%%=*} tree=${t#*=}
-	mkdir -p "$out/$name"
-	(cd "$tree" && "$tool" build >/dev/null 2>&1) || {
-		echo "$tree does not build" >&2
+	mkdir -p "$out/${t%%=*}"
+	(cd "${t#*=}" && "$tool" build >/dev/null 2>&1) || {
+		echo "${t#*=} does not build" >&2
 		exit 1
 	}
-	for d in $days; do
-		for s in $seeds; do
-			[ -s "$out/$name/$d-$s" ] || echo "$d $s"
-		done
-	done | xargs -P "${JOBS:-4}" -L1 sh -c '
-		cd "$3" && "$1" run "$2" "$6" --seed "$7" --jobs 1 \
-		    --why "$5" >"$4/.$6-$7" 2>&1
-		mv "$4/.$6-$7" "$4/$6-$7"' \
-	    sh "$tool" "$site" "$tree" "$out/$name" \
-	    "${WHY:-paired: $name}"
 done
+for d in $days; do
+	for s in $seeds; do
+		for t in "$@"; do
+			[ -s "$out/${t%%=*}/$d-$s" ] ||
+			    echo "${t#*=} $out/${t%%=*} $d $s ${t%%=*}"
+		done
+	done
+done | xargs -r -P "${JOBS:-4}" -L1 sh -c '
+	cd "$4" && "$1" run "$2" "$6" --seed "$7" --jobs 1 \
+	    --why "$3: $8" >"$5/.$6-$7" 2>&1
+	mv "$5/.$6-$7" "$5/$6-$7"' sh "$tool" "$site" "${WHY:-paired}"
 for t in "$@"; do
 	name=${t%%=*}
-	for f in "$out/$name"/*; do
-		awk -v name="$name" -v play="${f##*/}" '
-		$2 ~ /^[0-9]+\/[0-9]+$/ && $4 ~ /^-?[0-9.]+$/ {
-			print name, play, $4, $5, $6, $7, \
-			    ($0 ~ /BROKEN/ ? "broken" : "-")
-			exit
-		}' "$f"
+	for d in $days; do
+		for s in $seeds; do
+			awk -v name="$name" -v play="$d-$s" '
+			'"$row"' && line == "" {
+				line = $4 " " $5 " " $6 " " $7
+				broken = /BROKEN/ ? "broken" : "-"
+			}
+			NF == 0 { classes = 0 }
+			classes { asked += $2; late += $4 }
+			$1 == "class" { classes = 1 }
+			END {
+				if (line == "")
+					print name, play, "none"
+				else
+					print name, play, line, broken,
+					    (asked > 0 ? late / asked : 0)
+			}' "$out/$name/$d-$s"
+		done
 	done
 done | awk '
 NR == 1 { base = $1 }
-$1 == base { w[$2] = $3; sv[$2] = $4; rf[$2] = $5; fl[$2] = $6 }
+$3 == "none" { none[++nnone] = $1 " " $2; next }
+$1 == base { w[$2] = $3; sv[$2] = $4; rf[$2] = $5; fl[$2] = $6; lt[$2] = $8 }
 $7 == "broken" { bad[++nbad] = $1 " " $2 }
 $1 != base && ($2 in w) {
 	if (!($1 in n))
@@ -62,6 +80,7 @@
 	s0[$1] += sv[$2]; s1[$1] += $4
 	r0[$1] += rf[$2]; r1[$1] += $5
 	f0[$1] += fl[$2]; f1[$1] += $6
+	l0[$1] += lt[$2]; l1[$1] += $8
 }
 END {
 	for (i = 1; i <= trees; i++) {
@@ -71,10 +90,14 @@
 		var = k > 1 ? (sq[t] - k * m * m) / (k - 1) : 0
 		printf "%s to %s: %d days, worth %.4f to %.4f, %+.4f (%.4f), " \
 		    "served %.4f to %.4f, refused %.4f to %.4f, " \
-		    "failed %.4f to %.4f\n", base, t, k, a[t] / k, b[t] / k, m,
+		    "failed %.4f to %.4f, late %.4f to %.4f\n", base, t, k,
+		    a[t] / k, b[t] / k, m,
 		    sqrt((var > 0 ? var : 0) / k), s0[t] / k, s1[t] / k,
-		    r0[t] / k, r1[t] / k, f0[t] / k, f1[t] / k
+		    r0[t] / k, r1[t] / k, f0[t] / k, f1[t] / k,
+		    l0[t] / k, l1[t] / k
 	}
 	for (i = 1; i <= nbad; i++)
 		print "rule broken: " bad[i]
+	for (i = 1; i <= nnone; i++)
+		print "no result: " none[i]
 }'
