Balance of our own interface tells what it saw

Now each plan tells the first shard, both targets' load, slots and shards, and how far the fullest is above the mean. Unit cell fails without it.

--- a/decide/cell_plan.c
+++ b/decide/cell_plan.c
@@ -412,12 +412,32 @@
 	return (any);
 }
 
+/* Tells what balance saw: without it nobody can say why a shard moved that
+ * neither a loss nor a leaving target explains. */
+static void
+tell_moves(const struct cell *c, const struct cell_service *s,
+    const struct place_target *pt, const struct place_move *m, int n)
+{
+	const struct place_target *from = &pt[m->from], *to = &pt[m->to];
+	char text[400];
+
+	snprintf(text, sizeof(text),
+	    "%s: balance moves %d, first shard %" PRIu32 " from %s (%.2f of %d "
+	    "slots busy, %d shards) to %s (%.2f of %d, %d), fullest %.2f times "
+	    "the mean",
+	    s->name, n, m->shard + s->first, c->targets[m->from].conf.name,
+	    from->load, from->slots, from->shards, c->targets[m->to].conf.name,
+	    to->load, to->slots, to->shards, place_imbalance(pt, c->ntargets));
+	c->out->event(c->arg, text);
+}
+
 /* Starts moves that even out the load, within the budget; true if any. */
 static int
 plan_balance(struct cell *c, struct cell_service *s, struct place_target *pt,
     usec now, int room)
 {
 	const struct weighing *w = &weighings[s->weigh];
+	struct place_target seen[CELL_TARGETS];
 	struct place_move moves[MOVES_AT_ONCE];
 	uint8_t *fixed;
 	uint32_t k;
@@ -434,10 +454,13 @@
 	fixed = calloc(s->shards, 1);
 	for (k = 0; k < s->shards; k++)
 		fixed[k] = s->write.next[k] != NOBODY;
+	memcpy(seen, pt, sizeof(*pt) * (size_t)c->ntargets);
 	n = place_balance(pt, c->ntargets, s->write.owner, s->load, fixed,
 	    s->shards, w->tolerance, moves, room);
 	for (i = 0; i < n; i++)
 		begin_move(s, moves[i].shard, moves[i].to);
+	if (n > 0)
+		tell_moves(c, s, seen, moves, n);
 	s->budget -= n;
 	free(fixed);
 	return (n > 0);
--- a/regress/unit/t_cell.c
+++ b/regress/unit/t_cell.c
@@ -43,6 +43,8 @@
 	plat.base = base;
 }
 
+static char balance[400]; /* what was last told of it */
+
 static void
 on_changed(void *arg)
 {
@@ -52,6 +54,8 @@
 static void
 on_event(void *arg, const char *what)
 {
+	if (strstr(what, "balance") != NULL)
+		name_copy(balance, sizeof(balance), what);
 }
 
 static const struct cell_out out = {on_get, on_put, on_changed, on_event};
@@ -91,9 +95,10 @@
 struct say {
 	const char *host;
 	uint64_t boot;
-	int down[2];	/* reported down and dormant */
-	int dormant[2]; /* answering again, nothing granted */
-	int silent[2];	/* not spoken of */
+	int down[2];	  /* reported down and dormant */
+	int dormant[2];	  /* answering again, nothing granted */
+	int silent[2];	  /* not spoken of */
+	uint32_t busy[2]; /* thousandths of a slot; 0 is not told */
 	uint64_t epoch[2];
 	uint64_t ack;
 	int stopping;
@@ -126,6 +131,8 @@
 		ts[i].epoch = h->epoch[i];
 		ts[i].granted = !h->down[i] && !h->dormant[i];
 		ts[i].up = !h->down[i];
+		ts[i].has_loads = h->busy[i] > 0;
+		ts[i].rest_busy = h->busy[i];
 		if (i == 0 && freed != NULL) {
 			ts[i].freed = &freed;
 			ts[i].n_freed = 1;
@@ -477,6 +484,33 @@
 	CU_ASSERT_EQUAL(cell_configure(&c, &e), -1);
 }
 
+/*
+ * One of two targets is busy, and a shard moves though nothing was lost.  The
+ * operator who asks why finds in the log what balance saw of both.
+ */
+static void
+balance_is_told(void)
+{
+	struct say h = {.host = "h1", .boot = 1};
+	usec now;
+
+	start(&h);
+	balance[0] = '\0';
+	h.busy[0] = 1;
+	h.busy[1] = 1;
+	for (now = MS(3000); now < MS(4000); now += MS(50))
+		report(&h, now);
+	CU_ASSERT_STRING_EQUAL(balance, "");
+	h.busy[0] = 900;
+	for (; now < MS(6000) && balance[0] == '\0'; now += MS(50))
+		report(&h, now);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(balance, "s: balance moves 1, first shard "));
+	CU_ASSERT_PTR_NOT_NULL(strstr(balance, " from t1 ("));
+	CU_ASSERT_PTR_NOT_NULL(strstr(balance, " to t2 (0.00 of "));
+	CU_ASSERT_PTR_NOT_NULL(strstr(balance, " times the mean"));
+}
+
 static const struct unit_test tests[] = {
     {"places evenly", places_evenly},
     {"lost target is replaced", lost_target_is_replaced},
@@ -490,6 +524,7 @@
     {"names are of one service", names_are_of_one_service},
     {"one standby elsewhere", one_standby_elsewhere},
     {"shards are fixed", shards_are_fixed},
+    {"balance is told", balance_is_told},
 };
 
 int
