--- a/regress/unit/t_dest.c
+++ b/regress/unit/t_dest.c
@@ -38,6 +38,20 @@
 	CU_ASSERT(!dest_room(&d, MS(1000), &twelve));
 }
 
+/* A target leaves.  However idle it is, nothing new goes there: what reaches it
+ * two seconds later may find it gone. */
+static void
+leaving(void)
+{
+	struct dest d;
+
+	dest_init(&d, 4);
+	CU_ASSERT(dest_usable(&d, MS(1000)));
+	d.leaving = 1;
+	CU_ASSERT(!dest_usable(&d, MS(1000)));
+	CU_ASSERT(!dest_room(&d, MS(1000), &twelve));
+}
+
 /* A small fleet may send more each. */
 static void
 few_hosts(void)
@@ -165,6 +179,7 @@
 static const struct unit_test tests[] = {
     {"stays below full", stays_below_full},
     {"few hosts", few_hosts},
+    {"leaving", leaving},
     {"unreached", unreached},
     {"broken", broken},
     {"costs", costs},
--- a/regress/unit/t_keys.c
+++ b/regress/unit/t_keys.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #include "incarnation.h"
 #include "keys.h"
 #include "unit.h"
@@ -62,6 +64,11 @@
 static usec unheld_since[SAMPLES];
 static usec longest_unheld;
 static int double_held, fence_fell;
+static usec way;	      /* that an order takes to its target */
+static usec put_answer;	      /* that the answer to a write takes */
+static uint64_t stored_fence; /* the highest that the store knows of */
+static int unstored;	      /* grants with a fence beyond it */
+static int strayed;	      /* orders to an address that is another\'s */
 
 static double
 chance(void)
@@ -122,10 +129,27 @@
 	m->write = keys_write(arg);
 }
 
+/* True where another target has the address that an order goes to. */
+static int
+is_anothers(const struct key_order *o)
+{
+	int i;
+
+	for (i = 0; i < nfakes; i++) {
+		if (fakes[i].up && strcmp(fakes[i].addr, o->addr) == 0 &&
+		    !incarnation_same_target(fakes[i].id, o->target))
+			return (1);
+	}
+	return (0);
+}
+
 static void
 on_order(void *arg, const char *service, const struct key_order *o)
 {
-	struct mail *m = post(MAIL_ORDER, MS(1));
+	struct mail *m = post(MAIL_ORDER, way);
+
+	unstored += !o->release && o->fence > stored_fence;
+	strayed += is_anothers(o);
 
 	m->controller = controller_of(arg);
 	m->order = *o;
@@ -242,6 +266,18 @@
 	a->status = status;
 }
 
+/* The highest fence that the owners in the store name or leave behind. */
+static uint64_t
+top_fence_in(const char *text)
+{
+	json_t *o = json_loads(text, 0, NULL);
+	uint64_t top =
+	    (uint64_t)json_integer_value(json_object_get(o, "fence"));
+
+	json_decref(o);
+	return (top);
+}
+
 static void
 deliver_put(struct mail *m)
 {
@@ -254,12 +290,13 @@
 		free(stored);
 		stored = text;
 		stored_version++;
+		stored_fence = top_fence_in(text);
 	} else
 		free(text);
 	version = stored_version;
 	if (chance() < lose)
 		return;
-	a = post(MAIL_PUT_ANSWER, MS(1));
+	a = post(MAIL_PUT_ANSWER, put_answer);
 	a->controller = c;
 	a->status = store_down ? 503 : ok ? 200 : 409;
 	a->version = version;
@@ -504,7 +541,10 @@
 	store_down = 0;
 	lose = 0;
 	busy = 0;
-	double_held = fence_fell = 0;
+	double_held = fence_fell = unstored = strayed = 0;
+	way = MS(1);
+	put_answer = MS(1);
+	stored_fence = 0;
 	memset(refuses, 0, sizeof(refuses));
 	memset(top_fence, 0, sizeof(top_fence));
 	memset(unheld_since, 0, sizeof(unheld_since));
@@ -827,9 +867,65 @@
 			    double_held, fence_fell);
 		CU_ASSERT_EQUAL(double_held, 0);
 		CU_ASSERT_EQUAL(fence_fell, 0);
+		CU_ASSERT_EQUAL(unstored, 0);
 	}
 }
 
+/*
+ * The way to the targets takes longer than a controller waits for answers, and
+ * one of them is cut off from it: its last grant arrives after it was given up,
+ * and its clock is slow besides.  Its keys go on only when what arrived last
+ * has run out; a caller of the next owner would else be served beside it.
+ */
+static void
+long_way(void)
+{
+	int s, i, t;
+
+	for (s = 0; s < 40; s++) {
+		start((uint64_t)s);
+		run(MS(2000));
+		way = MS(640);
+		run(MS(700) + (usec)(chance() * MS(1000)));
+		t = (int)(chance() * TARGETS);
+		cut_target = t;
+		way = MS(1);
+		for (i = 0; i < 4; i++) {
+			run(MS(1500));
+			tell_fleet(&ctl[now_ctl]);
+		}
+		cut_target = -1;
+		CU_ASSERT_EQUAL(double_held, 0);
+		CU_ASSERT_EQUAL(unstored, 0);
+	}
+}
+
+/*
+ * A target refuses its grant, for it has seen a higher fence, and the store is
+ * away.  Granted under a fence that the store does not have, it would win over
+ * whoever the next controller, which cannot know of it, gives the keys to.  So
+ * it waits; with the store back it is raised until the target takes it.
+ */
+static void
+refused_while_store_is_away(void)
+{
+	int i;
+
+	start(23);
+	run(MS(2000));
+	store_down = 1;
+	for (i = 0; i < SAMPLES; i++) {
+		if (fakes[1].until[i] > now)
+			fakes[1].seen[i] = stored_fence + 2;
+	}
+	run(MS(2500));
+	CU_ASSERT_EQUAL(unstored, 0);
+	store_down = 0;
+	run(MS(4000));
+	all_held();
+	CU_ASSERT_EQUAL(unstored, 0);
+}
+
 /*
  * Targets are so busy that grants on new connections wait in them.  One is cut
  * off from its controller meanwhile: what it reads then is never answered, and
@@ -967,6 +1063,74 @@
 	CU_ASSERT_EQUAL(fence_fell, 0);
 }
 
+/*
+ * A target is gone, and its address goes to another of the same service before
+ * its keys have gone on.  An order that is meant for the earlier one would be
+ * read by the later: it would hold, or let go of, keys that nobody gave it.
+ */
+static void
+address_of_another(void)
+{
+	start(24);
+	run(MS(2000));
+	fakes[2].up = 0;
+	fakes[2].leaving = 1;
+	add_fake();
+	name_copy(fakes[TARGETS].addr, FLEET_ADDR, fakes[2].addr);
+	tell_fleet(&ctl[0]);
+	strayed = 0;
+	run(MS(6000));
+	CU_ASSERT_EQUAL(strayed, 0);
+	all_held();
+}
+
+/* True where keys that a target had when `had` was noted are held by another,
+ * whose entry is then lost. */
+static int
+unlist_holders(const char *had)
+{
+	int i, t, any = 0;
+
+	for (t = 0; t < nfakes; t++) {
+		for (i = 0; i < SAMPLES; i++) {
+			if (!had[i] || t == 2 || fakes[t].until[i] <= now)
+				continue;
+			fakes[t].listed = 0;
+			any = 1;
+		}
+	}
+	return (any);
+}
+
+/*
+ * Keys go from one target to the next, and control is lost before the store
+ * knows that they have arrived.  The first starts again, and the next loses its
+ * entry, but lives and holds them: they must not go back to the first at once.
+ */
+static void
+next_holds_them(void)
+{
+	char had[SAMPLES];
+	int s, i;
+
+	for (s = 0; s < 30; s++) {
+		start((uint64_t)s);
+		run(MS(3000));
+		for (i = 0; i < SAMPLES; i++)
+			had[i] = fakes[2].until[i] > now;
+		fakes[2].leaving = 1;
+		tell_fleet(&ctl[0]);
+		for (i = 0; i < 200 && !unlist_holders(had); i++)
+			step();
+		control(-1);
+		start_again(2, 0);
+		run(MS(300));
+		control(1);
+		run(MS(8000));
+		all_held();
+	}
+}
+
 /* Overwrites what the store keeps. */
 static void
 spoil(const char *text)
@@ -992,26 +1156,126 @@
 	    "{\"ranges\":[[0,\"t1\",1,\"\",0]],\"fence\":1,"
 	    "\"hold_ms\":999999999999}"};
 	size_t i;
+	int n;
 
 	for (i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
 		start(30 + i);
-		run(MS(3000));
+		/* Keys move, so that fences are higher than at the start. */
+		for (n = 0; n < 15; n++) {
+			ask(25, 5);
+			run(MS(200));
+		}
 		spoil(texts[i]);
 		control(-1);
 		run(MS(800));
+		/* Given out anew, keys go to others than had them. */
+		add_fake();
 		control(1);
 		run(MS(9000));
 		all_held();
 	}
 }
 
+/*
+ * The store's answer to a write is lost, or the write was refused, and another
+ * has written meanwhile.  What the store holds is not this controller's plan:
+ * acted on, it would grant keys under fences that nobody else can know of.
+ */
+static void
+another_has_written(void)
+{
+	char *text;
+	int i;
+
+	for (i = 0; i < 20; i++) {
+		start(60 + (uint64_t)i);
+		run(MS(2000));
+		text = strdup(strstr(stored, "\"write\""));
+		CU_ASSERT_PTR_NOT_NULL_FATAL(text);
+		text = realloc(text, strlen(stored) + 64);
+		sprintf(text, "{\"term\":1,%s", strstr(stored, "\"write\""));
+		spoil(text);
+		free(text);
+		lose = i % 2 == 0 ? 0 : 0.3;
+		fakes[2].leaving = 1;
+		tell_fleet(&ctl[0]);
+		run(MS(4000));
+		lose = 0;
+		run(MS(8000));
+		all_held();
+		CU_ASSERT_EQUAL(unstored, 0);
+	}
+}
+
+/*
+ * A host loses control with a write under way, and has it again before the
+ * answer comes.  That answer is to the earlier write; taken for the one that
+ * claims the keys, it would let grants go out that the store knows nothing of.
+ */
+static void
+answer_to_an_earlier_term(void)
+{
+	start(80);
+	run(MS(2000));
+	put_answer = MS(900);
+	fakes[2].leaving = 1;
+	tell_fleet(&ctl[0]);
+	run(MS(300));
+	keys_end(&ctl[0]);
+	control(-1);
+	run(MS(50));
+	control(0);
+	/* The owners are read, and the claim does not get through. */
+	run(MS(10));
+	store_down = 1;
+	run(MS(1500));
+	CU_ASSERT_EQUAL(unstored, 0);
+	store_down = 0;
+	put_answer = MS(1);
+	run(MS(9000));
+	all_held();
+	CU_ASSERT_EQUAL(unstored, 0);
+}
+
+/*
+ * Targets are busy, and read the last grants of a controller that is lost after
+ * another has taken control and asked them to let their keys go.  The keys go
+ * on only when such a grant has run out.
+ */
+static void
+takeover_from_busy(void)
+{
+	int s;
+
+	for (s = 0; s < 40; s++) {
+		start((uint64_t)s);
+		run(MS(2000));
+		busy = 1;
+		run(MS(1000) + (usec)(chance() * MS(1000)));
+		busy = 0;
+		control(-1);
+		run(MS(1200));
+		fakes[3].leaving = 1;
+		control(1);
+		run(MS(8000));
+		all_held();
+	}
+}
+
 static const struct unit_test tests[] = {
     {"started again", started_again},
     {"started again in a move", started_again_in_a_move},
     {"started again without store", started_again_without_store},
     {"spoilt", spoilt},
     {"heir lost meanwhile", heir_lost_meanwhile},
+    {"address of another", address_of_another},
+    {"next holds them", next_holds_them},
+    {"another has written", another_has_written},
+    {"answer to an earlier term", answer_to_an_earlier_term},
+    {"takeover from busy targets", takeover_from_busy},
     {"read late", read_late},
+    {"long way", long_way},
+    {"refused while the store is away", refused_while_store_is_away},
     {"first shares", first_shares},
     {"hot run", hot_run},
     {"leaving", leaving},
