The soak cuts data centres off, loses controllers in outages, and counts repeats

New with more=1, so that schedules of kept seeds stay as they are: one data centre or more cut off from the others and from the store; the controller killed or stopped while the store is away; entries that other writers make, in the name of a target that would serve; a service whose targets all fail. Checked in each seed: repeats of all hosts within the budget, and that nothing runs where no good entry points. With calm=1 nothing is broken that excuses a host, so that what is told too late is seen.

--- a/regress/run.sh
+++ b/regress/run.sh
@@ -109,6 +109,7 @@
 run soak-short bash regress/soak/run.sh 1 2 8
 run soak-again bash regress/soak/run.sh 301 302 8 again=1
 run soak-large bash regress/soak/run.sh 501 502 8 routes=3000
+run soak-more bash regress/soak/run.sh 601 602 8 more=1 centres=3
 for s in $(grep -v '^#' regress/soak/seeds.txt | cut -d: -f1); do
 	run "soak-seed-$s" bash regress/soak/run.sh "$s" "$s" 20
 done
--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -102,6 +102,14 @@
 	return t
 end
 
+-- A target that would serve whoever asks, and that no good entry names.
+function Site:add_stranger()
+	local t = { id = "x-1", addr = self:port(), opt = {} }
+	t.at = t.addr
+	self.stranger = t
+	self:start_server(t)
+end
+
 -- A target's entry, as the target itself would write it.
 local function entry(t, state, seq)
 	return string.format('{"metadata":{"name":"%s"},"spec":{"address":"%s",' ..
@@ -280,7 +288,8 @@
 	end)
 end
 
--- A site with one service without keys, one with, and hosts in two centres.
+-- A site with one service without keys, one with, and hosts in two data centres,
+-- or in those that are named.
 function standard_site(opt)
 	opt = opt or {}
 	local s = Site.new(opt)
@@ -289,16 +298,19 @@
 	    route("r3", "/k/", "safe", "keyed") },
 	    { '"plain":{"max_conns":100}',
 	    '"keyed":{"max_conns":100,"sharded":true,"warmup":"3s"}' })
+	local centres = opt.centres or { "south", "north" }
+	local function centre(i)
+		return centres[(i - 1) % #centres + 1]
+	end
 	for i = 1, opt.plain or 3 do
-		s:add_server("plain", i % 2 == 0 and "north" or "south",
-		    { work = opt.work })
+		s:add_server("plain", centre(i), { work = opt.work })
 	end
 	for i = 1, opt.keyed or 3 do
-		s:add_server("keyed", i % 2 == 0 and "north" or "south",
-		    { keyed = true, work = opt.work })
+		s:add_server("keyed", centre(i), { keyed = true,
+		    work = opt.work })
 	end
 	for i = 1, opt.hosts or 3 do
-		s:add_host("h" .. i, i % 2 == 0 and "north" or "south")
+		s:add_host("h" .. i, centre(i))
 	end
 	for _, n in ipairs(s.order) do
 		s:start_host(n)
--- a/regress/soak/checks.lua
+++ b/regress/soak/checks.lua
@@ -93,6 +93,63 @@
 	end
 end
 
+-- All hosts together send a request on only within the budget: in any window a
+-- share of the requests and some beyond it, whatever the targets answer.
+local WINDOW_MS, SHARE, SLACK = 10000, 0.2, 70
+
+-- How many moments of a sorted list lie in a window that ends at one of them.
+local function within(list, till)
+	local n = 0
+	for _, at in ipairs(list) do
+		if at > till - WINDOW_MS and at <= till then
+			n = n + 1
+		end
+	end
+	return n
+end
+
+function check_repeats(s, callers)
+	local asked, again = { plain = {}, keyed = {} }, { plain = {}, keyed = {} }
+	for _, q in ipairs(notes(callers)) do
+		table.insert(asked[q.kind == "k" and "keyed" or "plain"], q.from)
+	end
+	local came = {}
+	for _, id in ipairs(s.sorder) do
+		for at, rid in read_file(id .. ".journal"):gmatch(
+		    "came (%d+) (q%S+)\n") do
+			table.insert(came, { at = tonumber(at) / 1000, rid = rid,
+			    service = s.servers[id].service })
+		end
+	end
+	table.sort(came, function(x, y)
+		return x.at < y.at
+	end)
+	local first = {}
+	for _, c in ipairs(came) do
+		if first[c.rid] then
+			table.insert(again[c.service], c.at)
+		end
+		first[c.rid] = true
+	end
+	for service, list in pairs(again) do
+		for i = 1, #list, 10 do
+			local at, a = list[i], asked[service]
+			local most = SLACK + SHARE * math.max(within(a, at),
+			    within(a, at - WINDOW_MS), within(a, at -
+			    WINDOW_MS / 2))
+			check(within(list, at) <= most,
+			    "%s: %d sent on in %d ms, %.0f are allowed",
+			    service, within(list, at), WINDOW_MS, most)
+		end
+	end
+end
+
+-- What no good entry names runs nothing.
+function check_stranger(s)
+	check(not read_file(s.stranger.id .. ".journal"):match("run "),
+	    "%s ran a request, and no good entry names it", s.stranger.id)
+end
+
 -- Versions of the configuration: each names a route that only it and the next
 -- have.  In force in two seconds in calm, and never back.
 Versions = {}
--- a/regress/soak/faults.lua
+++ b/regress/soak/faults.lua
@@ -33,9 +33,9 @@
 	return #live > 1 and pick(live) or nil
 end
 
--- A process of a host ends by a signal, and starts again.
-local function end_host(s, f, signal)
-	local n = host(s)
+-- The process of a host, or of any, ends by a signal, and starts again.
+local function end_host(s, f, signal, n)
+	n = n or host(s)
 	if not n then
 		return
 	end
@@ -232,8 +232,125 @@
 	end },
 }
 
+-- Kinds that seeds ask for with more=1; the schedules of others stay as they are.
+local MORE = {
+	-- Hosts of one data centre or more hear nobody outside of their own, and
+	-- reach no store; two that are cut off do not hear each other.
+	{ 2, "data centres cut", function(s, f)
+		local centres = s.opt.centres
+		local n, first = math.random(#centres - 1), math.random(#centres)
+		local part = {}
+		for i = 0, n - 1 do
+			local c = centres[(first + i) % #centres + 1]
+			part[c] = c
+		end
+		for _, a in ipairs(s.order) do
+			local h, deaf_to = s.hosts[a], {}
+			for _, b in ipairs(s.order) do
+				if part[h.dc] ~= part[s.hosts[b].dc] then
+					table.insert(deaf_to, b)
+				end
+			end
+			wire(h.peer_wire, "way=-1&cut=" ..
+			    table.concat(deaf_to, ","))
+			wire(h.wire, "way=-1&cut=" .. (part[h.dc] and "*" or ""))
+		end
+		f.heal = function()
+			for _, a in ipairs(s.order) do
+				wire(s.hosts[a].peer_wire, "cut=&way=-1")
+				wire(s.hosts[a].wire, "cut=&way=-1")
+			end
+		end
+		return n .. " of " .. #centres
+	end },
+	-- The controller is killed, or stops in order, while the store is away.
+	{ 2, "store away, controller ends", function(s, f)
+		local n = not f.store_broken and s:controller()
+		local h = n and s.hosts[n]
+		if not h or h.dead or h.broken then
+			return
+		end
+		local signal = pick({ 9, 15 })
+		s:fault("down=1")
+		end_host(s, f, signal, n)
+		f.all, f.planned = true, false
+		local start = f.heal
+		f.heal = function()
+			s:fault("down=0")
+			start()
+		end
+		return n .. " " .. signal
+	end },
+	-- An entry by another writer, in the name of a target that would serve.
+	{ 2, "foreign entry", function(s, f)
+		if f.store_broken or s.stranger.open then
+			return
+		end
+		local what = math.random(#STRANGE)
+		http("POST", "http://" .. s.store .. "/objects/servers",
+		    string.format(STRANGE[what], s.stranger.id, s.stranger.addr))
+		s.stranger.open = true
+		f.planned, f.writes = true, true
+		f.heal = function()
+			s:unregister(s.stranger.id)
+			s.stranger.open = false
+		end
+		return what
+	end },
+	-- All targets of a service answer with failures of their own.
+	{ 1, "service fails", function(s, f)
+		local function set(q)
+			for _, id in ipairs(s.sorder) do
+				local t = s.servers[id]
+				if t.service == "plain" and not t.died then
+					s:server_fault(id, q)
+				end
+			end
+		end
+		set("fail=1")
+		f.least = 9000
+		f.heal = function()
+			set("fail=0")
+		end
+		return "plain"
+	end },
+}
+
+-- Entries that name nobody: fields missing or of another type, a state or a
+-- service that there is not.
+STRANGE = { '{"metadata":{"name":"%s"},"spec":7,"status":"%s"}',
+    '{"metadata":{"name":"%s"},"spec":{"address":"%s","info":{"service":' ..
+    '"plain","zone":"south","slots":4}},"status":{"state":"resting",' ..
+    '"sequence":1}}',
+    '{"metadata":{"name":"%s"},"spec":{"address":"%s","info":{"service":5,' ..
+    '"zone":"south","slots":4}},"status":{"state":"ready","sequence":1}}',
+    '{"metadata":{"name":"%s"},"spec":{"address":"%s","info":{"service":' ..
+    '"plain","zone":"south","slots":"many"}},"status":{"state":"ready"}}',
+    '{"metadata":{"name":"%s"},"spec":{"addr":"%s"}}' }
+
+-- With calm=1 nothing happens that excuses a host: what is told too late, or
+-- not at all, is then seen as such.
+local CALM = { stop = true, target = true, settings = true,
+    ["target wire"] = true, ["target pause"] = true, ["target kill"] = true,
+    ["target leaves"] = true }
+
+-- The kinds that a seed may draw from.
+local function drawn_from()
+	local all = {}
+	for _, k in ipairs(KINDS) do
+		if CALM[k[2]] or not ARG:match("calm=1") then
+			table.insert(all, k)
+		end
+	end
+	for _, k in ipairs(ARG:match("more=1") and MORE or {}) do
+		table.insert(all, k)
+	end
+	return all
+end
+
 local TOTAL = 0
-for _, k in ipairs(KINDS) do
+local drawn = drawn_from()
+for _, k in ipairs(drawn) do
 	TOTAL = TOTAL + k[1]
 end
 
@@ -245,7 +362,7 @@
 -- One fault, drawn by weight; those that find nothing to break are left out.
 function Faults:begin()
 	local x = math.random(TOTAL)
-	for _, k in ipairs(KINDS) do
+	for _, k in ipairs(drawn) do
 		x = x - k[1]
 		if x <= 0 then
 			local f = { name = k[2], from = now_ms(),
--- a/regress/soak/mutants.sh
+++ b/regress/soak/mutants.sh
@@ -1,46 +1,72 @@
 #!/bin/bash
 # Shows that the soak fails where it should: takes one safeguard at a time out of
 # a copy of the daemon, and plays seeds until one fails.  Run by hand; minutes.
+# mutants.sh [SEEDS [SECS [NAME...]]]: with names, those alone.
 cd "$(dirname "$0")/../.." || exit 1
 seeds=${1:-8} secs=${2:-20}
+shift 2 2>/dev/null || shift $#
+only=$*
 work=$(mktemp -d) || exit 1
 trap 'rm -rf "$work"' EXIT
 missed=0
 
-# mutant NAME FILE SED: a change to one file, which must change it.
+# mutant NAME WORDS FILE SED [FILE SED...]: changes to files, each of which must
+# change its file; WORDS are for soak.lua.
 mutant() {
-	local tree=$work/$1
+	local name=$1 words=$2 tree=$work/$1
+	shift 2
+	case " $only " in
+	"  " | *" $name "*) ;;
+	*) return ;;
+	esac
 	mkdir -p "$tree"
 	git ls-files -z | grep -zv '^journal/' | xargs -0 cp --parents -t "$tree"
-	sed -i "$3" "$tree/$2"
-	if cmp -s "$2" "$tree/$2" ||
-	    ! make -s -C "$tree" fleet >"$work/log" 2>&1; then
-		echo "$1: not built"
+	while [ $# -ge 2 ]; do
+		sed -i "$2" "$tree/$1"
+		if cmp -s "$1" "$tree/$1"; then
+			echo "$name: nothing changed in $1"
+			missed=$((missed + 1))
+			return
+		fi
+		shift 2
+	done
+	if ! make -s -C "$tree" fleet >"$work/log" 2>&1; then
+		echo "$name: not built"
 		missed=$((missed + 1))
 		return
 	fi
-	cp -r build/plain "$work/$1.build"
-	cp "$tree/target/gspard" "$work/$1.build/gspard/gspard"
-	SOAK_BUILD=$work/$1.build SOAK_WORK=$work/$1.runs \
-	    bash regress/soak/run.sh 101 $((100 + seeds)) "$secs" >"$work/log"
-	if grep -m1 FAILED "$work/log" | sed "s/^/$1: found: /; s/, in .*//"; then
+	cp -r build/plain "$work/$name.build"
+	cp "$tree/target/gspard" "$work/$name.build/gspard/gspard"
+	# shellcheck disable=SC2086
+	SOAK_BUILD=$work/$name.build SOAK_WORK=$work/$name.runs \
+	    bash regress/soak/run.sh 101 $((100 + seeds)) "$secs" $words \
+	    >"$work/log"
+	if grep -m1 FAILED "$work/log" | sed "s/^/$name: found: /; s/, in .*//"; then
 		:
 	fi
 	if ! grep -q FAILED "$work/log"; then
-		echo "$1: not found in $seeds seeds"
+		echo "$name: not found in $seeds seeds"
 		missed=$((missed + 1))
 	fi
 }
 
-mutant no-wait-for-grants decide/keys_grant.c \
+mutant no-wait-for-grants "" decide/keys_grant.c \
     's/return (r->released ? r->unanswered_until : r->granted_until);/return (0);/'
-mutant unknown-told-as-not-run gspard/direct_flow.c \
+mutant unknown-told-as-not-run "" gspard/direct_flow.c \
     's/if (p->ran > 0 \&\& result_outcome(code) == OUT_NOT_RUN)/if (0)/'
-mutant anybodys-answer platform/target.c \
+mutant anybodys-answer "" platform/target.c \
     's/strcmp(r->id, c->id) != 0)/0)/'
-mutant leaving-targets-used gspard/direct_pick.c \
+mutant leaving-targets-used calm=1 gspard/direct_pick.c \
     's/p->dest.leaving = t->leaving;/p->dest.leaving = 0;/'
-mutant configurations-not-told gspard/keeper.c \
+# What is not told is read from the store 0.4 s later: one of the two is enough.
+mutant configurations-not-told calm=1 gspard/keeper_site.c \
     's/if (t != NULL \&\& told->version <= t->version)/if (t != NULL)/'
+mutant configurations-not-told-nor-read calm=1 gspard/keeper_site.c \
+    's/if (t != NULL \&\& told->version <= t->version)/if (t != NULL)/' \
+    decide/behind.c 's/if (now >= b->read_at) {/if (0) {/'
+mutant no-budget-of-repeats "more=1 calm=1" decide/budget.c \
+    's/if (b->tokens < 1)/if (0)/'
+mutant unknown-state-is-ready "more=1 calm=1" platform/decode.c \
+    's/entry_state(status, t) != 0)/(entry_state(status, t), 0))/'
 echo "$missed not found"
 [ $missed -eq 0 ]
--- a/regress/soak/soak.lua
+++ b/regress/soak/soak.lua
@@ -2,8 +2,8 @@
 -- outside by signals, by proxies between any two of them, and by the store and
 -- the targets, in series that overlap.  A seed gives the whole schedule.  What
 -- callers and targets saw is checked against what is promised.
--- ARG: seed=N secs=N hosts=N servers=N callers=N ports=N, and routes=N, so many
--- more in each configuration
+-- ARG: seed=N secs=N hosts=N servers=N callers=N ports=N centres=N; routes=N, so
+-- many more in each configuration; more=1 and calm=1, see faults.lua
 dofile("regress/scenario/lib_site.lua")
 dofile("regress/soak/faults.lua")
 dofile("regress/soak/checks.lua")
@@ -13,10 +13,13 @@
 end
 local SEED, SECS = arg("seed", 1), arg("secs", 20)
 math.randomseed(SEED)
-local s = standard_site { hosts = arg("hosts", 4), plain = arg("servers", 4),
+local centres = { "south", "north", "east", "west" }
+local s = standard_site { centres = { table.unpack(centres, 1,
+    arg("centres", 2)) }, hosts = arg("hosts", 4), plain = arg("servers", 4),
     keyed = arg("servers", 4), store_wires = true, server_wires = true,
     peer_wires = true, work = 8 }
 s.routes = s:many_routes(arg("routes", 0))
+s:add_stranger()
 
 local addrs = {}
 for _, n in ipairs(s.order) do
@@ -63,5 +66,7 @@
 s:journals_ok()
 check_callers(s, faults, #callers, healed)
 check_leaving(s, faults)
+check_repeats(s, #callers)
+check_stranger(s)
 say("seed %d: %d faults, %d versions, all promises kept", SEED, #faults.done,
     watch.count)
--- a/standin/server.c
+++ b/standin/server.c
@@ -258,6 +258,9 @@
 		return;
 	}
 	pthread_mutex_lock(&lock);
+	NOTE("came %lld %s\n", (long long)clock_mono(),
+	    web_head(q, "X-Request-Id") == NULL ? "-"
+						: web_head(q, "X-Request-Id"));
 	if (reset_new && q->nth == 1) {
 		a->drop = 1;
 	} else if (refuse > 0) {
