--- a/regress/unit/t_keys.c
+++ b/regress/unit/t_keys.c
@@ -1176,6 +1176,19 @@
 	}
 }
 
+/* What the store keeps, as if a controller of another term had written it. */
+static char *
+of_another_term(void)
+{
+	const char *rest = strstr(stored, "\"write\"");
+	size_t n = strlen(stored) + 64;
+	char *text = malloc(n);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(rest);
+	snprintf(text, n, "{\"term\":1,%s", rest == NULL ? "" : rest);
+	return (text);
+}
+
 /*
  * The store's answer to a write is lost, or the write was refused, and another
  * has written meanwhile.  What the store holds is not this controller's plan:
@@ -1190,10 +1203,7 @@
 	for (i = 0; i < 20; i++) {
 		start(60 + (uint64_t)i);
 		run(MS(2000));
-		text = strdup(strstr(stored, "\"write\""));
-		CU_ASSERT_PTR_NOT_NULL_FATAL(text);
-		text = realloc(text, strlen(stored) + 64);
-		sprintf(text, "{\"term\":1,%s", strstr(stored, "\"write\""));
+		text = of_another_term();
 		spoil(text);
 		free(text);
 		lose = i % 2 == 0 ? 0 : 0.3;
