--- /dev/null
+++ b/regress/unit/t_known_size.c
@@ -0,0 +1,75 @@
+/*
+ * How the cost of reading the list of targets grows with their number.  A host
+ * has a tenth of a core; while it reads a list it answers nobody, and all hosts
+ * read one at a start, and when the controller loses the store.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "known.h"
+#include "unit.h"
+
+/* The best of so many tries counts: others use the machine too. */
+#define TRIES 5
+
+/* Reads a list of n targets, of which half are known already. */
+static usec
+read_list(int n)
+{
+	struct known k;
+	struct fleet_target t;
+	usec from;
+	int i, pass;
+
+	memset(&k, 0, sizeof(k));
+	memset(&t, 0, sizeof(t));
+	k.heartbeat = MS(900);
+	name_copy(t.service, sizeof(t.service), "s");
+	from = clock_mono();
+	for (pass = 2; pass > 0; pass--) {
+		known_list_begin(&k);
+		for (i = 0; i < n; i += pass) {
+			snprintf(t.id, sizeof(t.id), "i-%08x",
+			    (unsigned)i * 2654435761u);
+			known_put(&k, &t, MS(1000));
+		}
+		known_list_end(&k, MS(1000));
+	}
+	from = clock_mono() - from;
+	known_free(&k);
+	return (from);
+}
+
+/* The least time of some tries. */
+static usec
+least(int n)
+{
+	usec took, best = 0;
+	int i;
+
+	for (i = 0; i < TRIES; i++) {
+		took = read_list(n);
+		if (i == 0 || took < best)
+			best = took;
+	}
+	return (best);
+}
+
+/*
+ * Four times as many targets may take four times as long, and twice that for
+ * memory that no cache holds any more; looking at all for each takes sixteen
+ * times as long.
+ */
+static void
+grows_with_targets(void)
+{
+	usec few = least(1000), many = least(4000);
+
+	printf("1000 targets %lld us, 4000 targets %lld us\n", (long long)few,
+	    (long long)many);
+	CU_ASSERT(many <= 8 * few);
+}
+
+static const struct unit_test tests[] = {
+    {"grows with targets", grows_with_targets}};
+UNIT_MAIN("known_size", tests)
