--- a/bench/ablate.sh
+++ b/bench/ablate.sh
@@ -6,7 +6,8 @@
 #
 # TOOL is the users' bench, OUT a folder for trees and for what each play printed,
 # SITE a site file.  DAYS and SEEDS are played on each site, JOBS plays at once
-# (3).  FEATURES are left out, one by one (all).  A run that was stopped goes on:
+# (3).  FEATURES are left out, one by one (all); "none" leaves nothing out, and shows
+# by how much two plays of the same differ.  A run that was stopped goes on:
 # what the journal has of this commit is not played again.  All entries are put
 # into the journal.  Prints a table, and draws PLOT where it is set.
 [ $# -ge 3 ] || {
@@ -33,7 +34,7 @@
 		make -s -C "$out/trees/.all" ablation || exit 1
 	else
 		cp -a "$out/trees/all" "$out/trees/.$1" || exit 1
-		printf '\n[ablation]\noff = %s\n' "$1" \
+		[ "$1" = none ] || printf '\n[ablation]\noff = %s\n' "$1" \
 		    >>"$out/trees/.$1/deploy/settings.tmpl"
 	fi
 	mv "$out/trees/.$1" "$out/trees/$1"
@@ -62,7 +63,7 @@
 }
 
 trees=
-for n in all $features; do
+for n in all none $features; do
 	tree "$n"
 	trees="$trees $n=$out/trees/$n"
 done
--- a/regress/ablate.sh
+++ b/regress/ablate.sh
@@ -27,7 +27,7 @@
 printf '\n\nclass asked in aim late refused failed\n'
 printf 'a 100 80 10 5 5\nb 300 250 30 10 10\n\nzone asked in aim late\n'
 printf 'z 400 0 399\n'
-cat >"journal/$off-$3-$5.json" <<J
+cat >"journal/$(basename "$PWD")-$3-$5.json" <<J
 {"v":1,
 "cmd":"run","argv":["x.toml","$3","--seed","$5","--jobs","1","--why","$why"],
 "why":"$why",
@@ -87,17 +87,18 @@
 | mechanism | s1, 2 days: worth | served, refused, late |
 | --- | --- | --- |
 | far | +0.0700 (0.0100) | +0.0, +0.0, +0.0 |
+| none | +0.0000 (0.0000) | +0.0, +0.0, +0.0 |
 | cold | +0.0000 (0.0000) | +0.0, +0.0, +0.0 |
 s1: rule broken: cold d1-20
 EOT
 diff "$work/want" "$work/got" || fail "the table"
-[ "$(wc -l <"$PLAYED")" -eq 6 ] || fail "not six plays"
-[ "$(ls journal | grep -c json)" -eq 6 ] || fail "journal not kept"
+[ "$(wc -l <"$PLAYED")" -eq 8 ] || fail "not eight plays"
+[ "$(ls journal | grep -c json)" -eq 8 ] || fail "journal not kept"
 grep -q svg "$work/plot.svg" || fail "no plot"
 # In another folder, as after a new checkout: from the journal, nothing played.
 : >"$PLAYED"
-ablate "$work/again" | head -4 >"$work/got"
-head -4 "$work/want" | diff - "$work/got" || fail "not restored"
+ablate "$work/again" | head -5 >"$work/got"
+head -5 "$work/want" | diff - "$work/got" || fail "not restored"
 [ ! -s "$PLAYED" ] || fail "played again in spite of the journal"
 cd "$here" || exit 1
 echo "pairs and ablations as expected"
