Lines of the router name a request's content, the same when it comes again

A caller whose request crashes a target sends it again under another id and through another host. A digest of method, host, path, query and body now stands in the lines of a broken send and of a refusal. Nothing else changes.

--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -8,6 +8,7 @@
 
 #include <apr_general.h>
 
+#include "digest.h"
 #include "direct.h"
 #include "hist.h"
 #include "keeper.h"
@@ -58,6 +59,16 @@
 	call_end(c);
 }
 
+/* The digest of a request's content. */
+static uint64_t
+call_digest(const struct call *c)
+{
+	struct str parts[] = {{(char *)c->method, strlen(c->method)},
+	    c->rule->host, {c->uri, strlen(c->uri)}, c->body};
+
+	return (digest_parts(parts, sizeof(parts) / sizeof(parts[0])));
+}
+
 /* Takes a call from the door. */
 static void
 take_call(struct direct *d, struct call *c, usec now)
@@ -74,6 +85,7 @@
 	}
 	p->call = c;
 	p->rule = c->rule;
+	p->digest = call_digest(c);
 	p->learnt = learnt_of(d, p->rule);
 	n = rule_part(p->rule, p->learnt->count++);
 	if (n < 0 || (p->svc = svc_of(d, t->services[n].name)) == NULL) {
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -74,6 +74,7 @@
 	const struct rule *rule;
 	struct learnt *learnt;
 	struct svc *svc;
+	uint64_t digest; /* of its content */
 	usec arrived;
 	usec deadline;
 	usec not_before; /* of the next try */
--- a/gspard/direct_flow.c
+++ b/gspard/direct_flow.c
@@ -87,10 +87,12 @@
 	a->outcome = (int)result_outcome(code);
 	a->retry_ms = retry_after(p, wait, now);
 	log_request("router", p->call->id,
-	    "%s: service %s, target %s, key %d, tries %d, after %lld ms of "
-	    "%lld, load there %.1f, waiting %d, retry in %u ms",
+	    "%s: service %s, target %s, key %d, content %016llx, tries %d, "
+	    "after %lld ms of %lld, load there %.1f, waiting %d, "
+	    "retry in %u ms",
 	    result_name(code), p->svc->name, target, p->call->key_number,
-	    p->tries, (long long)((now - p->arrived) / 1000),
+	    (unsigned long long)p->digest, p->tries,
+	    (long long)((now - p->arrived) / 1000),
 	    (long long)((p->deadline - p->arrived) / 1000),
 	    p->last == NULL ? 0.0 : dest_load(&p->last->dest, now),
 	    p->line == NULL ? 0 : p->line->waiting, a->retry_ms);
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -137,11 +137,12 @@
 	count_add(res == CURLE_OK ? C_FOREIGN : C_BROKE, 1);
 	p->ran++;
 	log_request("router", p->call->id,
-	    "no whole answer from target %s at %s after %lld ms: %s, try %d",
+	    "no whole answer from target %s at %s after %lld ms: %s, "
+	    "content %016llx, try %d",
 	    p->at->target->id, p->at->target->addr,
 	    (long long)((now - p->at->sent) / 1000),
 	    res == CURLE_OK ? "not to this request" : curl_easy_strerror(res),
-	    p->tries);
+	    (unsigned long long)p->digest, p->tries);
 	if (code == GS_TARGET_LOST && may_repeat(p, now))
 		again(d, p, now);
 	else
--- /dev/null
+++ b/regress/unit/t_digest.c
@@ -0,0 +1,51 @@
+/* Digests of a request's content. */
+#include <string.h>
+
+#include "digest.h"
+#include "unit.h"
+
+/* The digest of two texts. */
+static uint64_t
+two(const char *a, const char *b)
+{
+	struct str parts[] = {{(char *)a, strlen(a)}, {(char *)b, strlen(b)}};
+
+	return (digest_parts(parts, 2));
+}
+
+/* The same content has the same digest, wherever it lies. */
+static void
+same(void)
+{
+	char text[] = "/lots/7";
+
+	CU_ASSERT(two("GET", "/lots/7") == two("GET", text));
+}
+
+/* Another path, another split between parts or a part less is another one. */
+static void
+different(void)
+{
+	struct str one = {"GET", 3};
+
+	CU_ASSERT(two("GET", "/lots/7") != two("GET", "/lots/8"));
+	CU_ASSERT(two("GET", "/lots/7") != two("GET/", "lots/7"));
+	CU_ASSERT(two("", "GET") != two("GET", ""));
+	CU_ASSERT(two("GET", "") != digest_parts(&one, 1));
+}
+
+/* A part without bytes may have no memory either. */
+static void
+empty(void)
+{
+	struct str none[] = {{NULL, 0}, {NULL, 0}};
+
+	CU_ASSERT(digest_parts(none, 2) == two("", ""));
+}
+
+static const struct unit_test tests[] = {
+    {"same", same},
+    {"different", different},
+    {"empty", empty},
+};
+UNIT_MAIN("digest", tests)
