--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -73,6 +73,10 @@
 	if t.opt.keyed then
 		table.insert(args, "-k")
 	end
+	if self.opt.crash then
+		table.insert(args, "-x")
+		table.insert(args, self.opt.crash)
+	end
 	t.pid = spawn(path(t.id .. ".log"), BUILD .. "/standin/server",
 	    table.unpack(args))
 	await(t.id, 3000, function()
@@ -149,6 +153,37 @@
 	self:revive_server(id, addr)
 end
 
+-- Starts targets again that have ended by themselves.
+function Site:revive_ended()
+	for _, id in ipairs(self.sorder) do
+		local t = self.servers[id]
+		if wait(t.pid, true) then
+			t.ends = t.ends or {}
+			table.insert(t.ends, now_ms())
+			self:revive_server(id)
+		end
+	end
+end
+
+-- When targets crashed, in order, and when requests of some ids came to them.
+function Site:crashes(ids)
+	local ends, came = {}, {}
+	for _, id in ipairs(self.sorder) do
+		for l in read_file(id .. ".journal"):gmatch("[^\n]+") do
+			local e = l:match("^crash (%d+)")
+			local at, rid = l:match("^came (%d+) (%S+)")
+			if e then
+				table.insert(ends, tonumber(e) / 1000)
+			elseif at and ids[rid] then
+				table.insert(came, tonumber(at) / 1000)
+			end
+		end
+	end
+	table.sort(ends)
+	table.sort(came)
+	return ends, came
+end
+
 function Site:unregister(id)
 	http("DELETE", "http://" .. self.store .. "/objects/servers/" .. id)
 end
@@ -419,6 +454,57 @@
 	check(doubles == 0, "keys held by two at once: %d times", doubles)
 end
 
+-- Sends a request that crashes the targets that run it over and over, through
+-- one host after the other, also after all hosts were lost.  Checks that it
+-- reaches no target more than `most` times once three have ended under it and
+-- `stable` ms have passed, and that all else is served.
+function Site:play_poison(p, heads, stable, most)
+	local ids, n = {}, 0
+	local function send_poison()
+		n = n + 1
+		local st, _, _, id = self:ask(self.order[n % #self.order + 1],
+		    p, heads)
+		ids[id] = true
+		check(st ~= 200, "%s answered", p)
+		sleep_ms(200)
+		self:revive_ended()
+	end
+	local function rest_is_served()
+		self:await_keys(8000)
+		for _, h in ipairs(self.order) do
+			check(self:ask(h, "/any/other") == 200,
+			    "%s refuses another", h)
+			check(self:ask_key(h, 700) == 200,
+			    "%s refuses a key", h)
+		end
+	end
+	local third = await("three crashes", 20000, function()
+		send_poison()
+		return #self:crashes(ids) >= 3 and now_ms()
+	end)
+	while now_ms() < third + stable + 7000 do
+		send_poison()
+	end
+	rest_is_served()
+	for _, h in ipairs(self.order) do
+		self:kill_host(h)
+	end
+	for _, h in ipairs(self.order) do
+		self:start_host(h)
+	end
+	rest_is_served()
+	for _ = 1, 9 do
+		send_poison()
+	end
+	local ends, came = self:crashes(ids)
+	local late = 0
+	for _, at in ipairs(came) do
+		late = late + (at > ends[3] + stable and 1 or 0)
+	end
+	check(late <= most, "sent %d times more after its third target, %d " ..
+	    "ended in all", late, #ends)
+end
+
 function Site:stop_all()
 	for _, n in ipairs(self.order) do
 		if not self.hosts[n].dead then
--- a/standin/server.c
+++ b/standin/server.c
@@ -37,6 +37,7 @@
 static int keyed;
 static const char *listen_addr;
 static const char *name = "i-1";
+static const char *crash_on; /* ends when it has run such a path */
 static FILE *journal;
 
 /* Faults. */
@@ -54,6 +55,7 @@
     {"journal", 'j', "FILE", 0, "Append the journal to FILE", 0},
     {"slots", 's', "N", 0, "Requests that run at once", 0},
     {"work", 'w', "MS", 0, "Time a request takes", 0},
+    {"crash", 'x', "TEXT", 0, "End at the end of a run whose path has TEXT", 0},
     {"keyed", 'k', NULL, 0, "Run only what this server holds the key of", 0},
     {0},
 };
@@ -81,6 +83,9 @@
 	case 'w':
 		work_ms = atoi(arg);
 		break;
+	case 'x':
+		crash_on = arg;
+		break;
 	case 'k':
 		keyed = 1;
 		break;
@@ -222,6 +227,10 @@
 	pthread_mutex_unlock(&lock);
 	usleep((unsigned)work_ms * 1000);
 	pthread_mutex_lock(&lock);
+	if (crash_on != NULL && strstr(q->path, crash_on) != NULL) {
+		NOTE("crash %lld\n", (long long)clock_mono());
+		_exit(1);
+	}
 	if (key >= 0)
 		busy[key]--;
 	running--;
