--- a/decide/incarnation.c
+++ b/decide/incarnation.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "incarnation.h"
 
 /* Between the id and the moment of the start, in Unix milliseconds. */
@@ -78,3 +80,12 @@
 	return (incarnation_same_target(later, earlier) &&
 	    born(later) > born(earlier));
 }
+
+/* A number that stands for a life; never 0. */
+uint64_t
+incarnation_digest(const char *name)
+{
+	uint64_t h = XXH3_64bits(name, strlen(name));
+
+	return (h == 0 ? 1 : h);
+}
--- a/decide/incarnation.h
+++ b/decide/incarnation.h
@@ -16,5 +16,6 @@
 int incarnation_is_of(const char *name, const char *target);
 int incarnation_same_target(const char *a, const char *b);
 int incarnation_follows(const char *later, const char *earlier);
+uint64_t incarnation_digest(const char *name);
 
 #endif
--- /dev/null
+++ b/decide/recent.h
@@ -0,0 +1,21 @@
+/* Contents of requests that were answered a little while ago. */
+#ifndef RECENT_H
+#define RECENT_H
+
+#include <stdint.h>
+
+#include "clock.h"
+
+#define RECENT_KEPT 512
+
+struct recent {
+	struct {
+		uint64_t digest;
+		usec at;
+	} kept[RECENT_KEPT];
+};
+
+void recent_answered(struct recent *, uint64_t digest, usec now);
+int recent_was_answered(const struct recent *, uint64_t digest, usec now);
+
+#endif
--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -145,6 +145,8 @@
 		heat_report_keys(h, d->svcs[i].name, &d->svcs[i].heat);
 		heat_clear(&d->svcs[i].heat);
 	}
+	h->crashes = d->crashes;
+	memset(&d->crashes, 0, sizeof(d->crashes));
 	for (s = d->targets; s != NULL; s = s->next) {
 		heat_report_target(h, s->id, s->dest.speed, s->answers);
 		s->answers = 0;
@@ -206,6 +208,9 @@
 		if (hosts > 0)
 			d->conf.hosts = hosts;
 		break;
+	case MSG_QUARANTINE:
+		msg_keep(m, &d->quarantine);
+		break;
 	case MSG_STOP:
 		begin_leave(d, m);
 		break;
@@ -292,6 +297,7 @@
 	}
 	shared_unref(d->site);
 	shared_unref(d->owners);
+	shared_unref(d->quarantine);
 	apr_pool_destroy(d->pool);
 	free(d);
 }
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -9,8 +9,11 @@
 #include "dest.h"
 #include "fleet.h"
 #include "heat.h"
+#include "keeper.h"
 #include "leave.h"
 #include "owners.h"
+#include "quarantine.h"
+#include "recent.h"
 #include "target_ops.h"
 #include "transfer.h"
 
@@ -39,6 +42,8 @@
 	int answers;  /* since the last report */
 	int users;    /* requests that name it */
 	int replaced; /* another target answers at its address */
+	uint64_t digest;
+	int ended; /* found so, and told; an answer says otherwise */
 };
 
 /* What is kept of a service across versions of the configuration. */
@@ -100,6 +105,9 @@
 	struct target_state *targets;
 	struct shared *site;
 	struct shared *owners;
+	struct shared *quarantine;
+	struct recent recent;	    /* contents that were answered */
+	struct crash_notes crashes; /* since the last report */
 	struct leave *leave; /* this host stops; NULL where it does not */
 	struct dest_conf conf;
 	struct svc svcs[SITE_SERVICES];
@@ -127,6 +135,11 @@
 void flow_expire(struct direct *, struct pending *, usec now);
 void flow_left(struct direct *, struct pending *, usec now);
 
+/* direct_crash.c */
+void crash_broke(struct direct *, const struct pending *,
+    const struct target_state *, usec now);
+void crash_ended(struct direct *, struct target_state *);
+
 /* direct_send.c */
 int attempt_start(
     struct direct *, struct pending *, struct target_state *, usec now);
--- a/gspard/direct_flow.c
+++ b/gspard/direct_flow.c
@@ -85,7 +85,9 @@
 		code = GS_TARGET_LOST;
 	a->code = code;
 	a->outcome = (int)result_outcome(code);
-	a->retry_ms = retry_after(p, wait, now);
+	/* A quarantined request is not to come back before its time. */
+	a->retry_ms = code == GS_QUARANTINED ? (uint32_t)(wait / 1000)
+					     : retry_after(p, wait, now);
 	log_request("router", p->call->id,
 	    "%s: service %s, target %s, key %d, content %016llx, tries %d, "
 	    "after %lld ms of %lld, load there %.1f, waiting %d, "
@@ -278,6 +280,15 @@
 void
 flow_send(struct direct *d, struct pending *p, usec now)
 {
+	const struct quarantine_list *l =
+	    d->quarantine == NULL ? NULL : d->quarantine->p;
+	usec left = quarantine_left(l, p->digest, now);
+
+	if (left > 0) {
+		count_add(C_QUARANTINED, 1);
+		flow_end(d, p, GS_QUARANTINED, left, now);
+		return;
+	}
 	if (p->svc->keyed && p->call->key_number >= 0)
 		try_owner(d, p, now);
 	else
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -109,8 +109,10 @@
 		count_add(C_MISSENT, 1);
 		/* Another target has taken the address over. */
 		if (p->at->t.reply.instance[0] != '\0' &&
-		    !incarnation_is_of(s->id, p->at->t.reply.instance))
+		    !incarnation_is_of(s->id, p->at->t.reply.instance)) {
 			s->replaced = 1;
+			crash_ended(d, s);
+		}
 		p->missents =
 		    o != NULL && p->missent == o->number ? p->missents + 1 : 1;
 		p->missent = o == NULL ? 0 : o->number;
@@ -136,6 +138,8 @@
 
 	count_add(res == CURLE_OK ? C_FOREIGN : C_BROKE, 1);
 	p->ran++;
+	if (res != CURLE_OK && code == GS_TARGET_LOST)
+		crash_broke(d, p, p->at->target, now);
 	log_request("router", p->call->id,
 	    "no whole answer from target %s at %s after %lld ms: %s, "
 	    "content %016llx, try %d",
@@ -162,6 +166,22 @@
 		flow_end(d, p, GS_NO_OWNER, MS(200), now);
 }
 
+/* Notes whether the target is there, and that the content was answered. */
+static void
+note_target(struct direct *d, struct pending *p, CURLcode res,
+    enum reply_kind kind, usec now)
+{
+	struct target_state *s = p->at->target;
+
+	if (res == CURLE_COULDNT_CONNECT)
+		crash_ended(d, s);
+	if (res != CURLE_OK)
+		return;
+	s->ended = 0;
+	if (kind == REPLY_ANSWER || kind == REPLY_FAILURE)
+		recent_answered(&d->recent, p->digest, now);
+}
+
 /* A send ended: takes its outcome. */
 void
 flow_ended(struct direct *d, struct pending *p, CURLcode res, usec now)
@@ -172,6 +192,7 @@
 	if (res == CURLE_OK)
 		kind = d->ops->kind(&a->t.reply, p->call);
 	learn(p, target_end(a, res, kind), now);
+	note_target(d, p, res, kind, now);
 	if (!a->t.begun)
 		unreached(d, p, res, now);
 	else if (res != CURLE_OK)
--- a/gspard/direct_pick.c
+++ b/gspard/direct_pick.c
@@ -6,6 +6,7 @@
 
 #include "direct.h"
 #include "feature.h"
+#include "incarnation.h"
 
 /* Usual time of a request of which nothing was learnt, in microseconds. */
 #define WORK_FIRST 100000.0
@@ -29,6 +30,7 @@
 		if (p == NULL)
 			return;
 		name_copy(p->id, sizeof(p->id), t->id);
+		p->digest = incarnation_digest(p->id);
 		dest_init(&p->dest, t->slots);
 		p->next = d->targets;
 		d->targets = p;
@@ -39,6 +41,8 @@
 	p->dest.slots = t->slots;
 	p->dest.near = strcmp(t->dc, conf->dc) == 0;
 	p->dest.cold_until = t->cold_until;
+	if (t->gone && !p->dest.leaving)
+		crash_ended(d, p);
 	p->dest.leaving = t->leaving;
 	p->listed = 1;
 }
--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -20,26 +20,27 @@
 
 enum msg_kind {
 	MSG_NONE,
-	MSG_CALL,      /* door to router: a caller's request */
-	MSG_FRAME,     /* peer to any: a frame came */
-	MSG_SEND,      /* any to peer: a frame goes */
-	MSG_PEER_DOWN, /* peer to all: a connection was lost */
-	MSG_UNSENT,    /* peer to router: a request that did not leave */
-	MSG_PEERS,     /* control to peer: the hosts and their addresses */
-	MSG_STORE,     /* any to platform: a call */
-	MSG_STORED,    /* platform to any: its outcome */
-	MSG_CATALOGUE, /* control to all: the entries in force */
-	MSG_VIEW,      /* control to router and dispatch */
-	MSG_LEASE,     /* control to dispatch: lease and duties */
-	MSG_TARGETS,   /* dispatch to control: what it holds */
-	MSG_STATUS,    /* admin to control: a question */
-	MSG_READY,     /* router to door: callers can be served */
-	MSG_SITE,      /* watch to all: routes and services in force */
-	MSG_FLEET,     /* watch to router and control: the targets */
-	MSG_OWNERS,    /* control to router: who owns which keys */
-	MSG_HEAT,      /* router to control: what was asked for */
-	MSG_TOLD,      /* control to watch: a configuration that a host told */
-	MSG_READ_SITE, /* control to watch: read the configuration now */
+	MSG_CALL,	/* door to router: a caller's request */
+	MSG_FRAME,	/* peer to any: a frame came */
+	MSG_SEND,	/* any to peer: a frame goes */
+	MSG_PEER_DOWN,	/* peer to all: a connection was lost */
+	MSG_UNSENT,	/* peer to router: a request that did not leave */
+	MSG_PEERS,	/* control to peer: the hosts and their addresses */
+	MSG_STORE,	/* any to platform: a call */
+	MSG_STORED,	/* platform to any: its outcome */
+	MSG_CATALOGUE,	/* control to all: the entries in force */
+	MSG_VIEW,	/* control to router and dispatch */
+	MSG_LEASE,	/* control to dispatch: lease and duties */
+	MSG_TARGETS,	/* dispatch to control: what it holds */
+	MSG_STATUS,	/* admin to control: a question */
+	MSG_READY,	/* router to door: callers can be served */
+	MSG_SITE,	/* watch to all: routes and services in force */
+	MSG_FLEET,	/* watch to router and control: the targets */
+	MSG_OWNERS,	/* control to router: who owns which keys */
+	MSG_HEAT,	/* router to control: what was asked for */
+	MSG_QUARANTINE, /* control to router: contents that are sent to none */
+	MSG_TOLD,	/* control to watch: a configuration that a host told */
+	MSG_READ_SITE,	/* control to watch: read the configuration now */
 	MSG_SITE_UNREAD, /* watch to control: the store did not give it */
 	MSG_SITE_READ,	 /* watch to control: it has been read */
 	MSG_RELIST,	 /* control to watch: something was missed */
@@ -104,7 +105,8 @@
 	usec took;  /* from its sending to its end */
 	uint64_t version;
 	enum store_result result;
-	int wait_ms;		 /* of a watch */
+	int wait_ms; /* of a watch */
+	int stale;   /* of a read: an answer that is seconds old will do */
 	char after[NAME_MAX_GS]; /* of a list: where to go on */
 	struct json_t *parsed;
 	struct found *found;
--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -212,6 +212,7 @@
 		spread_tick(k, now);
 	}
 	site_tick(k, now);
+	quarantine_tick(k, now);
 	report_tick(k, now);
 	forget_hosts(k, now);
 	fleet_missed(k, now);
@@ -240,6 +241,8 @@
 {
 	if (strncmp(st->tag, "keys ", 5) == 0)
 		keeper_keys_stored(k, st, now);
+	else if (strcmp(st->tag, QUARANTINE_TAG) == 0)
+		quarantine_stored(k, st, now);
 	else
 		keeper_record_stored(k, st, now);
 }
@@ -267,6 +270,9 @@
 	case GSPAR__FRAME__BODY_SITE_TOLD:
 		site_take(k, m->frame->site_told);
 		break;
+	case GSPAR__FRAME__BODY_QUARANTINE_TOLD:
+		quarantine_take(k, m->frame->quarantine_told, now);
+		break;
 	default:
 		break;
 	}
@@ -346,6 +352,7 @@
 			heat_report_free(k->heat);
 		k->heat = m->data;
 		m->data = NULL;
+		quarantine_seen(k, &k->heat->crashes, now);
 		break;
 	case MSG_STOP:
 		begin_stop(k, m->data, now);
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -15,6 +15,7 @@
 #include "leave.h"
 #include "owners.h"
 #include "pace.h"
+#include "quarantine.h"
 #include "target_ops.h"
 #include "term.h"
 
@@ -37,11 +38,36 @@
 	int answers;
 };
 
+/* What the router saw of sends that broke and of targets that ended. */
+#define CRASH_NOTES 64
+
+struct crash_notes {
+	struct {
+		uint64_t digest;
+		uint64_t target;
+	} broken[CRASH_NOTES];
+	int nbroken;
+	uint64_t ended[CRASH_NOTES];
+	int nended;
+};
+
+/* Room for what one report tells of these. */
+#define QUARANTINE_REPORTED 256
+
+struct quarantine_room {
+	Gspar__BrokenSend broken[QUARANTINE_REPORTED];
+	Gspar__BrokenSend *broken_list[QUARANTINE_REPORTED];
+	uint64_t ended[QUARANTINE_REPORTED];
+	Gspar__Quarantined items[QUARANTINE_KEPT];
+	Gspar__Quarantined *list[QUARANTINE_KEPT];
+};
+
 struct heat_report {
 	struct heat_keys *keys;
 	int nkeys;
 	struct heat_target *targets;
 	int ntargets;
+	struct crash_notes crashes;
 };
 
 struct heat_report *heat_report_new(int services);
@@ -61,6 +87,7 @@
 	uint64_t told;	 /* the number last sent to it, and when */
 	usec told_at;
 	usec fleet_at;	    /* when it was told all targets */
+	usec quarantine_at; /* when it was told what is quarantined */
 	int bears;	    /* hosts that it could control */
 	int store;	    /* the store has answered it just now */
 	uint64_t site;	    /* the configuration that it has */
@@ -106,6 +133,18 @@
 	char site_from[NAME_MAX_GS]; /* a host that has a newer one */
 	struct heat_report *heat;
 
+	/* Requests that crash targets: what was seen, what is quarantined. */
+	struct quarantine quarantine;
+	struct quarantine_list quarantined;
+	uint64_t told_quarantine; /* number of the controller's list */
+	uint64_t report_term; /* to whose controller crashes were told ... */
+	usec report_since;    /* ... and since when */
+	int quarantine_open;  /* the store is asked */
+	int quarantine_read;  /* its list is known; of a controller */
+	uint64_t quarantine_version;
+	uint64_t quarantine_stored; /* number of its list */
+	usec quarantine_next;
+
 	/* Who owns what, as published here. */
 	struct shared *owners;
 	uint64_t number;
@@ -174,6 +213,18 @@
 void report_take(
     struct keeper *, const char *host, const Gspar__HostReport *, usec now);
 
+/* keeper_quarantine.c */
+#define QUARANTINE_TAG "quarantine"
+void quarantine_seen(struct keeper *, const struct crash_notes *, usec now);
+void quarantine_refused(struct keeper *, const char *target, usec now);
+void quarantine_fill(
+    struct keeper *, Gspar__HostReport *, struct quarantine_room *, usec now);
+void quarantine_report(
+    struct keeper *, struct keeper_host *, const Gspar__HostReport *, usec now);
+void quarantine_take(struct keeper *, const Gspar__QuarantineTold *, usec now);
+void quarantine_tick(struct keeper *, usec now);
+void quarantine_stored(struct keeper *, const struct store *, usec now);
+
 /* keeper_site.c */
 void site_begin(struct keeper *);
 void site_spread(struct keeper *, const struct site *was, usec now);
--- a/gspard/keeper_hear.c
+++ b/gspard/keeper_hear.c
@@ -129,6 +129,7 @@
 		term_heard(&k->term, now, w->record);
 		k->strained = w->strained;
 		k->told_fleet = w->fleet;
+		k->told_quarantine = w->quarantine;
 		if (w->follows)
 			k->fleet_heard = now;
 		else if (k->fleet_heard > now - FOLLOW_NEXT)
--- a/gspard/keeper_order.c
+++ b/gspard/keeper_order.c
@@ -113,6 +113,8 @@
 	long status = 0;
 
 	curl_easy_getinfo(c->t.easy, CURLINFO_RESPONSE_CODE, &status);
+	if (res == CURLE_COULDNT_CONNECT)
+		quarantine_refused(k, c->order.target, now);
 	if (!c->t.begun)
 		status = ORDER_NOT_SENT;
 	else if (res != CURLE_OK || status == 421 || status >= 500)
--- /dev/null
+++ b/gspard/keeper_quarantine.c
@@ -0,0 +1,321 @@
+/*
+ * Requests that crash targets, as hosts tell their controller and it tells
+ * them.  Each host keeps what it has seen and what it was told; the store has
+ * the list for when all of them are lost.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "decode.h"
+#include "incarnation.h"
+#include "keeper.h"
+#include "quarantine_text.h"
+
+#define QUARANTINE_PATH KIND_QUARANTINE "/main"
+/* What was seen is reported for so long: a report may get lost. */
+#define REPORT_FOR MS(500)
+/* A host with another list is told again after this. */
+#define TELL_AGAIN MS(600)
+/* Between reads of a host that hears no controller, and after a failure. */
+#define READ_EVERY MS(2000)
+
+/* Hands the list to the router. */
+static void
+publish(struct keeper *k)
+{
+	struct quarantine_list *l = malloc(sizeof(*l));
+	struct shared *sh = l == NULL ? NULL : shared_new(l, free);
+
+	if (sh == NULL) {
+		free(l);
+		return;
+	}
+	*l = k->quarantined;
+	msg_post(k->s->kernel, "router", MSG_QUARANTINE, sh, shared_unref);
+}
+
+/* Fills in the list for a frame; the number of items. */
+static size_t
+fill_list(const struct quarantine_list *l, Gspar__Quarantined *items,
+    Gspar__Quarantined **list, usec now)
+{
+	int i;
+
+	for (i = 0; i < l->n; i++) {
+		gspar__quarantined__init(&items[i]);
+		items[i].content = l->items[i].digest;
+		items[i].left = (uint32_t)((l->items[i].until - now) / 1000);
+		list[i] = &items[i];
+	}
+	return ((size_t)l->n);
+}
+
+/* Tells a host the list, or all hosts where that is NULL. */
+static void
+tell(struct keeper *k, const char *host, usec now)
+{
+	Gspar__Frame f = GSPAR__FRAME__INIT;
+	Gspar__QuarantineTold w = GSPAR__QUARANTINE_TOLD__INIT;
+	Gspar__Quarantined items[QUARANTINE_KEPT], *list[QUARANTINE_KEPT];
+	struct keeper_host *h;
+	int i;
+
+	w.term = k->term.rec.term;
+	w.n_list = fill_list(&k->quarantined, items, list, now);
+	w.list = list;
+	f.body_case = GSPAR__FRAME__BODY_QUARANTINE_TOLD;
+	f.quarantine_told = &w;
+	for (i = 0; i < k->nhosts; i++) {
+		h = &k->hosts[i];
+		if (host != NULL ? strcmp(h->who.host, host) != 0
+				 : !keeper_tells(h, now))
+			continue;
+		h->quarantine_at = now;
+		if (strcmp(h->who.host, keeper_self(k)) != 0)
+			send_frame(k->s->kernel, h->who.host, 0, &f);
+	}
+}
+
+/* Logs what one list has and another lacks. */
+static void
+log_change(const struct quarantine_list *l, const struct quarantine_list *other,
+    const char *what, usec now)
+{
+	int i;
+
+	for (i = 0; i < l->n; i++) {
+		if (quarantine_left(other, l->items[i].digest, now) == 0)
+			log_line(LOG_WARNING, "control",
+			    "Content %016" PRIx64 " is %s.", l->items[i].digest,
+			    what);
+	}
+}
+
+/* Makes the list anew; where it has changed, hands it on. */
+static void
+refresh(struct keeper *k, usec now)
+{
+	struct quarantine_list was = k->quarantined;
+
+	quarantine_list(&k->quarantine, &k->quarantined, now);
+	if (quarantine_number(&k->quarantined) == quarantine_number(&was))
+		return;
+	log_change(&k->quarantined, &was,
+	    "quarantined, targets have crashed under it", now);
+	log_change(&was, &k->quarantined, "no longer quarantined", now);
+	publish(k);
+	if (k->acting)
+		tell(k, NULL, now);
+}
+
+/* Takes in what this host's router saw. */
+void
+quarantine_seen(struct keeper *k, const struct crash_notes *n, usec now)
+{
+	int i;
+
+	for (i = 0; i < n->nbroken; i++)
+		quarantine_broke(&k->quarantine, n->broken[i].digest,
+		    n->broken[i].target, now);
+	for (i = 0; i < n->nended; i++)
+		quarantine_ended(&k->quarantine, n->ended[i], now);
+	refresh(k, now);
+}
+
+/* An order's connection was refused: its target has ended. */
+void
+quarantine_refused(struct keeper *k, const char *target, usec now)
+{
+	quarantine_ended(&k->quarantine, incarnation_digest(target), now);
+	refresh(k, now);
+}
+
+/* Adds a send that broke to a report. */
+static void
+add_broken(Gspar__HostReport *w, struct quarantine_room *room, uint64_t digest,
+    uint64_t target)
+{
+	Gspar__BrokenSend *b = &room->broken[w->n_broken];
+
+	if (w->n_broken == QUARANTINE_REPORTED)
+		return;
+	gspar__broken_send__init(b);
+	b->content = digest;
+	b->target = target;
+	room->broken_list[w->n_broken++] = b;
+}
+
+/* Adds a target that has ended to a report. */
+static void
+add_ended(Gspar__HostReport *w, struct quarantine_room *room, uint64_t target)
+{
+	if (w->n_ended < QUARANTINE_REPORTED)
+		room->ended[w->n_ended++] = target;
+}
+
+/* Adds the crashes that this host knows of: a new controller may not have heard
+ * of them. */
+static void
+add_crashes(
+    const struct keeper *k, Gspar__HostReport *w, struct quarantine_room *room)
+{
+	const struct quarantine_entry *e;
+	int i, n;
+
+	for (i = 0; i < k->quarantine.nentries; i++) {
+		e = &k->quarantine.entries[i];
+		for (n = 0; n < e->crashes; n++) {
+			if (e->targets[n] == 0)
+				continue;
+			add_broken(w, room, e->digest, e->targets[n]);
+			add_ended(w, room, e->targets[n]);
+		}
+	}
+}
+
+/* Fills in what a report tells; room is for all of it. */
+void
+quarantine_fill(struct keeper *k, Gspar__HostReport *w,
+    struct quarantine_room *room, usec now)
+{
+	const struct quarantine *q = &k->quarantine;
+	unsigned i;
+
+	if (k->report_term != k->controller_term) {
+		k->report_term = k->controller_term;
+		k->report_since = now;
+	}
+	if (now - k->report_since < REPORT_FOR)
+		add_crashes(k, w, room);
+	for (i = 0; i < q->nbreaks && i < QUARANTINE_BREAKS; i++) {
+		if (now - q->breaks[i].at < REPORT_FOR)
+			add_broken(
+			    w, room, q->breaks[i].digest, q->breaks[i].target);
+	}
+	for (i = 0; i < q->nends && i < QUARANTINE_ENDS; i++) {
+		if (now - q->ends[i].at < REPORT_FOR)
+			add_ended(w, room, q->ends[i].target);
+	}
+	w->broken = room->broken_list;
+	w->ended = room->ended;
+	w->quarantine = quarantine_number(&k->quarantined);
+	if (w->quarantine == k->told_quarantine)
+		return;
+	w->n_quarantined =
+	    fill_list(&k->quarantined, room->items, room->list, now);
+	w->quarantined = room->list;
+}
+
+/* Takes over a list that another host told. */
+static void
+add_list(struct keeper *k, Gspar__Quarantined *const *list, size_t n, usec now)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		quarantine_add(
+		    &k->quarantine, list[i]->content, MS(list[i]->left), now);
+	refresh(k, now);
+}
+
+/* Takes in what a host's report tells, as controller. */
+void
+quarantine_report(struct keeper *k, struct keeper_host *h,
+    const Gspar__HostReport *w, usec now)
+{
+	size_t i;
+
+	for (i = 0; i < w->n_broken; i++)
+		quarantine_broke(&k->quarantine, w->broken[i]->content,
+		    w->broken[i]->target, now);
+	for (i = 0; i < w->n_ended; i++)
+		quarantine_ended(&k->quarantine, w->ended[i], now);
+	add_list(k, w->quarantined, w->n_quarantined, now);
+	if (k->acting && w->quarantine != quarantine_number(&k->quarantined) &&
+	    now - h->quarantine_at > TELL_AGAIN)
+		tell(k, h->who.host, now);
+}
+
+/* Takes in what the controller tells. */
+void
+quarantine_take(struct keeper *k, const Gspar__QuarantineTold *w, usec now)
+{
+	if (!k->acting && w->term >= k->controller_term)
+		add_list(k, w->list, w->n_list, now);
+}
+
+/* Asks the store for the list, or writes it. */
+static void
+ask_store(struct keeper *k, enum store_op op, usec now)
+{
+	struct store *st = store_new(op, "control", QUARANTINE_PATH);
+
+	k->quarantine_next = now + READ_EVERY;
+	if (st == NULL)
+		return;
+	name_copy(st->tag, sizeof(st->tag), QUARANTINE_TAG);
+	st->stale = !k->acting;
+	if (op == STORE_PUT) {
+		st->base = k->quarantine_version;
+		st->gen = quarantine_number(&k->quarantined);
+		quarantine_write(&k->quarantined, &st->body, now);
+	}
+	k->quarantine_open = 1;
+	store_send(k->s->kernel, st);
+}
+
+/*
+ * Does what is due.  The controller reads the list once and writes it when it
+ * has changed; a host that hears no controller reads it now and then.
+ */
+void
+quarantine_tick(struct keeper *k, usec now)
+{
+	refresh(k, now);
+	if (!k->acting)
+		k->quarantine_read = 0;
+	if (k->quarantine_open || now < k->quarantine_next)
+		return;
+	if (!k->acting && k->told_follow)
+		ask_store(k, STORE_GET, now);
+	else if (k->acting && !k->quarantine_read)
+		ask_store(k, STORE_GET, now);
+	else if (k->acting &&
+	    k->quarantine_stored != quarantine_number(&k->quarantined))
+		ask_store(k, STORE_PUT, now);
+}
+
+/* Takes the outcome of a call about the list. */
+void
+quarantine_stored(struct keeper *k, const struct store *st, usec now)
+{
+	struct quarantine_list l;
+	int i;
+
+	k->quarantine_open = 0;
+	if (st->op == STORE_PUT) {
+		/* What became of a write that failed is read back. */
+		k->quarantine_read = st->result == STORE_DONE;
+		k->quarantine_version = st->version;
+		k->quarantine_stored = st->gen;
+		return;
+	}
+	if (st->result != STORE_DONE && st->result != STORE_ABSENT)
+		return;
+	l.n = 0;
+	if (st->result == STORE_DONE &&
+	    quarantine_read(&st->body, &l, now) != 0)
+		log_line(LOG_ERR, "control",
+		    "The list of quarantined requests makes no sense, version "
+		    "%llu: empty.",
+		    (unsigned long long)st->version);
+	k->quarantine_read = k->acting;
+	k->quarantine_version = st->result == STORE_DONE ? st->version : 0;
+	k->quarantine_stored = quarantine_number(&l);
+	for (i = 0; i < l.n; i++)
+		quarantine_add(&k->quarantine, l.items[i].digest,
+		    l.items[i].until - now, now);
+	refresh(k, now);
+}
--- a/gspard/keeper_spread.c
+++ b/gspard/keeper_spread.c
@@ -244,6 +244,7 @@
 	w.site_from = k->site_ask ? k->site_from : "";
 	k->site_ask = 0;
 	w.record = k->term.version;
+	w.quarantine = quarantine_number(&k->quarantined);
 	/* Nor while this host does not reach the store: others know better. */
 	w.follows = fleet != NULL && k->fresh && !late;
 	w.late = late;
--- /dev/null
+++ b/gspard/quarantine_text.c
@@ -0,0 +1,60 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "quarantine_text.h"
+
+/* A time beyond this nobody has written. */
+#define LEFT_MAX_MS 86400000
+
+/* Writes the list as text.  Times are what is left: hosts' clocks differ. */
+void
+quarantine_write(const struct quarantine_list *l, struct str *out, usec now)
+{
+	char item[96];
+	int i, n;
+
+	str_set(out, "{\"list\":[", 9);
+	for (i = 0; i < l->n; i++) {
+		n = snprintf(item, sizeof(item),
+		    "%s{\"content\":\"%016" PRIx64 "\",\"left_ms\":%lld}",
+		    i == 0 ? "" : ",", l->items[i].digest,
+		    (long long)((l->items[i].until - now) / 1000));
+		str_add(out, item, (size_t)n);
+	}
+	str_add(out, "]}", 2);
+}
+
+/* Reads the list; 0, or -1 where it makes no sense, and is then empty. */
+int
+quarantine_read(const struct str *body, struct quarantine_list *l, usec now)
+{
+	json_t *o, *list, *v, *left;
+	const char *content;
+	size_t i;
+	int bad;
+
+	l->n = 0;
+	o = json_loadb(body->p == NULL ? "" : body->p, body->n, 0, NULL);
+	list = json_object_get(o, "list");
+	bad = !json_is_array(list) || json_array_size(list) > QUARANTINE_KEPT;
+	json_array_foreach(list, i, v)
+	{
+		content = json_string_value(json_object_get(v, "content"));
+		left = json_object_get(v, "left_ms");
+		bad |= content == NULL || !json_is_integer(left) ||
+		    json_integer_value(left) < 0 ||
+		    json_integer_value(left) > LEFT_MAX_MS;
+		if (bad)
+			break;
+		l->items[l->n].digest = strtoull(content, NULL, 16);
+		l->items[l->n++].until = now + MS(json_integer_value(left));
+	}
+	json_decref(o);
+	if (bad)
+		l->n = 0;
+	return (bad ? -1 : 0);
+}
--- a/lib/count.h
+++ b/lib/count.h
@@ -49,6 +49,8 @@
 	X(C_MISSENT, "missent", "Requests that came to no owner of the key")   \
 	X(C_TARGET_FULL, "target_full", "Requests that a full target refused") \
 	X(C_GRANTS_FAILED, "grants_failed", "Orders not answered in time")     \
+	X(C_QUARANTINED, "quarantined",                                        \
+	    "Requests refused: they crash targets")                            \
 	X(C_ENTRY_FOREIGN, "entries_foreign", "Entries that make no sense")
 
 #define COUNT_ENUM(e, name, help) e,
--- a/lib/result.h
+++ b/lib/result.h
@@ -32,6 +32,8 @@
 	X(GS_STOPPING, 206, 503, OUT_NOT_RUN, 1, "this host is stopping")      \
 	X(GS_CANCELLED, 207, 499, OUT_NOT_RUN, 0, "cancelled by the caller")   \
 	X(GS_NO_CATALOGUE, 208, 503, OUT_NOT_RUN, 1, "no catalogue yet")       \
+	X(GS_QUARANTINED, 209, 503, OUT_NOT_RUN, 1,                            \
+	    "servers have crashed under this request")                         \
 	X(GS_DEADLINE, 300, 504, OUT_UNKNOWN, 0, "deadline passed")            \
 	X(GS_TARGET_LOST, 301, 502, OUT_UNKNOWN, 0,                            \
 	    "connection to the server lost")                                   \
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -1087,6 +1087,141 @@
   assert(message->base.descriptor == &gspar__host_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gspar__broken_send__init
+                     (Gspar__BrokenSend         *message)
+{
+  static const Gspar__BrokenSend init_value = GSPAR__BROKEN_SEND__INIT;
+  *message = init_value;
+}
+size_t gspar__broken_send__get_packed_size
+                     (const Gspar__BrokenSend *message)
+{
+  assert(message->base.descriptor == &gspar__broken_send__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gspar__broken_send__pack
+                     (const Gspar__BrokenSend *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gspar__broken_send__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gspar__broken_send__pack_to_buffer
+                     (const Gspar__BrokenSend *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gspar__broken_send__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gspar__BrokenSend *
+       gspar__broken_send__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gspar__BrokenSend *)
+     protobuf_c_message_unpack (&gspar__broken_send__descriptor,
+                                allocator, len, data);
+}
+void   gspar__broken_send__free_unpacked
+                     (Gspar__BrokenSend *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gspar__broken_send__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gspar__quarantined__init
+                     (Gspar__Quarantined         *message)
+{
+  static const Gspar__Quarantined init_value = GSPAR__QUARANTINED__INIT;
+  *message = init_value;
+}
+size_t gspar__quarantined__get_packed_size
+                     (const Gspar__Quarantined *message)
+{
+  assert(message->base.descriptor == &gspar__quarantined__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gspar__quarantined__pack
+                     (const Gspar__Quarantined *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gspar__quarantined__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gspar__quarantined__pack_to_buffer
+                     (const Gspar__Quarantined *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gspar__quarantined__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gspar__Quarantined *
+       gspar__quarantined__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gspar__Quarantined *)
+     protobuf_c_message_unpack (&gspar__quarantined__descriptor,
+                                allocator, len, data);
+}
+void   gspar__quarantined__free_unpacked
+                     (Gspar__Quarantined *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gspar__quarantined__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gspar__quarantine_told__init
+                     (Gspar__QuarantineTold         *message)
+{
+  static const Gspar__QuarantineTold init_value = GSPAR__QUARANTINE_TOLD__INIT;
+  *message = init_value;
+}
+size_t gspar__quarantine_told__get_packed_size
+                     (const Gspar__QuarantineTold *message)
+{
+  assert(message->base.descriptor == &gspar__quarantine_told__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gspar__quarantine_told__pack
+                     (const Gspar__QuarantineTold *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gspar__quarantine_told__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gspar__quarantine_told__pack_to_buffer
+                     (const Gspar__QuarantineTold *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gspar__quarantine_told__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gspar__QuarantineTold *
+       gspar__quarantine_told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gspar__QuarantineTold *)
+     protobuf_c_message_unpack (&gspar__quarantine_told__descriptor,
+                                allocator, len, data);
+}
+void   gspar__quarantine_told__free_unpacked
+                     (Gspar__QuarantineTold *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gspar__quarantine_told__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gspar__host_addr__init
                      (Gspar__HostAddr         *message)
 {
@@ -3614,7 +3749,7 @@
   (ProtobufCMessageInit) gspar__key_heat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__host_report__field_descriptors[12] =
+static const ProtobufCFieldDescriptor gspar__host_report__field_descriptors[16] =
 {
   {
     "boot",
@@ -3760,15 +3895,67 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "broken",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__HostReport, n_broken),
+    offsetof(Gspar__HostReport, broken),
+    &gspar__broken_send__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gspar__HostReport, n_ended),
+    offsetof(Gspar__HostReport, ended),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quarantine",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostReport, quarantine),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quarantined",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__HostReport, n_quarantined),
+    offsetof(Gspar__HostReport, quarantined),
+    &gspar__quarantined__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__host_report__field_indices_by_name[] = {
   1,   /* field[1] = addr */
   9,   /* field[9] = bears */
   0,   /* field[0] = boot */
+  12,   /* field[12] = broken */
   2,   /* field[2] = dc */
+  13,   /* field[13] = ended */
   8,   /* field[8] = fleet */
   6,   /* field[6] = heat */
   4,   /* field[4] = owners */
+  14,   /* field[14] = quarantine */
+  15,   /* field[15] = quarantined */
   5,   /* field[5] = site */
   11,   /* field[11] = site_asked */
   3,   /* field[3] = stopping */
@@ -3778,7 +3965,7 @@
 static const ProtobufCIntRange gspar__host_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor gspar__host_report__descriptor =
 {
@@ -3788,13 +3975,166 @@
   "Gspar__HostReport",
   "gspar",
   sizeof(Gspar__HostReport),
-  12,
+  16,
   gspar__host_report__field_descriptors,
   gspar__host_report__field_indices_by_name,
   1,  gspar__host_report__number_ranges,
   (ProtobufCMessageInit) gspar__host_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gspar__broken_send__field_descriptors[2] =
+{
+  {
+    "content",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__BrokenSend, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__BrokenSend, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gspar__broken_send__field_indices_by_name[] = {
+  0,   /* field[0] = content */
+  1,   /* field[1] = target */
+};
+static const ProtobufCIntRange gspar__broken_send__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gspar__broken_send__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gspar.BrokenSend",
+  "BrokenSend",
+  "Gspar__BrokenSend",
+  "gspar",
+  sizeof(Gspar__BrokenSend),
+  2,
+  gspar__broken_send__field_descriptors,
+  gspar__broken_send__field_indices_by_name,
+  1,  gspar__broken_send__number_ranges,
+  (ProtobufCMessageInit) gspar__broken_send__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gspar__quarantined__field_descriptors[2] =
+{
+  {
+    "content",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Quarantined, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Quarantined, left),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gspar__quarantined__field_indices_by_name[] = {
+  0,   /* field[0] = content */
+  1,   /* field[1] = left */
+};
+static const ProtobufCIntRange gspar__quarantined__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gspar__quarantined__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gspar.Quarantined",
+  "Quarantined",
+  "Gspar__Quarantined",
+  "gspar",
+  sizeof(Gspar__Quarantined),
+  2,
+  gspar__quarantined__field_descriptors,
+  gspar__quarantined__field_indices_by_name,
+  1,  gspar__quarantined__number_ranges,
+  (ProtobufCMessageInit) gspar__quarantined__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gspar__quarantine_told__field_descriptors[2] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__QuarantineTold, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__QuarantineTold, n_list),
+    offsetof(Gspar__QuarantineTold, list),
+    &gspar__quarantined__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gspar__quarantine_told__field_indices_by_name[] = {
+  1,   /* field[1] = list */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange gspar__quarantine_told__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gspar__quarantine_told__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gspar.QuarantineTold",
+  "QuarantineTold",
+  "Gspar__QuarantineTold",
+  "gspar",
+  sizeof(Gspar__QuarantineTold),
+  2,
+  gspar__quarantine_told__field_descriptors,
+  gspar__quarantine_told__field_indices_by_name,
+  1,  gspar__quarantine_told__number_ranges,
+  (ProtobufCMessageInit) gspar__quarantine_told__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gspar__host_addr__field_descriptors[4] =
 {
   {
@@ -3962,7 +4302,7 @@
   (ProtobufCMessageInit) gspar__key_owners__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[18] =
+static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[19] =
 {
   {
     "term",
@@ -4180,6 +4520,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quarantine",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Owners, quarantine),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__owners__field_indices_by_name[] = {
   2,   /* field[2] = controller */
@@ -4189,6 +4541,7 @@
   6,   /* field[6] = hosts */
   13,   /* field[13] = late */
   1,   /* field[1] = number */
+  18,   /* field[18] = quarantine */
   8,   /* field[8] = record */
   14,   /* field[14] = self */
   5,   /* field[5] = services */
@@ -4204,7 +4557,7 @@
 static const ProtobufCIntRange gspar__owners__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor gspar__owners__descriptor =
 {
@@ -4214,7 +4567,7 @@
   "Gspar__Owners",
   "gspar",
   sizeof(Gspar__Owners),
-  18,
+  19,
   gspar__owners__field_descriptors,
   gspar__owners__field_indices_by_name,
   1,  gspar__owners__number_ranges,
@@ -4789,7 +5142,7 @@
   (ProtobufCMessageInit) gspar__fleet_told__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__frame__field_descriptors[17] =
+static const ProtobufCFieldDescriptor gspar__frame__field_descriptors[18] =
 {
   {
     "hello",
@@ -4995,6 +5348,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quarantine_told",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__Frame, body_case),
+    offsetof(Gspar__Frame, quarantine_told),
+    &gspar__quarantine_told__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__frame__field_indices_by_name[] = {
   8,   /* field[8] = answer */
@@ -5010,6 +5375,7 @@
   10,   /* field[10] = ping */
   4,   /* field[4] = promise */
   3,   /* field[3] = promise_ask */
+  17,   /* field[17] = quarantine_told */
   7,   /* field[7] = request */
   15,   /* field[15] = site_told */
   5,   /* field[5] = view */
@@ -5018,7 +5384,7 @@
 static const ProtobufCIntRange gspar__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor gspar__frame__descriptor =
 {
@@ -5028,7 +5394,7 @@
   "Gspar__Frame",
   "gspar",
   sizeof(Gspar__Frame),
-  17,
+  18,
   gspar__frame__field_descriptors,
   gspar__frame__field_indices_by_name,
   1,  gspar__frame__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -39,6 +39,9 @@
 typedef struct Gspar__TargetLearnt Gspar__TargetLearnt;
 typedef struct Gspar__KeyHeat Gspar__KeyHeat;
 typedef struct Gspar__HostReport Gspar__HostReport;
+typedef struct Gspar__BrokenSend Gspar__BrokenSend;
+typedef struct Gspar__Quarantined Gspar__Quarantined;
+typedef struct Gspar__QuarantineTold Gspar__QuarantineTold;
 typedef struct Gspar__HostAddr Gspar__HostAddr;
 typedef struct Gspar__KeyOwners Gspar__KeyOwners;
 typedef struct Gspar__Owners Gspar__Owners;
@@ -495,10 +498,64 @@
    * It is to be told the configuration: the store does not give it.
    */
   protobuf_c_boolean site_asked;
+  /*
+   * Sends that broke and targets that ended lately, and what is
+   * quarantined here, where the controller has another list.
+   */
+  size_t n_broken;
+  Gspar__BrokenSend **broken;
+  size_t n_ended;
+  uint64_t *ended;
+  uint64_t quarantine;
+  size_t n_quarantined;
+  Gspar__Quarantined **quarantined;
 };
 #define GSPAR__HOST_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__host_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
+
+
+/*
+ * A send that ended without an answer: digests of its content and target.
+ */
+struct  Gspar__BrokenSend
+{
+  ProtobufCMessage base;
+  uint64_t content;
+  uint64_t target;
+};
+#define GSPAR__BROKEN_SEND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gspar__broken_send__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * A request's content that is sent to no target, for so many milliseconds.
+ */
+struct  Gspar__Quarantined
+{
+  ProtobufCMessage base;
+  uint64_t content;
+  uint32_t left;
+};
+#define GSPAR__QUARANTINED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gspar__quarantined__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * From the controller to all: what is quarantined.
+ */
+struct  Gspar__QuarantineTold
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  size_t n_list;
+  Gspar__Quarantined **list;
+};
+#define GSPAR__QUARANTINE_TOLD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gspar__quarantine_told__descriptor) \
+    , 0, 0,NULL }
 
 
 struct  Gspar__HostAddr
@@ -602,10 +659,14 @@
    * The host that is to tell the controller the one that it has.
    */
   char *site_from;
+  /*
+   * Of what is quarantined.
+   */
+  uint64_t quarantine;
 };
 #define GSPAR__OWNERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__owners__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -744,7 +805,8 @@
   GSPAR__FRAME__BODY_HOST_REPORT = 14,
   GSPAR__FRAME__BODY_OWNERS = 15,
   GSPAR__FRAME__BODY_SITE_TOLD = 16,
-  GSPAR__FRAME__BODY_FLEET_TOLD = 17
+  GSPAR__FRAME__BODY_FLEET_TOLD = 17,
+  GSPAR__FRAME__BODY_QUARANTINE_TOLD = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GSPAR__FRAME__BODY__CASE)
 } Gspar__Frame__BodyCase;
 
@@ -770,6 +832,7 @@
     Gspar__Owners *owners;
     Gspar__SiteTold *site_told;
     Gspar__FleetTold *fleet_told;
+    Gspar__QuarantineTold *quarantine_told;
   };
 };
 #define GSPAR__FRAME__INIT \
@@ -1233,6 +1296,63 @@
 void   gspar__host_report__free_unpacked
                      (Gspar__HostReport *message,
                       ProtobufCAllocator *allocator);
+/* Gspar__BrokenSend methods */
+void   gspar__broken_send__init
+                     (Gspar__BrokenSend         *message);
+size_t gspar__broken_send__get_packed_size
+                     (const Gspar__BrokenSend   *message);
+size_t gspar__broken_send__pack
+                     (const Gspar__BrokenSend   *message,
+                      uint8_t             *out);
+size_t gspar__broken_send__pack_to_buffer
+                     (const Gspar__BrokenSend   *message,
+                      ProtobufCBuffer     *buffer);
+Gspar__BrokenSend *
+       gspar__broken_send__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gspar__broken_send__free_unpacked
+                     (Gspar__BrokenSend *message,
+                      ProtobufCAllocator *allocator);
+/* Gspar__Quarantined methods */
+void   gspar__quarantined__init
+                     (Gspar__Quarantined         *message);
+size_t gspar__quarantined__get_packed_size
+                     (const Gspar__Quarantined   *message);
+size_t gspar__quarantined__pack
+                     (const Gspar__Quarantined   *message,
+                      uint8_t             *out);
+size_t gspar__quarantined__pack_to_buffer
+                     (const Gspar__Quarantined   *message,
+                      ProtobufCBuffer     *buffer);
+Gspar__Quarantined *
+       gspar__quarantined__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gspar__quarantined__free_unpacked
+                     (Gspar__Quarantined *message,
+                      ProtobufCAllocator *allocator);
+/* Gspar__QuarantineTold methods */
+void   gspar__quarantine_told__init
+                     (Gspar__QuarantineTold         *message);
+size_t gspar__quarantine_told__get_packed_size
+                     (const Gspar__QuarantineTold   *message);
+size_t gspar__quarantine_told__pack
+                     (const Gspar__QuarantineTold   *message,
+                      uint8_t             *out);
+size_t gspar__quarantine_told__pack_to_buffer
+                     (const Gspar__QuarantineTold   *message,
+                      ProtobufCBuffer     *buffer);
+Gspar__QuarantineTold *
+       gspar__quarantine_told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gspar__quarantine_told__free_unpacked
+                     (Gspar__QuarantineTold *message,
+                      ProtobufCAllocator *allocator);
 /* Gspar__HostAddr methods */
 void   gspar__host_addr__init
                      (Gspar__HostAddr         *message);
@@ -1478,6 +1598,15 @@
 typedef void (*Gspar__HostReport_Closure)
                  (const Gspar__HostReport *message,
                   void *closure_data);
+typedef void (*Gspar__BrokenSend_Closure)
+                 (const Gspar__BrokenSend *message,
+                  void *closure_data);
+typedef void (*Gspar__Quarantined_Closure)
+                 (const Gspar__Quarantined *message,
+                  void *closure_data);
+typedef void (*Gspar__QuarantineTold_Closure)
+                 (const Gspar__QuarantineTold *message,
+                  void *closure_data);
 typedef void (*Gspar__HostAddr_Closure)
                  (const Gspar__HostAddr *message,
                   void *closure_data);
@@ -1535,6 +1664,9 @@
 extern const ProtobufCMessageDescriptor gspar__target_learnt__descriptor;
 extern const ProtobufCMessageDescriptor gspar__key_heat__descriptor;
 extern const ProtobufCMessageDescriptor gspar__host_report__descriptor;
+extern const ProtobufCMessageDescriptor gspar__broken_send__descriptor;
+extern const ProtobufCMessageDescriptor gspar__quarantined__descriptor;
+extern const ProtobufCMessageDescriptor gspar__quarantine_told__descriptor;
 extern const ProtobufCMessageDescriptor gspar__host_addr__descriptor;
 extern const ProtobufCMessageDescriptor gspar__key_owners__descriptor;
 extern const ProtobufCMessageDescriptor gspar__owners__descriptor;
--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -159,5 +159,19 @@
 without late-requests-of-a-stop leave leave.c \
     's/return (now < l->shut || deadline <= l->end);/return (1);/'
 
+# Requests that crash targets.
+without crash-counts-once quarantine quarantine.c \
+    's/if (counted(e, target))/if (0)/'
+without crash-needs-an-end quarantine quarantine.c \
+    's/^\t\tif (q->ends\[i\].target == target \&\&/\t\tif (1 \&\&/;s/^\treturn (0);$/\treturn (crashed(q, digest, target, now));/'
+without crash-ended-before quarantine quarantine.c \
+    's/now - q->ends\[i\].at <= ENDED_WITHIN/0/'
+without end-long-after quarantine quarantine.c \
+    's/ \&\& now - b->at <= ENDED_WITHIN//'
+without quarantine-kept-in-full-table quarantine quarantine.c \
+    's/e->until > now ? e->until : e->last/e->last/'
+without answered-is-not-to-blame quarantine recent.c \
+    's/r->kept\[i\].digest == digest \&\&/0 \&\&/'
+
 echo "$found found, $missed not found"
 [ $missed -eq 0 ]
--- a/regress/unit/readers.c
+++ b/regress/unit/readers.c
@@ -15,6 +15,7 @@
 #include "keys.h"
 #include "objects.h"
 #include "readers.h"
+#include "quarantine_text.h"
 #include "record.h"
 #include "site_change.h"
 #include "site_frame.h"
@@ -39,6 +40,8 @@
 	"{\"events\":[{\"object\":" ENTRY                                      \
 	",\"deleted\":false},{\"object\":" ENTRY                               \
 	",\"deleted\":true}],\"current_rev\":9}"
+#define QUARANTINE                                                             \
+	"{\"list\":[{\"content\":\"00c0ffee00c0ffee\",\"left_ms\":3600000}]}"
 #define RECORD                                                                    \
 	"{\"term\":7,\"write\":\"00000000000000ff\",\"holder\":{\"host\":\"h1\"," \
 	"\"boot\":\"0000000000000012\",\"addr\":\"10.0.0.1:7200\"},"              \
@@ -179,6 +182,24 @@
 	str_free(&text);
 }
 
+/* A list of quarantined contents that makes sense is written as it was read. */
+static void
+read_quarantine(const char *p, size_t n)
+{
+	struct quarantine_list l, again;
+	struct str body = {(char *)p, n}, text = {NULL, 0};
+
+	if (quarantine_read(&body, &l, 0) != 0) {
+		require(l.n == 0);
+		return;
+	}
+	quarantine_write(&l, &text, 0);
+	require(quarantine_read(&text, &again, 0) == 0);
+	require(again.n == l.n &&
+	    quarantine_number(&again) == quarantine_number(&l));
+	str_free(&text);
+}
+
 /* Reads what a frame says; of a configuration also what it makes of another. */
 static void
 read_body(Gspar__Frame *f)
@@ -326,6 +347,7 @@
 TEXT_SAMPLE(config_sample, CONFIG)
 TEXT_SAMPLE(owners_sample, OWNERS)
 TEXT_SAMPLE(record_sample, RECORD)
+TEXT_SAMPLE(quarantine_sample, QUARANTINE)
 TEXT_SAMPLE(settings_sample, SETTINGS)
 TEXT_SAMPLE(heads_sample, HEADS)
 
@@ -416,6 +438,7 @@
     {"config", read_config, config_sample},
     {"owners", read_owners, owners_sample},
     {"record", read_record, record_sample},
+    {"quarantine", read_quarantine, quarantine_sample},
     {"settings", read_settings, settings_sample},
     {"heads", read_heads, heads_sample},
     {"told", read_frame, told_sample},
