The limit that a target names is read and logged, not yet heeded

Callers saw a target in need sent as much as before. No line of any host had to do with a limit, so logs did not tell whether it is not read, or read and heeded by each host alone. The adapter now reads it, does not pass it on to callers, and the router logs it where it changes. Read at face value only where it is a number that a target can mean; an answer without it ends the limit where the target ran the request. Unit platform "limits".

--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -43,7 +43,8 @@
 	int users;    /* requests that name it */
 	int replaced; /* another target answers at its address */
 	uint64_t digest;
-	int ended; /* found so, and told; an answer says otherwise */
+	int ended;    /* found so, and told; an answer says otherwise */
+	double limit; /* that it names, a second; negative is none */
 };
 
 /* What is kept of a service across versions of the configuration. */
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -166,6 +166,28 @@
 		flow_end(d, p, GS_NO_OWNER, MS(200), now);
 }
 
+/*
+ * Notes the limit that a target names with an answer.  One without it ends the
+ * limit only where the target ran the request: others, from its door, may leave
+ * it out.
+ */
+static void
+note_limit(struct target_state *s, double limit, enum reply_kind kind)
+{
+	if (limit < 0 && kind != REPLY_ANSWER && kind != REPLY_FAILURE)
+		return;
+	if (limit == s->limit)
+		return;
+	if (limit >= 0)
+		log_line(LOG_NOTICE, "router",
+		    "Target %s takes %.2f requests a second from all hosts.",
+		    s->id, limit);
+	else
+		log_line(LOG_NOTICE, "router",
+		    "Target %s names no limit any more.", s->id);
+	s->limit = limit;
+}
+
 /* Notes whether the target is there, and that the content was answered. */
 static void
 note_target(struct direct *d, struct pending *p, CURLcode res,
@@ -178,6 +200,8 @@
 	if (res != CURLE_OK)
 		return;
 	s->ended = 0;
+	if (kind != REPLY_FOREIGN)
+		note_limit(s, p->at->t.reply.limit, kind);
 	if (kind == REPLY_ANSWER || kind == REPLY_FAILURE)
 		recent_answered(&d->recent, p->digest, now);
 }
--- a/gspard/target_ops.h
+++ b/gspard/target_ops.h
@@ -23,7 +23,9 @@
 	int not_run;		    /* the target says that it did not run */
 	int running;		    /* its load, -1 where it tells none */
 	int waiting;
-	int closes; /* the target closes the connection */
+	double limit; /* requests a second that it takes from all hosts
+			 together; negative where it names none */
+	int closes;   /* the target closes the connection */
 };
 
 /* What an answer means. */
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -90,6 +90,7 @@
 transfer_set(struct transfer *t, const char *url, long connect_ms)
 {
 	t->reply.running = -1;
+	t->reply.limit = -1;
 	curl_easy_setopt(t->easy, CURLOPT_URL, url);
 	curl_easy_setopt(t->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(t->easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -370,6 +370,7 @@
 {
 	memset(r, 0, sizeof(*r));
 	r->running = -1;
+	r->limit = -1;
 	for (; *lines != NULL; lines++)
 		objects_target.head(r, *lines, strlen(*lines));
 }
@@ -436,6 +437,31 @@
 	str_free(&r.heads);
 }
 
+/* The limit that a target names; what is no number of requests is none. */
+static void
+limits(void)
+{
+	static const struct {
+		const char *line;
+		double limit;
+	} cases[] = {{"Server-Limit: 3.3\r\n", 3.3},
+	    {"server-limit: 12\r\n", 12}, {"Server-Limit: 0\r\n", 0},
+	    {"Server-Limit: -1\r\n", -1}, {"Server-Limit: nan\r\n", -1},
+	    {"Server-Limit: inf\r\n", -1}, {"Server-Limit: 3 a\r\n", -1},
+	    {"Server-Limit:\r\n", -1}, {"X-Server-Load: 1,0,2\r\n", -1}};
+	const char *lines[] = {"HTTP/1.1 200 OK\r\n", NULL, NULL};
+	struct reply r;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		lines[1] = cases[i].line;
+		read_head(&r, lines);
+		CU_ASSERT_DOUBLE_EQUAL(r.limit, cases[i].limit, 0);
+		CU_ASSERT(r.heads.n == 0);
+		str_free(&r.heads);
+	}
+}
+
 static void
 orders(void)
 {
@@ -470,6 +496,7 @@
     {"lists", lists},
     {"kinds", kinds},
     {"heads", heads},
+    {"limits", limits},
     {"orders", orders},
 };
 UNIT_MAIN("platform", tests)
--- a/regress/words.sh
+++ b/regress/words.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.." || exit 1
 words='X-Request-Id|X-Deadline-Ms|X-Response-Signature|X-Expected-Instance'
 words="$words|X-Server-Load|X-Not-Executed|X-Instance-Id|X-Shard-Key"
-words="$words|X-Handover|hold_time|path_prefix|traffic_split|target_latency"
+words="$words|X-Handover|Server-Limit|hold_time|path_prefix|traffic_split|target_latency"
 words="$words|max_attempts|cold_left|current_rev|has_more|serializable"
 words="$words|health_path|idle_timeout|header_timeout|budget_slack"
 words="$words|budget_window|config_apply|readyz|healthz|max_hold|draining\""
