--- a/standin/server.c
+++ b/standin/server.c
@@ -47,6 +47,8 @@
 static int late_grants;	 /* carries grants out so many ms late, unanswered */
 static int fail;	 /* answers 500 */
 static int refuse;	 /* is full for so many requests */
+static double limit;	 /* names so many requests a second; 0 is none; set
+			    in hundredths */
 static int reset_new;	 /* ends new connections without an answer */
 
 static const struct argp_option options[] = {
@@ -215,7 +217,7 @@
 run(const struct web_req *q, struct web_ans *a, long key)
 {
 	const char *id = web_head(q, "X-Request-Id");
-	char text[600], load[32];
+	char text[600], load[32], rate[32];
 	const char *to = foreign ? "another" : id; /* whom the answer is for */
 	int n;
 
@@ -244,6 +246,10 @@
 	web_add(a, "X-Request-Id", to);
 	web_add(a, "X-Response-Signature", name);
 	web_add(a, "X-Server-Load", load);
+	if (limit > 0) {
+		snprintf(rate, sizeof(rate), "%.2f", limit);
+		web_add(a, "Server-Limit", rate);
+	}
 	if (lose_answers > 0) {
 		lose_answers--;
 		a->drop = 1;
@@ -300,6 +306,7 @@
 	refuse = (int)web_num(web_arg(q, "refuse"), refuse);
 	reset_new = (int)web_num(web_arg(q, "reset_new"), reset_new);
 	work_ms = (int)web_num(web_arg(q, "work"), work_ms);
+	limit = web_num(web_arg(q, "limit"), (long)(limit * 100)) / 100.0;
 	n = snprintf(text, sizeof(text), "%lu\n", ran);
 	pthread_mutex_unlock(&lock);
 	str_set(&a->body, text, (size_t)n);
