Keys leave a target that names a limit, and come back

What callers saw, with the limit kept: those whose keys the target owned were refused, nine in ten, while other targets had room. Cause: a target's part of the keys follows its slots and its speed alone. Hosts now report the limit with what else they learnt of a target, and the controller leaves it keys for four fifths of it; two seconds after no host names it any more it gets keys again.

--- a/decide/keys.c
+++ b/decide/keys.c
@@ -193,6 +193,18 @@
 	k->targets[n].speed += 0.15 * (speed - k->targets[n].speed);
 }
 
+/* A target takes so many requests a second from all hosts. */
+void
+keys_limited(struct keys *k, const char *target, double limit, usec now)
+{
+	int n = target_find(k, target);
+
+	if (n == NO_TARGET)
+		return;
+	k->targets[n].limit = limit;
+	k->targets[n].limited = now;
+}
+
 /* Joins neighbours that one grant can name. */
 static void
 join(struct keys *k, usec now)
--- a/decide/keys.h
+++ b/decide/keys.h
@@ -67,8 +67,11 @@
 	double speed;	/* time it takes, over what others take */
 	usec alive_at;	/* it answered anybody */
 	int unanswered; /* orders in a row */
+	double limit;	/* requests a second that it takes ... */
+	usec limited;	/* ... as of this moment; 0 is none */
 	/* Of the plan. */
 	double heat;
+	double cap; /* of its weight, by its limit; 0 is none */
 	int lost;
 };
 
@@ -177,6 +180,7 @@
 void keys_fleet(struct keys *, const struct fleet *, usec now);
 void keys_heat(
     struct keys *, const uint16_t *key, int n, double each, usec now);
+void keys_limited(struct keys *, const char *target, double limit, usec now);
 void keys_learnt(
     struct keys *, const char *target, double speed, int answers, usec now);
 void keys_got(struct keys *, usec now, int found, uint64_t version,
--- a/decide/keys_plan.c
+++ b/decide/keys_plan.c
@@ -36,6 +36,16 @@
  * would have this much less. */
 #define WORTH_MOVING 0.85
 
+/* Requests that a second's rate of one counts for, as they halve. */
+#define HEAT_OF_RATE (HEAT_HALF / M_LN2)
+/* So much of its limit a target is given; what is asked for changes. */
+#define LIMIT_PART 0.8
+/* A limit that no host names any more is over after this. */
+#define LIMITED_FOR MS(2000)
+/* A target whose limit is near nothing keeps so much of its weight: it is to
+ * be seen that it takes more again. */
+#define CAP_LEAST 0.02
+
 /* How much of the load a target can bear beside others. */
 double
 key_target_weight(const struct key_target *t, usec now)
@@ -44,6 +54,8 @@
 
 	if (now < t->cold_until && feature_on(FEATURE_COLD))
 		w *= COLD_FACTOR;
+	if (t->cap > 0)
+		w = fmin(w, t->cap);
 	return (w);
 }
 
@@ -174,6 +186,30 @@
 	int live;
 };
 
+/*
+ * Caps the weight of targets that name a limit.  By slots and speed alone they
+ * go on owning as many keys as others, and whoever asks for these is refused
+ * while other targets have room.
+ */
+static void
+cap_limited(struct keys *k, struct look *l, usec now)
+{
+	double mean = l->total / l->weight, w;
+	struct key_target *t;
+	int i;
+
+	for (i = 0; i < k->ntargets; i++) {
+		t = &k->targets[i];
+		if (t->lost || t->limited == 0 ||
+		    now - t->limited > LIMITED_FOR)
+			continue;
+		w = key_target_weight(t, now);
+		t->cap = fmax(
+		    LIMIT_PART * HEAT_OF_RATE * t->limit / mean, CAP_LEAST * w);
+		l->weight += key_target_weight(t, now) - w;
+	}
+}
+
 /* Sums the loads up. */
 static void
 look_around(struct keys *k, usec now, struct look *l)
@@ -190,6 +226,7 @@
 	for (i = 0; i < k->ntargets; i++) {
 		t = &k->targets[i];
 		t->heat = 0;
+		t->cap = 0;
 		t->lost = is_lost(t, now);
 		if (t->lost)
 			continue;
@@ -203,6 +240,8 @@
 		k->targets[n].heat += range_heat(k, &k->ranges[i], l->base);
 	}
 	l->total = asked + l->base * KEYS;
+	if (l->weight > 0)
+		cap_limited(k, l, now);
 }
 
 /*
--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -148,7 +148,8 @@
 	h->crashes = d->crashes;
 	memset(&d->crashes, 0, sizeof(d->crashes));
 	for (s = d->targets; s != NULL; s = s->next) {
-		heat_report_target(h, s->id, s->dest.speed, s->answers);
+		heat_report_target(
+		    h, s->id, s->dest.speed, s->dest.rate.limit, s->answers);
 		s->answers = 0;
 	}
 	msg_post(d->s->kernel, "control", MSG_HEAT, h, heat_report_free);
--- a/gspard/heat_report.c
+++ b/gspard/heat_report.c
@@ -35,8 +35,8 @@
 
 /* Adds what was learnt of a target that answered. */
 void
-heat_report_target(
-    struct heat_report *h, const char *id, double speed, int answers)
+heat_report_target(struct heat_report *h, const char *id, double speed,
+    double limit, int answers)
 {
 	struct heat_target *t;
 
@@ -49,6 +49,7 @@
 	t += h->ntargets++;
 	name_copy(t->id, sizeof(t->id), id);
 	t->speed = speed;
+	t->limit = limit;
 	t->answers = answers;
 }
 
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -35,6 +35,7 @@
 struct heat_target {
 	char id[NAME_MAX_GS];
 	double speed;
+	double limit; /* that it names, a second; negative is none */
 	int answers;
 };
 
@@ -73,8 +74,8 @@
 struct heat_report *heat_report_new(int services);
 void heat_report_keys(
     struct heat_report *, const char *service, const struct heat *);
-void heat_report_target(
-    struct heat_report *, const char *id, double speed, int answers);
+void heat_report_target(struct heat_report *, const char *id, double speed,
+    double limit, int answers);
 void heat_report_free(void *);
 
 /* A host as the controller and all others know it. */
--- a/gspard/keeper_report.c
+++ b/gspard/keeper_report.c
@@ -1,5 +1,6 @@
 /* What hosts tell their controller: requests for keys, targets, and what they
  * have. */
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,6 +9,17 @@
 /* An answer of the store so long ago says that it answers: a standby that is
  * wanted looks each second. */
 #define STORE_LATELY MS(1600)
+/* A limit beyond this, in requests a second, limits nothing. */
+#define LIMIT_TOLD_MAX 1e6
+
+/* A limit on the wire. */
+static uint32_t
+limit_told(double limit)
+{
+	if (limit < 0)
+		return (0);
+	return (1 + (uint32_t)(fmin(limit, LIMIT_TOLD_MAX) * 1000));
+}
 
 /* Fills in what the router learnt. */
 static void
@@ -36,6 +48,7 @@
 		targets[i].target = h->targets[i].id;
 		targets[i].speed = (uint32_t)(h->targets[i].speed * 1000);
 		targets[i].answers = (uint32_t)h->targets[i].answers;
+		targets[i].limit = limit_told(h->targets[i].limit);
 	}
 	w->heat = klist;
 	w->n_heat = (size_t)h->nkeys;
@@ -98,6 +111,15 @@
 	k->heat = NULL;
 }
 
+/* Takes in what a host learnt of a target. */
+static void
+target_learnt(struct keys *k, const Gspar__TargetLearnt *t, usec now)
+{
+	keys_learnt(k, t->target, t->speed / 1000.0, (int)t->answers, now);
+	if (t->limit > 0)
+		keys_limited(k, t->target, (t->limit - 1) / 1000.0, now);
+}
+
 /* Takes a host's report, as controller. */
 void
 report_take(
@@ -134,8 +156,6 @@
 	}
 	for (i = 0; i < w->n_targets; i++) {
 		for (j = 0; j < k->nkeys; j++)
-			keys_learnt(k->keys[j], w->targets[i]->target,
-			    w->targets[i]->speed / 1000.0,
-			    (int)w->targets[i]->answers, now);
+			target_learnt(k->keys[j], w->targets[i], now);
 	}
 }
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -3621,7 +3621,7 @@
   (ProtobufCMessageInit) gspar__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__target_learnt__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gspar__target_learnt__field_descriptors[4] =
 {
   {
     "target",
@@ -3659,16 +3659,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetLearnt, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__target_learnt__field_indices_by_name[] = {
   2,   /* field[2] = answers */
+  3,   /* field[3] = limit */
   1,   /* field[1] = speed */
   0,   /* field[0] = target */
 };
 static const ProtobufCIntRange gspar__target_learnt__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gspar__target_learnt__descriptor =
 {
@@ -3678,7 +3691,7 @@
   "Gspar__TargetLearnt",
   "gspar",
   sizeof(Gspar__TargetLearnt),
-  3,
+  4,
   gspar__target_learnt__field_descriptors,
   gspar__target_learnt__field_indices_by_name,
   1,  gspar__target_learnt__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -444,10 +444,14 @@
    * Answers since the last report.
    */
   uint32_t answers;
+  /*
+   * The limit that it names: 0 is none, else 1 + thousandths a second.
+   */
+  uint32_t limit;
 };
 #define GSPAR__TARGET_LEARNT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__target_learnt__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Gspar__KeyHeat
--- a/regress/unit/t_keys.c
+++ b/regress/unit/t_keys.c
@@ -781,6 +781,49 @@
 	CU_ASSERT_EQUAL(double_held, 0);
 }
 
+/*
+ * A target in need takes two requests a second, of 150 for all keys.  Left with
+ * its keys it would have to refuse nine in ten of those for them, while others
+ * have room: most of its keys go to these.  Once it names no limit, it gets
+ * keys again.
+ */
+static void
+limited_target(void)
+{
+	const int limit = 2, each = 30, rounds = 40, last_rounds = 10;
+	int i, n, t, there = 0, again = 0;
+	uint16_t keys[30];
+
+	start(8);
+	for (i = 0; i < 2 * rounds; i++) {
+		if (i < rounds)
+			keys_limited(&ctl[0], fakes[2].id, limit, now);
+		for (n = 0; n < each; n++) {
+			keys[n] = (uint16_t)(chance() * 65536);
+			for (t = 0; t < ctl[0].nranges; t++) {
+				if (ctl[0].ranges[t].from > keys[n] ||
+				    ctl[0].ranges[t].to < keys[n] ||
+				    ctl[0].ranges[t].owner == NO_TARGET ||
+				    strcmp(ctl[0]
+					       .targets[ctl[0].ranges[t].owner]
+					       .id,
+					fakes[2].id) != 0)
+					continue;
+				there +=
+				    i >= rounds - last_rounds && i < rounds;
+				again += i >= 2 * rounds - last_rounds;
+			}
+		}
+		keys_heat(&ctl[0], keys, each, 1, now);
+		run(MS(200));
+	}
+	/* Two seconds each; what is allowed in so long is 1.5 times the limit
+	 * and five. */
+	CU_ASSERT(there <= 1.5 * limit * 2 + 5);
+	CU_ASSERT(again > 2 * there);
+	CU_ASSERT_EQUAL(double_held, 0);
+}
+
 /*
  * A controller has just taken over, and a hot run needs cutting.  What an
  * earlier one granted last is not known, so keys cannot go on for seconds:
@@ -1295,6 +1338,7 @@
     {"takeover", takeover},
     {"store away", store_away},
     {"hot key", hot_key},
+    {"limited target", limited_target},
     {"no moves after a takeover", no_moves_after_takeover},
     {"random schedules", random_schedules},
 };
