--- a/decide/quarantine.h
+++ b/decide/quarantine.h
@@ -17,6 +17,19 @@
 #define QUARANTINE_BREAKS 512
 #define QUARANTINE_ENDS 256
 
+/* What one host saw for a while. */
+#define QUARANTINE_SEEN 64
+
+struct quarantine_seen {
+	struct {
+		uint64_t digest;
+		uint64_t target;
+	} broken[QUARANTINE_SEEN];
+	int nbroken;
+	uint64_t ended[QUARANTINE_SEEN];
+	int nended;
+};
+
 /* A send that ended without an answer, and a target that was found ended. */
 struct quarantine_break {
 	uint64_t digest; /* of the request's content */
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -9,7 +9,6 @@
 #include "dest.h"
 #include "fleet.h"
 #include "heat.h"
-#include "keeper.h"
 #include "leave.h"
 #include "owners.h"
 #include "quarantine.h"
@@ -106,8 +105,8 @@
 	struct shared *site;
 	struct shared *owners;
 	struct shared *quarantine;
-	struct recent recent;	    /* contents that were answered */
-	struct crash_notes crashes; /* since the last report */
+	struct recent recent;		/* contents that were answered */
+	struct quarantine_seen crashes; /* since the last report */
 	struct leave *leave; /* this host stops; NULL where it does not */
 	struct dest_conf conf;
 	struct svc svcs[SITE_SERVICES];
--- a/gspard/direct_crash.c
+++ b/gspard/direct_crash.c
@@ -8,9 +8,9 @@
 crash_broke(struct direct *d, const struct pending *p,
     const struct target_state *s, usec now)
 {
-	struct crash_notes *n = &d->crashes;
+	struct quarantine_seen *n = &d->crashes;
 
-	if (n->nbroken == CRASH_NOTES ||
+	if (n->nbroken == QUARANTINE_SEEN ||
 	    recent_was_answered(&d->recent, p->digest, now))
 		return;
 	n->broken[n->nbroken].digest = p->digest;
@@ -22,9 +22,9 @@
 void
 crash_ended(struct direct *d, struct target_state *s)
 {
-	struct crash_notes *n = &d->crashes;
+	struct quarantine_seen *n = &d->crashes;
 
-	if (s->ended || n->nended == CRASH_NOTES)
+	if (s->ended || n->nended == QUARANTINE_SEEN)
 		return;
 	s->ended = 1;
 	n->ended[n->nended++] = s->digest;
--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -352,7 +352,7 @@
 			heat_report_free(k->heat);
 		k->heat = m->data;
 		m->data = NULL;
-		quarantine_seen(k, &k->heat->crashes, now);
+		quarantine_take_seen(k, &k->heat->crashes, now);
 		break;
 	case MSG_STOP:
 		begin_stop(k, m->data, now);
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -39,20 +39,7 @@
 	int answers;
 };
 
-/* What the router saw of sends that broke and of targets that ended. */
-#define CRASH_NOTES 64
-
-struct crash_notes {
-	struct {
-		uint64_t digest;
-		uint64_t target;
-	} broken[CRASH_NOTES];
-	int nbroken;
-	uint64_t ended[CRASH_NOTES];
-	int nended;
-};
-
-/* Room for what one report tells of these. */
+/* Room for what one report tells of requests that crash targets. */
 #define QUARANTINE_REPORTED 256
 
 struct quarantine_room {
@@ -68,7 +55,7 @@
 	int nkeys;
 	struct heat_target *targets;
 	int ntargets;
-	struct crash_notes crashes;
+	struct quarantine_seen crashes;
 };
 
 struct heat_report *heat_report_new(int services);
@@ -216,7 +203,8 @@
 
 /* keeper_quarantine.c */
 #define QUARANTINE_TAG "quarantine"
-void quarantine_seen(struct keeper *, const struct crash_notes *, usec now);
+void quarantine_take_seen(
+    struct keeper *, const struct quarantine_seen *, usec now);
 void quarantine_refused(struct keeper *, const char *target, usec now);
 void quarantine_fill(
     struct keeper *, Gspar__HostReport *, struct quarantine_room *, usec now);
--- a/gspard/keeper_quarantine.c
+++ b/gspard/keeper_quarantine.c
@@ -46,7 +46,9 @@
 	for (i = 0; i < l->n; i++) {
 		gspar__quarantined__init(&items[i]);
 		items[i].content = l->items[i].digest;
-		items[i].left = (uint32_t)((l->items[i].until - now) / 1000);
+		items[i].left =
+		    (uint32_t)(quarantine_left(l, l->items[i].digest, now) /
+			1000);
 		list[i] = &items[i];
 	}
 	return ((size_t)l->n);
@@ -112,7 +114,8 @@
 
 /* Takes in what this host's router saw. */
 void
-quarantine_seen(struct keeper *k, const struct crash_notes *n, usec now)
+quarantine_take_seen(
+    struct keeper *k, const struct quarantine_seen *n, usec now)
 {
 	int i;
 
--- a/regress/unit/t_keys.c
+++ b/regress/unit/t_keys.c
@@ -781,12 +781,7 @@
 	CU_ASSERT_EQUAL(double_held, 0);
 }
 
-/*
- * A target in need takes two requests a second, of 150 for all keys.  Left with
- * its keys it would have to refuse nine in ten of those for them, while others
- * have room: most of its keys go to these.  Once it names no limit, it gets
- * keys again.
- */
+/* Callers of a target with a limit are not refused while others have room. */
 static void
 limited_target(void)
 {
--- a/regress/unit/t_quarantine.c
+++ b/regress/unit/t_quarantine.c
@@ -30,10 +30,7 @@
 	return (quarantine_left(&l, digest, now));
 }
 
-/*
- * A request comes again after each crash, and a fourth target would end under
- * it: it is quarantined by the third, which no later news changes.
- */
+/* A request that comes again after each crash ends no fourth target. */
 static void
 third_crash(void)
 {
@@ -48,8 +45,7 @@
 	CU_ASSERT(left(CONTENT + 1, MS(8000)) == 0);
 }
 
-/* Several hosts lose the same target, and each tells it more than once, also
- * long after: all of that is one crash. */
+/* One crash that several hosts report, also long after, counts once. */
 static void
 told_twice(void)
 {
@@ -67,8 +63,7 @@
 	CU_ASSERT(left(CONTENT, MS(7000)) == 0);
 }
 
-/* Targets lose answers and live on: their connections break, no request is to
- * blame. */
+/* Targets that lose answers and live on quarantine nothing. */
 static void
 answers_lost(void)
 {
@@ -84,7 +79,7 @@
 		CU_ASSERT(quarantine_ended(&q, t, MS(60000)) == 0);
 }
 
-/* One host finds a target ended before another tells what ran there. */
+/* A crash counts where its target is found ended before the send is told. */
 static void
 ended_first(void)
 {
@@ -99,7 +94,7 @@
 	CU_ASSERT(left(CONTENT, MS(2000)) > 0);
 }
 
-/* A content is tried again when its time is over, and needs one crash more. */
+/* A content that is tried again after its time needs one crash more. */
 static void
 one_more(void)
 {
@@ -114,7 +109,7 @@
 	CU_ASSERT(left(CONTENT, later + MS(1000)) > 0);
 }
 
-/* Crashes that are an hour apart have no request in common. */
+/* Crashes an hour apart are not taken for one request's. */
 static void
 far_apart(void)
 {
@@ -124,7 +119,7 @@
 	CU_ASSERT(crash(CONTENT, 3, MS(1000) + 2 * HOUR) == 0);
 }
 
-/* Many other contents run at targets that crash: what is quarantined stays. */
+/* Crashes under many other contents end no quarantine. */
 static void
 table_full(void)
 {
@@ -139,7 +134,7 @@
 	CU_ASSERT(left(CONTENT, MS(9000)) > 0);
 }
 
-/* A host takes over what another has quarantined, for as long as there. */
+/* A host takes over what another quarantined, for as long as there. */
 static void
 taken_over(void)
 {
@@ -153,7 +148,7 @@
 	CU_ASSERT(left(9, MS(1000)) == HOUR);
 }
 
-/* Lists with the same contents have the same number, in any order. */
+/* Lists of the same contents have the same number, in any order. */
 static void
 number(void)
 {
@@ -191,6 +186,10 @@
 	CU_ASSERT(
 	    back.n == 2 && quarantine_number(&back) == quarantine_number(&l));
 	CU_ASSERT(quarantine_left(&back, UINT64_MAX, MS(9000)) == MS(400));
+	/* One whose time has run out since is told with none left. */
+	quarantine_write(&l, &s, MS(1000));
+	CU_ASSERT(quarantine_read(&s, &back, 0) == 0 && back.n == 2);
+	CU_ASSERT(quarantine_left(&back, UINT64_MAX, 0) == 0);
 	str_set(&s, "{\"list\":[{\"content\":7,\"left_ms\":1}]}", 36);
 	CU_ASSERT(quarantine_read(&s, &back, 0) == -1 && back.n == 0);
 	str_set(&s, "{}", 2);
@@ -198,8 +197,7 @@
 	str_free(&s);
 }
 
-/* What is asked for all the time runs at each target that crashes, and is
- * answered by others: it is not to blame. */
+/* A content that is answered all the time is not blamed for crashes. */
 static void
 answered(void)
 {
--- a/regress/unit/t_rate.c
+++ b/regress/unit/t_rate.c
@@ -61,11 +61,7 @@
 	}
 }
 
-/*
- * Eight hosts, and three hundred, press on a target in need: each knows the
- * limit, and all together must keep it; also after a pause, in which none of
- * them had anything to send.
- */
+/* All hosts together keep the rate, also when they all come after a pause. */
 static void
 all_hosts_together(void)
 {
@@ -131,8 +127,7 @@
 	CU_ASSERT(rate_wait(&r, 0, MS(1500)) == MS(1500));
 }
 
-/* The limit is another with each answer, and so are the turns: no host sends
- * more often than it would by the highest. */
+/* A limit that changes with each answer neither adds turns nor stops them. */
 static void
 changes(void)
 {
@@ -152,7 +147,7 @@
 	CU_ASSERT(n <= 51 && n > 20);
 }
 
-/* A target that takes none is asked now and then all the same. */
+/* A target that takes none is still asked now and then. */
 static void
 none(void)
 {
