A controller that has given way is not waited for

Cause: a standby that was stopped in order had promised for 12 s, for its controller may need that in an outage; the new one waited it out, though the only process that could use the promise had itself heard of the new term and stopped. Reports now name the term that a host follows, and the earlier controller's own word, by the same process, for this term ends the wait. Safe for the same reason as where that process has ended: it sends nothing under its own term any more, and what it had sent before is reckoned with by the keys.

--- a/decide/term.c
+++ b/decide/term.c
@@ -491,6 +491,29 @@
 	t->out->event(t->arg, "a process of the earlier controller has ended");
 }
 
+/*
+ * A process said which term it follows.  Where it is the holder that control
+ * was taken from and the term is this host's, it gives nothing any more under
+ * its own, and no promise that was left to it need run out.
+ */
+void
+term_yielded(struct term *t, usec now, const struct member *who, uint64_t term)
+{
+	usec earlier = t->settle_at;
+
+	if (t->role != TERM_HOLDER || term < t->rec.term ||
+	    !same(&t->taken_from.holder, who) ||
+	    (!t->must_withdraw && now >= t->settle_at))
+		return;
+	if (t->must_withdraw)
+		earlier = 0;
+	settle_after(t, now, 0);
+	if (earlier != 0 && earlier < t->settle_at)
+		t->settle_at = earlier;
+	else
+		t->out->event(t->arg, "the earlier controller has yielded");
+}
+
 /* Names the standbys the holder should have; written when they differ. */
 void
 term_standbys(struct term *t, const struct member *m, int n)
--- a/decide/term.h
+++ b/decide/term.h
@@ -131,6 +131,8 @@
 void term_outdone(struct term *, usec now, uint64_t term);
 void term_promised(struct term *, usec now, const struct member *,
     uint64_t term, enum promise_kind, usec asked);
+void term_yielded(
+    struct term *, usec now, const struct member *, uint64_t term);
 void term_standbys(struct term *, const struct member *, int);
 void term_process_seen(struct term *, usec now, const struct member *);
 void term_resign(struct term *, usec now);
--- a/gspard/keeper_report.c
+++ b/gspard/keeper_report.c
@@ -81,6 +81,8 @@
 	w.bears = (uint32_t)keeper_bears(k);
 	w.store = k->store_seen != 0 && now - k->store_seen < STORE_LATELY;
 	w.owners = k->number;
+	if (!k->acting && k->term.role != TERM_HOLDER)
+		w.term = k->controller_term;
 	w.site = t == NULL ? 0 : t->version;
 	w.site_asked = k->site_ask;
 	k->site_ask = 0;
@@ -137,6 +139,8 @@
 	name_copy(m.addr, sizeof(m.addr), w->addr);
 	m.boot = w->boot;
 	keeper_host_seen(k, &m, w->dc, w->stopping, now);
+	if (w->term != 0)
+		term_yielded(&k->term, now, &m, w->term);
 	if ((h = keeper_host(k, host)) != NULL) {
 		h->owners = w->owners;
 		h->bears = (int)w->bears;
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -3762,7 +3762,7 @@
   (ProtobufCMessageInit) gspar__key_heat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__host_report__field_descriptors[16] =
+static const ProtobufCFieldDescriptor gspar__host_report__field_descriptors[17] =
 {
   {
     "boot",
@@ -3956,6 +3956,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "term",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostReport, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__host_report__field_indices_by_name[] = {
   1,   /* field[1] = addr */
@@ -3974,11 +3986,12 @@
   3,   /* field[3] = stopping */
   10,   /* field[10] = store */
   7,   /* field[7] = targets */
+  16,   /* field[16] = term */
 };
 static const ProtobufCIntRange gspar__host_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor gspar__host_report__descriptor =
 {
@@ -3988,7 +4001,7 @@
   "Gspar__HostReport",
   "gspar",
   sizeof(Gspar__HostReport),
-  16,
+  17,
   gspar__host_report__field_descriptors,
   gspar__host_report__field_indices_by_name,
   1,  gspar__host_report__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -513,10 +513,14 @@
   uint64_t quarantine;
   size_t n_quarantined;
   Gspar__Quarantined **quarantined;
+  /*
+   * Of the controller that it follows; 0 where it controls itself.
+   */
+  uint64_t term;
 };
 #define GSPAR__HOST_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__host_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -159,6 +159,11 @@
 without late-requests-of-a-stop leave leave.c \
     's/return (now < l->shut || deadline <= l->end);/return (1);/'
 
+# Control.
+without yielded-by-another term term.c \
+    's/ ||\n\t    !same(&t->taken_from.holder, who)//;s/!same(&t->taken_from.holder, who) ||/0 ||/'
+without yielded-to-an-earlier-term term term.c \
+    's/t->role != TERM_HOLDER || term < t->rec.term ||/t->role != TERM_HOLDER ||/'
 # Limits of targets.
 without limit-of-all-hosts rate rate.c 's/r->turns.hosts \* US_PER_SEC/US_PER_SEC/'
 without turns-lie-apart rate rate.c 's/r->turns.rank \* (/0 * (/'
--- a/regress/unit/t_term.c
+++ b/regress/unit/t_term.c
@@ -587,6 +587,37 @@
 	CU_ASSERT(!term_settled(&c.t, MS(9000) + MS(12000)));
 }
 
+/* The earlier holder says that it follows the new one: nobody else is waited
+ * for, and its word for an earlier term, or of another process, says nothing.
+ */
+static void
+yielded(void)
+{
+	struct node a, b, c;
+	struct member other;
+
+	start_left(&a, &b);
+	node_init(&c, "c", 3000);
+	c.t.conf.left_promise = MS(12000);
+	c.t.lonely = 1;
+	store.down = 0;
+	run(NULL, &c, MS(4000), MS(9000));
+	CU_ASSERT_EQUAL(c.t.role, TERM_HOLDER);
+	other = a.t.conf.self;
+	other.boot++;
+	term_yielded(&c.t, MS(9000), &other, c.t.rec.term);
+	term_yielded(&c.t, MS(9000), &a.t.conf.self, c.t.rec.term - 1);
+	CU_ASSERT(!term_settled(&c.t, MS(9000) + HOST_LEASE + MS(200)));
+	term_outdone(&a.t, MS(9000), c.t.rec.term);
+	CU_ASSERT(!term_may_renew(&a.t, MS(9000)));
+	term_yielded(&c.t, MS(9000), &a.t.conf.self, c.t.rec.term);
+	CU_ASSERT(!term_settled(&c.t, MS(9000) + HOST_LEASE));
+	CU_ASSERT(term_settled(&c.t, MS(9000) + HOST_LEASE + MS(200)));
+	/* Said again later, it puts nothing off. */
+	term_yielded(&c.t, MS(10000), &a.t.conf.self, c.t.rec.term);
+	CU_ASSERT(term_settled(&c.t, MS(9000) + HOST_LEASE + MS(200)));
+}
+
 /* A process of the same name at another address proves nothing. */
 static void
 same_name_elsewhere_proves_nothing(void)
@@ -666,6 +697,7 @@
     {"outdone", outdone},
     {"left standby", left_standby},
     {"left promise is waited for", left_promise_is_waited_for},
+    {"yielded", yielded},
     {"same name elsewhere", same_name_elsewhere_proves_nothing},
 };
 UNIT_MAIN("term", tests)
