A target's failures do not end its limit

Cause: an answer without the limit ended it where the target had run the request, and failures may leave it out. Now only a success ends it.

--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -168,8 +168,8 @@
 
 /*
  * Notes the limit that a target names with an answer.  One without it ends the
- * limit only where the target ran the request: others, from its door, may leave
- * it out.
+ * limit only where it is a success: refusals and failures may leave it out, and
+ * a target in need has many of them.
  */
 static void
 note_limit(struct direct *d, struct target_state *s, double limit,
@@ -178,7 +178,7 @@
 	struct rate_turns t = {d->conf.hosts, d->rank, now - clock_wall()};
 	double was = s->dest.rate.limit;
 
-	if (limit < 0 && kind != REPLY_ANSWER && kind != REPLY_FAILURE)
+	if (limit < 0 && kind != REPLY_ANSWER)
 		return;
 	rate_told(&s->dest.rate, limit, &t, now);
 	if (limit == was)
--- a/regress/scenario/site_limit.lua
+++ b/regress/scenario/site_limit.lua
@@ -48,7 +48,11 @@
 
 press(500)
 local named = limit(LIMIT)
+press(1000)
+-- One begins to fail, and says nothing of its limit with that.
+s:server_fault("i-6", "fail=1")
 local failed, slowest = press(STABLE_WINDOW + 3 * WINDOW)
+s:server_fault("i-6", "fail=0")
 local lifted = limit(0)
 check(failed == 0, "%d refused while others have room", failed)
 check(slowest < 1000, "a refusal took %.0f ms", slowest)
--- a/standin/server.c
+++ b/standin/server.c
@@ -47,8 +47,8 @@
 static int late_grants;	 /* carries grants out so many ms late, unanswered */
 static int fail;	 /* answers 500 */
 static int refuse;	 /* is full for so many requests */
-static double limit;	 /* names so many requests a second; 0 is none; set
-			    in hundredths */
+static double limit;	 /* names so many requests a second, but for failures;
+			    0 is none; set in hundredths */
 static int reset_new;	 /* ends new connections without an answer */
 
 static const struct argp_option options[] = {
@@ -246,7 +246,7 @@
 	web_add(a, "X-Request-Id", to);
 	web_add(a, "X-Response-Signature", name);
 	web_add(a, "X-Server-Load", load);
-	if (limit > 0) {
+	if (limit > 0 && !fail) {
 		snprintf(rate, sizeof(rate), "%.2f", limit);
 		web_add(a, "Server-Limit", rate);
 	}
