--- a/decide/term.c
+++ b/decide/term.c
@@ -508,6 +508,7 @@
 	if (t->must_withdraw)
 		earlier = 0;
 	settle_after(t, now, 0);
+	/* Said again, it puts nothing off. */
 	if (earlier != 0 && earlier < t->settle_at)
 		t->settle_at = earlier;
 	else
--- a/gspard/direct_crash.c
+++ b/gspard/direct_crash.c
@@ -1,6 +1,4 @@
 /* What the router sees of targets that crash, for the control service. */
-#include <string.h>
-
 #include "direct.h"
 
 /* A send to a target ended without an answer: it may have crashed under it. */
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -128,7 +128,7 @@
 	uint64_t report_term; /* to whose controller crashes were told ... */
 	usec report_since;    /* ... and since when */
 	int quarantine_open;  /* the store is asked */
-	int quarantine_read;  /* its list is known; of a controller */
+	int quarantine_known; /* its list is known; of a controller */
 	uint64_t quarantine_version;
 	uint64_t quarantine_stored; /* number of its list */
 	usec quarantine_next;
--- a/gspard/keeper_quarantine.c
+++ b/gspard/keeper_quarantine.c
@@ -278,12 +278,12 @@
 {
 	refresh(k, now);
 	if (!k->acting)
-		k->quarantine_read = 0;
+		k->quarantine_known = 0;
 	if (k->quarantine_open || now < k->quarantine_next)
 		return;
 	if (!k->acting && k->told_follow)
 		ask_store(k, STORE_GET, now);
-	else if (k->acting && !k->quarantine_read)
+	else if (k->acting && !k->quarantine_known)
 		ask_store(k, STORE_GET, now);
 	else if (k->acting &&
 	    k->quarantine_stored != quarantine_number(&k->quarantined))
@@ -300,7 +300,7 @@
 	k->quarantine_open = 0;
 	if (st->op == STORE_PUT) {
 		/* What became of a write that failed is read back. */
-		k->quarantine_read = st->result == STORE_DONE;
+		k->quarantine_known = st->result == STORE_DONE;
 		k->quarantine_version = st->version;
 		k->quarantine_stored = st->gen;
 		return;
@@ -314,7 +314,7 @@
 		    "The list of quarantined requests makes no sense, version "
 		    "%llu: empty.",
 		    (unsigned long long)st->version);
-	k->quarantine_read = k->acting;
+	k->quarantine_known = k->acting;
 	k->quarantine_version = st->result == STORE_DONE ? st->version : 0;
 	k->quarantine_stored = quarantine_number(&l);
 	for (i = 0; i < l.n; i++)
--- a/regress/scenario/site_poison.lua
+++ b/regress/scenario/site_poison.lua
@@ -1,7 +1,6 @@
--- A request that crashes any target comes again and again, under another id
--- and through another host.
+-- A request that crashes any target that runs it is sent on and on.
 dofile("regress/scenario/lib_site.lua")
--- The bounds: three targets end, so much later it is sent so often at most.
+-- In ms after the third target has ended, and sends from then on.
 local STABLE_WINDOW, MOST = 3000, 3
 local s = standard_site { crash = "poison", work = 20 }
 s:play_poison("/any/poison", nil, STABLE_WINDOW, MOST)
--- a/regress/scenario/site_poison_key.lua
+++ b/regress/scenario/site_poison_key.lua
@@ -1,7 +1,6 @@
--- A request that crashes the owner of its key comes again and again, under another id
--- and through another host.
+-- A request that crashes the owner of its key is sent on and on.
 dofile("regress/scenario/lib_site.lua")
--- The bounds: three targets end, so much later it is sent so often at most.
+-- In ms after the third target has ended, and sends from then on.
 local STABLE_WINDOW, MOST = 3000, 3
 local s = standard_site { crash = "poison", work = 20 }
 s:play_poison("/k/poison", { "X-Shard-Key: 700" }, STABLE_WINDOW, MOST)
