--- a/regress/unit/t_feature.c
+++ b/regress/unit/t_feature.c
@@ -87,8 +87,8 @@
 
 	CU_ASSERT_EQUAL(features_off(""), 0);
 	dest_init(&d, 4);
-	dest_sent(&d);
-	dest_sent(&d);
+	dest_sent(&d, 0);
+	dest_sent(&d, 0);
 	CU_ASSERT(!dest_room(&d, MS(1000), &twelve));
 	CU_ASSERT_EQUAL(features_off("fill"), 0);
 	CU_ASSERT(dest_room(&d, MS(1000), &twelve));
