What is quarantined is made out once a tick

Each report of each host, each refused order and each answer of the store made the list out again and compared it, though the tick that follows in the same turn of the loop does so anyway. What is left of an item is asked of the item, not looked up again by its digest; a bound that the count of crashes cannot pass is gone. A host may be told the list as it was a moment before, and again with the tick.

--- a/decide/quarantine.c
+++ b/decide/quarantine.c
@@ -67,7 +67,7 @@
 {
 	int i;
 
-	for (i = 0; i < e->crashes && i < QUARANTINE_CRASHES; i++) {
+	for (i = 0; i < e->crashes; i++) {
 		if (e->targets[i] == target)
 			return (1);
 	}
@@ -180,6 +180,13 @@
 	}
 }
 
+/* For how much longer an item of a list is quarantined; 0 is not any more. */
+usec
+quarantine_item_left(const struct quarantine_item *item, usec now)
+{
+	return (item->until > now ? item->until - now : 0);
+}
+
 /* For how much longer a content is quarantined; 0 is not. */
 usec
 quarantine_left(const struct quarantine_list *l, uint64_t digest, usec now)
@@ -187,8 +194,8 @@
 	int i;
 
 	for (i = 0; l != NULL && i < l->n; i++) {
-		if (l->items[i].digest == digest && l->items[i].until > now)
-			return (l->items[i].until - now);
+		if (l->items[i].digest == digest)
+			return (quarantine_item_left(&l->items[i], now));
 	}
 	return (0);
 }
--- a/decide/quarantine.h
+++ b/decide/quarantine.h
@@ -60,11 +60,13 @@
 };
 
 /* What is quarantined, as hosts tell each other. */
+struct quarantine_item {
+	uint64_t digest;
+	usec until;
+};
+
 struct quarantine_list {
-	struct {
-		uint64_t digest;
-		usec until;
-	} items[QUARANTINE_KEPT];
+	struct quarantine_item items[QUARANTINE_KEPT];
 	int n;
 };
 
@@ -74,6 +76,7 @@
 int quarantine_add(struct quarantine *, uint64_t digest, usec left, usec now);
 void quarantine_list(
     const struct quarantine *, struct quarantine_list *, usec now);
+usec quarantine_item_left(const struct quarantine_item *, usec now);
 usec quarantine_left(const struct quarantine_list *, uint64_t digest, usec now);
 uint64_t quarantine_number(const struct quarantine_list *);
 
--- a/gspard/keeper_quarantine.c
+++ b/gspard/keeper_quarantine.c
@@ -47,8 +47,7 @@
 		gspar__quarantined__init(&items[i]);
 		items[i].content = l->items[i].digest;
 		items[i].left =
-		    (uint32_t)(quarantine_left(l, l->items[i].digest, now) /
-			1000);
+		    (uint32_t)(quarantine_item_left(&l->items[i], now) / 1000);
 		list[i] = &items[i];
 	}
 	return ((size_t)l->n);
@@ -95,7 +94,8 @@
 	}
 }
 
-/* Makes the list anew; where it has changed, hands it on. */
+/* Makes the list anew, of what was heard since and has not run out; where it
+ * has changed, hands it on. */
 static void
 refresh(struct keeper *k, usec now)
 {
@@ -124,7 +124,6 @@
 		    n->broken[i].target, now);
 	for (i = 0; i < n->nended; i++)
 		quarantine_ended(&k->quarantine, n->ended[i], now);
-	refresh(k, now);
 }
 
 /* An order's connection was refused: its target has ended. */
@@ -132,7 +131,6 @@
 quarantine_refused(struct keeper *k, const char *target, usec now)
 {
 	quarantine_ended(&k->quarantine, incarnation_digest(target), now);
-	refresh(k, now);
 }
 
 /* Adds a send that broke to a report. */
@@ -220,7 +218,6 @@
 	for (i = 0; i < n; i++)
 		quarantine_add(
 		    &k->quarantine, list[i]->content, MS(list[i]->left), now);
-	refresh(k, now);
 }
 
 /* Takes in what a host's report tells, as controller. */
@@ -319,6 +316,5 @@
 	k->quarantine_stored = quarantine_number(&l);
 	for (i = 0; i < l.n; i++)
 		quarantine_add(&k->quarantine, l.items[i].digest,
-		    l.items[i].until - now, now);
-	refresh(k, now);
+		    quarantine_item_left(&l.items[i], now), now);
 }
--- a/gspard/quarantine_text.c
+++ b/gspard/quarantine_text.c
@@ -22,7 +22,7 @@
 		n = snprintf(item, sizeof(item),
 		    "%s{\"content\":\"%016" PRIx64 "\",\"left_ms\":%lld}",
 		    i == 0 ? "" : ",", l->items[i].digest,
-		    (long long)(quarantine_left(l, l->items[i].digest, now) /
+		    (long long)(quarantine_item_left(&l->items[i], now) /
 			1000));
 		str_add(out, item, (size_t)n);
 	}
