--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -175,11 +175,12 @@
 note_limit(struct direct *d, struct target_state *s, double limit,
     enum reply_kind kind, usec now)
 {
-	struct rate_turns t = {d->conf.hosts, d->rank, now - clock_wall()};
+	struct rate_turns t = {d->conf.hosts, d->rank, 0};
 	double was = s->dest.rate.limit;
 
-	if (limit < 0 && kind != REPLY_ANSWER)
+	if (limit < 0 && (was < 0 || kind != REPLY_ANSWER))
 		return;
+	t.epoch = now - clock_wall();
 	rate_told(&s->dest.rate, limit, &t, now);
 	if (limit == was)
 		return;
