--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -124,6 +124,7 @@
 	/* Requests that crash targets: what was seen, what is quarantined. */
 	struct quarantine quarantine;
 	struct quarantine_list quarantined;
+	struct quarantine_room report_room;
 	uint64_t told_quarantine; /* number of the controller's list */
 	uint64_t report_term; /* to whose controller crashes were told ... */
 	usec report_since;    /* ... and since when */
@@ -206,8 +207,7 @@
 void quarantine_take_seen(
     struct keeper *, const struct quarantine_seen *, usec now);
 void quarantine_refused(struct keeper *, const char *target, usec now);
-void quarantine_fill(
-    struct keeper *, Gspar__HostReport *, struct quarantine_room *, usec now);
+void quarantine_fill(struct keeper *, Gspar__HostReport *, usec now);
 void quarantine_report(
     struct keeper *, struct keeper_host *, const Gspar__HostReport *, usec now);
 void quarantine_take(struct keeper *, const Gspar__QuarantineTold *, usec now);
--- a/gspard/keeper_quarantine.c
+++ b/gspard/keeper_quarantine.c
@@ -176,12 +176,12 @@
 	}
 }
 
-/* Fills in what a report tells; room is for all of it. */
+/* Fills in what a report tells. */
 void
-quarantine_fill(struct keeper *k, Gspar__HostReport *w,
-    struct quarantine_room *room, usec now)
+quarantine_fill(struct keeper *k, Gspar__HostReport *w, usec now)
 {
 	const struct quarantine *q = &k->quarantine;
+	struct quarantine_room *room = &k->report_room;
 	unsigned i;
 
 	if (k->report_term != k->controller_term) {
--- a/gspard/keeper_report.c
+++ b/gspard/keeper_report.c
@@ -67,13 +67,11 @@
 	Gspar__HostReport w = GSPAR__HOST_REPORT__INIT;
 	Gspar__KeyHeat keys[KEEPER_SERVICES], *klist[KEEPER_SERVICES];
 	Gspar__TargetLearnt *targets, **tlist;
-	struct quarantine_room *crashes;
 	uint32_t *room;
 
 	targets = calloc((size_t)h->ntargets + 1, sizeof(*targets));
 	tlist = calloc((size_t)h->ntargets + 1, sizeof(*tlist));
 	room = calloc((size_t)h->nkeys * HEAT_KEPT + 1, sizeof(*room));
-	crashes = calloc(1, sizeof(*crashes));
 	w.boot = kernel_boot(k->s->kernel);
 	w.addr = (char *)conf->reached;
 	w.dc = (char *)conf->dc;
@@ -87,10 +85,9 @@
 	w.site_asked = k->site_ask;
 	k->site_ask = 0;
 	w.fleet = fleet == NULL ? 0 : fleet->digest;
-	if (targets != NULL && tlist != NULL && room != NULL &&
-	    crashes != NULL) {
+	if (targets != NULL && tlist != NULL && room != NULL) {
 		fill_report(&w, h, keys, klist, targets, tlist, room);
-		quarantine_fill(k, &w, crashes, now);
+		quarantine_fill(k, &w, now);
 		f.body_case = GSPAR__FRAME__BODY_HOST_REPORT;
 		f.host_report = &w;
 		send_frame(k->s->kernel, k->controller, 0, &f);
@@ -98,7 +95,6 @@
 	free(targets);
 	free(tlist);
 	free(room);
-	free(crashes);
 }
 
 /* Sends what the router reported last. */
