--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -22,6 +22,9 @@
 #define KEEPER_HOSTS 512
 #define KEEPER_SERVICES 16
 #define ASKED_KEPT 64
+/* A host whose reports show that it lacks what it was told is told again after
+ * this. */
+#define TELL_AGAIN MS(600)
 /* Of a range on the wire: on its way, or that and when it is back, in ms. */
 #define STATE_MOVING 1u
 #define STATE_BACK 2u
--- a/gspard/keeper_fleet.c
+++ b/gspard/keeper_fleet.c
@@ -4,8 +4,6 @@
 
 #include "keeper.h"
 
-/* A host that still knows other targets is told all again after this. */
-#define TELL_AGAIN MS(600)
 /* A change reaches hosts by frames, and their reports, each 200 ms, name what
  * they had before it so much longer. */
 #define ON_THE_WAY MS(400)
--- a/gspard/keeper_quarantine.c
+++ b/gspard/keeper_quarantine.c
@@ -16,8 +16,6 @@
 #define QUARANTINE_PATH KIND_QUARANTINE "/main"
 /* What was seen is reported for so long: a report may get lost. */
 #define REPORT_FOR MS(500)
-/* A host with another list is told again after this. */
-#define TELL_AGAIN MS(600)
 /* Between reads of a host that hears no controller, and after a failure. */
 #define READ_EVERY MS(2000)
 
--- a/gspard/keeper_spread.c
+++ b/gspard/keeper_spread.c
@@ -7,8 +7,6 @@
 
 /* Between signs of life of the controller. */
 #define ALIVE_EVERY MS(300)
-/* A host that did not say it has a change is told again after this. */
-#define TELL_AGAIN MS(600)
 
 /* The number of what is published: rises also when control changes hands. */
 uint64_t
@@ -84,7 +82,6 @@
 
 	o->rank = rank(k);
 	sh = shared_new(o, owners_free);
-
 	if (sh == NULL) {
 		owners_free(o);
 		return;
