--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -259,6 +259,16 @@
 	self.hosts[name].dead = true
 end
 
+function Site:restart_all()
+	for _, n in ipairs(self.order) do
+		kill(self.hosts[n].pid, 9)
+	end
+	for _, n in ipairs(self.order) do
+		wait(self.hosts[n].pid)
+		self:start_host(n)
+	end
+end
+
 function Site:stop_host(name)
 	kill(self.hosts[name].pid, 15)
 	local st = wait(self.hosts[name].pid)
@@ -505,12 +515,7 @@
 		send_poison()
 	end
 	rest_is_served()
-	for _, h in ipairs(self.order) do
-		self:kill_host(h)
-	end
-	for _, h in ipairs(self.order) do
-		self:start_host(h)
-	end
+	self:restart_all()
 	rest_is_served()
 	for _ = 1, 9 do
 		send_poison()
--- a/regress/scenario/site_restart.lua
+++ b/regress/scenario/site_restart.lua
@@ -9,13 +9,7 @@
 	local _, body = s:ask_key("h1", key)
 	was[key] = body:match("^%S+")
 end
-for _, n in ipairs(s.order) do
-	kill(s.hosts[n].pid, 9)
-end
-for _, n in ipairs(s.order) do
-	wait(s.hosts[n].pid)
-	s:start_host(n)
-end
+s:restart_all()
 local from = now_ms()
 s:await_keys(12000)
 check(now_ms() - from < 8000, "served again after %.0f ms", now_ms() - from)
--- a/regress/unit/t_term.c
+++ b/regress/unit/t_term.c
@@ -524,6 +524,17 @@
 	run(a, b, MS(2000), MS(4000));
 }
 
+/* The store is back for a host that is not listed, which takes control. */
+static void
+take_unlisted(struct node *c)
+{
+	node_init(c, "c", 3000);
+	c->t.conf.left_promise = MS(12000);
+	c->t.lonely = 1;
+	store.down = 0;
+	run(NULL, c, MS(4000), MS(9000));
+}
+
 /*
  * The store is away, and a standby is stopped in order.  Its promise ended with
  * it, so the holder let all keys lapse though nobody could take control: more
@@ -558,11 +569,7 @@
 
 	start_left(&a, &b);
 	name_copy(store.rec.standby[0].addr, sizeof(b2.addr), "10.0.0.2:1");
-	node_init(&c, "c", 3000);
-	c.t.conf.left_promise = MS(12000);
-	c.t.lonely = 1;
-	store.down = 0;
-	run(NULL, &c, MS(4000), MS(9000));
+	take_unlisted(&c);
 	CU_ASSERT_EQUAL(c.t.role, TERM_HOLDER);
 	b2 = b.t.conf.self;
 	b2.boot = 2001;
@@ -577,19 +584,13 @@
 	CU_ASSERT(term_settled(&c.t, MS(30000)));
 	/* Its last word to the taker is no withdrawal either. */
 	start_left(&a, &b);
-	node_init(&c, "c", 3000);
-	c.t.conf.left_promise = MS(12000);
-	c.t.lonely = 1;
-	store.down = 0;
-	run(NULL, &c, MS(4000), MS(9000));
+	take_unlisted(&c);
 	term_promised(&c.t, MS(9000), &b.t.conf.self, c.t.rec.term,
 	    term_asked(&b.t, MS(9000), c.t.rec.term, 2000), MS(9000));
 	CU_ASSERT(!term_settled(&c.t, MS(9000) + MS(12000)));
 }
 
-/* The earlier holder says that it follows the new one: nobody else is waited
- * for, and its word for an earlier term, or of another process, says nothing.
- */
+/* An earlier holder that says it follows the new one is not waited for. */
 static void
 yielded(void)
 {
@@ -597,11 +598,7 @@
 	struct member other;
 
 	start_left(&a, &b);
-	node_init(&c, "c", 3000);
-	c.t.conf.left_promise = MS(12000);
-	c.t.lonely = 1;
-	store.down = 0;
-	run(NULL, &c, MS(4000), MS(9000));
+	take_unlisted(&c);
 	CU_ASSERT_EQUAL(c.t.role, TERM_HOLDER);
 	other = a.t.conf.self;
 	other.boot++;
