--- a/regress/scenario/site_leftwait.lua
+++ b/regress/scenario/site_leftwait.lua
@@ -1,8 +1,4 @@
--- The controller is cut off from the store while both of its standbys are stopped
--- in order and start again, as in a rolling upgrade.  A host that is not listed
--- takes control, and the controller, which hears so, says that it has lost it.
--- Still the new one waits until the standbys' last promises have run out, 12 s:
--- nobody renews a grant meanwhile, and callers are refused for all keys.
+-- Keys stay without owner while a promise is waited for that nobody needs.
 dofile("regress/scenario/lib_site.lua")
 local s = standard_site { hosts = 5, store_wires = true }
 local r = await("two standbys", 8000, function()
--- a/regress/scenario/site_limit.lua
+++ b/regress/scenario/site_limit.lua
@@ -1,5 +1,4 @@
--- Targets in need name how many requests a second they take from all hosts
--- together; callers press on, through all hosts.
+-- Targets that name a limit are sent more by all hosts together.
 dofile("regress/scenario/lib_site.lua")
 local s = standard_site { hosts = 4 }
 -- A second; and what a target may get in so many ms, from so long after it has
--- a/regress/scenario/site_lostwatch.lua
+++ b/regress/scenario/site_lostwatch.lua
@@ -1,7 +1,4 @@
--- The controller is cut off from the store.  Callers see nothing, and control
--- changes hands; but until then every other host follows the store by itself,
--- listing and watching over and over, for news that one of them could tell the
--- rest.  With hundreds of hosts that is as much as the store takes in a second.
+-- Every host asks the store while the controller does not reach it.
 dofile("regress/scenario/lib_site.lua")
 local HOSTS = 10
 local s = standard_site { hosts = HOSTS, store_wires = true }
--- a/regress/unit/t_behind.c
+++ b/regress/unit/t_behind.c
@@ -133,11 +133,7 @@
 	return (0);
 }
 
-/*
- * One change of a series is lost, so none after it can be applied.  Waiting
- * anew with each version, the host would serve by the old rules until the
- * series ends: seconds longer than it may.
- */
+/* A host that lost one change of a series does not serve by old rules on. */
 static void
 lost_in_a_series(void)
 {
--- a/regress/unit/t_cell.c
+++ b/regress/unit/t_cell.c
@@ -484,10 +484,7 @@
 	CU_ASSERT_EQUAL(cell_configure(&c, &e), -1);
 }
 
-/*
- * One of two targets is busy, and a shard moves though nothing was lost.  The
- * operator who asks why finds in the log what balance saw of both.
- */
+/* The log says why balance moved a shard. */
 static void
 balance_is_told(void)
 {
--- a/regress/unit/t_keys.c
+++ b/regress/unit/t_keys.c
@@ -922,12 +922,7 @@
 	cut_target = -1;
 }
 
-/*
- * The way to the targets takes longer than a controller waits for answers, and
- * one of them is cut off from it: its last grant arrives after it was given up,
- * and its clock is slow besides.  Its keys go on only when what arrived last
- * has run out; a caller of the next owner would else be served beside it.
- */
+/* A grant that arrives after it was given up makes no second holder. */
 static void
 long_way(void)
 {
@@ -945,12 +940,7 @@
 	}
 }
 
-/*
- * A target refuses its grant, for it has seen a higher fence, and the store is
- * away.  Granted under a fence that the store does not have, it would win over
- * whoever the next controller, which cannot know of it, gives the keys to.  So
- * it waits; with the store back it is raised until the target takes it.
- */
+/* No grant goes out under a fence that the store does not have. */
 static void
 refused_while_store_is_away(void)
 {
@@ -1102,11 +1092,7 @@
 	CU_ASSERT_EQUAL(fence_fell, 0);
 }
 
-/*
- * A target is gone, and its address goes to another of the same service before
- * its keys have gone on.  An order that is meant for the earlier one would be
- * read by the later: it would hold, or let go of, keys that nobody gave it.
- */
+/* No order reaches another target at the address of one that is gone. */
 static void
 address_of_another(void)
 {
@@ -1141,11 +1127,7 @@
 	return (any);
 }
 
-/*
- * Keys go from one target to the next, and control is lost before the store
- * knows that they have arrived.  The first starts again, and the next loses its
- * entry, but lives and holds them: they must not go back to the first at once.
- */
+/* Keys that the next owner holds do not go back to the first at once. */
 static void
 next_holds_them(void)
 {
@@ -1228,11 +1210,7 @@
 	return (text);
 }
 
-/*
- * The store's answer to a write is lost, or the write was refused, and another
- * has written meanwhile.  What the store holds is not this controller's plan:
- * acted on, it would grant keys under fences that nobody else can know of.
- */
+/* What another has written is not taken for this controller's plan. */
 static void
 another_has_written(void)
 {
@@ -1256,11 +1234,7 @@
 	}
 }
 
-/*
- * A host loses control with a write under way, and has it again before the
- * answer comes.  That answer is to the earlier write; taken for the one that
- * claims the keys, it would let grants go out that the store knows nothing of.
- */
+/* The answer to a write of an earlier term claims no keys. */
 static void
 answer_to_an_earlier_term(void)
 {
@@ -1286,11 +1260,7 @@
 	CU_ASSERT_EQUAL(unstored, 0);
 }
 
-/*
- * Targets are busy, and read the last grants of a controller that is lost after
- * another has taken control and asked them to let their keys go.  The keys go
- * on only when such a grant has run out.
- */
+/* Keys wait for grants that busy targets read after a takeover. */
 static void
 takeover_from_busy(void)
 {
--- a/regress/unit/t_known_size.c
+++ b/regress/unit/t_known_size.c
@@ -1,8 +1,4 @@
-/*
- * How the cost of reading the list of targets grows with their number.  A host
- * has a tenth of a core; while it reads a list it answers nobody, and all hosts
- * read one at a start, and when the controller loses the store.
- */
+/* How the cost of reading the list of targets grows with their number. */
 #include <stdio.h>
 #include <string.h>
 
@@ -55,11 +51,7 @@
 	return (best);
 }
 
-/*
- * Four times as many targets may take four times as long, and twice that for
- * memory that no cache holds any more; looking at all for each takes sixteen
- * times as long.
- */
+/* Reading the list of all targets does not cost by their square. */
 static void
 grows_with_targets(void)
 {
