--- a/decide/dest.c
+++ b/decide/dest.c
@@ -132,11 +132,18 @@
 	return (d->mine + d->others * exp2(-age / (double)OTHERS_HALF));
 }
 
+/* True where the target is not to be sent anything new. */
+int
+dest_closed(const struct dest *d, usec now)
+{
+	return (d->leaving || (d->closed_from != 0 && now >= d->closed_from));
+}
+
 /* True where the target may be sent new work at all. */
 int
 dest_usable(const struct dest *d, usec now)
 {
-	return (!d->leaving && now >= d->shunned_until);
+	return (!dest_closed(d, now) && now >= d->shunned_until);
 }
 
 /*
--- a/decide/dest.h
+++ b/decide/dest.h
@@ -14,7 +14,8 @@
 struct dest {
 	int slots;
 	int leaving;
-	int near; /* in this host's data centre */
+	int near;	  /* in this host's data centre */
+	usec closed_from; /* gets no new work then; 0 is never */
 	usec cold_until;
 	int mine;      /* requests of this host under way there */
 	double others; /* of all others, as of heard */
@@ -51,6 +52,7 @@
 void dest_sent(struct dest *, usec now);
 void dest_ended(struct dest *, usec now, const struct dest_answer *);
 double dest_load(const struct dest *, usec now);
+int dest_closed(const struct dest *, usec now);
 int dest_usable(const struct dest *, usec now);
 int dest_room(const struct dest *, usec now, const struct dest_conf *);
 double dest_cost(const struct dest *, usec now, usec work, usec others_work);
--- /dev/null
+++ b/decide/evacuation.c
@@ -0,0 +1,181 @@
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "evacuation.h"
+
+/* One that has ended is kept for longer than targets are cold afterwards. */
+#define ENDED_KEPT MS(30000)
+
+/* The place of a data centre, or -1. */
+static int
+find(const struct evacuations *e, const char *dc)
+{
+	int i;
+
+	for (i = 0; i < e->n; i++) {
+		if (strcmp(e->list[i].dc, dc) == 0)
+			return (i);
+	}
+	return (-1);
+}
+
+/* An entry to be used: a new one, or the oldest that has ended; NULL where all
+ * are in force. */
+static struct evacuation *
+spare(struct evacuations *e)
+{
+	struct evacuation *oldest = NULL;
+	int i;
+
+	if (e->n < EVACUATIONS_MAX)
+		return (&e->list[e->n++]);
+	for (i = 0; i < e->n; i++) {
+		if (e->list[i].ended &&
+		    (oldest == NULL || e->list[i].since < oldest->since))
+			oldest = &e->list[i];
+	}
+	return (oldest);
+}
+
+/*
+ * A data centre is being evacuated, since a moment or, where that is 0, since
+ * one that is not known.  One that is known already keeps its time.  0, or -1
+ * where there is no room.
+ */
+int
+evacuations_begin(struct evacuations *e, const char *dc, usec since)
+{
+	int i = find(e, dc);
+	struct evacuation *v = i < 0 ? NULL : &e->list[i];
+
+	if (v != NULL && !v->ended)
+		return (0);
+	if (v == NULL && (v = spare(e)) == NULL)
+		return (-1);
+	memset(v, 0, sizeof(*v));
+	name_copy(v->dc, sizeof(v->dc), dc);
+	v->since = since;
+	return (0);
+}
+
+/* An evacuation was taken back. */
+void
+evacuations_end(struct evacuations *e, const char *dc, usec now)
+{
+	int i = find(e, dc);
+
+	if (i < 0 || e->list[i].ended)
+		return;
+	e->list[i].ended = 1;
+	e->list[i].since = now;
+}
+
+/*
+ * Takes over a whole list of those in force, read from the store; 1 where that
+ * changes anything.  What is known as of a later revision stays.
+ */
+int
+evacuations_listed(
+    struct evacuations *e, const struct evacuations *listed, usec now)
+{
+	uint64_t was = evacuations_digest(e);
+	int i;
+
+	if (listed->as_of < e->as_of)
+		return (0);
+	e->as_of = listed->as_of;
+	for (i = 0; i < e->n; i++) {
+		if (!evacuations_active(listed, e->list[i].dc))
+			evacuations_end(e, e->list[i].dc, now);
+	}
+	for (i = 0; i < listed->n; i++)
+		evacuations_begin(e, listed->list[i].dc, listed->list[i].since);
+	return (evacuations_digest(e) != was);
+}
+
+/*
+ * Takes over what another host tells; 1 where it does.  What is known as of a
+ * later revision stays, and so does the time since when one is known here: who
+ * has just learnt of it from a list does not know that.
+ */
+int
+evacuations_told(struct evacuations *e, const struct evacuations *told)
+{
+	struct evacuations all = *told;
+	int i, own;
+
+	if (told->as_of <= e->as_of)
+		return (0);
+	for (i = 0; i < all.n; i++) {
+		own = find(e, all.list[i].dc);
+		if (own >= 0 && all.list[i].since == 0 &&
+		    e->list[own].ended == all.list[i].ended)
+			all.list[i].since = e->list[own].since;
+	}
+	*e = all;
+	return (1);
+}
+
+/* Forgets those that ended long ago. */
+void
+evacuations_expire(struct evacuations *e, usec now)
+{
+	int i;
+
+	for (i = 0; i < e->n; i++) {
+		if (e->list[i].ended && now - e->list[i].since > ENDED_KEPT)
+			e->list[i--] = e->list[--e->n];
+	}
+}
+
+/* True where a data centre is being evacuated. */
+int
+evacuations_active(const struct evacuations *e, const char *dc)
+{
+	int i = find(e, dc);
+
+	return (i >= 0 && !e->list[i].ended);
+}
+
+/*
+ * From when on the targets of a data centre get no new requests; 0 is not at
+ * all.  The grace is for what only they can serve: it is moved meanwhile.
+ */
+usec
+evacuations_closed_from(const struct evacuations *e, const char *dc, usec grace)
+{
+	int i = find(e, dc);
+
+	if (i < 0 || e->list[i].ended)
+		return (0);
+	return (e->list[i].since == 0 ? 1 : e->list[i].since + grace);
+}
+
+/*
+ * Until when targets of a data centre are taken to be cold after it was taken
+ * back; 0 is not at all.  That they are may be learnt after requests for them
+ * are let in.
+ */
+usec
+evacuations_cold_until(
+    const struct evacuations *e, const char *dc, usec cold_start)
+{
+	int i = find(e, dc);
+
+	return (i < 0 || !e->list[i].ended ? 0 : e->list[i].since + cold_start);
+}
+
+/* The same where the same data centres are evacuated; 0 is none. */
+uint64_t
+evacuations_digest(const struct evacuations *e)
+{
+	uint64_t n = 0;
+	int i;
+
+	for (i = 0; i < e->n; i++) {
+		if (!e->list[i].ended)
+			n += XXH3_64bits(e->list[i].dc, strlen(e->list[i].dc));
+	}
+	return (n);
+}
--- /dev/null
+++ b/decide/evacuation.h
@@ -0,0 +1,40 @@
+/*
+ * Data centres that the operator evacuates: their targets get no new requests
+ * until that is taken back.
+ */
+#ifndef EVACUATION_H
+#define EVACUATION_H
+
+#include <stdint.h>
+
+#include "clock.h"
+#include "str.h"
+
+#define EVACUATIONS_MAX 64
+
+struct evacuation {
+	char dc[NAME_MAX_GS];
+	int ended;
+	usec since; /* this is known; 0 where it may be long ago */
+};
+
+struct evacuations {
+	struct evacuation list[EVACUATIONS_MAX];
+	int n;
+	uint64_t as_of; /* revision of the store; 0 is not known */
+};
+
+int evacuations_begin(struct evacuations *, const char *dc, usec since);
+void evacuations_end(struct evacuations *, const char *dc, usec now);
+int evacuations_listed(
+    struct evacuations *, const struct evacuations *listed, usec now);
+int evacuations_told(struct evacuations *, const struct evacuations *told);
+void evacuations_expire(struct evacuations *, usec now);
+int evacuations_active(const struct evacuations *, const char *dc);
+usec evacuations_closed_from(
+    const struct evacuations *, const char *dc, usec grace);
+usec evacuations_cold_until(
+    const struct evacuations *, const char *dc, usec cold_start);
+uint64_t evacuations_digest(const struct evacuations *);
+
+#endif
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "clock.h"
+#include "evacuation.h"
 #include "str.h"
 
 #define FLEET_ADDR 64
@@ -25,9 +26,10 @@
 struct fleet {
 	struct fleet_target *targets;
 	int ntargets;
+	struct evacuations evacuations;
 	int whole;	 /* of what was told: all, not only what changed */
-	uint64_t digest; /* of who is there and who leaves; the same at each
-			    host that knows the same */
+	uint64_t digest; /* of who is there, who leaves and what is evacuated;
+			    the same at each host that knows the same */
 };
 
 void fleet_free(void *);
--- a/decide/keys.c
+++ b/decide/keys.c
@@ -157,11 +157,13 @@
 		name_copy(t->addr, sizeof(t->addr), f->targets[i].addr);
 		t->slots = f->targets[i].slots;
 		t->leaving = f->targets[i].leaving;
+		t->evacuated =
+		    evacuations_active(&f->evacuations, f->targets[i].dc);
 		t->cold_until = f->targets[i].cold_until;
 		if (!t->listed && t->alive_at == 0)
 			t->alive_at = now;
 		t->listed = 1;
-		size += !t->leaving;
+		size += !t->leaving && !t->evacuated;
 	}
 	for (i = 0; i < k->ntargets; i++) {
 		t = &k->targets[i];
--- a/decide/keys.h
+++ b/decide/keys.h
@@ -62,6 +62,7 @@
 	int used;
 	int listed;
 	int leaving;
+	int evacuated; /* its data centre is */
 	int slots;
 	usec cold_until;
 	double speed;	/* time it takes, over what others take */
--- a/decide/keys_plan.c
+++ b/decide/keys_plan.c
@@ -63,7 +63,7 @@
 static int
 is_lost(const struct key_target *t, usec now)
 {
-	return (!t->used || !t->listed || t->leaving ||
+	return (!t->used || !t->listed || t->leaving || t->evacuated ||
 	    (t->unanswered >= LOST_ORDERS && now - t->alive_at > LOST_AFTER));
 }
 
--- a/decide/known.c
+++ b/decide/known.c
@@ -265,6 +265,7 @@
 		if (!k->list[i].seen)
 			mark_gone(k, &k->list[i], now);
 	}
+	k->changed |= evacuations_told(&k->evacuations, &f->evacuations);
 }
 
 /* A whole list is about to be read. */
@@ -315,6 +316,7 @@
 	struct known_target *e;
 	int i, was = k->n;
 
+	evacuations_expire(&k->evacuations, now);
 	for (i = 0; i < k->n; i++) {
 		e = &k->list[i];
 		if (e->missing_since != 0 && now >= k->doubt_until) {
@@ -359,6 +361,8 @@
 		if (!k->list[i].t.gone)
 			f->digest += digest_of(&k->list[i].t);
 	}
+	f->evacuations = k->evacuations;
+	f->digest += evacuations_digest(&f->evacuations);
 	return (f);
 }
 
--- a/decide/known.h
+++ b/decide/known.h
@@ -29,6 +29,7 @@
 	int room;
 	int *heads; /* of chains of lives of targets: 1 + index, 0 is none */
 	int nheads; /* a power of two */
+	struct evacuations evacuations;
 	usec heartbeat;
 	usec failing_since; /* the store; 0 while it answers */
 	usec doubt_until;   /* entries that go until then may have lapsed */
--- a/gspard/direct_flow.c
+++ b/gspard/direct_flow.c
@@ -21,6 +21,8 @@
 #define RETRY_PART 3
 /* Where FEATURE_RETRY is off. */
 #define RETRY_FIXED_MS 200
+/* The keys of an evacuated target that have not moved in time do so soon. */
+#define EVACUATED_WAIT MS(500)
 /* How much one gap between starts changes what was learnt. */
 #define GAP_GAIN 0.2
 
@@ -240,6 +242,10 @@
 		park(d, p, r, now);
 		return;
 	}
+	if (dest_closed(&s->dest, now)) {
+		flow_end(d, p, GS_NO_OWNER, EVACUATED_WAIT, now);
+		return;
+	}
 	/*
 	 * Sent to the wrong one under this very view: its grant may have been
 	 * on the way, so once more a little later; then only under a newer.
@@ -262,14 +268,15 @@
 		wait_for_room(d, p, s, &s->line, now);
 }
 
-/* True where a service has a target that is not leaving. */
+/* True where a service has a target that may be sent something. */
 static int
-has_targets(const struct direct *d, const struct svc *v)
+has_targets(const struct direct *d, const struct svc *v, usec now)
 {
 	const struct target_state *s;
 
 	for (s = d->targets; s != NULL; s = s->next) {
-		if (!s->dest.leaving && strcmp(s->service, v->name) == 0)
+		if (!dest_closed(&s->dest, now) &&
+		    strcmp(s->service, v->name) == 0)
 			return (1);
 	}
 	return (0);
@@ -283,7 +290,7 @@
 
 	if (s != NULL)
 		send_to(d, p, s, &p->svc->line, now);
-	else if (!has_targets(d, p->svc) && d->have_fleet)
+	else if (!has_targets(d, p->svc, now) && d->have_fleet)
 		flow_end(d, p, GS_NO_OWNER, MS(300), now);
 	else
 		wait_for_room(d, p, NULL, &p->svc->line, now);
--- a/gspard/direct_pick.c
+++ b/gspard/direct_pick.c
@@ -18,9 +18,28 @@
 	return (apr_hash_get(d->by_id, id, APR_HASH_KEY_STRING));
 }
 
+/*
+ * From when on a target gets no new requests, where its data centre is
+ * evacuated.  What any target can serve goes elsewhere at once; keys are moved
+ * first, in half of the time that there is.
+ */
+static usec
+closed_from(
+    const struct direct *d, const struct fleet *f, const struct fleet_target *t)
+{
+	const struct site *site = d->site == NULL ? NULL : d->site->p;
+	int n = site == NULL ? -1 : site_service(site, t->service);
+	int keyed = n >= 0 && site->services[n].keyed;
+	usec bound = MS(kernel_conf(d->s->kernel)->bounds.evacuate_ms);
+
+	return (evacuations_closed_from(
+	    &f->evacuations, t->dc, keyed ? bound / 2 : 0));
+}
+
 /* Takes in a target's entry. */
 static void
-take_entry(struct direct *d, const struct fleet_target *t, usec now)
+take_entry(struct direct *d, const struct fleet *f,
+    const struct fleet_target *t, usec now)
 {
 	const struct conf *conf = kernel_conf(d->s->kernel);
 	struct target_state *p = target_state_find(d, t->id);
@@ -41,6 +60,7 @@
 	p->dest.slots = t->slots;
 	p->dest.near = strcmp(t->dc, conf->dc) == 0;
 	p->dest.cold_until = t->cold_until;
+	p->dest.closed_from = closed_from(d, f, t);
 	if (t->gone && !p->dest.leaving)
 		crash_ended(d, p);
 	p->dest.leaving = t->leaving;
@@ -57,7 +77,7 @@
 	for (p = d->targets; p != NULL; p = p->next)
 		p->listed = 0;
 	for (i = 0; i < f->ntargets; i++)
-		take_entry(d, &f->targets[i], now);
+		take_entry(d, f, &f->targets[i], now);
 	for (p = d->targets; p != NULL; p = p->next) {
 		if (!p->listed)
 			p->dest.leaving = 1;
--- a/gspard/keeper_fleet.c
+++ b/gspard/keeper_fleet.c
@@ -54,6 +54,25 @@
 		w->cold_ms = (uint32_t)((t->cold_until - now) / 1000);
 }
 
+/* Fills in what is evacuated; the number of items. */
+static size_t
+fill_evacuations(const struct evacuations *e, Gspar__Evacuation *items,
+    Gspar__Evacuation **list, usec now)
+{
+	int i;
+
+	for (i = 0; i < e->n; i++) {
+		gspar__evacuation__init(&items[i]);
+		items[i].dc = (char *)e->list[i].dc;
+		items[i].ended = e->list[i].ended;
+		if (e->list[i].since != 0)
+			items[i].age =
+			    1 + (uint32_t)((now - e->list[i].since) / 1000);
+		list[i] = &items[i];
+	}
+	return ((size_t)e->n);
+}
+
 /* Sends targets that differ from those of an earlier list, or all, to a host
  * or, where that is NULL, to all hosts. */
 static void
@@ -64,6 +83,7 @@
 	Gspar__Frame fr = GSPAR__FRAME__INIT;
 	Gspar__FleetTold w = GSPAR__FLEET_TOLD__INIT;
 	Gspar__TargetTold *told;
+	Gspar__Evacuation items[EVACUATIONS_MAX], *list[EVACUATIONS_MAX];
 	int i;
 
 	told = calloc((size_t)f->ntargets + 1, sizeof(*told));
@@ -83,6 +103,9 @@
 		w.targets[w.n_targets] = &told[w.n_targets];
 		w.n_targets++;
 	}
+	w.evacuations_as_of = f->evacuations.as_of;
+	w.evacuations = list;
+	w.n_evacuations = fill_evacuations(&f->evacuations, items, list, now);
 	fr.body_case = GSPAR__FRAME__BODY_FLEET_TOLD;
 	fr.fleet_told = &w;
 	for (i = 0; i < k->nhosts; i++) {
@@ -134,6 +157,24 @@
 	tell(k, f, NULL, host, now);
 }
 
+/* Reads what is evacuated. */
+static void
+read_evacuations(struct evacuations *e, const Gspar__FleetTold *w, usec now)
+{
+	const Gspar__Evacuation *v;
+	struct evacuation *to;
+	size_t i;
+
+	e->as_of = w->evacuations_as_of;
+	for (i = 0; i < w->n_evacuations && i < EVACUATIONS_MAX; i++) {
+		v = w->evacuations[i];
+		to = &e->list[e->n++];
+		name_copy(to->dc, sizeof(to->dc), v->dc);
+		to->ended = v->ended;
+		to->since = v->age == 0 ? 0 : now - MS(v->age);
+	}
+}
+
 /* Takes in what the controller tells, and hands it to who keeps the list. */
 void
 fleet_take(struct keeper *k, const Gspar__FleetTold *w, usec now)
@@ -162,6 +203,7 @@
 		to->gone = t->gone;
 		to->cold_until = MS(t->cold_ms);
 	}
+	read_evacuations(&f->evacuations, w, now);
 	msg_post(k->s->kernel, "watch", MSG_FLEET_TOLD, f, fleet_free);
 }
 
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -1,6 +1,7 @@
 /*
- * The service that follows the platform's store: the configuration and the
- * list of targets.  It publishes each change as a snapshot to who needs it.
+ * The service that follows the platform's store: the configuration, the list
+ * of targets and which data centres are evacuated.  It publishes each change as
+ * a snapshot to who needs it.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -17,6 +18,7 @@
  * miss changes when the store drops its history, and hears so only then.  Only
  * the controller, and hosts that hear none, follow the store. */
 #define WATCH_MS 1000
+#define WATCH_EVACUATIONS_MS 2000
 /* Changes that come close together are read with one call: each call counts,
  * and the bound on leaving targets (2 s) leaves room for it. */
 #define WATCH_PAUSE MS(250)
@@ -26,6 +28,7 @@
  * entries takes two. */
 #define RETRY_FIRST MS(100)
 #define RETRY_MOST MS(400)
+
 /* Publishes a shared snapshot to a service. */
 void
 watch_publish(
@@ -73,6 +76,38 @@
 	known_put(&w->known, &t, now);
 }
 
+/* Reads an object that says that a data centre is evacuated; since is 0 where
+ * it may be long ago. */
+static void
+take_evacuation(
+    struct watch *w, const struct found *f, int listing, usec since, usec now)
+{
+	struct evacuations *e = listing ? &w->listed : &w->known.evacuations;
+
+	if (f->deleted)
+		evacuations_end(e, f->name, now);
+	else if (evacuations_begin(e, f->name, since) != 0)
+		log_line(LOG_ERR, "watch",
+		    "More than %d data centres are evacuated: not %s.",
+		    EVACUATIONS_MAX, f->name);
+}
+
+/* Reads changes of what is evacuated. */
+static void
+take_evacuations(struct watch *w, const struct store *st, usec since, usec now)
+{
+	struct evacuations *e = &w->known.evacuations;
+	int i;
+
+	/* Of a call that began before another told what is newer. */
+	if (st->nfound == 0 || st->version < e->as_of)
+		return;
+	for (i = 0; i < st->nfound; i++)
+		take_evacuation(w, &st->found[i], 0, since, now);
+	e->as_of = st->version;
+	w->known.changed = 1;
+}
+
 /* Reads all objects that a call found. */
 static void
 take_found(
@@ -88,8 +123,10 @@
 	for (i = 0; i < st->nfound; i++) {
 		if (kind == FEED_SITE)
 			watch_site_found(s, &st->found[i]);
-		else
+		else if (kind == FEED_TARGETS)
 			take_target(s, &st->found[i], now);
+		else
+			take_evacuation(w, &st->found[i], 1, 0, now);
 	}
 }
 
@@ -118,6 +155,50 @@
 	f->next = now + WATCH_PAUSE;
 	if (kind == FEED_TARGETS)
 		known_list_end(&w->known, now);
+	if (kind == FEED_EVACUATIONS) {
+		w->listed.as_of = f->list_base;
+		w->known.changed |=
+		    evacuations_listed(&w->known.evacuations, &w->listed, now);
+	}
+}
+
+/* True where a kind of object is asked for at all. */
+static int
+is_followed(const struct service *s, int kind)
+{
+	return (kind != FEED_EVACUATIONS ||
+	    kernel_conf(s->kernel)->bounds.evacuate_ms > 0);
+}
+
+/* True once it is known which targets there are, and which are not to be sent
+ * anything. */
+static int
+knows_fleet(const struct service *s)
+{
+	const struct watch *w = s->state;
+
+	return (w->feeds[FEED_TARGETS].listed &&
+	    (!is_followed(s, FEED_EVACUATIONS) ||
+		w->feeds[FEED_EVACUATIONS].listed ||
+		w->known.evacuations.as_of != 0));
+}
+
+/* Logs which data centres are evacuated, where that has changed. */
+static void
+log_evacuations(struct watch *w)
+{
+	const struct evacuations *e = &w->known.evacuations;
+	uint64_t digest = evacuations_digest(e);
+	int i;
+
+	if (digest == w->logged_evacuations)
+		return;
+	w->logged_evacuations = digest;
+	for (i = 0; i < e->n; i++)
+		log_line(LOG_NOTICE, "watch",
+		    "Evacuation of data centre %s %s, revision %llu.",
+		    e->list[i].dc, e->list[i].ended ? "has ended" : "in force",
+		    (unsigned long long)e->as_of);
 }
 
 /* Publishes the targets where they changed. */
@@ -129,8 +210,9 @@
 	struct fleet *fleet;
 
 	known_tick(&w->known, now);
-	if (!w->known.changed || !w->feeds[FEED_TARGETS].listed)
+	if (!w->known.changed || !knows_fleet(s))
 		return;
+	log_evacuations(w);
 	w->known.changed = 0;
 	fleet = known_fleet(&w->known);
 	if (fleet == NULL || (sh = shared_new(fleet, fleet_free)) == NULL) {
@@ -225,12 +307,28 @@
  * kind may still wait, deaf to what changed meanwhile.
  */
 static void
-list_all(struct watch *w, usec now)
+list_all(struct service *s, usec now)
 {
+	struct watch *w = s->state;
 	int i;
 
-	for (i = 0; i < FEEDS; i++)
-		list_feed(&w->feeds[i], now);
+	for (i = 0; i < FEEDS; i++) {
+		if (is_followed(s, i))
+			list_feed(&w->feeds[i], now);
+	}
+}
+
+/* The kind of object that a call was for. */
+static enum feed_kind
+kind_of(const struct watch *w, const char *tag)
+{
+	int i;
+
+	for (i = 0; i < FEEDS - 1; i++) {
+		if (strcmp(tag, w->feeds[i].kind) == 0)
+			break;
+	}
+	return ((enum feed_kind)i);
 }
 
 /* Takes the outcome of a call. */
@@ -238,9 +336,9 @@
 take_stored(struct service *s, const struct store *st, usec now)
 {
 	struct watch *w = s->state;
-	enum feed_kind kind =
-	    strcmp(st->tag, KIND_SITE) == 0 ? FEED_SITE : FEED_TARGETS;
+	enum feed_kind kind = kind_of(w, st->tag);
 	struct feed *f = &w->feeds[kind];
+	usec since = f->backoff == 0 ? now : 0;
 
 	if (st->gen != f->call)
 		return;
@@ -248,7 +346,7 @@
 	if (st->result == STORE_FORGOTTEN) {
 		log_line(LOG_NOTICE, "watch", "History of %s gone, listing.",
 		    f->kind);
-		list_all(w, now);
+		list_all(s, now);
 		return;
 	}
 	if (st->result != STORE_DONE) {
@@ -260,7 +358,10 @@
 		    f->kind);
 	f->backoff = 0;
 	known_store_answered(&w->known, now);
-	take_found(s, kind, st, now);
+	if (kind == FEED_EVACUATIONS && st->op == STORE_WATCH)
+		take_evacuations(w, st, since, now);
+	else
+		take_found(s, kind, st, now);
 	if (st->op == STORE_LIST)
 		took_page(w, kind, st, now);
 	else
@@ -289,9 +390,13 @@
 		name_copy(st->after, sizeof(st->after), f->after);
 		if (f->after[0] == '\0' && f == &w->feeds[FEED_TARGETS])
 			known_list_begin(&w->known);
+		if (f->after[0] == '\0' && f == &w->feeds[FEED_EVACUATIONS])
+			memset(&w->listed, 0, sizeof(w->listed));
 	} else {
 		st->base = f->base;
-		st->wait_ms = WATCH_MS;
+		st->wait_ms = f == &w->feeds[FEED_EVACUATIONS]
+		    ? WATCH_EVACUATIONS_MS
+		    : WATCH_MS;
 	}
 	st->gen = ++f->call;
 	f->open = 1;
@@ -306,7 +411,7 @@
 	int i;
 
 	for (i = 0; i < FEEDS; i++) {
-		if (w->told && !w->feeds[i].listing)
+		if (!is_followed(s, i) || (w->told && !w->feeds[i].listing))
 			continue;
 		/* One kind tells whether the store is back; others wait. */
 		if (i > 0 && w->feeds[0].backoff != 0 &&
@@ -353,10 +458,11 @@
 		break;
 	case MSG_RELIST:
 		list_feed(&w->feeds[FEED_TARGETS], now);
+		list_feed(&w->feeds[FEED_EVACUATIONS], now);
 		break;
 	case MSG_FOLLOW:
 		w->told = 0;
-		list_all(w, now);
+		list_all(s, now);
 		break;
 	case MSG_BE_TOLD:
 		w->told = 1;
@@ -405,8 +511,10 @@
 	s->state = w;
 	w->feeds[FEED_SITE].kind = KIND_SITE;
 	w->feeds[FEED_TARGETS].kind = KIND_TARGETS;
+	w->feeds[FEED_EVACUATIONS].kind = KIND_EVACUATIONS;
 	w->feeds[FEED_SITE].listing = 1;
 	w->feeds[FEED_TARGETS].listing = 1;
+	w->feeds[FEED_EVACUATIONS].listing = 1;
 	w->known.heartbeat = MS(kernel_conf(s->kernel)->bounds.heartbeat_ms);
 	return (0);
 }
--- a/gspard/watch.h
+++ b/gspard/watch.h
@@ -8,7 +8,7 @@
 /* Entries that make no sense, of which it is known that they were logged. */
 #define FOREIGN_KEPT 64
 
-enum feed_kind { FEED_SITE, FEED_TARGETS, FEEDS };
+enum feed_kind { FEED_SITE, FEED_TARGETS, FEED_EVACUATIONS, FEEDS };
 
 /* One kind of object that is followed. */
 struct feed {
@@ -27,7 +27,9 @@
 struct watch {
 	struct feed feeds[FEEDS];
 	struct known known;
+	struct evacuations listed; /* while a list of them is read */
 	struct shared *site;
+	uint64_t logged_evacuations; /* digest */
 	int fresh;	  /* the store answered last time for targets */
 	int told;	  /* the controller follows the store for this host */
 	uint64_t version; /* of the site in force */
--- a/lib/conf.c
+++ b/lib/conf.c
@@ -44,6 +44,7 @@
     {"bounds", "retry_share", K_REAL, AT(bounds.retry_share), 0, 10},
     {"bounds", "retry_slack", K_REAL, AT(bounds.retry_slack), 0, 100000},
     {"bounds", "heartbeat", K_SPAN, AT(bounds.heartbeat_ms), 50, 60000},
+    {"bounds", "evacuate", K_SPAN, AT(bounds.evacuate_ms), 500, 60000},
     {"leases", "control_ms", K_INT, AT(control_lease_ms), 200, 10000},
     {"leases", "host_ms", K_INT, AT(host_lease_ms), 300, 10000},
     {"leases", "renew_ms", K_INT, AT(renew_ms), 20, 2000},
@@ -374,6 +375,8 @@
 static int
 needed(const struct conf *c, const struct key *k)
 {
+	if (k->at == AT(bounds.evacuate_ms))
+		return (0);
 	if (strcmp(k->section, "bounds") == 0 || k->at == AT(ready))
 		return (c->form == FORM_OBJECTS);
 	return (k->kind != K_INT && k->kind != K_FORM && k->kind != K_REAL &&
--- a/lib/conf.h
+++ b/lib/conf.h
@@ -25,6 +25,8 @@
 	double retry_share;  /* retries allowed for each request */
 	double retry_slack;  /* and beyond that, over all hosts */
 	int heartbeat_ms;    /* between signs of life of a target */
+	int evacuate_ms;     /* no new work in an evacuated data centre after
+				this; 0 is not asked for */
 };
 
 /* Another name of a key in section [bounds], as the platform writes it. */
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -1537,6 +1537,51 @@
   assert(message->base.descriptor == &gspar__target_told__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gspar__evacuation__init
+                     (Gspar__Evacuation         *message)
+{
+  static const Gspar__Evacuation init_value = GSPAR__EVACUATION__INIT;
+  *message = init_value;
+}
+size_t gspar__evacuation__get_packed_size
+                     (const Gspar__Evacuation *message)
+{
+  assert(message->base.descriptor == &gspar__evacuation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gspar__evacuation__pack
+                     (const Gspar__Evacuation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gspar__evacuation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gspar__evacuation__pack_to_buffer
+                     (const Gspar__Evacuation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gspar__evacuation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gspar__Evacuation *
+       gspar__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gspar__Evacuation *)
+     protobuf_c_message_unpack (&gspar__evacuation__descriptor,
+                                allocator, len, data);
+}
+void   gspar__evacuation__free_unpacked
+                     (Gspar__Evacuation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gspar__evacuation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gspar__fleet_told__init
                      (Gspar__FleetTold         *message)
 {
@@ -4600,7 +4645,7 @@
   (ProtobufCMessageInit) gspar__owners__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__site_service__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gspar__site_service__field_descriptors[6] =
 {
   {
     "name",
@@ -4650,8 +4695,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_start",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__SiteService, cold_start),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_rate",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__SiteService, cold_rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__site_service__field_indices_by_name[] = {
+  5,   /* field[5] = cold_rate */
+  4,   /* field[4] = cold_start */
   1,   /* field[1] = keyed */
   2,   /* field[2] = max_conns */
   0,   /* field[0] = name */
@@ -4660,7 +4731,7 @@
 static const ProtobufCIntRange gspar__site_service__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gspar__site_service__descriptor =
 {
@@ -4670,7 +4741,7 @@
   "Gspar__SiteService",
   "gspar",
   sizeof(Gspar__SiteService),
-  4,
+  6,
   gspar__site_service__field_descriptors,
   gspar__site_service__field_indices_by_name,
   1,  gspar__site_service__number_ranges,
@@ -5104,7 +5175,71 @@
   (ProtobufCMessageInit) gspar__target_told__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__fleet_told__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gspar__evacuation__field_descriptors[3] =
+{
+  {
+    "dc",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Evacuation, dc),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Evacuation, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Evacuation, age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gspar__evacuation__field_indices_by_name[] = {
+  2,   /* field[2] = age */
+  0,   /* field[0] = dc */
+  1,   /* field[1] = ended */
+};
+static const ProtobufCIntRange gspar__evacuation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gspar__evacuation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gspar.Evacuation",
+  "Evacuation",
+  "Gspar__Evacuation",
+  "gspar",
+  sizeof(Gspar__Evacuation),
+  3,
+  gspar__evacuation__field_descriptors,
+  gspar__evacuation__field_indices_by_name,
+  1,  gspar__evacuation__number_ranges,
+  (ProtobufCMessageInit) gspar__evacuation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gspar__fleet_told__field_descriptors[5] =
 {
   {
     "term",
@@ -5142,8 +5277,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__FleetTold, n_evacuations),
+    offsetof(Gspar__FleetTold, evacuations),
+    &gspar__evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuations_as_of",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__FleetTold, evacuations_as_of),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__fleet_told__field_indices_by_name[] = {
+  3,   /* field[3] = evacuations */
+  4,   /* field[4] = evacuations_as_of */
   2,   /* field[2] = targets */
   0,   /* field[0] = term */
   1,   /* field[1] = whole */
@@ -5151,7 +5312,7 @@
 static const ProtobufCIntRange gspar__fleet_told__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gspar__fleet_told__descriptor =
 {
@@ -5161,7 +5322,7 @@
   "Gspar__FleetTold",
   "gspar",
   sizeof(Gspar__FleetTold),
-  3,
+  5,
   gspar__fleet_told__field_descriptors,
   gspar__fleet_told__field_indices_by_name,
   1,  gspar__fleet_told__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -49,6 +49,7 @@
 typedef struct Gspar__SiteRule Gspar__SiteRule;
 typedef struct Gspar__SiteTold Gspar__SiteTold;
 typedef struct Gspar__TargetTold Gspar__TargetTold;
+typedef struct Gspar__Evacuation Gspar__Evacuation;
 typedef struct Gspar__FleetTold Gspar__FleetTold;
 typedef struct Gspar__Frame Gspar__Frame;
 
@@ -690,10 +691,16 @@
    * In microseconds, as all times here.
    */
   uint64_t warmup;
+  /*
+   * How long a target is cold, and what it takes from all hosts
+   * meanwhile: 0 is any number, else thousandths of a request a second.
+   */
+  uint64_t cold_start;
+  uint32_t cold_rate;
 };
 #define GSPAR__SITE_SERVICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__site_service__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -779,6 +786,24 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
+/*
+ * A data centre that is being evacuated, or was a little while ago.
+ */
+struct  Gspar__Evacuation
+{
+  ProtobufCMessage base;
+  char *dc;
+  protobuf_c_boolean ended;
+  /*
+   * For how many milliseconds it has been known to be so; 0 is not known.
+   */
+  uint32_t age;
+};
+#define GSPAR__EVACUATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gspar__evacuation__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 /*
  * From the controller: all targets, or those that changed.
  */
@@ -789,10 +814,16 @@
   protobuf_c_boolean whole;
   size_t n_targets;
   Gspar__TargetTold **targets;
+  /*
+   * All evacuations, as of a revision of the store; 0 is not known.
+   */
+  size_t n_evacuations;
+  Gspar__Evacuation **evacuations;
+  uint64_t evacuations_as_of;
 };
 #define GSPAR__FLEET_TOLD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__fleet_told__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 typedef enum {
@@ -1494,6 +1525,25 @@
 void   gspar__target_told__free_unpacked
                      (Gspar__TargetTold *message,
                       ProtobufCAllocator *allocator);
+/* Gspar__Evacuation methods */
+void   gspar__evacuation__init
+                     (Gspar__Evacuation         *message);
+size_t gspar__evacuation__get_packed_size
+                     (const Gspar__Evacuation   *message);
+size_t gspar__evacuation__pack
+                     (const Gspar__Evacuation   *message,
+                      uint8_t             *out);
+size_t gspar__evacuation__pack_to_buffer
+                     (const Gspar__Evacuation   *message,
+                      ProtobufCBuffer     *buffer);
+Gspar__Evacuation *
+       gspar__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gspar__evacuation__free_unpacked
+                     (Gspar__Evacuation *message,
+                      ProtobufCAllocator *allocator);
 /* Gspar__FleetTold methods */
 void   gspar__fleet_told__init
                      (Gspar__FleetTold         *message);
@@ -1636,6 +1686,9 @@
 typedef void (*Gspar__TargetTold_Closure)
                  (const Gspar__TargetTold *message,
                   void *closure_data);
+typedef void (*Gspar__Evacuation_Closure)
+                 (const Gspar__Evacuation *message,
+                  void *closure_data);
 typedef void (*Gspar__FleetTold_Closure)
                  (const Gspar__FleetTold *message,
                   void *closure_data);
@@ -1682,6 +1735,7 @@
 extern const ProtobufCMessageDescriptor gspar__site_rule__descriptor;
 extern const ProtobufCMessageDescriptor gspar__site_told__descriptor;
 extern const ProtobufCMessageDescriptor gspar__target_told__descriptor;
+extern const ProtobufCMessageDescriptor gspar__evacuation__descriptor;
 extern const ProtobufCMessageDescriptor gspar__fleet_told__descriptor;
 extern const ProtobufCMessageDescriptor gspar__frame__descriptor;
 
--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -184,6 +184,38 @@
 	return ends, came
 end
 
+-- Evacuates a data centre, or takes that back; when the store has said so.
+function Site:evacuate(dc, on)
+	local kind = "http://" .. self.store .. "/objects/evacuations"
+	local st
+	if on then
+		st = http("POST", kind, string.format(
+		    '{"metadata":{"name":"%s"},"spec":{}}', dc))
+	else
+		st = http("DELETE", kind .. "/" .. dc)
+	end
+	check(st == 200, "evacuation of %s not written: %d", dc, st)
+	return now_ms()
+end
+
+-- How many requests began to run at targets of a data centre between two
+-- moments.
+function Site:ran_in(dc, from, to)
+	local n = 0
+	for _, id in ipairs(self.sorder) do
+		if self.servers[id].dc == dc then
+			for l in read_file(id .. ".journal"):gmatch("[^\n]+") do
+				local at = l:match("^run %S+ (%d+)")
+				at = at and tonumber(at) / 1000
+				if at and at >= from and at < to then
+					n = n + 1
+				end
+			end
+		end
+	end
+	return n
+end
+
 function Site:unregister(id)
 	http("DELETE", "http://" .. self.store .. "/objects/servers/" .. id)
 end
@@ -243,7 +275,8 @@
 	    "%s\n", name, h.dc, (self.opt.size or {})[name] or
 	    "cores = 1\nlink_mbps = 1000", h.callers, h.ready, h.peers,
 	    h.reached, h.admin,
-	    h.store or self.store, more or "retry_budget_slack = 60"))
+	    h.store or self.store, (self.opt.bounds or "") .. "\n" ..
+	    (more or "retry_budget_slack = 60")))
 end
 
 function Site:start_host(name)
--- a/regress/unit/t_dest.c
+++ b/regress/unit/t_dest.c
@@ -52,6 +52,21 @@
 	CU_ASSERT(!dest_room(&d, MS(1000), &twelve));
 }
 
+/* Requests go on to a target whose data centre is evacuated. */
+static void
+evacuated(void)
+{
+	struct dest d;
+
+	dest_init(&d, 4);
+	d.closed_from = MS(2000);
+	CU_ASSERT(dest_usable(&d, MS(1999)) && !dest_closed(&d, MS(1999)));
+	CU_ASSERT(!dest_usable(&d, MS(2000)) && dest_closed(&d, MS(2000)));
+	CU_ASSERT(!dest_room(&d, MS(2000), &twelve));
+	d.closed_from = 0;
+	CU_ASSERT(dest_room(&d, MS(2000), &twelve));
+}
+
 /* A small fleet may send more each. */
 static void
 few_hosts(void)
@@ -180,6 +195,7 @@
     {"stays below full", stays_below_full},
     {"few hosts", few_hosts},
     {"leaving", leaving},
+    {"evacuated", evacuated},
     {"unreached", unreached},
     {"broken", broken},
     {"costs", costs},
--- /dev/null
+++ b/regress/unit/t_evacuation.c
@@ -0,0 +1,197 @@
+/* Which data centres are evacuated, as the store and other hosts tell it. */
+#include <stdio.h>
+#include <string.h>
+
+#include "evacuation.h"
+#include "known.h"
+#include "unit.h"
+
+#define GRACE MS(2500)
+
+static struct evacuations e, other;
+
+static void
+start(void)
+{
+	memset(&e, 0, sizeof(e));
+	memset(&other, 0, sizeof(other));
+}
+
+/* Targets are closed at once, those with keys a little later. */
+static void
+closed(void)
+{
+	start();
+	CU_ASSERT(evacuations_closed_from(&e, "a", GRACE) == 0);
+	CU_ASSERT(evacuations_begin(&e, "a", MS(1000)) == 0);
+	CU_ASSERT(evacuations_active(&e, "a") && !evacuations_active(&e, "b"));
+	CU_ASSERT(evacuations_closed_from(&e, "a", 0) == MS(1000));
+	CU_ASSERT(evacuations_closed_from(&e, "a", GRACE) == MS(3500));
+	CU_ASSERT(evacuations_closed_from(&e, "b", 0) == 0);
+	/* Heard of again, it is no later. */
+	evacuations_begin(&e, "a", MS(3000));
+	CU_ASSERT(evacuations_closed_from(&e, "a", GRACE) == MS(3500));
+	evacuations_end(&e, "a", MS(9000));
+	CU_ASSERT(evacuations_closed_from(&e, "a", GRACE) == 0);
+	CU_ASSERT(evacuations_begin(&e, "a", MS(9500)) == 0);
+	CU_ASSERT(evacuations_closed_from(&e, "a", GRACE) == MS(12000));
+}
+
+/* One that a list names may be long in force: there is no grace. */
+static void
+not_known_since(void)
+{
+	start();
+	other.as_of = 7;
+	evacuations_begin(&other, "a", 0);
+	CU_ASSERT(evacuations_listed(&e, &other, MS(1000)) == 1);
+	CU_ASSERT(evacuations_closed_from(&e, "a", GRACE) <= MS(1000));
+	CU_ASSERT(evacuations_closed_from(&e, "a", GRACE) != 0);
+}
+
+/* A list that another read overtook changes nothing. */
+static void
+older_list(void)
+{
+	start();
+	other.as_of = 9;
+	evacuations_begin(&other, "a", 0);
+	evacuations_begin(&other, "b", 0);
+	CU_ASSERT(evacuations_listed(&e, &other, MS(1000)) == 1);
+	other.n = 0;
+	other.as_of = 8;
+	CU_ASSERT(evacuations_listed(&e, &other, MS(1000)) == 0);
+	CU_ASSERT(evacuations_active(&e, "a") && evacuations_active(&e, "b"));
+	other.as_of = 12;
+	evacuations_begin(&other, "b", 0);
+	CU_ASSERT(evacuations_listed(&e, &other, MS(2000)) == 1);
+	CU_ASSERT(!evacuations_active(&e, "a") && evacuations_active(&e, "b"));
+	CU_ASSERT(evacuations_listed(&e, &other, MS(3000)) == 0);
+}
+
+/* A controller that has seen less never brings back what is over. */
+static void
+told_by_one_behind(void)
+{
+	start();
+	evacuations_begin(&e, "a", MS(1000));
+	e.as_of = 20;
+	evacuations_end(&e, "a", MS(5000));
+	e.as_of = 30;
+	other.as_of = 25;
+	evacuations_begin(&other, "a", MS(1000));
+	CU_ASSERT(evacuations_told(&e, &other) == 0);
+	CU_ASSERT(!evacuations_active(&e, "a"));
+	other.as_of = 31;
+	CU_ASSERT(evacuations_told(&e, &other) == 1);
+	CU_ASSERT(evacuations_active(&e, "a"));
+	/* One that knows nothing, having just started, changes nothing. */
+	other.n = 0;
+	other.as_of = 0;
+	CU_ASSERT(evacuations_told(&e, &other) == 0);
+	CU_ASSERT(evacuations_active(&e, "a"));
+}
+
+/* A new controller that only read a list leaves known times as they are. */
+static void
+told_without_time(void)
+{
+	start();
+	evacuations_begin(&e, "a", MS(1000));
+	e.as_of = 20;
+	evacuations_begin(&other, "a", 0);
+	evacuations_begin(&other, "b", 0);
+	other.as_of = 21;
+	CU_ASSERT(evacuations_told(&e, &other) == 1);
+	CU_ASSERT(evacuations_closed_from(&e, "a", GRACE) == MS(3500));
+	CU_ASSERT(evacuations_closed_from(&e, "b", GRACE) == 1);
+}
+
+/* Targets of one that has ended are cold for their time, whatever they say. */
+static void
+cold_after(void)
+{
+	start();
+	evacuations_begin(&e, "a", MS(1000));
+	CU_ASSERT(evacuations_cold_until(&e, "a", MS(3000)) == 0);
+	evacuations_end(&e, "a", MS(8000));
+	CU_ASSERT(evacuations_cold_until(&e, "a", MS(3000)) == MS(11000));
+	CU_ASSERT(evacuations_cold_until(&e, "b", MS(3000)) == 0);
+	evacuations_expire(&e, MS(11000));
+	CU_ASSERT(e.n == 1);
+	evacuations_expire(&e, MS(60000));
+	CU_ASSERT(e.n == 0);
+}
+
+/* However many the operator names, none that is in force is forgotten. */
+static void
+table_full(void)
+{
+	char dc[16];
+	int i;
+
+	start();
+	for (i = 0; i < EVACUATIONS_MAX; i++) {
+		snprintf(dc, sizeof(dc), "dc-%d", i);
+		CU_ASSERT(evacuations_begin(&e, dc, MS(1000 + i)) == 0);
+	}
+	CU_ASSERT(evacuations_begin(&e, "more", MS(5000)) == -1);
+	evacuations_end(&e, "dc-7", MS(6000));
+	evacuations_end(&e, "dc-9", MS(5500));
+	CU_ASSERT(evacuations_begin(&e, "more", MS(7000)) == 0);
+	CU_ASSERT(evacuations_active(&e, "more"));
+	CU_ASSERT(evacuations_active(&e, "dc-8"));
+	/* The one that ended first made room. */
+	CU_ASSERT(evacuations_cold_until(&e, "dc-9", 1) == 0);
+	CU_ASSERT(evacuations_cold_until(&e, "dc-7", 1) != 0);
+}
+
+/* Hosts that know the same have the same digest, in any order. */
+static void
+digest(void)
+{
+	start();
+	CU_ASSERT(evacuations_digest(&e) == 0);
+	evacuations_begin(&e, "a", MS(1));
+	evacuations_begin(&e, "b", MS(1));
+	evacuations_begin(&other, "b", MS(9));
+	CU_ASSERT(evacuations_digest(&e) != evacuations_digest(&other));
+	evacuations_begin(&other, "a", MS(9));
+	CU_ASSERT(evacuations_digest(&e) == evacuations_digest(&other));
+	evacuations_end(&e, "a", MS(2));
+	evacuations_end(&e, "b", MS(2));
+	CU_ASSERT(evacuations_digest(&e) == 0);
+}
+
+/* A list of targets that is told has what is evacuated with it. */
+static void
+with_the_fleet(void)
+{
+	static struct known k;
+	struct fleet told = {.ntargets = 0}, *f;
+
+	start();
+	evacuations_begin(&told.evacuations, "a", MS(1000));
+	told.evacuations.as_of = 5;
+	known_told(&k, &told, MS(1500));
+	CU_ASSERT(k.changed);
+	f = known_fleet(&k);
+	CU_ASSERT_FATAL(f != NULL);
+	CU_ASSERT(evacuations_active(&f->evacuations, "a"));
+	CU_ASSERT(f->digest == evacuations_digest(&told.evacuations));
+	fleet_free(f);
+	known_free(&k);
+}
+
+static const struct unit_test tests[] = {
+    {"closed", closed},
+    {"not known since", not_known_since},
+    {"older list", older_list},
+    {"told by one behind", told_by_one_behind},
+    {"told without time", told_without_time},
+    {"cold after", cold_after},
+    {"table full", table_full},
+    {"digest", digest},
+    {"with the fleet", with_the_fleet},
+};
+UNIT_MAIN("evacuation", tests)
--- a/regress/unit/t_keys.c
+++ b/regress/unit/t_keys.c
@@ -69,6 +69,8 @@
 static uint64_t stored_fence; /* the highest that the store knows of */
 static int unstored;	      /* grants with a fence beyond it */
 static int strayed;	      /* orders to an address that is another's */
+static struct evacuations evacuations; /* of data centres "dc0" and "dc1" */
+static usec cold_until[2];	       /* until when their targets are */
 
 static double
 chance(void)
@@ -409,10 +411,11 @@
 tell_fleet(struct keys *k)
 {
 	struct fleet_target t[TARGETS * 8];
-	struct fleet f = {t, 0, 0, 0};
+	struct fleet f = {.targets = t};
 	int i;
 
 	memset(t, 0, sizeof(t));
+	f.evacuations = evacuations;
 	for (i = 0; i < nfakes; i++) {
 		if (!fakes[i].listed)
 			continue;
@@ -421,6 +424,8 @@
 		name_copy(t[f.ntargets].service, NAME_MAX_GS, "s");
 		t[f.ntargets].slots = 2;
 		t[f.ntargets].leaving = fakes[i].leaving;
+		t[f.ntargets].cold_until = cold_until[i % 2];
+		snprintf(t[f.ntargets].dc, NAME_MAX_GS, "dc%d", i % 2);
 		f.ntargets++;
 	}
 	keys_fleet(k, &f, now);
@@ -663,6 +668,51 @@
 	CU_ASSERT(longest_unheld <= MS(400));
 }
 
+/* How many of the keys that are looked at a data centre's targets hold. */
+static int
+held_in(int dc)
+{
+	int i, n, held = 0;
+
+	for (i = dc; i < nfakes; i += 2) {
+		for (n = 0; n < SAMPLES; n++)
+			held += fakes[i].until[n] > now;
+	}
+	return (held);
+}
+
+/* Keys stay with the targets of an evacuated data centre. */
+static void
+evacuated(void)
+{
+	int i;
+
+	start(8);
+	CU_ASSERT(held_in(1) > 0);
+	evacuations_begin(&evacuations, "dc1", now);
+	tell_fleet(&ctl[0]);
+	run(MS(1500));
+	CU_ASSERT_EQUAL(held_in(1), 0);
+	CU_ASSERT_EQUAL(held_in(0), SAMPLES);
+	CU_ASSERT(longest_unheld <= MS(400));
+	/* With all of them evacuated there is nowhere to go. */
+	evacuations_begin(&evacuations, "dc0", now);
+	tell_fleet(&ctl[0]);
+	run(MS(1500));
+	CU_ASSERT_EQUAL(held_in(0), SAMPLES);
+	evacuations_end(&evacuations, "dc0", now);
+	evacuations_end(&evacuations, "dc1", now);
+	tell_fleet(&ctl[0]);
+	for (i = 0; i < 30; i++) {
+		ask(0, 100);
+		run(MS(200));
+	}
+	CU_ASSERT(held_in(1) > 0);
+	CU_ASSERT_EQUAL(double_held, 0);
+	CU_ASSERT(longest_unheld <= MS(400));
+	memset(&evacuations, 0, sizeof(evacuations));
+}
+
 /*
  * A target dies without a word.  Whether it is dead or only unreachable nobody
  * can tell, so its keys wait until its last grant has run out, and not longer.
@@ -1298,6 +1348,7 @@
     {"first shares", first_shares},
     {"hot run", hot_run},
     {"leaving", leaving},
+    {"evacuated", evacuated},
     {"crash", crash},
     {"gone but alive", gone_but_alive},
     {"takeover", takeover},
--- a/regress/unit/t_known.c
+++ b/regress/unit/t_known.c
@@ -144,7 +144,7 @@
 told(void)
 {
 	struct fleet_target t[2];
-	struct fleet f = {t, 1, 0, 0};
+	struct fleet f = {.targets = t, .ntargets = 1};
 
 	start(6);
 	known_store_failed(&k, MS(1000));
@@ -175,7 +175,7 @@
 never_back(void)
 {
 	struct fleet_target t;
-	struct fleet f = {&t, 1, 0, 0};
+	struct fleet f = {.targets = &t, .ntargets = 1};
 
 	start(3);
 	memset(&t, 0, sizeof(t));
