Cold targets take their rate from all hosts together

Cause: nothing read cold_start and cold_per_s of a service.

Change: it is the same as a limit that a target names (decide/rate): each host sends in its turn. What a target takes is the lower of both (dest_limit), looked at every 20 ms, so a limit begins and ends without an answer. The controller tells how long targets are cold with their list, as before; targets of a data centre that is taken back are taken to be cold for cold_start from then, for that they are is read later than that requests are let in. Cold targets get no keys while others are there, and their own move away: with a turn in 15 s on each of 90 hosts, most requests for them would be refused. Until hosts have been counted each takes the part it has among 512.

Weighed: a share of requests by what the controller has counted (uses more of the rate, but a burst doubles it for a second or two before that is counted); a bucket on each host (90 full ones are 90 requests in one second).

Units: rate "cold second" (8 to 490 hosts that press), dest "cold", keys "back cold" and "cold again", platform, site_frame.

--- a/decide/dest.c
+++ b/decide/dest.c
@@ -38,9 +38,27 @@
 	memset(d, 0, sizeof(*d));
 	d->slots = slots;
 	d->speed = 1;
+	d->limit = -1;
 	rate_init(&d->rate);
 }
 
+/* Requests a second that the target takes from all hosts now; negative is any
+ * number.  A cold one that gets many more than it takes crashes. */
+double
+dest_limit(const struct dest *d, usec now)
+{
+	if (now >= d->cold_until || d->cold_rate <= 0)
+		return (d->limit);
+	return (d->limit < 0 ? d->cold_rate : fmin(d->limit, d->cold_rate));
+}
+
+/* Brings the rate that hosts keep together up to date. */
+void
+dest_look(struct dest *d, const struct rate_turns *t, usec now)
+{
+	rate_told(&d->rate, dest_limit(d, now), t, now);
+}
+
 /* A request goes there. */
 void
 dest_sent(struct dest *d, usec now)
--- a/decide/dest.h
+++ b/decide/dest.h
@@ -17,6 +17,9 @@
 	int near;	  /* in this host's data centre */
 	usec closed_from; /* gets no new work then; 0 is never */
 	usec cold_until;
+	double
+	    cold_rate; /* that it takes from all hosts while cold; 0 is any */
+	double limit;  /* that it names itself; negative is none */
 	int mine;      /* requests of this host under way there */
 	double others; /* of all others, as of heard */
 	usec heard;    /* when it last told its load */
@@ -25,7 +28,7 @@
 	double fails;  /* share of its answers that are failures */
 	int strikes;   /* in a row without an answer */
 	usec shunned_until;
-	struct rate rate; /* that it takes from all hosts */
+	struct rate rate; /* by both, as of the last look */
 };
 
 /* What an answer, or its lack, says of the target. */
@@ -51,6 +54,8 @@
 void dest_init(struct dest *, int slots);
 void dest_sent(struct dest *, usec now);
 void dest_ended(struct dest *, usec now, const struct dest_answer *);
+double dest_limit(const struct dest *, usec now);
+void dest_look(struct dest *, const struct rate_turns *, usec now);
 double dest_load(const struct dest *, usec now);
 int dest_closed(const struct dest *, usec now);
 int dest_usable(const struct dest *, usec now);
--- a/decide/keys.c
+++ b/decide/keys.c
@@ -140,6 +140,18 @@
 	}
 }
 
+/* Takes in until when a target is cold. */
+static void
+take_cold(const struct keys *k, struct key_target *t, const struct fleet *f,
+    const struct fleet_target *told)
+{
+	usec back = evacuations_cold_until(
+	    &f->evacuations, told->dc, k->conf.cold_start);
+
+	t->cold_until = told->cold_until > back ? told->cold_until : back;
+	t->cold_limited = k->conf.cold_limited;
+}
+
 /* Takes in the targets that are known now. */
 void
 keys_fleet(struct keys *k, const struct fleet *f, usec now)
@@ -159,7 +171,7 @@
 		t->leaving = f->targets[i].leaving;
 		t->evacuated =
 		    evacuations_active(&f->evacuations, f->targets[i].dc);
-		t->cold_until = f->targets[i].cold_until;
+		take_cold(k, t, f, &f->targets[i]);
 		if (!t->listed && t->alive_at == 0)
 			t->alive_at = now;
 		t->listed = 1;
@@ -182,6 +194,19 @@
 	k->have_fleet = 1;
 }
 
+/* How long targets are cold after a start, and whether they then take few
+ * requests. */
+void
+keys_cold(struct keys *k, usec cold_start, int limited)
+{
+	int i;
+
+	k->conf.cold_start = cold_start;
+	k->conf.cold_limited = limited;
+	for (i = 0; i < k->ntargets; i++)
+		k->targets[i].cold_limited = limited;
+}
+
 /* What hosts learnt of a target. */
 void
 keys_learnt(
--- a/decide/keys.h
+++ b/decide/keys.h
@@ -36,6 +36,8 @@
 	usec renew;	 /* between grants of the same keys */
 	usec order_wait; /* a grant without an answer is given up by then */
 	usec settle;	 /* targets stand still so long before the first plan */
+	usec cold_start; /* targets are cold for so long after a start */
+	int cold_limited; /* cold ones take few requests */
 };
 
 /* How an order ended, where it was not answered with a status. */
@@ -65,11 +67,12 @@
 	int evacuated; /* its data centre is */
 	int slots;
 	usec cold_until;
-	double speed;	/* time it takes, over what others take */
-	usec alive_at;	/* it answered anybody */
-	int unanswered; /* orders in a row */
-	double limit;	/* requests a second that it takes ... */
-	usec limited;	/* ... as of this moment; 0 is none */
+	int cold_limited; /* takes few requests until then */
+	double speed;	  /* time it takes, over what others take */
+	usec alive_at;	  /* it answered anybody */
+	int unanswered;	  /* orders in a row */
+	double limit;	  /* requests a second that it takes ... */
+	usec limited;	  /* ... as of this moment; 0 is none */
 	/* Of the plan. */
 	double heat;
 	double cap; /* of its weight, by its limit; 0 is none */
@@ -179,6 +182,7 @@
 void keys_begin(struct keys *, uint64_t term, usec now);
 void keys_end(struct keys *);
 void keys_fleet(struct keys *, const struct fleet *, usec now);
+void keys_cold(struct keys *, usec cold_start, int limited);
 void keys_heat(
     struct keys *, const uint16_t *key, int n, double each, usec now);
 void keys_limited(struct keys *, const char *target, double limit, usec now);
--- a/decide/keys_plan.c
+++ b/decide/keys_plan.c
@@ -27,6 +27,9 @@
 /* Beyond so many ranges for each target small cold ones are joined. */
 #define RANGES_EACH 6
 #define COLD_FACTOR 0.5
+/* Each of many hosts may send a cold target that takes few requests one of them
+ * in seconds: most of those for keys that it owns are refused. */
+#define COLD_LIMITED_FACTOR 0.02
 #define PIECES 4
 /* Keys that are taken to be about as busy as each other, and what one of them
  * may show by chance. */
@@ -46,13 +49,22 @@
  * be seen that it takes more again. */
 #define CAP_LEAST 0.02
 
+/* True where a target is cold and takes few requests meanwhile. */
+static int
+takes_few(const struct key_target *t, usec now)
+{
+	return (t->cold_limited && now < t->cold_until);
+}
+
 /* How much of the load a target can bear beside others. */
 double
 key_target_weight(const struct key_target *t, usec now)
 {
 	double w = t->slots / fmax(t->speed, 0.25);
 
-	if (now < t->cold_until && feature_on(FEATURE_COLD))
+	if (takes_few(t, now))
+		w *= COLD_LIMITED_FACTOR;
+	else if (now < t->cold_until && feature_on(FEATURE_COLD))
 		w *= COLD_FACTOR;
 	if (t->cap > 0)
 		w = fmin(w, t->cap);
@@ -245,8 +257,9 @@
 }
 
 /*
- * The target with the least load for its weight; not `but`.  Where `alone` is
- * not 0 it is the load that counts, and not what each has now.
+ * The target with the least load for its weight; not `but`, and none that takes
+ * few requests where another is there.  Where `alone` is not 0 it is the load
+ * that counts, and not what each has now.
  */
 static int
 least(
@@ -254,17 +267,23 @@
 {
 	const struct key_target *t;
 	double load, best_load = 0;
-	int i, best = NO_TARGET;
+	int i, best = NO_TARGET, few, best_few = 0;
 
 	for (i = 0; i < k->ntargets; i++) {
 		t = &k->targets[i];
 		if (t->lost || (but != NULL && t == but))
 			continue;
+		few = takes_few(t, now);
+		if (few && best != NO_TARGET && !best_few)
+			continue;
+		if (!few && best_few)
+			best = NO_TARGET;
 		load =
 		    (alone > 0 ? alone : t->heat) / key_target_weight(t, now);
 		if (best == NO_TARGET || load < best_load) {
 			best = i;
 			best_load = load;
+			best_few = few;
 		}
 	}
 	return (best);
--- a/decide/site.h
+++ b/decide/site.h
@@ -36,9 +36,12 @@
 
 struct site_service {
 	char name[NAME_MAX_GS];
-	int keyed;     /* each key is owned by one target */
-	int max_conns; /* that a target takes from all hosts together */
-	usec warmup;   /* for which keys are slow without a hand-over */
+	int keyed;	  /* each key is owned by one target */
+	int max_conns;	  /* that a target takes from all hosts together */
+	usec warmup;	  /* for which keys are slow without a hand-over */
+	usec cold_start;  /* targets are cold for so long after a start */
+	double cold_rate; /* requests a second that a cold one takes from all
+			     hosts; 0 is any number */
 };
 
 struct site {
--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -149,7 +149,7 @@
 	memset(&d->crashes, 0, sizeof(d->crashes));
 	for (s = d->targets; s != NULL; s = s->next) {
 		heat_report_target(
-		    h, s->id, s->dest.speed, s->dest.rate.limit, s->answers);
+		    h, s->id, s->dest.speed, s->dest.limit, s->answers);
 		s->answers = 0;
 	}
 	msg_post(d->s->kernel, "control", MSG_HEAT, h, heat_report_free);
@@ -207,8 +207,10 @@
 		msg_keep(m, &d->owners);
 		hosts = ((struct owners *)d->owners->p)->hosts;
 		d->rank = ((struct owners *)d->owners->p)->rank;
-		if (hosts > 0)
+		if (hosts > 0) {
 			d->conf.hosts = hosts;
+			d->counted = 1;
+		}
 		break;
 	case MSG_QUARANTINE:
 		msg_keep(m, &d->quarantine);
@@ -242,6 +244,8 @@
 		curl_multi_perform(d->multi, &running);
 		now = clock_mono();
 		attempts_reap(d, now);
+		if (now >= d->next_limits)
+			targets_limits(d, now);
 		flow_pump(d, now);
 		targets_sweep(d);
 		if (now >= d->next_heat) {
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -117,9 +117,11 @@
 	CURL *kept[EASY_KEPT];
 	int nkept;
 	int have_fleet;
-	int rank; /* of this host among all */
+	int counted; /* it is known how many hosts there are */
+	int rank;    /* of this host among all */
 	int ready;
 	usec next_heat;
+	usec next_limits;
 	uint64_t seed;
 	int stop;
 };
@@ -149,6 +151,7 @@
 /* direct_pick.c */
 void targets_take(struct direct *, const struct fleet *, usec now);
 void targets_sweep(struct direct *);
+void targets_limits(struct direct *, usec now);
 struct target_state *target_state_find(struct direct *, const char *id);
 struct svc *svc_of(struct direct *, const char *name);
 struct learnt *learnt_of(struct direct *, const struct rule *);
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -175,15 +175,14 @@
 note_limit(struct direct *d, struct target_state *s, double limit,
     enum reply_kind kind, usec now)
 {
-	struct rate_turns t = {d->conf.hosts, d->rank, 0};
-	double was = s->dest.rate.limit;
+	double was = s->dest.limit;
 
 	if (limit < 0 && (was < 0 || kind != REPLY_ANSWER))
 		return;
-	t.epoch = now - clock_wall();
-	rate_told(&s->dest.rate, limit, &t, now);
 	if (limit == was)
 		return;
+	s->dest.limit = limit;
+	d->next_limits = now;
 	if (limit >= 0)
 		log_line(LOG_NOTICE, "router",
 		    "Target %s takes %.2f requests a second from all hosts.",
--- a/gspard/direct_pick.c
+++ b/gspard/direct_pick.c
@@ -11,6 +11,11 @@
 /* Usual time of a request of which nothing was learnt, in microseconds. */
 #define WORK_FIRST 100000.0
 
+/* Between looks at what targets take from all hosts together. */
+#define LIMITS_EVERY MS(20)
+/* Hosts there are at most, for their parts until they are counted. */
+#define HOSTS_UNCOUNTED 512
+
 /* A target by id, or NULL. */
 struct target_state *
 target_state_find(struct direct *d, const char *id)
@@ -18,6 +23,16 @@
 	return (apr_hash_get(d->by_id, id, APR_HASH_KEY_STRING));
 }
 
+/* The service of a target in the configuration in force, or NULL. */
+static const struct site_service *
+service_of(const struct direct *d, const char *name)
+{
+	const struct site *t = d->site == NULL ? NULL : d->site->p;
+	int n = t == NULL ? -1 : site_service(t, name);
+
+	return (n < 0 ? NULL : &t->services[n]);
+}
+
 /*
  * From when on a target gets no new requests, where its data centre is
  * evacuated.  What any target can serve goes elsewhere at once; keys are moved
@@ -27,13 +42,50 @@
 closed_from(
     const struct direct *d, const struct fleet *f, const struct fleet_target *t)
 {
-	const struct site *site = d->site == NULL ? NULL : d->site->p;
-	int n = site == NULL ? -1 : site_service(site, t->service);
-	int keyed = n >= 0 && site->services[n].keyed;
+	const struct site_service *v = service_of(d, t->service);
 	usec bound = MS(kernel_conf(d->s->kernel)->bounds.evacuate_ms);
 
 	return (evacuations_closed_from(
-	    &f->evacuations, t->dc, keyed ? bound / 2 : 0));
+	    &f->evacuations, t->dc, v != NULL && v->keyed ? bound / 2 : 0));
+}
+
+/* Takes in until when a target is cold. */
+static void
+take_cold(struct dest *d, const struct site_service *v, const struct fleet *f,
+    const struct fleet_target *t)
+{
+	usec back = evacuations_cold_until(
+	    &f->evacuations, t->dc, v == NULL ? 0 : v->cold_start);
+
+	d->cold_until = t->cold_until > back ? t->cold_until : back;
+	d->cold_rate = v == NULL ? 0 : v->cold_rate;
+}
+
+/* When it is this host's turn where all share a limit. */
+static struct rate_turns
+turns(const struct direct *d, usec now)
+{
+	struct rate_turns t = {d->conf.hosts, d->rank, now - clock_wall()};
+	const char *host = kernel_conf(d->s->kernel)->host;
+
+	if (d->counted)
+		return (t);
+	/* As in the largest fleet: a part too small is made up for later. */
+	t.hosts = HOSTS_UNCOUNTED;
+	t.rank = (int)(XXH3_64bits(host, strlen(host)) % HOSTS_UNCOUNTED);
+	return (t);
+}
+
+/* Brings the limits of all targets up to date. */
+void
+targets_limits(struct direct *d, usec now)
+{
+	struct rate_turns t = turns(d, now);
+	struct target_state *p;
+
+	d->next_limits = now + LIMITS_EVERY;
+	for (p = d->targets; p != NULL; p = p->next)
+		dest_look(&p->dest, &t, now);
 }
 
 /* Takes in a target's entry. */
@@ -59,7 +111,7 @@
 	name_copy(p->service, sizeof(p->service), t->service);
 	p->dest.slots = t->slots;
 	p->dest.near = strcmp(t->dc, conf->dc) == 0;
-	p->dest.cold_until = t->cold_until;
+	take_cold(&p->dest, service_of(d, t->service), f, t);
 	p->dest.closed_from = closed_from(d, f, t);
 	if (t->gone && !p->dest.leaving)
 		crash_ended(d, p);
@@ -83,6 +135,7 @@
 			p->dest.leaving = 1;
 	}
 	d->have_fleet = 1;
+	targets_limits(d, now);
 }
 
 /* Frees targets that are on no list and have no requests of ours. */
--- a/gspard/keeper_keys.c
+++ b/gspard/keeper_keys.c
@@ -100,10 +100,11 @@
 
 /* Makes rules for a keyed service that is new. */
 static void
-add_keys(struct keeper *k, const char *service, usec now)
+add_keys(struct keeper *k, const struct site_service *v, usec now)
 {
 	const struct bounds *b = &kernel_conf(k->s->kernel)->bounds;
-	struct keys_conf kc = {HOLD, 0, ORDER_WAIT, SETTLE};
+	struct keys_conf kc = {
+	    HOLD, HOLD, ORDER_WAIT, SETTLE, v->cold_start, v->cold_rate > 0};
 	struct keys *ks;
 
 	if (k->nkeys == KEEPER_SERVICES ||
@@ -112,7 +113,7 @@
 	if (kc.hold > MS(b->hold_max_ms))
 		kc.hold = MS(b->hold_max_ms);
 	kc.renew = kc.hold / RENEW_PART;
-	keys_init(ks, service, &kc, &keys_out, k);
+	keys_init(ks, v->name, &kc, &keys_out, k);
 	k->keys[k->nkeys++] = ks;
 	if (k->fleet != NULL)
 		keys_fleet(ks, k->fleet->p, now);
@@ -125,12 +126,18 @@
 keeper_add_services(struct keeper *k, usec now)
 {
 	const struct site *t = keeper_site(k);
+	const struct site_service *v;
+	struct keys *ks;
 	int i;
 
 	for (i = 0; t != NULL && i < t->nservices; i++) {
-		if (t->services[i].keyed &&
-		    keeper_keys(k, t->services[i].name) == NULL)
-			add_keys(k, t->services[i].name, now);
+		v = &t->services[i];
+		if (!v->keyed)
+			continue;
+		if ((ks = keeper_keys(k, v->name)) == NULL)
+			add_keys(k, v, now);
+		else
+			keys_cold(ks, v->cold_start, v->cold_rate > 0);
 	}
 }
 
--- a/gspard/site_frame.c
+++ b/gspard/site_frame.c
@@ -1,8 +1,19 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "site_frame.h"
 
+/* Rates beyond this, in requests a second, limit nothing. */
+#define RATE_MOST 1e6
+
+/* A rate on the wire. */
+static uint32_t
+rate_told_as(double rate)
+{
+	return ((uint32_t)(fmin(rate, RATE_MOST) * 1000));
+}
+
 /* Fills in the services. */
 static void
 fill_services(struct site_frame *f, const struct site *t)
@@ -17,6 +28,8 @@
 		f->services[i].keyed = s->keyed;
 		f->services[i].max_conns = (uint32_t)s->max_conns;
 		f->services[i].warmup = (uint64_t)s->warmup;
+		f->services[i].cold_start = (uint64_t)s->cold_start;
+		f->services[i].cold_rate = rate_told_as(s->cold_rate);
 		f->service_list[i] = &f->services[i];
 	}
 	f->told.services = f->service_list;
@@ -148,6 +161,8 @@
 		s->keyed = w->services[i]->keyed;
 		s->max_conns = (int)w->services[i]->max_conns;
 		s->warmup = (usec)w->services[i]->warmup;
+		s->cold_start = (usec)w->services[i]->cold_start;
+		s->cold_rate = w->services[i]->cold_rate / 1000.0;
 	}
 	return (0);
 }
--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -118,9 +118,9 @@
 local function entry(t, state, seq)
 	return string.format('{"metadata":{"name":"%s"},"spec":{"address":"%s",' ..
 	    '%s"info":{"service":"%s","version":"v1","zone":"%s","slots":%d}},' ..
-	    '"status":{"state":"%s","sequence":%d,"cold_left":"0ms"}}', t.id,
+	    '"status":{"state":"%s","sequence":%d,"cold_left":"%dms"}}', t.id,
 	    t.addr, t.born and '"born":' .. t.born .. "," or "", t.service, t.dc,
-	    t.opt.slots or 4, state, seq)
+	    t.opt.slots or 4, state, seq, t.cold or 0)
 end
 
 function Site:register(id)
@@ -184,6 +184,16 @@
 	return ends, came
 end
 
+-- A target is cold for so many ms; when the store has it.
+function Site:chill(id, ms)
+	local t = self.servers[id]
+	t.cold = ms
+	t.chilled = (t.chilled or 10) + 1
+	self:write_entry(id, "ready", t.chilled)
+	t.cold = nil
+	return now_ms()
+end
+
 -- Evacuates a data centre, or takes that back; when the store has said so.
 function Site:evacuate(dc, on)
 	local kind = "http://" .. self.store .. "/objects/evacuations"
--- a/regress/scenario/site_evacuate.lua
+++ b/regress/scenario/site_evacuate.lua
@@ -36,7 +36,7 @@
 
 s:evacuate("south", true)
 from = s:evacuate("north", true)
-sleep_ms(from + EVACUATE - now_ms())
+sleep_ms(math.ceil(from + EVACUATE - now_ms()))
 for n = 1, 40 do
 	local h, at = s.order[n % #s.order + 1], now_ms()
 	local st, _, head = s:ask(h, "/any/" .. n)
--- a/regress/unit/readers.c
+++ b/regress/unit/readers.c
@@ -150,7 +150,7 @@
 read_owners(const char *p, size_t n)
 {
 	static const struct keys_conf conf = {
-	    MS(3000), MS(1000), MS(1500), MS(500)};
+	    MS(3000), MS(1000), MS(1500), MS(500), 0, 0};
 	uint32_t at = 0;
 	int i;
 
--- a/regress/unit/t_dest.c
+++ b/regress/unit/t_dest.c
@@ -67,6 +67,37 @@
 	CU_ASSERT(dest_room(&d, MS(2000), &twelve));
 }
 
+/* A cold target gets as many requests as a warm one. */
+static void
+cold(void)
+{
+	struct rate_turns t = {90, 0, MS(0)};
+	struct dest d;
+
+	dest_init(&d, 6);
+	d.cold_rate = 6;
+	d.cold_until = MS(4000);
+	dest_look(&d, &t, MS(1000));
+	CU_ASSERT(dest_limit(&d, MS(1000)) == 6);
+	CU_ASSERT(!dest_room(&d, MS(1000), &twelve));
+	/* This host's turn comes each 15 s. */
+	CU_ASSERT(rate_wait(&d.rate, 0, MS(1000)) == MS(14000));
+	dest_look(&d, &t, MS(4000));
+	CU_ASSERT(dest_limit(&d, MS(4000)) < 0);
+	CU_ASSERT(dest_room(&d, MS(4000), &twelve));
+	/* A limit of its own that is lower counts, and higher does not. */
+	d.limit = 2;
+	CU_ASSERT(dest_limit(&d, MS(1000)) == 2);
+	CU_ASSERT(dest_limit(&d, MS(4000)) == 2);
+	d.limit = 7;
+	CU_ASSERT(dest_limit(&d, MS(1000)) == 6);
+	/* Cold again, it has no turn saved. */
+	d.limit = -1;
+	d.cold_until = MS(9000);
+	dest_look(&d, &t, MS(5000));
+	CU_ASSERT(!dest_room(&d, MS(5000), &twelve));
+}
+
 /* A small fleet may send more each. */
 static void
 few_hosts(void)
@@ -196,6 +227,7 @@
     {"few hosts", few_hosts},
     {"leaving", leaving},
     {"evacuated", evacuated},
+    {"cold", cold},
     {"unreached", unreached},
     {"broken", broken},
     {"costs", costs},
--- a/regress/unit/t_keys.c
+++ b/regress/unit/t_keys.c
@@ -531,7 +531,8 @@
 static void
 start(uint64_t s)
 {
-	struct keys_conf conf = {MS(3000), MS(1000), MS(1500), MS(500)};
+	struct keys_conf conf = {
+	    MS(3000), MS(1000), MS(1500), MS(500), MS(3000), 0};
 	int i;
 
 	seed = s * 7919 + 1;
@@ -713,6 +714,58 @@
 	memset(&evacuations, 0, sizeof(evacuations));
 }
 
+/* Keys go to a data centre that is back while its targets take few requests. */
+static void
+back_cold(void)
+{
+	int i;
+
+	start(8);
+	keys_cold(&ctl[0], MS(3000), 1);
+	evacuations_begin(&evacuations, "dc1", now);
+	tell_fleet(&ctl[0]);
+	run(MS(1500));
+	evacuations_end(&evacuations, "dc1", now);
+	tell_fleet(&ctl[0]);
+	for (i = 0; i < 14; i++) {
+		ask(0, 100);
+		run(MS(200));
+		CU_ASSERT_EQUAL(held_in(1), 0);
+	}
+	for (i = 0; i < 30; i++) {
+		ask(0, 100);
+		run(MS(200));
+	}
+	CU_ASSERT(held_in(1) > SAMPLES / 8);
+	memset(&evacuations, 0, sizeof(evacuations));
+}
+
+/* A target that is cold once more keeps its keys. */
+static void
+cold_again(void)
+{
+	int i, had;
+
+	start(8);
+	keys_cold(&ctl[0], MS(3000), 1);
+	had = held_in(1);
+	cold_until[1] = now + MS(20000);
+	tell_fleet(&ctl[0]);
+	for (i = 0; i < 25; i++) {
+		ask(0, 100);
+		run(MS(200));
+	}
+	CU_ASSERT(held_in(1) < had / 4);
+	CU_ASSERT(longest_unheld <= MS(400));
+	/* All are cold: the keys stay somewhere. */
+	cold_until[0] = cold_until[1];
+	tell_fleet(&ctl[0]);
+	run(MS(3000));
+	CU_ASSERT_EQUAL(held_in(0) + held_in(1), SAMPLES);
+	CU_ASSERT_EQUAL(double_held, 0);
+	memset(cold_until, 0, sizeof(cold_until));
+}
+
 /*
  * A target dies without a word.  Whether it is dead or only unreachable nobody
  * can tell, so its keys wait until its last grant has run out, and not longer.
@@ -1349,6 +1402,8 @@
     {"hot run", hot_run},
     {"leaving", leaving},
     {"evacuated", evacuated},
+    {"back cold", back_cold},
+    {"cold again", cold_again},
     {"crash", crash},
     {"gone but alive", gone_but_alive},
     {"takeover", takeover},
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -19,7 +19,8 @@
     "\"timeout\":\"2s\",\"target_latency\":\"400ms\",\"priority\":1,"
     "\"service\":\"s2\",\"max_attempts\":1}},"
     "\"services\":{\"s1\":{\"max_conns\":130,\"sharded\":true,"
-    "\"warmup\":\"3s\"},\"s2\":{\"max_conns\":90}},"
+    "\"warmup\":\"3s\",\"cold_start\":\"2500ms\",\"cold_per_s\":5.8},"
+    "\"s2\":{\"max_conns\":90}},"
     "\"limits\":{\"max_header_bytes\":100,\"max_body_bytes\":200,"
     "\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}}}";
 
@@ -54,6 +55,10 @@
 	CU_ASSERT_EQUAL(r->weights, 100);
 	CU_ASSERT(t->services[r->parts[0].service].keyed);
 	CU_ASSERT(!t->services[r->parts[1].service].keyed);
+	CU_ASSERT_EQUAL(t->services[r->parts[0].service].cold_start, MS(2500));
+	CU_ASSERT_DOUBLE_EQUAL(
+	    t->services[r->parts[0].service].cold_rate, 5.8, 1e-9);
+	CU_ASSERT(t->services[r->parts[1].service].cold_rate == 0);
 	site_free(t);
 }
 
--- a/regress/unit/t_rate.c
+++ b/regress/unit/t_rate.c
@@ -4,7 +4,7 @@
 #include "rate.h"
 #include "unit.h"
 
-#define HOSTS_MOST 300
+#define HOSTS_MOST 490
 #define SENDS_MOST 20000
 /* What is asked: so many times the rate in any such span, and some more. */
 #define SPAN MS(4000)
@@ -16,12 +16,12 @@
 
 /* The most requests in any span. */
 static int
-worst(void)
+worst(usec span)
 {
 	int i, n = 0, from = 0;
 
 	for (i = 0; i < nsends; i++) {
-		while (sends[i] - sends[from] >= SPAN)
+		while (sends[i] - sends[from] >= span)
 			from++;
 		if (i - from + 1 > n)
 			n = i - from + 1;
@@ -75,7 +75,7 @@
 			for (round = 0; round < 2; round++) {
 				press(hosts[h], limits[l], MS(20000),
 				    MS(round % 2 == 0 ? 20000 : 40000));
-				CU_ASSERT(worst() <=
+				CU_ASSERT(worst(SPAN) <=
 				    TIMES * limits[l] * SPAN / US_PER_SEC +
 					MORE);
 			}
@@ -83,6 +83,32 @@
 	}
 }
 
+/* What is asked of cold targets: in any second so many times the rate, and some
+ * more. */
+#define COLD_TIMES 1.5
+#define COLD_MORE 8
+
+/* A cold target gets more from all hosts in one second than it bears. */
+static void
+cold_second(void)
+{
+	static const int hosts[] = {8, 12, 90, 295, 490};
+	static const double rates[] = {1, 2.3, 5.8, 6};
+	size_t h, r;
+	int round;
+
+	for (h = 0; h < sizeof(hosts) / sizeof(hosts[0]); h++) {
+		for (r = 0; r < sizeof(rates) / sizeof(rates[0]); r++) {
+			for (round = 0; round < 2; round++) {
+				press(hosts[h], rates[r], MS(20000),
+				    MS(round % 2 == 0 ? 20000 : 40000));
+				CU_ASSERT(worst(US_PER_SEC) <=
+				    COLD_TIMES * rates[r] + COLD_MORE);
+			}
+		}
+	}
+}
+
 /* Under steady demand the limit is used, and not only kept. */
 static void
 used(void)
@@ -166,6 +192,7 @@
 
 static const struct unit_test tests[] = {
     {"all hosts together", all_hosts_together},
+    {"cold second", cold_second},
     {"used", used},
     {"ends", ends},
     {"waits", waits},
--- a/regress/unit/t_site_frame.c
+++ b/regress/unit/t_site_frame.c
@@ -22,6 +22,8 @@
 	t->services[0].keyed = 1;
 	t->services[0].max_conns = 130;
 	t->services[0].warmup = MS(3000);
+	t->services[0].cold_start = MS(2500);
+	t->services[0].cold_rate = 5.8;
 	strcpy(t->services[1].name, "plain");
 	t->head_max = 100;
 	t->body_max = 67108864;
