Hosts keep their rank through a long calm

Turns of limits and of cold targets, and the host that may run a content on probation, go by that rank: all took their turns at once. A controller that took over then knew no hosts either.

Change: what the controller named last stands while it is heard; it names all that it counts, not only those heard in the last 3 s, so ranks and their number agree.

The scenarios of cold targets share their load and counts in lib_site.

--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -121,14 +121,16 @@
 	return (now - h->heard < HOST_LOST || now < h->try_until);
 }
 
-/* Forgets hosts that were not heard for long. */
+/* Forgets hosts that were neither heard nor named for long. */
 static void
 forget_hosts(struct keeper *k, usec now)
 {
 	int i;
 
 	for (i = 0; i < k->nhosts; i++) {
-		if (now - k->hosts[i].heard < HOST_FORGOTTEN)
+		if (now - k->hosts[i].heard < HOST_FORGOTTEN ||
+		    (k->hosts[i].named != 0 &&
+			now - k->hosts[i].named < HOST_FORGOTTEN))
 			continue;
 		k->hosts[i] = k->hosts[--k->nhosts];
 		i--;
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -74,6 +74,7 @@
 	struct member who;
 	char dc[NAME_MAX_GS];
 	usec heard;
+	usec named;	 /* by the controller, last; 0 is not in its list */
 	usec try_until;	 /* told, though not heard: control is new here */
 	uint64_t owners; /* the number that it has */
 	uint64_t told;	 /* the number last sent to it, and when */
--- a/gspard/keeper_hear.c
+++ b/gspard/keeper_hear.c
@@ -93,12 +93,36 @@
 	keeper_host_seen(k, &m, w->dc, 0, now);
 }
 
+/*
+ * Takes in which hosts there are.  The controller names them when that changes,
+ * and until then means the same ones: forgotten in a long calm, each host would
+ * take itself for the first of all, and all would take their turns at once.
+ */
+static void
+hosts_told(struct keeper *k, const Gspar__Owners *w, usec now)
+{
+	struct keeper_host *h;
+	size_t i;
+	int n;
+
+	for (n = 0; n < k->nhosts && w->n_hosts > 0; n++)
+		k->hosts[n].named = 0;
+	for (i = 0; i < w->n_hosts; i++) {
+		host_told(k, w->hosts[i], now);
+		if ((h = keeper_host(k, w->hosts[i]->host)) != NULL)
+			h->named = now;
+	}
+	for (n = 0; n < k->nhosts; n++) {
+		if (k->hosts[n].named != 0)
+			k->hosts[n].named = now;
+	}
+}
+
 /* Takes in what the controller says. */
 void
 spread_take(struct keeper *k, const Gspar__Owners *w, usec now)
 {
 	struct owners *o;
-	size_t i;
 
 	if (k->acting)
 		term_outdone(&k->term, now, w->term);
@@ -122,9 +146,8 @@
 	 */
 	if (w->self != NULL)
 		host_told(k, w->self, now);
-	for (i = 0; i < w->n_hosts; i++)
-		host_told(k, w->hosts[i], now);
 	if (!w->whole) {
+		hosts_told(k, w, now);
 		site_heard(k, w, now);
 		term_heard(&k->term, now, w->record);
 		k->strained = w->strained;
--- a/gspard/keeper_spread.c
+++ b/gspard/keeper_spread.c
@@ -236,8 +236,7 @@
 		hosts[i].addr = h->who.addr;
 		hosts[i].dc = h->dc;
 		hosts[i].boot = h->who.boot;
-		if (keeper_tells(h, now))
-			list[w.n_hosts++] = &hosts[i];
+		list[w.n_hosts++] = &hosts[i];
 	}
 	/* Who is there changes rarely; the rest is a few bytes. */
 	if (!k->hosts_changed)
--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -337,6 +337,50 @@
 	return st, text, head, "q" .. self.asked
 end
 
+-- Sends a request whose answer is read later: the oldest once `most` are open.
+-- What was answered is counted by kind and status.
+function Site:send_unread(name, kind, p, more, most)
+	local c = dial(self.hosts[name].callers)
+	self.asked = self.asked + 1
+	self.open = self.open or {}
+	send(c, string.format("GET %s HTTP/1.1\r\nHost: a.example\r\n" ..
+	    "X-Request-Id: q%d\r\nX-Deadline-Ms: 1000\r\n%s" ..
+	    "Connection: close\r\n\r\n", p, self.asked, more or ""))
+	table.insert(self.open, { conn = c, kind = kind })
+	if #self.open > (most or 300) then
+		self:read_unread()
+	end
+end
+
+function Site:read_unread()
+	local o = table.remove(self.open, 1)
+	local st = (read_all(o.conn) or ""):match("^HTTP/1.1 (%d+)") or "none"
+	hang_up(o.conn)
+	self.answers = self.answers or {}
+	local key = o.kind .. " " .. st
+	self.answers[key] = (self.answers[key] or 0) + 1
+end
+
+-- The most requests that began to run at a target in a second between two
+-- moments, and how many in all.
+function Site:worst_second(id, from, to)
+	local all, most, first = {}, 0, 1
+	for l in read_file(id .. ".journal"):gmatch("[^\n]+") do
+		local at = l:match("^run %S+ (%d+)")
+		at = at and tonumber(at) / 1000
+		if at and at >= from and at < to then
+			table.insert(all, at)
+		end
+	end
+	for i, at in ipairs(all) do
+		while all[first] < at - 1000 do
+			first = first + 1
+		end
+		most = math.max(most, i - first + 1)
+	end
+	return most, #all
+end
+
 function Site:ask_key(name, key)
 	return self:ask(name, "/k/" .. key, { "X-Shard-Key: " .. key })
 end
