Standbys read the store for all while the controller does not

Cause: a controller that does not reach the store says so, and one that is gone says nothing; from then until another has taken control, 1.4 to 2.3 s, each other host listed and watched the store by itself: 117 calls of ten hosts here, and more with each host.

Change: the two standbys begin at once where the controller says so, and after two signs of life that are missing; every 250 ms they tell all hosts what must be heard of soon: which targets leave or are gone, what is evacuated, which version of the configuration there is. All of it only ever adds: a target that left does not come back, evacuations have their revision, versions rise. New targets wait for the next controller. Hosts that hear neither for 900 ms read the store themselves, as before.

Weighed: hosts follow late, by rank (a leaving target would be used longer than its bound, 2 s on small sites); one call that waits for all kinds (the store has none); a list of who may ask, in the record (one write for each change of it).

--- a/gspard/keeper.c
+++ b/gspard/keeper.c
@@ -173,15 +173,16 @@
 }
 
 /*
- * Tells the watch service whether to follow the store itself: as controller,
- * and where no controller is heard that does.  The platform gives 2 s until a
- * leaving target gets no more, of which noticing takes less than half.
+ * Tells the watch service whether to follow the store itself: as controller, as
+ * standby in its place, and where no host is heard that does.  The platform
+ * gives 2 s until a leaving target gets no more, of which noticing takes less
+ * than half.
  */
 static void
 tell_role(struct keeper *k, usec now)
 {
-	int follow =
-	    k->acting || k->term.lonely || now - k->fleet_heard > LONELY_AFTER;
+	int follow = k->acting || relay_due(k, now) ||
+	    now - k->fleet_heard > LONELY_AFTER;
 
 	if (follow == k->told_follow)
 		return;
@@ -215,6 +216,7 @@
 	}
 	site_tick(k, now);
 	quarantine_tick(k, now);
+	relay_tick(k, now);
 	report_tick(k, now);
 	forget_hosts(k, now);
 	fleet_missed(k, now);
@@ -272,6 +274,9 @@
 	case GSPAR__FRAME__BODY_SITE_TOLD:
 		site_take(k, m->frame->site_told);
 		break;
+	case GSPAR__FRAME__BODY_STORE_NEWS:
+		relay_take(k, m->frame->store_news, now);
+		break;
 	case GSPAR__FRAME__BODY_QUARANTINE_TOLD:
 		quarantine_take(k, m->frame->quarantine_told, now);
 		break;
--- a/gspard/keeper.h
+++ b/gspard/keeper.h
@@ -117,7 +117,9 @@
 	usec next_relist;
 	int told_follow;
 	int fresh;	  /* the store itself answers here for targets */
-	usec fleet_heard; /* last sign of a controller that knows the targets */
+	int follows;	  /* the controller says that it follows the store */
+	usec fleet_heard; /* last sign of a host that does, and tells */
+	usec next_news;
 	struct shared *spread; /* the targets that were told to all */
 	struct behind behind;  /* a newer configuration is somewhere */
 	struct pace site_pace; /* of copies that hosts asked for */
@@ -172,6 +174,7 @@
 
 /* keeper_term.c */
 void keeper_term_open(struct keeper *);
+int keeper_stands_by(const struct keeper *);
 void keeper_name_standbys(struct keeper *, usec now);
 void keeper_yield_if_deaf(struct keeper *, usec now);
 void keeper_yield_to_larger(struct keeper *, usec now);
@@ -199,6 +202,16 @@
 void fleet_compare(struct keeper *, const char *host, uint64_t, usec now);
 void fleet_take(struct keeper *, const Gspar__FleetTold *, usec now);
 void fleet_missed(struct keeper *, usec now);
+void fleet_news(struct keeper *, const Gspar__StoreNews *, usec now);
+void fleet_fill_target(
+    Gspar__TargetTold *, const struct fleet_target *, usec now);
+size_t fleet_fill_evacuations(const struct evacuations *, Gspar__Evacuation *,
+    Gspar__Evacuation **, usec now);
+
+/* keeper_relay.c */
+int relay_due(const struct keeper *, usec now);
+void relay_tick(struct keeper *, usec now);
+void relay_take(struct keeper *, const Gspar__StoreNews *, usec now);
 
 /* keeper_spread.c */
 uint64_t spread_number(const struct keeper *);
--- a/gspard/keeper_fleet.c
+++ b/gspard/keeper_fleet.c
@@ -39,8 +39,8 @@
 }
 
 /* Fills in one target. */
-static void
-fill(Gspar__TargetTold *w, const struct fleet_target *t, usec now)
+void
+fleet_fill_target(Gspar__TargetTold *w, const struct fleet_target *t, usec now)
 {
 	gspar__target_told__init(w);
 	w->id = (char *)t->id;
@@ -55,8 +55,8 @@
 }
 
 /* Fills in what is evacuated; the number of items. */
-static size_t
-fill_evacuations(const struct evacuations *e, Gspar__Evacuation *items,
+size_t
+fleet_fill_evacuations(const struct evacuations *e, Gspar__Evacuation *items,
     Gspar__Evacuation **list, usec now)
 {
 	int i;
@@ -99,13 +99,14 @@
 		if (was != NULL &&
 		    !differs(&f->targets[i], find(was, f->targets[i].id, i)))
 			continue;
-		fill(&told[w.n_targets], &f->targets[i], now);
+		fleet_fill_target(&told[w.n_targets], &f->targets[i], now);
 		w.targets[w.n_targets] = &told[w.n_targets];
 		w.n_targets++;
 	}
 	w.evacuations_as_of = f->evacuations.as_of;
 	w.evacuations = list;
-	w.n_evacuations = fill_evacuations(&f->evacuations, items, list, now);
+	w.n_evacuations =
+	    fleet_fill_evacuations(&f->evacuations, items, list, now);
 	fr.body_case = GSPAR__FRAME__BODY_FLEET_TOLD;
 	fr.fleet_told = &w;
 	for (i = 0; i < k->nhosts; i++) {
@@ -159,40 +160,36 @@
 
 /* Reads what is evacuated. */
 static void
-read_evacuations(struct evacuations *e, const Gspar__FleetTold *w, usec now)
+read_evacuations(struct evacuations *e, Gspar__Evacuation *const *list,
+    size_t n, uint64_t as_of, usec now)
 {
-	const Gspar__Evacuation *v;
 	struct evacuation *to;
 	size_t i;
 
-	e->as_of = w->evacuations_as_of;
-	for (i = 0; i < w->n_evacuations && i < EVACUATIONS_MAX; i++) {
-		v = w->evacuations[i];
+	e->as_of = as_of;
+	for (i = 0; i < n && i < EVACUATIONS_MAX; i++) {
 		to = &e->list[e->n++];
-		name_copy(to->dc, sizeof(to->dc), v->dc);
-		to->ended = v->ended;
-		to->since = v->age == 0 ? 0 : now - MS(v->age);
+		name_copy(to->dc, sizeof(to->dc), list[i]->dc);
+		to->ended = list[i]->ended;
+		to->since = list[i]->age == 0 ? 0 : now - MS(list[i]->age);
 	}
 }
 
-/* Takes in what the controller tells, and hands it to who keeps the list. */
-void
-fleet_take(struct keeper *k, const Gspar__FleetTold *w, usec now)
+/* Reads targets; NULL without memory. */
+static struct fleet *
+read_targets(Gspar__TargetTold *const *list, size_t n)
 {
 	const Gspar__TargetTold *t;
 	struct fleet_target *to;
 	struct fleet *f;
 	size_t i;
 
-	if (k->acting || w->term < k->controller_term)
-		return;
 	f = calloc(1, sizeof(*f));
 	if (f == NULL)
-		return;
-	f->targets = calloc(w->n_targets + 1, sizeof(*f->targets));
-	f->whole = w->whole;
-	for (i = 0; f->targets != NULL && i < w->n_targets; i++) {
-		t = w->targets[i];
+		return (NULL);
+	f->targets = calloc(n + 1, sizeof(*f->targets));
+	for (i = 0; f->targets != NULL && i < n; i++) {
+		t = list[i];
 		to = &f->targets[f->ntargets++];
 		name_copy(to->id, sizeof(to->id), t->id);
 		name_copy(to->addr, sizeof(to->addr), t->addr);
@@ -203,10 +200,44 @@
 		to->gone = t->gone;
 		to->cold_until = MS(t->cold_ms);
 	}
-	read_evacuations(&f->evacuations, w, now);
+	return (f);
+}
+
+/* Hands what another host told to who keeps the list. */
+static void
+hand_on(struct keeper *k, struct fleet *f)
+{
 	msg_post(k->s->kernel, "watch", MSG_FLEET_TOLD, f, fleet_free);
 }
 
+/* Takes in what the controller tells. */
+void
+fleet_take(struct keeper *k, const Gspar__FleetTold *w, usec now)
+{
+	struct fleet *f;
+
+	if (k->acting || w->term < k->controller_term ||
+	    (f = read_targets(w->targets, w->n_targets)) == NULL)
+		return;
+	f->whole = w->whole;
+	read_evacuations(&f->evacuations, w->evacuations, w->n_evacuations,
+	    w->evacuations_as_of, now);
+	hand_on(k, f);
+}
+
+/* Takes in what a standby read in the store, while the controller does not. */
+void
+fleet_news(struct keeper *k, const Gspar__StoreNews *w, usec now)
+{
+	struct fleet *f = read_targets(w->targets, w->n_targets);
+
+	if (f == NULL)
+		return;
+	read_evacuations(&f->evacuations, w->evacuations, w->n_evacuations,
+	    w->evacuations_as_of, now);
+	hand_on(k, f);
+}
+
 /*
  * Looks whether this host knows the targets that its controller knows.  Hosts
  * are told changes by the controller alone: where frames got lost, and telling
--- a/gspard/keeper_hear.c
+++ b/gspard/keeper_hear.c
@@ -153,6 +153,7 @@
 		k->strained = w->strained;
 		k->told_fleet = w->fleet;
 		k->told_quarantine = w->quarantine;
+		k->follows = w->follows;
 		if (w->follows)
 			k->fleet_heard = now;
 		else if (k->fleet_heard > now - FOLLOW_NEXT)
--- /dev/null
+++ b/gspard/keeper_relay.c
@@ -0,0 +1,100 @@
+/*
+ * Standbys read the store for all while the controller does not: it is gone, or
+ * does not reach the store itself.  If each host did, a trouble of one of
+ * hundreds would cost a call of each of them every quarter of a second.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "keeper.h"
+
+/* Between two times that a standby tells what it read: others follow the store
+ * themselves after three without. */
+#define NEWS_EVERY MS(250)
+/* A standby that has missed two signs of life begins before others would. */
+#define RELAY_AFTER MS(650)
+
+/* True where this host is to read the store for others. */
+int
+relay_due(const struct keeper *k, usec now)
+{
+	return (!k->acting && keeper_stands_by(k) &&
+	    (!k->follows || now - k->heard > RELAY_AFTER));
+}
+
+/* Fills in the targets that get no new work; how many. */
+static size_t
+fill_closed(const struct fleet *f, Gspar__TargetTold *told,
+    Gspar__TargetTold **list, usec now)
+{
+	size_t n = 0;
+	int i;
+
+	for (i = 0; i < f->ntargets; i++) {
+		if (!f->targets[i].leaving)
+			continue;
+		fleet_fill_target(&told[n], &f->targets[i], now);
+		list[n] = &told[n];
+		n++;
+	}
+	return (n);
+}
+
+/* Tells all other hosts what this one read. */
+static void
+tell(struct keeper *k, const struct fleet *f, usec now)
+{
+	Gspar__Frame fr = GSPAR__FRAME__INIT;
+	Gspar__StoreNews w = GSPAR__STORE_NEWS__INIT;
+	Gspar__Evacuation items[EVACUATIONS_MAX], *list[EVACUATIONS_MAX];
+	Gspar__TargetTold *told, **targets;
+	const struct site *t = keeper_site(k);
+	int i;
+
+	told = calloc((size_t)f->ntargets + 1, sizeof(*told));
+	targets = calloc((size_t)f->ntargets + 1, sizeof(*targets));
+	if (told == NULL || targets == NULL)
+		goto out;
+	w.term = k->controller_term;
+	w.site = t == NULL ? 0 : t->version;
+	w.targets = targets;
+	w.n_targets = fill_closed(f, told, targets, now);
+	w.evacuations = list;
+	w.n_evacuations =
+	    fleet_fill_evacuations(&f->evacuations, items, list, now);
+	w.evacuations_as_of = f->evacuations.as_of;
+	fr.body_case = GSPAR__FRAME__BODY_STORE_NEWS;
+	fr.store_news = &w;
+	for (i = 0; i < k->nhosts; i++) {
+		if (strcmp(k->hosts[i].who.host, keeper_self(k)) != 0)
+			send_frame(k->s->kernel, k->hosts[i].who.host, 0, &fr);
+	}
+out:
+	free(told);
+	free(targets);
+}
+
+/* Tells others what is due; nothing where the store does not answer here. */
+void
+relay_tick(struct keeper *k, usec now)
+{
+	const struct fleet *f = keeper_fleet(k);
+
+	if (!relay_due(k, now) || !k->fresh || f == NULL || now < k->next_news)
+		return;
+	k->next_news = now + NEWS_EVERY;
+	tell(k, f, now);
+}
+
+/* Takes in what a standby read. */
+void
+relay_take(struct keeper *k, const Gspar__StoreNews *w, usec now)
+{
+	const struct site *t = keeper_site(k);
+
+	if (k->acting || w->term < k->controller_term)
+		return;
+	k->fleet_heard = now;
+	behind_heard(&k->behind, t == NULL ? 0 : t->version, w->site, 0, now);
+	fleet_news(k, w, now);
+}
--- a/gspard/keeper_term.c
+++ b/gspard/keeper_term.c
@@ -137,6 +137,13 @@
 	return (0);
 }
 
+/* True where this host stands by. */
+int
+keeper_stands_by(const struct keeper *k)
+{
+	return (!k->stopping && stands_by(k, &k->term.conf.self));
+}
+
 /* The hosts that can be standbys; how many. */
 static int
 candidates(const struct keeper *k, struct candidate *c, usec now)
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -1627,6 +1627,51 @@
   assert(message->base.descriptor == &gspar__fleet_told__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gspar__store_news__init
+                     (Gspar__StoreNews         *message)
+{
+  static const Gspar__StoreNews init_value = GSPAR__STORE_NEWS__INIT;
+  *message = init_value;
+}
+size_t gspar__store_news__get_packed_size
+                     (const Gspar__StoreNews *message)
+{
+  assert(message->base.descriptor == &gspar__store_news__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gspar__store_news__pack
+                     (const Gspar__StoreNews *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gspar__store_news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gspar__store_news__pack_to_buffer
+                     (const Gspar__StoreNews *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gspar__store_news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gspar__StoreNews *
+       gspar__store_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gspar__StoreNews *)
+     protobuf_c_message_unpack (&gspar__store_news__descriptor,
+                                allocator, len, data);
+}
+void   gspar__store_news__free_unpacked
+                     (Gspar__StoreNews *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gspar__store_news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gspar__frame__init
                      (Gspar__Frame         *message)
 {
@@ -5381,7 +5426,97 @@
   (ProtobufCMessageInit) gspar__fleet_told__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__frame__field_descriptors[18] =
+static const ProtobufCFieldDescriptor gspar__store_news__field_descriptors[5] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__StoreNews, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "site",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__StoreNews, site),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__StoreNews, n_targets),
+    offsetof(Gspar__StoreNews, targets),
+    &gspar__target_told__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuations",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__StoreNews, n_evacuations),
+    offsetof(Gspar__StoreNews, evacuations),
+    &gspar__evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuations_as_of",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__StoreNews, evacuations_as_of),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gspar__store_news__field_indices_by_name[] = {
+  3,   /* field[3] = evacuations */
+  4,   /* field[4] = evacuations_as_of */
+  1,   /* field[1] = site */
+  2,   /* field[2] = targets */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange gspar__store_news__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gspar__store_news__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gspar.StoreNews",
+  "StoreNews",
+  "Gspar__StoreNews",
+  "gspar",
+  sizeof(Gspar__StoreNews),
+  5,
+  gspar__store_news__field_descriptors,
+  gspar__store_news__field_indices_by_name,
+  1,  gspar__store_news__number_ranges,
+  (ProtobufCMessageInit) gspar__store_news__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gspar__frame__field_descriptors[19] =
 {
   {
     "hello",
@@ -5599,6 +5734,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_news",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__Frame, body_case),
+    offsetof(Gspar__Frame, store_news),
+    &gspar__store_news__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__frame__field_indices_by_name[] = {
   8,   /* field[8] = answer */
@@ -5617,13 +5764,14 @@
   17,   /* field[17] = quarantine_told */
   7,   /* field[7] = request */
   15,   /* field[15] = site_told */
+  18,   /* field[18] = store_news */
   5,   /* field[5] = view */
   6,   /* field[6] = view_ask */
 };
 static const ProtobufCIntRange gspar__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor gspar__frame__descriptor =
 {
@@ -5633,7 +5781,7 @@
   "Gspar__Frame",
   "gspar",
   sizeof(Gspar__Frame),
-  18,
+  19,
   gspar__frame__field_descriptors,
   gspar__frame__field_indices_by_name,
   1,  gspar__frame__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -51,6 +51,7 @@
 typedef struct Gspar__TargetTold Gspar__TargetTold;
 typedef struct Gspar__Evacuation Gspar__Evacuation;
 typedef struct Gspar__FleetTold Gspar__FleetTold;
+typedef struct Gspar__StoreNews Gspar__StoreNews;
 typedef struct Gspar__Frame Gspar__Frame;
 
 
@@ -843,6 +844,32 @@
     , 0, 0, 0,NULL, 0,NULL, 0 }
 
 
+/*
+ * From a standby that reads the store while the controller does not: what all
+ * hosts must hear of, and nothing that another may know better.
+ */
+struct  Gspar__StoreNews
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  /*
+   * The configuration that there is.
+   */
+  uint64_t site;
+  /*
+   * Targets that leave or are gone.
+   */
+  size_t n_targets;
+  Gspar__TargetTold **targets;
+  size_t n_evacuations;
+  Gspar__Evacuation **evacuations;
+  uint64_t evacuations_as_of;
+};
+#define GSPAR__STORE_NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gspar__store_news__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL, 0 }
+
+
 typedef enum {
   GSPAR__FRAME__BODY__NOT_SET = 0,
   GSPAR__FRAME__BODY_HELLO = 1,
@@ -862,7 +889,8 @@
   GSPAR__FRAME__BODY_OWNERS = 15,
   GSPAR__FRAME__BODY_SITE_TOLD = 16,
   GSPAR__FRAME__BODY_FLEET_TOLD = 17,
-  GSPAR__FRAME__BODY_QUARANTINE_TOLD = 18
+  GSPAR__FRAME__BODY_QUARANTINE_TOLD = 18,
+  GSPAR__FRAME__BODY_STORE_NEWS = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GSPAR__FRAME__BODY__CASE)
 } Gspar__Frame__BodyCase;
 
@@ -889,6 +917,7 @@
     Gspar__SiteTold *site_told;
     Gspar__FleetTold *fleet_told;
     Gspar__QuarantineTold *quarantine_told;
+    Gspar__StoreNews *store_news;
   };
 };
 #define GSPAR__FRAME__INIT \
@@ -1580,6 +1609,25 @@
 void   gspar__fleet_told__free_unpacked
                      (Gspar__FleetTold *message,
                       ProtobufCAllocator *allocator);
+/* Gspar__StoreNews methods */
+void   gspar__store_news__init
+                     (Gspar__StoreNews         *message);
+size_t gspar__store_news__get_packed_size
+                     (const Gspar__StoreNews   *message);
+size_t gspar__store_news__pack
+                     (const Gspar__StoreNews   *message,
+                      uint8_t             *out);
+size_t gspar__store_news__pack_to_buffer
+                     (const Gspar__StoreNews   *message,
+                      ProtobufCBuffer     *buffer);
+Gspar__StoreNews *
+       gspar__store_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gspar__store_news__free_unpacked
+                     (Gspar__StoreNews *message,
+                      ProtobufCAllocator *allocator);
 /* Gspar__Frame methods */
 void   gspar__frame__init
                      (Gspar__Frame         *message);
@@ -1709,6 +1757,9 @@
 typedef void (*Gspar__FleetTold_Closure)
                  (const Gspar__FleetTold *message,
                   void *closure_data);
+typedef void (*Gspar__StoreNews_Closure)
+                 (const Gspar__StoreNews *message,
+                  void *closure_data);
 typedef void (*Gspar__Frame_Closure)
                  (const Gspar__Frame *message,
                   void *closure_data);
@@ -1754,6 +1805,7 @@
 extern const ProtobufCMessageDescriptor gspar__target_told__descriptor;
 extern const ProtobufCMessageDescriptor gspar__evacuation__descriptor;
 extern const ProtobufCMessageDescriptor gspar__fleet_told__descriptor;
+extern const ProtobufCMessageDescriptor gspar__store_news__descriptor;
 extern const ProtobufCMessageDescriptor gspar__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
