The load that targets tell is decoded whole

Two of its figures were read; slots and the time that work takes on that machine at this moment were dropped, and what could not be read was dropped without a sign. One type (decide/load.h) now has all four, each target's last one is kept with its age, and what makes no sense is counted (gspar_loads_bad_total). What is decided by it is the same. Unit platform "loads" is new.

--- a/decide/dest.c
+++ b/decide/dest.c
@@ -87,7 +87,8 @@
 {
 	double x, gain;
 
-	if (a->expected <= 0 || a->waiting > 0 || !feature_on(FEATURE_SPEED))
+	if (a->expected <= 0 || a->load.waiting > 0 ||
+	    !feature_on(FEATURE_SPEED))
 		return;
 	x = (double)a->took / (double)a->expected;
 	/* One request may take many times the usual: it says little. */
@@ -105,8 +106,10 @@
 	if (d->mine > 0)
 		d->mine--;
 	d->fails += FAIL_GAIN * (bad - d->fails);
-	if (a->running >= 0) {
-		d->others = fmax(a->running + a->waiting - d->mine, 0);
+	if (a->load.told) {
+		d->load = a->load;
+		d->others =
+		    fmax(a->load.running + a->load.waiting - d->mine, 0);
 		/* What it tells may still count the request that has ended. */
 		if (a->end == DEST_ANSWERED && d->others >= 1)
 			d->others -= 1;
--- a/decide/dest.h
+++ b/decide/dest.h
@@ -5,6 +5,7 @@
 #ifndef DEST_H
 #define DEST_H
 
+#include "load.h"
 #include "rate.h"
 
 struct dest_conf {
@@ -22,11 +23,12 @@
 	double limit;  /* that it names itself; negative is none */
 	int mine;      /* requests of this host under way there */
 	double others; /* of all others, as of heard */
-	usec heard;    /* when it last told its load */
-	int samples;   /* from which speed was learnt */
-	double speed;  /* time it takes, over what others take */
-	double fails;  /* share of its answers that are failures */
-	int strikes;   /* in a row without an answer */
+	struct load load; /* that it last told */
+	usec heard;	  /* when that was */
+	int samples;	  /* from which speed was learnt */
+	double speed;	  /* time it takes, over what others take */
+	double fails;	  /* share of its answers that are failures */
+	int strikes;	  /* in a row without an answer */
 	usec shunned_until;
 	struct rate rate; /* by both, as of the last look */
 };
@@ -47,8 +49,7 @@
 	enum dest_end end;
 	usec took;
 	usec expected; /* such requests take at a usual target */
-	int running;   /* the load it told; -1 where it told none */
-	int waiting;
+	struct load load;
 };
 
 void dest_init(struct dest *, int slots);
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -53,8 +53,8 @@
 learn(struct pending *p, enum dest_end e, usec now)
 {
 	struct attempt *a = p->at;
-	struct dest_answer ans = {e, now - a->sent, (usec)p->learnt->work,
-	    a->t.reply.running, a->t.reply.waiting};
+	struct dest_answer ans = {
+	    e, now - a->sent, (usec)p->learnt->work, a->t.reply.load};
 
 	dest_ended(&a->target->dest, now, &ans);
 	a->target->answers += e <= DEST_MISSENT;
@@ -256,7 +256,7 @@
 void
 flow_left(struct direct *d, struct pending *p, usec now)
 {
-	struct dest_answer ans = {DEST_ANSWERED, 0, 0, -1, 0};
+	struct dest_answer ans = {.end = DEST_ANSWERED};
 
 	crash_unanswered(d, p, now);
 	if (p->at != NULL)
--- a/gspard/target_ops.h
+++ b/gspard/target_ops.h
@@ -9,6 +9,7 @@
 
 #include "call.h"
 #include "keys.h"
+#include "load.h"
 
 /* What came back for one request or order. */
 struct reply {
@@ -21,8 +22,7 @@
 	char handover[NAME_MAX_GS]; /* of a release */
 	int is_signed;		    /* bears the target's signature */
 	int not_run;		    /* the target says that it did not run */
-	int running;		    /* its load, -1 where it tells none */
-	int waiting;
+	struct load load;
 	double limit; /* requests a second that it takes from all hosts
 			 together; negative where it names none */
 	int closes;   /* the target closes the connection */
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -89,7 +89,6 @@
 void
 transfer_set(struct transfer *t, const char *url, long connect_ms)
 {
-	t->reply.running = -1;
 	t->reply.limit = -1;
 	curl_easy_setopt(t->easy, CURLOPT_URL, url);
 	curl_easy_setopt(t->easy, CURLOPT_NOSIGNAL, 1L);
--- a/regress/unit/t_dest.c
+++ b/regress/unit/t_dest.c
@@ -8,7 +8,8 @@
 end(struct dest *d, usec now, enum dest_end e, usec took, int running,
     int waiting)
 {
-	struct dest_answer a = {e, took, MS(100), running, waiting};
+	struct dest_answer a = {
+	    e, took, MS(100), {running >= 0, running, waiting, 0, 0}};
 
 	dest_ended(d, now, &a);
 }
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "count.h"
 #include "decode.h"
 #include "objects.h"
 #include "target.h"
@@ -374,7 +375,6 @@
 read_head(struct reply *r, const char *const *lines)
 {
 	memset(r, 0, sizeof(*r));
-	r->running = -1;
 	r->limit = -1;
 	for (; *lines != NULL; lines++)
 		objects_target.head(r, *lines, strlen(*lines));
@@ -436,12 +436,48 @@
 
 	read_head(&r, lines);
 	CU_ASSERT_STRING_EQUAL(r.heads.p, "Content-Type: text/plain\r\n");
-	CU_ASSERT_EQUAL(r.running, 3);
-	CU_ASSERT_EQUAL(r.waiting, 2);
+	CU_ASSERT(r.load.told);
+	CU_ASSERT_EQUAL(r.load.running, 3);
+	CU_ASSERT_EQUAL(r.load.waiting, 2);
 	CU_ASSERT(r.closes);
 	str_free(&r.heads);
 }
 
+/* The load that a target tells: two figures to four. */
+static void
+loads(void)
+{
+	static const struct {
+		const char *line;
+		struct load load;
+	} cases[] = {{"X-Server-Load: 3,2\r\n", {1, 3, 2, 0, 0}},
+	    {"X-Server-Load: 6,24,6\r\n", {1, 6, 24, 6, 0}},
+	    {"x-server-load: 0,0,6,310\r\n", {1, 0, 0, 6, 310}},
+	    {"X-Server-Load: 1,2,6,90,7\r\n", {1, 1, 2, 6, 90}},
+	    {"X-Server-Load: 3\r\n", {0, 0, 0, 0, 0}},
+	    {"X-Server-Load: -1,2,4\r\n", {0, 0, 0, 0, 0}},
+	    {"X-Server-Load: 1,2,4,-5\r\n", {0, 0, 0, 0, 0}},
+	    {"X-Server-Load: busy\r\n", {0, 0, 0, 0, 0}}};
+	const char *lines[] = {"HTTP/1.1 200 OK\r\n", NULL, NULL};
+	uint64_t bad = count_get(C_LOAD_BAD);
+	struct reply r;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		lines[1] = cases[i].line;
+		read_head(&r, lines);
+		CU_ASSERT_EQUAL(
+		    memcmp(&r.load, &cases[i].load, sizeof(r.load)), 0);
+		str_free(&r.heads);
+	}
+	CU_ASSERT_EQUAL(count_get(C_LOAD_BAD), bad + 4);
+	/* One that tells none. */
+	lines[1] = NULL;
+	read_head(&r, lines);
+	CU_ASSERT(!r.load.told);
+	str_free(&r.heads);
+}
+
 /* The limit that a target names; what is no number of requests is none. */
 static void
 limits(void)
@@ -502,6 +538,7 @@
     {"kinds", kinds},
     {"heads", heads},
     {"limits", limits},
+    {"loads", loads},
     {"orders", orders},
 };
 UNIT_MAIN("platform", tests)
