--- a/regress/unit/t_feature.c
+++ b/regress/unit/t_feature.c
@@ -43,8 +43,10 @@
 static struct dest
 bad_target(void)
 {
-	struct dest_answer slow = {DEST_ANSWERED, MS(300), MS(100), 4, 0};
-	struct dest_answer failed = {DEST_FAILED, MS(10), MS(100), 4, 9};
+	struct dest_answer slow = {
+	    DEST_ANSWERED, MS(300), MS(100), {1, 4, 0, 0, 0}};
+	struct dest_answer failed = {
+	    DEST_FAILED, MS(10), MS(100), {1, 4, 9, 0, 0}};
 	struct dest d;
 
 	dest_init(&d, 4);
@@ -101,7 +103,7 @@
 shun(void)
 {
 	const enum dest_end ends[] = {DEST_UNREACHED, DEST_REFUSED};
-	struct dest_answer a = {DEST_UNREACHED, 0, MS(100), -1, 0};
+	struct dest_answer a = {DEST_UNREACHED, 0, MS(100), {0, 0, 0, 0, 0}};
 	struct dest d;
 	size_t i;
 
