Soak: evacuations of data centres

With evac=1 data centres are evacuated, one at a time for 8 s or more, beside all other faults; what runs there from the bound on, without trouble of hosts or the store, fails.

--- a/regress/soak/checks.lua
+++ b/regress/soak/checks.lua
@@ -93,6 +93,25 @@
 	end
 end
 
+-- The targets of an evacuated data centre get nothing from the bound on, but for
+-- what came by hosts that could not know.
+function check_evacuations(s, faults)
+	local EVACUATE_MS = 5000
+	local ran = runs(s)
+	for _, f in ipairs(faults.done) do
+		for rid, list in pairs(f.dc and ran or {}) do
+			for _, r in ipairs(list) do
+				check(s.servers[r.server].dc ~= f.dc or
+				    r.at < f.acked + EVACUATE_MS or
+				    r.at > f.taken_back or faults:troubled(
+				    f.acked - STABLE_MS, r.at, nil, true),
+				    "%s ran on %s, %.0f ms after %s was evacuated",
+				    rid, r.server, r.at - f.acked, f.dc)
+			end
+		end
+	end
+end
+
 -- All hosts together send a request on only within the budget: in any window a
 -- share of the requests and some beyond it, whatever the targets answer.
 local WINDOW_MS, SHARE, SLACK = 10000, 0.2, 70
--- a/regress/soak/faults.lua
+++ b/regress/soak/faults.lua
@@ -329,6 +329,23 @@
 	end },
 }
 
+-- With evac=1 data centres are evacuated too, one at a time.
+local EVACUATION = { 4, "evacuation", function(s, f)
+	if f.store_broken or s.evacuated then
+		return
+	end
+	local dc = pick(s.opt.centres)
+	s.evacuated, f.dc = dc, dc
+	f.acked = s:evacuate(dc, true)
+	f.planned, f.writes, f.least = true, true, 8000
+	f.heal = function()
+		f.taken_back = now_ms()
+		s:evacuate(dc, false)
+		s.evacuated = nil
+	end
+	return dc
+end }
+
 -- With calm=1 nothing happens that excuses a host: what is told too late, or
 -- not at all, is then seen as such.
 local CALM = { stop = true, target = true, settings = true,
@@ -343,6 +360,9 @@
 			table.insert(all, k)
 		end
 	end
+	if ARG:match("evac=1") then
+		table.insert(all, EVACUATION)
+	end
 	for _, k in ipairs(ARG:match("more=1") and MORE or {}) do
 		table.insert(all, k)
 	end
--- a/regress/soak/soak.lua
+++ b/regress/soak/soak.lua
@@ -3,7 +3,7 @@
 -- the targets, in series that overlap.  A seed gives the whole schedule.  What
 -- callers and targets saw is checked against what is promised.
 -- ARG: seed=N secs=N hosts=N servers=N callers=N ports=N centres=N; routes=N, so
--- many more in each configuration; more=1 and calm=1, see faults.lua
+-- many more in each configuration; more=1, evac=1 and calm=1, see faults.lua
 dofile("regress/scenario/lib_site.lua")
 dofile("regress/soak/faults.lua")
 dofile("regress/soak/checks.lua")
@@ -17,7 +17,8 @@
 local s = standard_site { centres = { table.unpack(centres, 1,
     arg("centres", 2)) }, hosts = arg("hosts", 4), plain = arg("servers", 4),
     keyed = arg("servers", 4), store_wires = true, server_wires = true,
-    peer_wires = true, work = 8 }
+    peer_wires = true, work = 8, bounds = ARG:match("evac=1") and
+    "evacuate = 5s" or nil }
 s.routes = s:many_routes(arg("routes", 0))
 s:add_stranger()
 
@@ -66,6 +67,7 @@
 s:journals_ok()
 check_callers(s, faults, #callers, healed)
 check_leaving(s, faults)
+check_evacuations(s, faults)
 check_repeats(s, #callers)
 check_stranger(s)
 say("seed %d: %d faults, %d versions, all promises kept", SEED, #faults.done,
