--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # make soak     play a seed of the fault soak: SEED, SECS, HOSTS
 # make fuzz     fuzz the readers of bytes from outside: SECS a reader
 # make demo     start a small fleet, serve requests through it, stop it
-# make bench    run the measurements that docs/CAPACITY.md cites
+# make bench    run the measurements that docs/CAPACITY-NATIVE.md cites
 SHELL =		/bin/bash
 LIBS =		proto lib decide platform
 PROGS =		gspard gsparctl standin
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Runs the measurements that docs/CAPACITY.md and docs/DESIGN.md cite, and
+# Runs the measurements that docs/CAPACITY-NATIVE.md and docs/DESIGN.md cite, and
 # keeps what they print in bench/results/.  Some fourteen minutes.
 cd "$(dirname "$0")/.." || exit 1
 work=$(mktemp -d) || exit 1
--- a/decide/dest.c
+++ b/decide/dest.c
@@ -42,8 +42,8 @@
 	rate_init(&d->rate);
 }
 
-/* Requests a second that the target takes from all hosts now; negative is any
- * number.  A cold one that gets many more than it takes crashes. */
+/* The rate limit in force, in requests a second of all hosts; negative is none.
+ * A cold target crashes well above its own. */
 double
 dest_limit(const struct dest *d, usec now)
 {
@@ -52,7 +52,7 @@
 	return (d->limit < 0 ? d->cold_rate : fmin(d->limit, d->cold_rate));
 }
 
-/* Brings the rate that hosts keep together up to date. */
+/* Applies the rate limit in force. */
 void
 dest_look(struct dest *d, const struct rate_turns *t, usec now)
 {
@@ -153,7 +153,7 @@
 	return (d->mine + d->others * exp2(-age / (double)OTHERS_HALF));
 }
 
-/* True where the target is not to be sent anything new. */
+/* True where the target gets no new requests. */
 int
 dest_closed(const struct dest *d, usec now)
 {
--- a/decide/evacuation.c
+++ b/decide/evacuation.c
@@ -4,7 +4,7 @@
 
 #include "evacuation.h"
 
-/* One that has ended is kept for longer than targets are cold afterwards. */
+/* Ended evacuations are kept until the targets are warm again. */
 #define ENDED_KEPT MS(30000)
 
 /* The place of a data centre, or -1. */
@@ -20,8 +20,8 @@
 	return (-1);
 }
 
-/* An entry to be used: a new one, or the oldest that has ended; NULL where all
- * are in force. */
+/* A free entry: a new one, or the oldest that has ended; NULL where all are
+ * active. */
 static struct evacuation *
 spare(struct evacuations *e)
 {
@@ -39,9 +39,8 @@
 }
 
 /*
- * A data centre is being evacuated, since a moment or, where that is 0, since
- * one that is not known.  One that is known already keeps its time.  0, or -1
- * where there is no room.
+ * Starts an evacuation; since is 0 where its start is unknown.  One that is
+ * already active keeps its start.  0, or -1 where the table is full.
  */
 int
 evacuations_begin(struct evacuations *e, const char *dc, usec since)
@@ -59,7 +58,7 @@
 	return (0);
 }
 
-/* An evacuation was taken back. */
+/* Ends an evacuation. */
 void
 evacuations_end(struct evacuations *e, const char *dc, usec now)
 {
@@ -72,8 +71,8 @@
 }
 
 /*
- * Takes over a whole list of those in force, read from the store; 1 where that
- * changes anything.  What is known as of a later revision stays.
+ * Adopts the complete set as listed from the store; 1 where that changes
+ * anything.  A set of a later revision is kept.
  */
 int
 evacuations_listed(
@@ -95,9 +94,8 @@
 }
 
 /*
- * Takes over what another host tells; 1 where it does.  What is known as of a
- * later revision stays, and so does the time since when one is known here: who
- * has just learnt of it from a list does not know that.
+ * Adopts the set of another host; 1 where it is newer.  Known start times are
+ * kept: a host that only listed the store does not have them.
  */
 int
 evacuations_told(struct evacuations *e, const struct evacuations *told)
@@ -117,7 +115,7 @@
 	return (1);
 }
 
-/* Forgets those that ended long ago. */
+/* Drops evacuations that ended long ago. */
 void
 evacuations_expire(struct evacuations *e, usec now)
 {
@@ -139,8 +137,8 @@
 }
 
 /*
- * From when on the targets of a data centre get no new requests; 0 is not at
- * all.  The grace is for what only they can serve: it is moved meanwhile.
+ * When targets of a data centre stop getting new requests; 0 where they do not.
+ * The grace period is for targets that own keys, which are moved in it.
  */
 usec
 evacuations_closed_from(const struct evacuations *e, const char *dc, usec grace)
@@ -153,9 +151,8 @@
 }
 
 /*
- * Until when targets of a data centre are taken to be cold after it was taken
- * back; 0 is not at all.  That they are may be learnt after requests for them
- * are let in.
+ * When targets of a data centre are warm after its evacuation has ended; 0
+ * where none has.  Their entries may say so later than the end itself.
  */
 usec
 evacuations_cold_until(
@@ -166,7 +163,8 @@
 	return (i < 0 || !e->list[i].ended ? 0 : e->list[i].since + cold_start);
 }
 
-/* The same where the same data centres are evacuated; 0 is none. */
+/* A digest of the active evacuations, independent of their order; 0 for none.
+ */
 uint64_t
 evacuations_digest(const struct evacuations *e)
 {
--- a/decide/evacuation.h
+++ b/decide/evacuation.h
@@ -15,13 +15,13 @@
 struct evacuation {
 	char dc[NAME_MAX_GS];
 	int ended;
-	usec since; /* this is known; 0 where it may be long ago */
+	usec since; /* when this became known; 0 is an unknown time ago */
 };
 
 struct evacuations {
 	struct evacuation list[EVACUATIONS_MAX];
 	int n;
-	uint64_t as_of; /* revision of the store; 0 is not known */
+	uint64_t as_of; /* store revision of this set; 0 where none was read */
 };
 
 int evacuations_begin(struct evacuations *, const char *dc, usec since);
--- a/decide/keys.c
+++ b/decide/keys.c
@@ -140,7 +140,7 @@
 	}
 }
 
-/* Takes in until when a target is cold. */
+/* Sets until when a target is cold. */
 static void
 take_cold(const struct keys *k, struct key_target *t, const struct fleet *f,
     const struct fleet_target *told)
--- a/decide/keys_plan.c
+++ b/decide/keys_plan.c
@@ -27,8 +27,8 @@
 /* Beyond so many ranges for each target small cold ones are joined. */
 #define RANGES_EACH 6
 #define COLD_FACTOR 0.5
-/* Each of many hosts may send a cold target that takes few requests one of them
- * in seconds: most of those for keys that it owns are refused. */
+/* Weight of a cold target with a rate limit: the share of one of many hosts is
+ * so small that most requests for keys it owns would be refused. */
 #define COLD_LIMITED_FACTOR 0.02
 #define PIECES 4
 /* Keys that are taken to be about as busy as each other, and what one of them
@@ -49,7 +49,7 @@
  * be seen that it takes more again. */
 #define CAP_LEAST 0.02
 
-/* True where a target is cold and takes few requests meanwhile. */
+/* True where a target is cold and has a rate limit meanwhile. */
 static int
 takes_few(const struct key_target *t, usec now)
 {
--- a/decide/quarantine.c
+++ b/decide/quarantine.c
@@ -10,12 +10,12 @@
 /* By then the target's software may have been mended.  A content that was
  * quarantined before needs one more crash only. */
 #define QUARANTINE_FOR MS(3600000)
-/* Without another crash a content is off probation again. */
+/* Probation ends after this time without another crash. */
 #define PROBATION_FOR MS(60000)
-/* So soon after probation began, runs of before it may still end with their
- * targets, and hosts that have had an answer may not have told so. */
+/* Grace period at the start of probation: runs that were sent before it may
+ * still crash, and hosts with a recent answer have yet to report it. */
 #define PROBATION_SETTLES MS(600)
-/* An answer clears a content from crashes so long ago and for so long. */
+/* After an answer, crashes are not attributed to the content for this time. */
 #define CLEARED_FOR MS(10000)
 
 /* The entry of a content, or NULL. */
@@ -31,7 +31,7 @@
 	return (NULL);
 }
 
-/* Until when a content is on the list; 0 is not. */
+/* When a content leaves the list; 0 where it is not on it. */
 static usec
 listed_until(const struct quarantine_entry *e)
 {
@@ -90,7 +90,7 @@
 	return (0);
 }
 
-/* The content is quarantined from now on. */
+/* Quarantines a content. */
 static void
 confirm(struct quarantine_entry *e, usec now)
 {
@@ -98,7 +98,8 @@
 	e->probation_since = 0;
 }
 
-/* A crash of another target than before; 1 where that quarantines the content.
+/* Handles the crash of a further target; 1 where that quarantines the content.
+ * The crash is proof where the run was sent on probation: it was the only one.
  */
 static int
 crashed_again(struct quarantine_entry *e, int proof, usec now)
@@ -113,7 +114,8 @@
 	return (1);
 }
 
-/* Runs of a content ended with a target; 1 where that quarantines it. */
+/* Counts runs of a content that were under way when their target crashed; 1
+ * where that quarantines it. */
 static int
 crashed(
     struct quarantine *q, const struct quarantine_break *b, int runs, usec now)
@@ -171,9 +173,8 @@
 	return (NULL);
 }
 
-/* Notes that sends ended without an answer, so many in all that this source
- * has had; 1 where a content is quarantined by that.  Told twice, they count
- * once. */
+/* Records sends that ended without an answer, as a total for their source; 1
+ * where that quarantines the content.  A repeated report counts once. */
 int
 quarantine_broke(
     struct quarantine *q, const struct quarantine_break *told, usec now)
@@ -191,7 +192,7 @@
 	return (has_ended(q, b->target, now) ? crashed(q, b, more, now) : 0);
 }
 
-/* Notes one send of this host that ended without an answer. */
+/* Records one send of this host that ended without an answer. */
 int
 quarantine_broke_here(struct quarantine *q, uint64_t digest, uint64_t target,
     int on_probation, usec now)
@@ -229,9 +230,9 @@
 }
 
 /*
- * Quarantines what is on probation and under which several targets crashed
- * within moments, once hosts have had the time to say that it was answered; how
- * many contents.
+ * Quarantines contents under which several targets crashed at about the same
+ * time, after the grace period in which hosts may report an answer; returns how
+ * many.
  */
 int
 quarantine_settle(struct quarantine *q, usec now)
@@ -252,8 +253,8 @@
 }
 
 /*
- * A content on probation was answered, lately or now: it was only under way
- * where targets crashed for another reason.
+ * Clears a content that was answered: its runs were under way when targets
+ * crashed for another reason.
  */
 void
 quarantine_answered(struct quarantine *q, uint64_t digest, usec now)
@@ -267,8 +268,7 @@
 	e->cleared = now;
 }
 
-/* Takes over that a content is quarantined, or on probation, for so much
- * longer; 1 where that is new here. */
+/* Adds an item of another host's list; 1 where it is new here. */
 int
 quarantine_add(
     struct quarantine *q, const struct quarantine_item *item, usec now)
@@ -295,8 +295,8 @@
 	return (1);
 }
 
-/* Takes over the controller's list: what it does not have on probation is off
- * it here too. */
+/* Adopts the controller's list.  Contents that it does not list are off
+ * probation here too; quarantined ones stay. */
 void
 quarantine_told(struct quarantine *q, const struct quarantine_list *l, usec now)
 {
--- a/decide/quarantine.h
+++ b/decide/quarantine.h
@@ -1,10 +1,10 @@
 /*
  * Requests that crash the targets that run them.  Hosts tell which contents
  * were under way at a target when its connections broke, and which targets
- * have ended; both together are a crash under each of these contents.  One of
- * which several runs ended so is on probation: it runs once at a time in the
- * whole fleet, until an answer clears it or a target crashes under it once
- * more.  Then it is quarantined: sent to none.
+ * have ended; both together are a crash under each of these contents.  A
+ * content with several such runs is on probation: the fleet runs it one at a
+ * time.  An answer clears it; another crash quarantines it, and it is sent to
+ * no target.
  */
 #ifndef QUARANTINE_H
 #define QUARANTINE_H
--- a/decide/standby.c
+++ b/decide/standby.c
@@ -5,7 +5,7 @@
 #include "standby.h"
 
 /* What a controller spends for each host of its fleet, with ten targets each:
- * 0.0794 of a core and 9 Mbit/s at 101 hosts (docs/CAPACITY.md). */
+ * cores, and Mbit/s of its link. */
 #define CORES_EACH 0.0008
 #define MBPS_EACH 0.09
 /* The rest of a host is for callers' requests. */
--- a/gspard/direct_crash.c
+++ b/gspard/direct_crash.c
@@ -1,7 +1,7 @@
 /* What the router sees of targets that crash, for the control service. */
 #include "direct.h"
 
-/* What is on probation is soon known to be harmless, or not. */
+/* Retry delay for a content on probation. */
 #define PROBATION_WAIT MS(1000)
 
 /* A target has ended: nobody takes connections at its address, another does, or
@@ -34,7 +34,7 @@
 	return (item != NULL && item->probation);
 }
 
-/* Tells the controller that a content on probation was answered. */
+/* Reports an answer to a content on probation to the controller. */
 static void
 tell_answered(struct direct *d, uint64_t digest)
 {
@@ -44,7 +44,7 @@
 		n->answered[n->nanswered++] = digest;
 }
 
-/* Notes that a content was answered. */
+/* Records an answer. */
 void
 crash_answered(struct direct *d, uint64_t digest, usec now)
 {
@@ -53,14 +53,14 @@
 		tell_answered(d, digest);
 }
 
-/* Notes that a content is sent. */
+/* Records that a request is sent. */
 void
 crash_sent(struct direct *d, struct pending *p, usec now)
 {
 	p->at->on_probation = on_probation(d, p->digest, now);
 }
 
-/* A run of a content was not answered, and it may be why. */
+/* Records that a run ended without an answer. */
 void
 crash_unanswered(struct direct *d, const struct pending *p, usec now)
 {
@@ -68,8 +68,7 @@
 		recent_note(&d->tried, p->digest, now);
 }
 
-/* Another list came: tells of what is on probation there and was answered here
- * lately. */
+/* Reports recent answers to contents that a new list has on probation. */
 void
 crash_listed(struct direct *d, usec now)
 {
@@ -83,7 +82,7 @@
 	}
 }
 
-/* True where a run of the content is under way here. */
+/* True where this host has a run of the content under way. */
 static int
 is_running(const struct direct *d, uint64_t digest)
 {
@@ -97,9 +96,9 @@
 }
 
 /*
- * True where a request may run, by what is known of its content; else when to
- * come back.  One on probation runs at one host alone, and there once at a
- * time: what it does is to be seen before the next.
+ * True where the content of a request permits a run; else sets the retry delay.
+ * On probation one host runs it, one at a time, so that a crash has one
+ * possible cause.
  */
 int
 crash_may_run(struct direct *d, const struct pending *p, usec *wait, usec now)
--- a/gspard/direct_flow.c
+++ b/gspard/direct_flow.c
@@ -21,7 +21,7 @@
 #define RETRY_PART 3
 /* Where FEATURE_RETRY is off. */
 #define RETRY_FIXED_MS 200
-/* The keys of an evacuated target that have not moved in time do so soon. */
+/* Retry delay for keys that were not moved before their target was closed. */
 #define EVACUATED_WAIT MS(500)
 /* How much one gap between starts changes what was learnt. */
 #define GAP_GAIN 0.2
--- a/gspard/direct_pick.c
+++ b/gspard/direct_pick.c
@@ -11,9 +11,9 @@
 /* Usual time of a request of which nothing was learnt, in microseconds. */
 #define WORK_FIRST 100000.0
 
-/* Between looks at what targets take from all hosts together. */
+/* Interval at which limits of targets are updated. */
 #define LIMITS_EVERY MS(20)
-/* Hosts there are at most, for their parts until they are counted. */
+/* Assumed number of hosts until the controller has counted them. */
 #define HOSTS_UNCOUNTED 512
 
 /* A target by id, or NULL. */
@@ -34,9 +34,9 @@
 }
 
 /*
- * From when on a target gets no new requests, where its data centre is
- * evacuated.  What any target can serve goes elsewhere at once; keys are moved
- * first, in half of the time that there is.
+ * When a target stops getting requests because its data centre is evacuated:
+ * at once, or after half of the bound where it owns keys, which are moved
+ * first.
  */
 static usec
 closed_from(
@@ -49,7 +49,7 @@
 	    &f->evacuations, t->dc, v != NULL && v->keyed ? bound / 2 : 0));
 }
 
-/* Takes in until when a target is cold. */
+/* Sets until when a target is cold, and its rate limit meanwhile. */
 static void
 take_cold(struct dest *d, const struct site_service *v, const struct fleet *f,
     const struct fleet_target *t)
@@ -61,7 +61,7 @@
 	d->cold_rate = v == NULL ? 0 : v->cold_rate;
 }
 
-/* When it is this host's turn where all share a limit. */
+/* This host's turns at targets whose limit is shared by all hosts. */
 static struct rate_turns
 turns(const struct direct *d, usec now)
 {
@@ -70,13 +70,13 @@
 
 	if (d->counted)
 		return (t);
-	/* As in the largest fleet: a part too small is made up for later. */
+	/* Too small a share only delays requests; too large breaks limits. */
 	t.hosts = HOSTS_UNCOUNTED;
 	t.rank = (int)(XXH3_64bits(host, strlen(host)) % HOSTS_UNCOUNTED);
 	return (t);
 }
 
-/* Brings the limits of all targets up to date. */
+/* Updates the limits of all targets. */
 void
 targets_limits(struct direct *d, usec now)
 {
--- a/gspard/keeper_hear.c
+++ b/gspard/keeper_hear.c
@@ -94,9 +94,9 @@
 }
 
 /*
- * Takes in which hosts there are.  The controller names them when that changes,
- * and until then means the same ones: forgotten in a long calm, each host would
- * take itself for the first of all, and all would take their turns at once.
+ * Updates the list of hosts.  The controller sends it when it changes; in
+ * between, each heartbeat confirms the last one.  Expired instead, it would
+ * give all hosts the same rank, and with it the same turn at limited targets.
  */
 static void
 hosts_told(struct keeper *k, const Gspar__Owners *w, usec now)
--- a/gspard/keeper_relay.c
+++ b/gspard/keeper_relay.c
@@ -1,20 +1,19 @@
 /*
- * Standbys read the store for all while the controller does not: it is gone, or
- * does not reach the store itself.  If each host did, a trouble of one of
- * hundreds would cost a call of each of them every quarter of a second.
+ * Standbys relay news of the store while the controller is lost or cannot reach
+ * the store itself.  Without them every host of the fleet would poll the store
+ * until control has changed hands.
  */
 #include <stdlib.h>
 #include <string.h>
 
 #include "keeper.h"
 
-/* Between two times that a standby tells what it read: others follow the store
- * themselves after three without. */
+/* Interval of the broadcast; other hosts poll the store after three missed. */
 #define NEWS_EVERY MS(250)
-/* A standby that has missed two signs of life begins before others would. */
+/* A standby starts after two missed heartbeats, before other hosts would. */
 #define RELAY_AFTER MS(650)
 
-/* True where this host is to read the store for others. */
+/* True where this host is to relay. */
 int
 relay_due(const struct keeper *k, usec now)
 {
@@ -22,7 +21,7 @@
 	    (!k->follows || now - k->heard > RELAY_AFTER));
 }
 
-/* Fills in the targets that get no new work; how many. */
+/* Lists the targets that get no new requests; returns how many. */
 static size_t
 fill_closed(const struct fleet *f, Gspar__TargetTold *told,
     Gspar__TargetTold **list, usec now)
@@ -40,7 +39,7 @@
 	return (n);
 }
 
-/* Tells all other hosts what this one read. */
+/* Broadcasts to all other hosts. */
 static void
 tell(struct keeper *k, const struct fleet *f, usec now)
 {
@@ -74,7 +73,7 @@
 	free(targets);
 }
 
-/* Tells others what is due; nothing where the store does not answer here. */
+/* Broadcasts when due, where the store answers this host. */
 void
 relay_tick(struct keeper *k, usec now)
 {
@@ -86,7 +85,7 @@
 	tell(k, f, now);
 }
 
-/* Takes in what a standby read. */
+/* Handles the broadcast of a standby. */
 void
 relay_take(struct keeper *k, const Gspar__StoreNews *w, usec now)
 {
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -76,8 +76,7 @@
 	known_put(&w->known, &t, now);
 }
 
-/* Reads an object that says that a data centre is evacuated; since is 0 where
- * it may be long ago. */
+/* Handles one evacuation; since is 0 where its start is unknown. */
 static void
 take_evacuation(
     struct watch *w, const struct found *f, int listing, usec since, usec now)
@@ -92,14 +91,14 @@
 		    EVACUATIONS_MAX, f->name);
 }
 
-/* Reads changes of what is evacuated. */
+/* Handles changes of evacuations. */
 static void
 take_evacuations(struct watch *w, const struct store *st, usec since, usec now)
 {
 	struct evacuations *e = &w->known.evacuations;
 	int i;
 
-	/* Of a call that began before another told what is newer. */
+	/* Another host has sent a later revision meanwhile. */
 	if (st->nfound == 0 || st->version < e->as_of)
 		return;
 	for (i = 0; i < st->nfound; i++)
@@ -170,8 +169,7 @@
 	    kernel_conf(s->kernel)->bounds.evacuate_ms > 0);
 }
 
-/* True once it is known which targets there are, and which are not to be sent
- * anything. */
+/* True once the targets are known, and which of them are evacuated. */
 static int
 knows_fleet(const struct service *s)
 {
@@ -183,7 +181,7 @@
 		w->known.evacuations.as_of != 0));
 }
 
-/* Logs which data centres are evacuated, where that has changed. */
+/* Logs evacuations when they have changed. */
 static void
 log_evacuations(struct watch *w)
 {
