--- a/regress/scenario/site_cold.lua
+++ b/regress/scenario/site_cold.lua
@@ -32,8 +32,11 @@
 	end
 end
 
-press(1500)
-check(s:worst_second("i-1", 0, now_ms()) > MOST, "too little load")
+-- A busy machine presses more slowly: wait until the load would exceed it.
+await("load enough", 20000, function()
+	press(500)
+	return s:worst_second("i-1", 0, now_ms()) > MOST
+end)
 local at = s:chill("i-1", COLD)
 s:chill("i-5", COLD)
 press(COLD + 500)
