A standby relays to no more hosts than it could control

Hosts of a fifth of a core cannot broadcast to 300 others four times a second, least of all while all of them start.

Change: a standby relays where its processor and link would do to control that many hosts; else the others read the store themselves, as before.

Scenario site_relay fails before ("small hosts relay"), passes now; the counter gspar_store_news_total is new. site_lostwatch passes.

--- a/gspard/keeper_relay.c
+++ b/gspard/keeper_relay.c
@@ -7,18 +7,22 @@
 #include <string.h>
 
 #include "keeper.h"
+#include "standby.h"
 
 /* Interval of the broadcast; other hosts poll the store after three missed. */
 #define NEWS_EVERY MS(250)
 /* A standby starts after two missed heartbeats, before other hosts would. */
 #define RELAY_AFTER MS(650)
 
-/* True where this host is to relay. */
+/* True where this host is to relay.  A host that could not control so many
+ * hosts is of no use to them: its broadcasts would take all of its processor.
+ */
 int
 relay_due(const struct keeper *k, usec now)
 {
 	return (!k->acting && keeper_stands_by(k) &&
-	    (!k->follows || now - k->heard > RELAY_AFTER));
+	    (!k->follows || now - k->heard > RELAY_AFTER) &&
+	    !strained(keeper_bears(k), k->nhosts));
 }
 
 /* Lists the targets that get no new requests; returns how many. */
@@ -82,6 +86,7 @@
 	if (!relay_due(k, now) || !k->fresh || f == NULL || now < k->next_news)
 		return;
 	k->next_news = now + NEWS_EVERY;
+	count_add(C_STORE_NEWS, 1);
 	tell(k, f, now);
 }
 
--- a/lib/count.h
+++ b/lib/count.h
@@ -51,6 +51,7 @@
 	X(C_GRANTS_FAILED, "grants_failed", "Orders not answered in time")     \
 	X(C_QUARANTINED, "quarantined",                                        \
 	    "Requests refused: they crash targets")                            \
+	X(C_STORE_NEWS, "store_news", "Broadcasts of the store's news")        \
 	X(C_LOAD_BAD, "loads_bad", "Loads of targets that make no sense")      \
 	X(C_ENTRY_FOREIGN, "entries_foreign", "Entries that make no sense")
 
