Answers that announce that their target leaves are read and logged

A host that goes on using a leaving target has no line that tells whether the target's answers said so, so logs cannot tell a header that is not read from one that is forgotten. The adapter reads Server-Leaving, the router logs the first such answer of each target. An answer of another target at the same address says nothing of this one. Unit platform, "leave announcements". Nothing acts on it yet.

--- a/decide/dest.h
+++ b/decide/dest.h
@@ -17,6 +17,7 @@
 	int leaving;
 	int same_dc;	  /* in this host's data centre */
 	usec closed_from; /* gets no new requests from then on; 0 if never */
+	usec leave_announced_at; /* by an answer; 0 if not */
 	usec cold_until;
 	double cold_rate; /* limit while it is cold; 0 if none */
 	double limit;	  /* its own, in requests a second; negative if none */
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -102,6 +102,14 @@
 	flow_route(d, p, now);
 }
 
+/* True if another target has answered at the target's address. */
+static int
+is_from_another(const struct target_state *s, const struct reply *r)
+{
+	return (
+	    r->instance[0] != '\0' && !incarnation_is_of(s->id, r->instance));
+}
+
 /* Handles an attempt that the target did not run: retries it or refuses the
  * request. */
 static void
@@ -112,9 +120,7 @@
 
 	if (kind == REPLY_NOT_OWNER) {
 		count_add(C_NOT_OWNER, 1);
-		/* The address now belongs to another target. */
-		if (p->attempt->t.reply.instance[0] != '\0' &&
-		    !incarnation_is_of(s->id, p->attempt->t.reply.instance)) {
+		if (is_from_another(s, &p->attempt->t.reply)) {
 			s->replaced = 1;
 			crash_add_end(d, s);
 		}
@@ -204,8 +210,20 @@
 		    "Target %s no longer sets a rate limit.", s->id);
 }
 
-/* Updates whether the target has ended, its limit, and whether the content got
- * an answer. */
+/* Records that an answer announced that the target is leaving. */
+static void
+update_leaving(struct target_state *s, const struct reply *r, usec now)
+{
+	if (!r->leaving || s->dest.leave_announced_at != 0 ||
+	    is_from_another(s, r))
+		return;
+	s->dest.leave_announced_at = now;
+	log_line(LOG_NOTICE, "router",
+	    "Target %s has announced in an answer that it is leaving.", s->id);
+}
+
+/* Updates whether the target has ended, its limit, whether it is leaving, and
+ * whether the content got an answer. */
 static void
 update_target(struct direct *d, struct pending *p, CURLcode res,
     enum reply_kind kind, usec now)
@@ -217,8 +235,10 @@
 	if (res != CURLE_OK)
 		return;
 	s->ended = 0;
-	if (kind != REPLY_FOREIGN)
+	if (kind != REPLY_FOREIGN) {
 		update_limit(d, s, p->attempt->t.reply.limit, kind, now);
+		update_leaving(s, &p->attempt->t.reply, now);
+	}
 	if (kind == REPLY_ANSWER || kind == REPLY_FAILURE)
 		crash_add_answer(d, p->digest, now);
 }
--- a/gspard/target_ops.h
+++ b/gspard/target_ops.h
@@ -25,6 +25,7 @@
 	struct load load;
 	double limit; /* of the target, in requests a second from all hosts;
 			 negative if it names none */
+	int leaving;  /* the target states that it is leaving */
 	int closes;   /* the target closes the connection */
 };
 
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -512,6 +512,29 @@
 	}
 }
 
+/* Guards against missing that a target announces that it is leaving. */
+static void
+leave_announcements(void)
+{
+	static const struct {
+		const char *line;
+		int leaving;
+	} cases[] = {{"Server-Leaving: 1\r\n", 1}, {"server-leaving:1\r\n", 1},
+	    {"Server-Leaving: 0\r\n", 0}, {"Server-Leaving: \r\n", 0},
+	    {"Server-Leaving: 10\r\n", 0}};
+	const char *lines[] = {"HTTP/1.1 200 OK\r\n", NULL, NULL};
+	struct reply r;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		lines[1] = cases[i].line;
+		parse_lines(&r, lines);
+		CU_ASSERT_EQUAL(r.leaving, cases[i].leaving);
+		CU_ASSERT(r.headers.n == 0);
+		str_free(&r.headers);
+	}
+}
+
 static void
 orders(void)
 {
@@ -547,6 +570,7 @@
     {"reply kinds", reply_kinds},
     {"forwarded headers", forwarded_headers},
     {"rate limits", rate_limits},
+    {"leave announcements", leave_announcements},
     {"loads", loads},
     {"orders", orders},
 };
