Failing tests: a target that announces in answers that it leaves

site_leave_answers plays it with the store away, site_leave_unwritten with an entry that is not written. The log has the announcement once for each host and target, and no list of targets after it: it is not read rather than forgotten. The stand-in for targets sends the header in all its answers, also to orders.

--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -349,6 +349,53 @@
 	return st, text, header, "q" .. self.request_count
 end
 
+-- Returns the arrivals of requests at a target: a list of times in ms and
+-- request ids.
+function Site:arrivals(id)
+	local all = {}
+	for l in read_file(id .. ".journal"):gmatch("[^\n]+") do
+		local at, rid = l:match("^came (%d+) (%S+)")
+		if at then
+			table.insert(all, { at = tonumber(at) / 1000, rid = rid })
+		end
+	end
+	return all
+end
+
+-- Checks that no host sent a request to a target that its caller had sent later
+-- than `drain` ms after the host passed on the target's first answer since
+-- `from`.  `sent` lists all requests in order: host, request id, when it was
+-- sent and answered, and body of the answer.
+function Site:check_drained(id, sent, from, drain)
+	local passed_on, by_rid = {}, {}
+	for _, r in ipairs(sent) do
+		by_rid[r.rid] = r
+		if r.at >= from and (r.body or ""):match("^(%S+)") == id and
+		    not passed_on[r.host] then
+			passed_on[r.host] = r.answered
+		end
+	end
+	check(next(passed_on), "%s has passed on no answer", id)
+	for _, a in ipairs(self:arrivals(id)) do
+		local r = by_rid[a.rid]
+		local since = r and passed_on[r.host] or math.huge
+		check(not r or r.at <= since + drain,
+		    "%s sent %s a request %.0f ms after it announced that it " ..
+		    "leaves", r and r.host, id, r and r.at - since)
+	end
+end
+
+-- Sends a request like Site:request, and appends it to `sent` for
+-- Site:check_drained.  Returns the status, the header and the time it took.
+function Site:request_traced(sent, name, p, headers)
+	local r = { host = name, at = now_ms() }
+	local st, header
+	st, r.body, header, r.rid = self:request(name, p, headers)
+	r.answered = now_ms()
+	table.insert(sent, r)
+	return st, header, r.answered - r.at
+end
+
 -- Sends a request whose answer is read later: that of the oldest request once
 -- more than `max` are pending.  Answers are counted by kind and status.
 function Site:send_async(name, kind, p, headers, max)
--- a/standin/server.c
+++ b/standin/server.c
@@ -52,6 +52,7 @@
 				 requests per second, 0 if none; set in
 				 hundredths */
 static int reset_new;	     /* closes new connections without an answer */
+static int leaving;	     /* announced in all answers */
 
 static const struct argp_option options[] = {
     {"listen", 'l', "IP:PORT", 0, "Address to serve", 0},
@@ -313,6 +314,7 @@
 	refusals_left =
 	    (int)web_parse_number(web_arg(q, "refuse"), refusals_left);
 	reset_new = (int)web_parse_number(web_arg(q, "reset_new"), reset_new);
+	leaving = (int)web_parse_number(web_arg(q, "leaving"), leaving);
 	work_ms = (int)web_parse_number(web_arg(q, "work"), work_ms);
 	rate_limit =
 	    web_parse_number(web_arg(q, "limit"), (long)(rate_limit * 100)) /
@@ -334,6 +336,10 @@
 		handle_order(q, a, 1);
 	else
 		handle_request(q, a);
+	pthread_mutex_lock(&lock);
+	if (leaving)
+		web_add_header(a, "Server-Leaving", "1");
+	pthread_mutex_unlock(&lock);
 }
 
 int
