A target that announces in an answer that it leaves gets nothing new

What callers saw: nothing yet; the target ends under requests that it should not have got. A host sent a leaving target requests 2.26 s after it had passed on an answer that said so, where 2 s are allowed, because the store was away and the target's entry could not say it.

Cause: hosts went by entries alone. Ruled out: that the announcement was read and forgotten with the next list of targets (the log has it once and no list after it), and that only waiting requests were sent on (those in the record were first attempts).

Now an answer closes the target at the host that got it, at once, and for its keys after half of the bound. It is final for the incarnation, stands in the host's own list, and is reported to the controller until the list has it from the entry; the controller, which sees it in answers to orders too, moves the keys. A request for keys that should have moved by then is refused at once.

--- a/decide/dest.c
+++ b/decide/dest.c
@@ -155,11 +155,31 @@
 	    d->others_inflight * exp2(-age / (double)OTHERS_HALF_LIFE));
 }
 
+/* Records that the target has announced that it is leaving, so that it gets no
+ * new requests after `from`; returns 0 if that was known. */
+int
+dest_announce_leave(struct dest *d, usec from)
+{
+	if (d->leaving_from != 0)
+		return (0);
+	d->leaving_from = from;
+	return (1);
+}
+
+/* True if the target has announced that it is leaving, and the time in which
+ * its keys should have moved is over. */
+int
+dest_left(const struct dest *d, usec now)
+{
+	return (d->leaving_from != 0 && now >= d->leaving_from);
+}
+
 /* True if the target leaves, or its data centre is being evacuated. */
 int
 dest_closed(const struct dest *d, usec now)
 {
-	return (d->leaving || (d->closed_from != 0 && now >= d->closed_from));
+	return (d->leaving || dest_left(d, now) ||
+	    (d->closed_from != 0 && now >= d->closed_from));
 }
 
 /* True if the target is neither closed nor backed off from. */
--- a/decide/dest.h
+++ b/decide/dest.h
@@ -15,9 +15,9 @@
 struct dest {
 	int slots;
 	int leaving;
-	int same_dc;	  /* in this host's data centre */
-	usec closed_from; /* gets no new requests from then on; 0 if never */
-	usec leave_announced_at; /* by an answer; 0 if not */
+	int same_dc;	   /* in this host's data centre */
+	usec closed_from;  /* gets no new requests from then on; 0 if never */
+	usec leaving_from; /* the same, as it has announced that it leaves */
 	usec cold_until;
 	double cold_rate; /* limit while it is cold; 0 if none */
 	double limit;	  /* its own, in requests a second; negative if none */
@@ -58,6 +58,8 @@
 double dest_limit(const struct dest *, usec now);
 void dest_apply_limit(struct dest *, const struct rate_turns *, usec now);
 double dest_load(const struct dest *, usec now);
+int dest_announce_leave(struct dest *, usec from);
+int dest_left(const struct dest *, usec now);
 int dest_closed(const struct dest *, usec now);
 int dest_usable(const struct dest *, usec now);
 int dest_can_send(const struct dest *, usec now, const struct dest_conf *);
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -19,8 +19,9 @@
 	char service[NAME_MAX_GS];
 	char dc[NAME_MAX_GS];
 	int slots;
-	int leaving;	 /* announced by the target, or its entry is gone */
-	int gone;	 /* its entry is gone */
+	int leaving;	     /* announced by the target, or its entry is gone */
+	int leave_unwritten; /* its entry does not say yet that it leaves */
+	int gone;	     /* its entry is gone */
 	usec cold_until; /* 0 if warm; for membership_entry_put() the time left
 			  */
 };
--- a/decide/membership.c
+++ b/decide/membership.c
@@ -146,6 +146,7 @@
 	if (e->gone_since == 0)
 		e->gone_since = now;
 	e->t.leaving = 1;
+	e->t.leave_unwritten = 0;
 	e->t.gone = 1;
 	k->changed = 1;
 }
@@ -188,6 +189,7 @@
 	/* A target that has announced that it leaves does not come back: an
 	 * older entry that arrives late must not reset the flag. */
 	e->leave_announced |= t->leaving && !t->gone;
+	e->t.leave_unwritten = e->leave_announced && !t->leaving;
 	e->t.leaving |= e->leave_announced;
 	e->t.cold_until = cold > 0 ? now + cold : 0;
 	e->missing_since = 0;
@@ -196,6 +198,21 @@
 	k->changed = 1;
 }
 
+/* Records that a target has announced in an answer that it is leaving, before
+ * its entry says so. */
+void
+membership_leave_announced(struct membership *k, const char *id, usec now)
+{
+	struct membership_target *e = find(k, id);
+
+	if (e == NULL || e->leave_announced)
+		return;
+	e->leave_announced = 1;
+	e->t.leave_unwritten = !e->t.leaving;
+	e->t.leaving = 1;
+	k->changed = 1;
+}
+
 /* Handles the removal of a target's entry. */
 static void
 entry_removed(struct membership *k, struct membership_target *e, usec now)
--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -158,8 +158,7 @@
 	h->crashes = d->crashes;
 	memset(&d->crashes, 0, sizeof(d->crashes));
 	for (s = d->targets; s != NULL; s = s->next) {
-		router_report_target(
-		    h, s->id, s->dest.latency_ratio, s->dest.limit, s->answers);
+		router_report_target(h, s->id, &s->dest, s->answers);
 		s->answers = 0;
 	}
 	msg_post(
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -172,6 +172,7 @@
 void targets_update(struct direct *, const struct fleet *, usec now);
 void targets_sweep(struct direct *);
 void targets_update_limits(struct direct *, usec now);
+usec target_grace(const struct direct *, const char *service, usec bound);
 struct target_state *target_state_find(struct direct *, const char *id);
 struct service_state *service_state_get(struct direct *, const char *name);
 struct rule_stats *rule_stats_get(struct direct *, const struct rule *);
--- a/gspard/direct_flow.c
+++ b/gspard/direct_flow.c
@@ -23,9 +23,8 @@
 #define RETRY_TIME_DIVISOR 3
 /* Retry delay with FEATURE_RETRY off. */
 #define RETRY_FIXED_MS 200
-/* Retry delay for keys that were not moved before their target was closed for
- * an evacuation. */
-#define EVACUATED_RETRY_DELAY MS(500)
+/* Retry delay for keys that were not moved before their target was closed. */
+#define CLOSED_RETRY_DELAY MS(500)
 /* Weight of a new sample in the mean time between starts. */
 #define START_INTERVAL_GAIN 0.2
 
@@ -249,12 +248,13 @@
 	s = r == NULL || r->target < 0 || r->moving
 	    ? NULL
 	    : target_state_find(d, o->targets[r->target]);
-	if (s == NULL || s->dest.leaving || s->replaced) {
+	if (s == NULL || s->replaced ||
+	    (s->dest.leaving && !dest_left(&s->dest, now))) {
 		park(d, p, r, now);
 		return;
 	}
 	if (dest_closed(&s->dest, now)) {
-		flow_fail(d, p, GS_NO_OWNER, EVACUATED_RETRY_DELAY, now);
+		flow_fail(d, p, GS_NO_OWNER, CLOSED_RETRY_DELAY, now);
 		return;
 	}
 	/*
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -212,12 +212,15 @@
 
 /* Records that an answer announced that the target is leaving. */
 static void
-update_leaving(struct target_state *s, const struct reply *r, usec now)
+update_leaving(
+    struct direct *d, struct target_state *s, const struct reply *r, usec now)
 {
-	if (!r->leaving || s->dest.leave_announced_at != 0 ||
-	    is_from_another(s, r))
+	usec bound = MS(kernel_conf(d->s->kernel)->bounds.leave_ms);
+
+	if (!r->leaving || is_from_another(s, r) ||
+	    !dest_announce_leave(
+		&s->dest, now + target_grace(d, s->service, bound)))
 		return;
-	s->dest.leave_announced_at = now;
 	log_line(LOG_NOTICE, "router",
 	    "Target %s has announced in an answer that it is leaving.", s->id);
 }
@@ -237,7 +240,7 @@
 	s->ended = 0;
 	if (kind != REPLY_FOREIGN) {
 		update_limit(d, s, p->attempt->t.reply.limit, kind, now);
-		update_leaving(s, &p->attempt->t.reply, now);
+		update_leaving(d, s, &p->attempt->t.reply, now);
 	}
 	if (kind == REPLY_ANSWER || kind == REPLY_FAILURE)
 		crash_add_answer(d, p->digest, now);
--- a/gspard/direct_pick.c
+++ b/gspard/direct_pick.c
@@ -35,19 +35,28 @@
 }
 
 /*
- * Returns when a target stops getting requests because its data centre is
- * evacuated: at once, or after half of the evacuation bound if it owns keys,
- * which are moved first.
+ * Returns for how long a target that must get no new requests after `bound`
+ * still gets some: not at all, or for half of that time if it owns keys, which
+ * are moved first.
  */
+usec
+target_grace(const struct direct *d, const char *service, usec bound)
+{
+	const struct site_service *v = service_of(d, service);
+
+	return (v != NULL && v->keyed ? bound / 2 : 0);
+}
+
+/* Returns when a target stops getting requests because its data centre is
+ * evacuated. */
 static usec
 closed_from(
     const struct direct *d, const struct fleet *f, const struct fleet_target *t)
 {
-	const struct site_service *v = service_of(d, t->service);
 	usec bound = MS(kernel_conf(d->s->kernel)->bounds.evacuate_ms);
 
 	return (evacuations_closed_from(
-	    &f->evacuations, t->dc, v != NULL && v->keyed ? bound / 2 : 0));
+	    &f->evacuations, t->dc, target_grace(d, t->service, bound)));
 }
 
 /* Sets the time until which a target is cold, and its rate limit until then. */
@@ -119,7 +128,11 @@
 	p->dest.closed_from = closed_from(d, f, t);
 	if (t->gone && !p->dest.leaving)
 		crash_add_end(d, p);
-	p->dest.leaving = t->leaving;
+	if (t->leaving && !t->gone)
+		dest_announce_leave(&p->dest,
+		    now +
+			target_grace(d, t->service, MS(conf->bounds.leave_ms)));
+	p->dest.leaving = t->leaving && !t->leave_unwritten;
 	p->listed = 1;
 }
 
--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -49,8 +49,9 @@
 	MSG_TARGETS_FRESH,     /* watch to control: store answers for targets */
 	MSG_TARGETS_STALE,  /* watch to control: it does not, or is not asked */
 	MSG_FLEET_RECEIVED, /* control to watch: targets from the controller */
-	MSG_STOP,	    /* kernel to all: begin the orderly stop */
-	MSG_QUIT	    /* kernel to all: end the thread */
+	MSG_LEAVE_ANNOUNCED, /* control to watch: a target is leaving */
+	MSG_STOP,	     /* kernel to all: begin the orderly stop */
+	MSG_QUIT	     /* kernel to all: end the thread */
 };
 
 struct msg {
--- a/gspard/router_report.c
+++ b/gspard/router_report.c
@@ -34,14 +34,20 @@
 	k->heat = *heat;
 }
 
-/* Adds the state of a target that has answered since the last report. */
+/*
+ * Adds the state of a target that has answered since the last report.  One that
+ * has announced in an answer that it is leaving, and whose entry does not say
+ * so, is added every time: it gets no more requests, and the next controller
+ * must know too.
+ */
 void
-router_report_target(struct router_report *h, const char *id,
-    double latency_ratio, double limit, int answers)
+router_report_target(
+    struct router_report *h, const char *id, const struct dest *d, int answers)
 {
+	int leaving = d->leaving_from != 0 && !d->leaving;
 	struct reported_target *t;
 
-	if (answers == 0 || h->ntargets == TARGETS_MAX)
+	if ((answers == 0 && !leaving) || h->ntargets == TARGETS_MAX)
 		return;
 	t = realloc(h->targets, sizeof(*t) * (size_t)(h->ntargets + 1));
 	if (t == NULL)
@@ -49,8 +55,9 @@
 	h->targets = t;
 	t += h->ntargets++;
 	name_copy(t->id, sizeof(t->id), id);
-	t->latency_ratio = latency_ratio;
-	t->limit = limit;
+	t->latency_ratio = d->latency_ratio;
+	t->limit = d->limit;
+	t->leaving = leaving;
 	t->answers = answers;
 }
 
--- a/gspard/sitectl.c
+++ b/gspard/sitectl.c
@@ -375,6 +375,7 @@
 		k->pending_report = m->data;
 		m->data = NULL;
 		quarantine_add_seen(k, &k->pending_report->crashes, now);
+		report_add_leaving(k, k->pending_report);
 		break;
 	case MSG_STOP:
 		begin_stop(k, m->data, now);
--- a/gspard/sitectl.h
+++ b/gspard/sitectl.h
@@ -8,6 +8,7 @@
 #include <curl/curl.h>
 
 #include "behind.h"
+#include "dest.h"
 #include "gspard.h"
 #include "heat.h"
 #include "keys.h"
@@ -47,6 +48,7 @@
 	char id[NAME_MAX_GS];
 	double latency_ratio;
 	double limit; /* requests per second that it allows; negative if none */
+	int leaving;  /* announced in an answer */
 	int answers;
 };
 
@@ -73,8 +75,8 @@
 struct router_report *router_report_new(int services);
 void router_report_keys(
     struct router_report *, const char *service, const struct heat *);
-void router_report_target(struct router_report *, const char *id,
-    double latency_ratio, double limit, int answers);
+void router_report_target(
+    struct router_report *, const char *id, const struct dest *, int answers);
 void router_report_free(void *);
 
 /* A host as the other hosts know it, and what the controller sent to it. */
@@ -212,6 +214,7 @@
 void fleet_broadcast(struct sitectl *, usec now);
 void fleet_check_host(struct sitectl *, const char *host, uint64_t, usec now);
 void fleet_receive(struct sitectl *, const Gspar__FleetTold *, usec now);
+int fleet_leave_announced(struct sitectl *, const char *id);
 void fleet_relist_if_stale(struct sitectl *, usec now);
 void fleet_receive_relay(struct sitectl *, const Gspar__StoreNews *, usec now);
 void fleet_fill_target(
@@ -231,6 +234,7 @@
 void owners_publish(struct sitectl *, struct owners *);
 
 /* sitectl_report.c */
+void report_add_leaving(struct sitectl *, const struct router_report *);
 void report_tick(struct sitectl *, usec now);
 void report_receive(
     struct sitectl *, const char *host, const Gspar__HostReport *, usec now);
--- a/gspard/sitectl_fleet.c
+++ b/gspard/sitectl_fleet.c
@@ -217,6 +217,24 @@
 	return (f);
 }
 
+/*
+ * Passes on to the watch service that a target has announced in an answer that
+ * it is leaving.  Returns 0 if this host's list says so already, or does not
+ * have the target.
+ */
+int
+fleet_leave_announced(struct sitectl *k, const char *id)
+{
+	const struct fleet *f = sitectl_fleet(k);
+	const struct fleet_target *t = f == NULL ? NULL : find_target(f, id, 0);
+	char *copy;
+
+	if (t == NULL || t->leaving || (copy = strdup(id)) == NULL)
+		return (0);
+	msg_post(k->s->kernel, "watch", MSG_LEAVE_ANNOUNCED, copy, free);
+	return (1);
+}
+
 /* Passes another host's targets to the watch service, which owns the list. */
 static void
 pass_to_watch(struct sitectl *k, struct fleet *f)
--- a/gspard/sitectl_order.c
+++ b/gspard/sitectl_order.c
@@ -120,6 +120,8 @@
 	curl_easy_getinfo(c->t.easy, CURLINFO_RESPONSE_CODE, &status);
 	if (res == CURLE_COULDNT_CONNECT)
 		quarantine_conn_refused(k, c->order.target, now);
+	if (res == CURLE_OK && status != 421 && c->t.reply.leaving)
+		fleet_leave_announced(k, c->order.target);
 	if (!c->t.maybe_sent)
 		status = ORDER_NOT_SENT;
 	else if (res != CURLE_OK || status == 421 || status >= 500)
--- a/gspard/sitectl_report.c
+++ b/gspard/sitectl_report.c
@@ -54,6 +54,7 @@
 		    (uint32_t)(h->targets[i].latency_ratio * 1000);
 		targets[i].answers = (uint32_t)h->targets[i].answers;
 		targets[i].limit = limit_to_wire(h->targets[i].limit);
+		targets[i].leaving = h->targets[i].leaving;
 	}
 	msg->heat = klist;
 	msg->n_heat = (size_t)h->nkeys;
@@ -103,6 +104,19 @@
 	free(buf);
 }
 
+/* Adds to this host's own list which targets have announced that they are
+ * leaving, so that it outlasts the router's state of them. */
+void
+report_add_leaving(struct sitectl *k, const struct router_report *h)
+{
+	int i;
+
+	for (i = 0; i < h->ntargets; i++) {
+		if (h->targets[i].leaving)
+			fleet_leave_announced(k, h->targets[i].id);
+	}
+}
+
 /* Forwards the router's last report to the controller. */
 void
 report_tick(struct sitectl *k, usec now)
@@ -124,6 +138,22 @@
 		keys_set_rate_limit(k, t->target, (t->limit - 1) / 1000.0, now);
 }
 
+/* Adds which targets have announced to a host that they are leaving; returns
+ * how many of them were news. */
+static int
+receive_leaving(struct sitectl *k, const Gspar__HostReport *msg)
+{
+	size_t i;
+	int news = 0;
+
+	for (i = 0; i < msg->n_targets; i++) {
+		if (msg->targets[i]->leaving)
+			news +=
+			    fleet_leave_announced(k, msg->targets[i]->target);
+	}
+	return (news);
+}
+
 /* Handles a host's report, as controller. */
 void
 report_receive(
@@ -150,7 +180,8 @@
 		site_receive_report(k, h, msg, now);
 		quarantine_receive_report(k, h, msg, now);
 	}
-	if (k->acting)
+	/* A list that differs by what this report tells is not out of date. */
+	if (receive_leaving(k, msg) == 0 && k->acting)
 		fleet_check_host(k, host, msg->fleet, now);
 	for (i = 0; i < msg->n_heat; i++) {
 		ks = sitectl_keys(k, msg->heat[i]->service);
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -484,6 +484,9 @@
 	case MSG_FLEET_RECEIVED:
 		membership_adopt(&w->membership, m->data, now);
 		break;
+	case MSG_LEAVE_ANNOUNCED:
+		membership_leave_announced(&w->membership, m->data, now);
+		break;
 	case MSG_QUIT:
 		w->stop = 1;
 		break;
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -3711,7 +3711,7 @@
   (ProtobufCMessageInit) gspar__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__target_learnt__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gspar__target_learnt__field_descriptors[5] =
 {
   {
     "target",
@@ -3761,9 +3761,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__TargetLearnt, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__target_learnt__field_indices_by_name[] = {
   2,   /* field[2] = answers */
+  4,   /* field[4] = leaving */
   3,   /* field[3] = limit */
   1,   /* field[1] = speed */
   0,   /* field[0] = target */
@@ -3771,7 +3784,7 @@
 static const ProtobufCIntRange gspar__target_learnt__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gspar__target_learnt__descriptor =
 {
@@ -3781,7 +3794,7 @@
   "Gspar__TargetLearnt",
   "gspar",
   sizeof(Gspar__TargetLearnt),
-  4,
+  5,
   gspar__target_learnt__field_descriptors,
   gspar__target_learnt__field_indices_by_name,
   1,  gspar__target_learnt__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -456,10 +456,14 @@
    * 1000 seconds.
    */
   uint32_t limit;
+  /*
+   * It has announced in an answer that it is leaving.
+   */
+  protobuf_c_boolean leaving;
 };
 #define GSPAR__TARGET_LEARNT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__target_learnt__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Gspar__KeyHeat
--- a/regress/scenario/site_leave_answers.lua
+++ b/regress/scenario/site_leave_answers.lua
@@ -2,13 +2,13 @@
 -- that no entry says so.  Hosts went on sending it requests.
 dofile("regress/scenario/lib_site.lua")
 local DRAIN, OUTAGE = 2000, 6000
-local s = standard_site { keyed = 4, plain = 3 }
+local s = standard_site { keyed = 4, plain = 2 }
 local sent, failed, slowest = {}, 0, 0
 s:fault("down=1")
 sleep_ms(500)
 local from = now_ms()
 s:server_fault("i-1", "leaving=1")
-s:server_fault("i-4", "leaving=1")
+s:server_fault("i-3", "leaving=1")
 local n = 0
 while now_ms() < from + OUTAGE do
 	n = n + 1
@@ -24,10 +24,10 @@
 check(failed == 0, "%d failed while other targets have capacity", failed)
 check(slowest < 500, "a refusal took %.0f ms", slowest)
 s:check_drained("i-1", sent, from, DRAIN)
-s:check_drained("i-4", sent, from, DRAIN)
+s:check_drained("i-3", sent, from, DRAIN)
 s:fault("down=0")
 s:drain("i-1")
-s:drain("i-4")
+s:drain("i-3")
 s:await_keys()
 s:stop_all()
 s:journals_ok()
--- a/regress/scenario/site_leave_unwritten.lua
+++ b/regress/scenario/site_leave_unwritten.lua
@@ -3,11 +3,11 @@
 -- the target's keys move to others in time.
 dofile("regress/scenario/lib_site.lua")
 local DRAIN = 2000
-local s = standard_site { keyed = 4, plain = 3 }
+local s = standard_site { keyed = 4, plain = 2 }
 local sent, failed = {}, 0
 local from = now_ms()
 s:server_fault("i-1", "leaving=1")
-s:server_fault("i-4", "leaving=1")
+s:server_fault("i-3", "leaving=1")
 local n = 0
 while now_ms() < from + 2 * DRAIN do
 	n = n + 1
@@ -20,7 +20,7 @@
 end
 check(failed == 0, "%d requests failed", failed)
 s:check_drained("i-1", sent, from, DRAIN)
-s:check_drained("i-4", sent, from, DRAIN)
+s:check_drained("i-3", sent, from, DRAIN)
 s:stop_all()
 s:journals_ok()
 say("no request failed, none was sent late")
--- a/regress/unit/t_dest.c
+++ b/regress/unit/t_dest.c
@@ -68,6 +68,23 @@
 	CU_ASSERT(dest_can_send(&d, MS(2000), &twelve));
 }
 
+/* Guards against sending to a target after its answer announced that it leaves,
+ * and against a later answer that postpones it. */
+static void
+leave_announced(void)
+{
+	struct dest d;
+
+	dest_init(&d, 4);
+	CU_ASSERT(dest_announce_leave(&d, MS(2000)));
+	CU_ASSERT(dest_can_send(&d, MS(1999), &twelve));
+	CU_ASSERT(!dest_left(&d, MS(1999)) && dest_left(&d, MS(2000)));
+	CU_ASSERT(dest_closed(&d, MS(2000)) && !dest_usable(&d, MS(2000)));
+	CU_ASSERT(!dest_can_send(&d, MS(2000), &twelve));
+	CU_ASSERT(!dest_announce_leave(&d, MS(3000)));
+	CU_ASSERT(dest_closed(&d, MS(2000)));
+}
+
 /* Guards against sending a cold target as many requests as a warm one. */
 static void
 cold(void)
@@ -228,6 +245,7 @@
     {"few hosts", few_hosts},
     {"leaving", leaving},
     {"evacuated", evacuated},
+    {"leave announced", leave_announced},
     {"cold", cold},
     {"unreached", unreached},
     {"broken", broken},
--- a/regress/unit/t_membership.c
+++ b/regress/unit/t_membership.c
@@ -194,6 +194,40 @@
 	CU_ASSERT_EQUAL(usable(MS(9000)), 2);
 }
 
+/* Guards against using a target again whose answer announced that it leaves,
+ * because its entry or another host's list does not say so yet. */
+static void
+leaving_by_answer(void)
+{
+	struct fleet_target t;
+	struct fleet f = {.targets = &t, .ntargets = 1, .whole = 0};
+
+	set_up(3);
+	k.changed = 0;
+	membership_leave_announced(&k, "t1", MS(1000));
+	CU_ASSERT(k.changed);
+	CU_ASSERT_EQUAL(usable(MS(1000)), 2);
+	k.changed = 0;
+	membership_leave_announced(&k, "t1", MS(1100));
+	membership_leave_announced(&k, "t9", MS(1100));
+	CU_ASSERT(!k.changed);
+	put("t1", MS(1200));
+	CU_ASSERT_EQUAL(usable(MS(1200)), 2);
+	memset(&t, 0, sizeof(t));
+	name_copy(t.id, sizeof(t.id), "t1");
+	membership_adopt(&k, &f, MS(1300));
+	CU_ASSERT_EQUAL(usable(MS(1300)), 2);
+	CU_ASSERT(k.list[1].t.leave_unwritten);
+	t.leaving = 1;
+	membership_adopt(&k, &f, MS(1400));
+	CU_ASSERT(k.list[1].t.leaving && !k.list[1].t.leave_unwritten);
+	/* Its entry lapses in an outage: it is gone, not missed. */
+	k.doubt_until = MS(9000);
+	membership_entry_removed(&k, "t1", MS(1400));
+	CU_ASSERT_EQUAL(usable(MS(1400)), 2);
+	CU_ASSERT(k.list[1].t.gone);
+}
+
 /* Returns how many targets with an id may get new requests. */
 static int
 usable_of(const char *id, usec now)
@@ -302,6 +336,7 @@
     {"two at once", two_at_once},
     {"from the controller", from_controller},
     {"leaving is final", leaving_is_final},
+    {"leaving by answer", leaving_by_answer},
     {"restarted", restarted},
     {"restarted twice", restarted_twice},
     {"invalid entry", invalid_entry},
