Refusals that name a time without requests are read and logged

A host that sends a target requests in the time for which it wants none has no line that tells whether the target named one, so logs cannot tell a header that is not read from one that is cut short. The adapter reads Retry-After, the router logs it with each refusal. Unit platform, "retry after": seconds, fractions, and what is no number. Nothing acts on it yet.

--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -225,6 +225,16 @@
 	    "Target %s has announced in an answer that it is leaving.", s->id);
 }
 
+/* Logs that a target that turned a request away wants no more for a while. */
+static void
+log_pause(const struct target_state *s, const struct reply *r)
+{
+	if ((r->status == 503 || r->status == 429) && r->retry_after > 0)
+		log_line(LOG_INFO, "router",
+		    "Target %s wants no requests from this host for %lld ms.",
+		    s->id, (long long)(r->retry_after / 1000));
+}
+
 /* Updates whether the target has ended, its limit, whether it is leaving, and
  * whether the content got an answer. */
 static void
@@ -238,6 +248,7 @@
 	if (res != CURLE_OK)
 		return;
 	s->ended = 0;
+	log_pause(s, &p->attempt->t.reply);
 	if (kind != REPLY_FOREIGN) {
 		update_limit(d, s, p->attempt->t.reply.limit, kind, now);
 		update_leaving(d, s, &p->attempt->t.reply, now);
--- a/gspard/target_ops.h
+++ b/gspard/target_ops.h
@@ -23,10 +23,11 @@
 	int is_signed;		    /* has the target's signature */
 	int not_run;		    /* the target states that it did not run */
 	struct load load;
-	double limit; /* of the target, in requests a second from all hosts;
-			 negative if it names none */
-	int leaving;  /* the target states that it is leaving */
-	int closes;   /* the target closes the connection */
+	double limit;	  /* of the target, in requests a second from all hosts;
+			     negative if it names none */
+	int leaving;	  /* the target states that it is leaving */
+	usec retry_after; /* the target wants no requests for so long */
+	int closes;	  /* the target closes the connection */
 };
 
 /* What an answer means. */
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -512,6 +512,30 @@
 	}
 }
 
+/* Guards against missing for how long a target wants no requests. */
+static void
+retry_after(void)
+{
+	static const struct {
+		const char *line;
+		usec retry_after;
+	} cases[] = {{"Retry-After: 3\r\n", MS(3000)},
+	    {"retry-after: 0.25\r\n", MS(250)}, {"Retry-After: 0\r\n", 0},
+	    {"Retry-After: -1\r\n", 0}, {"Retry-After: nan\r\n", 0},
+	    {"Retry-After: Thu, 01 Dec 1994 16:00:00 GMT\r\n", 0},
+	    {"Retry-After: 86400\r\n", MS(3600000)}};
+	const char *lines[] = {"HTTP/1.1 503 Busy\r\n", NULL, NULL};
+	struct reply r;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		lines[1] = cases[i].line;
+		parse_lines(&r, lines);
+		CU_ASSERT_EQUAL(r.retry_after, cases[i].retry_after);
+		str_free(&r.headers);
+	}
+}
+
 /* Guards against missing that a target announces that it is leaving. */
 static void
 leave_announcements(void)
@@ -571,6 +595,7 @@
     {"forwarded headers", forwarded_headers},
     {"rate limits", rate_limits},
     {"leave announcements", leave_announcements},
+    {"retry after", retry_after},
     {"loads", loads},
     {"orders", orders},
 };
