Failing test: a target that names a time in which it wants no requests

site_retry_after: one target of each kind turns all requests away and names 2 s. The next attempt comes 40 ms after each refusal, whatever it names. The stand-in for targets names the time in its refusals.

--- a/standin/server.c
+++ b/standin/server.c
@@ -53,6 +53,7 @@
 				 hundredths */
 static int reset_new;	     /* closes new connections without an answer */
 static int leaving;	     /* announced in all answers */
+static int retry_after_ms;   /* stated in refusals; 0 if none */
 
 static const struct argp_option options[] = {
     {"listen", 'l', "IP:PORT", 0, "Address to serve", 0},
@@ -123,6 +124,21 @@
 	str_set(&a->body, why, strlen(why));
 }
 
+/* Refuses a request as if full; the lock is held. */
+static void
+refuse(struct web_answer *a)
+{
+	char seconds[32];
+
+	refusals_left--;
+	reply_not_run(a, 503, "full\n");
+	if (retry_after_ms > 0) {
+		snprintf(
+		    seconds, sizeof(seconds), "%.3f", retry_after_ms / 1000.0);
+		web_add_header(a, "Retry-After", seconds);
+	}
+}
+
 /* Applies a grant and returns the HTTP status; the lock is held. */
 static int
 apply_grant(long from, long to, long long f, usec end)
@@ -281,12 +297,11 @@
 	pthread_mutex_lock(&lock);
 	JOURNAL(
 	    "came %lld %s\n", (long long)clock_mono(), id == NULL ? "-" : id);
-	if (reset_new && q->request_number == 1) {
+	if (reset_new && q->request_number == 1)
 		a->drop = 1;
-	} else if (refusals_left > 0) {
-		refusals_left--;
-		reply_not_run(a, 503, "full\n");
-	} else if (keyed &&
+	else if (refusals_left > 0)
+		refuse(a);
+	else if (keyed &&
 	    (key < 0 || key >= KEY_COUNT || held_until[key] <= clock_mono()))
 		reply_not_run(a, 421, "not held\n");
 	else if (acquire_slot() != 0)
@@ -314,6 +329,8 @@
 	refusals_left =
 	    (int)web_parse_number(web_arg(q, "refuse"), refusals_left);
 	reset_new = (int)web_parse_number(web_arg(q, "reset_new"), reset_new);
+	retry_after_ms =
+	    (int)web_parse_number(web_arg(q, "retry_after"), retry_after_ms);
 	leaving = (int)web_parse_number(web_arg(q, "leaving"), leaving);
 	work_ms = (int)web_parse_number(web_arg(q, "work"), work_ms);
 	rate_limit =
