A target that wants no requests for a time gets none in it

What callers saw: for eight seconds over a tenth of the grade checks refused, after up to four attempts 40 ms apart at targets that turned all of them away and had named 3 s. A host sent such a target 13 requests in that time, two are allowed.

Cause: the time was not read; a refusal kept a host away for 40 ms. Ruled out: that it was read and cut short by a later outcome (each refusal is followed by the next attempt 40 ms later, with no other outcome between them).

Now the time is kept apart from the host's own backoff, so that no outcome cuts it short. Requests that any target can take go elsewhere; those for its keys, or for a service whose targets all want none, are refused at once with when to come back.

--- a/decide/dest.c
+++ b/decide/dest.c
@@ -182,11 +182,36 @@
 	    (d->closed_from != 0 && now >= d->closed_from));
 }
 
-/* True if the target is neither closed nor backed off from. */
+/* Records that the target wants no requests for some time. */
+void
+dest_pause(struct dest *d, usec until)
+{
+	if (d->paused_until < until)
+		d->paused_until = until;
+}
+
+/* True if the target wants no requests now. */
+int
+dest_paused(const struct dest *d, usec now)
+{
+	return (now < d->paused_until);
+}
+
+/* How long the target is backed off from or wants no requests. */
+usec
+dest_wait(const struct dest *d, usec now)
+{
+	usec until = d->backoff_until > d->paused_until ? d->backoff_until
+							: d->paused_until;
+
+	return (until > now ? until - now : 0);
+}
+
+/* True if the target is not closed, not backed off from, and wants requests. */
 int
 dest_usable(const struct dest *d, usec now)
 {
-	return (!dest_closed(d, now) && now >= d->backoff_until);
+	return (!dest_closed(d, now) && dest_wait(d, now) == 0);
 }
 
 /*
--- a/decide/dest.h
+++ b/decide/dest.h
@@ -30,7 +30,8 @@
 	double failure_rate;	/* moving average of failed requests, 0 to 1 */
 	int unanswered_streak;	/* requests in a row without an answer */
 	usec backoff_until;
-	struct rate rate; /* this host's turns, by both limits */
+	usec paused_until; /* the target wants no requests before */
+	struct rate rate;  /* this host's turns, by both limits */
 };
 
 /* How a request to a target ended. */
@@ -61,6 +62,9 @@
 int dest_announce_leave(struct dest *, usec from);
 int dest_left(const struct dest *, usec now);
 int dest_closed(const struct dest *, usec now);
+void dest_pause(struct dest *, usec until);
+int dest_paused(const struct dest *, usec now);
+usec dest_wait(const struct dest *, usec now);
 int dest_usable(const struct dest *, usec now);
 int dest_can_send(const struct dest *, usec now, const struct dest_conf *);
 double dest_cost(const struct dest *, usec now, usec work, usec others_work);
--- a/gspard/direct_flow.c
+++ b/gspard/direct_flow.c
@@ -13,8 +13,8 @@
  * long as the requests that are running (36 to 220 ms), and a little longer if
  * there are many. */
 #define PARK_MAX MS(1000)
-/* Requests for the keys of a target that stays in backoff for longer are
- * refused. */
+/* Requests for the keys of a target that is backed off from, or wants none, for
+ * longer are refused. */
 #define BACKOFF_WAIT_MAX MS(200)
 /* Shortest retry delay given to callers. */
 #define RETRY_MIN_MS 40
@@ -243,6 +243,7 @@
 	const struct owners *o = d->owners == NULL ? NULL : d->owners->p;
 	const struct owner_range *r;
 	struct target_state *s;
+	usec wait;
 
 	r = owners_find(o, p->svc->name, (uint32_t)p->call->key_number);
 	s = r == NULL || r->target < 0 || r->moving
@@ -269,9 +270,11 @@
 		park(d, p, NULL, now);
 		return;
 	}
-	if (now < s->dest.backoff_until &&
-	    s->dest.backoff_until - now > BACKOFF_WAIT_MAX) {
-		flow_fail(d, p, GS_NO_OWNER, s->dest.backoff_until - now, now);
+	wait = dest_wait(&s->dest, now);
+	if (wait > BACKOFF_WAIT_MAX) {
+		flow_fail(d, p,
+		    dest_paused(&s->dest, now) ? GS_SHED : GS_NO_OWNER, wait,
+		    now);
 		return;
 	}
 	if (dest_can_send(&s->dest, now, &d->conf))
@@ -294,16 +297,39 @@
 	return (0);
 }
 
+/* Returns how long no target of a service can be sent requests, because each
+ * is backed off from or wants none. */
+static usec
+service_wait(const struct direct *d, const struct service_state *v, usec now)
+{
+	const struct target_state *s;
+	usec wait, least = -1;
+
+	for (s = d->targets; s != NULL; s = s->next) {
+		if (dest_closed(&s->dest, now) ||
+		    strcmp(s->service, v->name) != 0)
+			continue;
+		wait = dest_wait(&s->dest, now);
+		if (least < 0 || wait < least)
+			least = wait;
+	}
+	return (least < 0 ? 0 : least);
+}
+
 /* Sends a request to any target of its service, queues it or refuses it. */
 static void
 try_any(struct direct *d, struct pending *p, usec now)
 {
 	struct target_state *s = pick_target(d, p, now);
+	usec wait;
 
 	if (s != NULL)
 		send_to(d, p, s, &p->svc->queue, now);
 	else if (!has_targets(d, p->svc, now) && d->have_fleet)
 		flow_fail(d, p, GS_NO_OWNER, MS(300), now);
+	else if ((wait = service_wait(d, p->svc, now)) > 0 &&
+	    now + wait + (usec)p->stats->avg_time > p->deadline)
+		flow_fail(d, p, GS_SHED, wait, now);
 	else
 		queue_or_refuse(d, p, NULL, &p->svc->queue, now);
 }
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -225,18 +225,21 @@
 	    "Target %s has announced in an answer that it is leaving.", s->id);
 }
 
-/* Logs that a target that turned a request away wants no more for a while. */
+/* Records that a target that turned a request away wants no more for a while.
+ */
 static void
-log_pause(const struct target_state *s, const struct reply *r)
+update_pause(struct target_state *s, const struct reply *r, usec now)
 {
-	if ((r->status == 503 || r->status == 429) && r->retry_after > 0)
-		log_line(LOG_INFO, "router",
-		    "Target %s wants no requests from this host for %lld ms.",
-		    s->id, (long long)(r->retry_after / 1000));
+	if ((r->status != 503 && r->status != 429) || r->retry_after == 0)
+		return;
+	dest_pause(&s->dest, now + r->retry_after);
+	log_line(LOG_INFO, "router",
+	    "Target %s wants no requests from this host for %lld ms.", s->id,
+	    (long long)(r->retry_after / 1000));
 }
 
-/* Updates whether the target has ended, its limit, whether it is leaving, and
- * whether the content got an answer. */
+/* Updates whether the target has ended, its limit and its pause, whether it is
+ * leaving, and whether the content got an answer. */
 static void
 update_target(struct direct *d, struct pending *p, CURLcode res,
     enum reply_kind kind, usec now)
@@ -248,7 +251,7 @@
 	if (res != CURLE_OK)
 		return;
 	s->ended = 0;
-	log_pause(s, &p->attempt->t.reply);
+	update_pause(s, &p->attempt->t.reply, now);
 	if (kind != REPLY_FOREIGN) {
 		update_limit(d, s, p->attempt->t.reply.limit, kind, now);
 		update_leaving(d, s, &p->attempt->t.reply, now);
--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -221,5 +221,12 @@
 without cold-gets-no-keys keys keys_plan.c \
     's/if (is_limited \&\& best != NO_TARGET \&\& !best_limited)/if (0)/'
 
+
+# No requests to a target that wants none.
+without paused-gets-no-requests dest dest.c \
+    's/dest_wait(d, now) == 0/now >= d->backoff_until/'
+without pause-is-not-cut-short dest dest.c \
+    's/if (d->paused_until < until)/if (1)/'
+
 echo "$found found, $missed not found"
 [ $missed -eq 0 ]
--- a/regress/scenario/site_retry_after.lua
+++ b/regress/scenario/site_retry_after.lua
@@ -65,6 +65,17 @@
 	return served[true]
 end)
 s:await_keys(PAUSE + 2000)
+-- All targets of a service want none: what cannot be served in time is refused
+-- at once.
+for _, id in ipairs({ "i-1", "i-2" }) do
+	s:server_fault(id, "refuse=1000000&retry_after=" .. PAUSE)
+end
+await("all targets want none", 1000, function()
+	return s:request("h1", "/any/x") ~= 200
+end)
+local st, header, took = s:request_traced(sent, "h1", "/any/x")
+check(st == 503 and header:match("Retry%-After"), "answered %d", st)
+check(took < 200, "a refusal took %.0f ms", took)
 s:stop_all()
 s:journals_ok()
 say("no target sent requests that it did not want, and used again afterwards")
--- a/regress/unit/t_dest.c
+++ b/regress/unit/t_dest.c
@@ -85,6 +85,29 @@
 	CU_ASSERT(dest_closed(&d, MS(2000)));
 }
 
+/* Guards against sending requests to a target in the time for which it wants
+ * none, also where something else happens meanwhile. */
+static void
+paused(void)
+{
+	struct dest d;
+
+	dest_init(&d, 4);
+	dest_sent(&d, 0);
+	dest_sent(&d, 0);
+	dest_sent(&d, 0);
+	record_end(&d, MS(1000), DEST_REFUSED, 0, -1, 0);
+	dest_pause(&d, MS(4000));
+	CU_ASSERT(dest_paused(&d, MS(3999)) && !dest_paused(&d, MS(4000)));
+	CU_ASSERT_EQUAL(dest_wait(&d, MS(1500)), MS(2500));
+	dest_pause(&d, MS(2000));
+	record_end(&d, MS(1100), DEST_UNREACHED, 0, -1, 0);
+	CU_ASSERT(!dest_can_send(&d, MS(3999), &twelve));
+	record_end(&d, MS(1200), DEST_ANSWERED, MS(100), 0, 0);
+	CU_ASSERT(!dest_can_send(&d, MS(3999), &twelve));
+	CU_ASSERT(dest_can_send(&d, MS(4000), &twelve));
+}
+
 /* Guards against sending a cold target as many requests as a warm one. */
 static void
 cold(void)
@@ -246,6 +269,7 @@
     {"leaving", leaving},
     {"evacuated", evacuated},
     {"leave announced", leave_announced},
+    {"paused", paused},
     {"cold", cold},
     {"unreached", unreached},
     {"broken", broken},
