Safeguards of the target that announces in answers that it leaves

Four lines of dest.c and membership.c are taken out in turn; the units find each. The pattern of leaving-is-not-usable had not matched since dest_closed() was added, so nothing was taken out; it matches again and is found.

--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -135,7 +135,13 @@
     's/e->missing_since != 0 \&\& now >= k->doubt_until/0/'
 without invalid-entry-is-gone membership membership.c \
     's/each_incarnation(k, target, now, mark_gone)/each_incarnation(k, target, now, entry_removed)/'
-without leaving-is-not-usable dest dest.c 's/!d->leaving \&\& //'
+without leaving-is-not-usable dest dest.c 's/(d->leaving || /(/'
+without leave-by-answer-closes dest dest.c \
+    's/ || dest_left(d, now) ||/ ||/'
+without first-announcement-counts dest dest.c \
+    's/^	if (d->leaving_from != 0)$/	if (0)/'
+without leave-by-answer-is-final membership membership.c \
+    '/^membership_leave_announced/,/^}/s/e->leave_announced = 1;/;/'
 without only-superseded-versions superseded superseded.c \
     's/l->replaced\[i\].version == version/1/'
 
