Headers of targets that are not known are counted, and logged once by name

Three times now a target stated something about itself in a header that the adapter did not know, and nothing showed it: the header went to the caller without a line or a count. Now the first answer with each such name is logged, 16 names at most, and all are counted as gspar_headers_unknown_total. Unit platform, "unknown headers".

--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -21,6 +21,8 @@
 
 #define RULE_STATS_SIZE 256
 #define IDLE_EASY_MAX 32
+/* Number of unknown headers of targets that are logged by name. */
+#define UNKNOWN_HEADERS_MAX 16
 /* Interval at which callers are checked for being connected: targets must not
  * work for more than half a second after a caller has disconnected. */
 #define CALLER_CHECK_INTERVAL MS(100)
@@ -129,6 +131,8 @@
 	struct pending *last;
 	CURL *idle_easy[IDLE_EASY_MAX];
 	int nidle_easy;
+	uint64_t unknown_headers[UNKNOWN_HEADERS_MAX]; /* hashes of names */
+	int nunknown_headers;
 	int have_fleet;
 	int hosts_known; /* the number of hosts is known */
 	int rank;	 /* of this host among all hosts, from 0 */
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -4,6 +4,8 @@
  */
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "direct.h"
 #include "feature.h"
 #include "hist.h"
@@ -238,6 +240,30 @@
 	    (long long)(r->retry_after / 1000));
 }
 
+/* Counts an answer with a header that is not known, and logs the name once:
+ * the target may be stating something that this host should act on. */
+static void
+note_unknown_header(
+    struct direct *d, const struct target_state *s, const char *name)
+{
+	uint64_t hash = XXH3_64bits(name, strlen(name));
+	int i;
+
+	if (name[0] == '\0')
+		return;
+	count_add(C_HEADER_UNKNOWN, 1);
+	for (i = 0; i < d->nunknown_headers; i++) {
+		if (d->unknown_headers[i] == hash)
+			return;
+	}
+	if (d->nunknown_headers == UNKNOWN_HEADERS_MAX)
+		return;
+	d->unknown_headers[d->nunknown_headers++] = hash;
+	log_line(LOG_NOTICE, "router",
+	    "Header %s of target %s is not known, forwarded to callers.", name,
+	    s->id);
+}
+
 /* Updates whether the target has ended, its limit and its pause, whether it is
  * leaving, and whether the content got an answer. */
 static void
@@ -253,6 +279,7 @@
 	s->ended = 0;
 	update_pause(s, &p->attempt->t.reply, now);
 	if (kind != REPLY_FOREIGN) {
+		note_unknown_header(d, s, p->attempt->t.reply.unknown_header);
 		update_limit(d, s, p->attempt->t.reply.limit, kind, now);
 		update_leaving(d, s, &p->attempt->t.reply, now);
 	}
--- a/gspard/target_ops.h
+++ b/gspard/target_ops.h
@@ -27,7 +27,8 @@
 			     negative if it names none */
 	int leaving;	  /* the target states that it is leaving */
 	usec retry_after; /* the target wants no requests for so long */
-	int closes;	  /* the target closes the connection */
+	char unknown_header[32]; /* name of the last one not known, or "" */
+	int closes;		 /* the target closes the connection */
 };
 
 /* What an answer means. */
--- a/lib/count.h
+++ b/lib/count.h
@@ -54,6 +54,8 @@
 	X(C_QUARANTINED, "quarantined",                                        \
 	    "Requests refused: they crash targets")                            \
 	X(C_STORE_NEWS, "store_news", "Broadcasts of the store's news")        \
+	X(C_HEADER_UNKNOWN, "headers_unknown",                                 \
+	    "Answers of targets with a header that is not known")              \
 	X(C_LOAD_BAD, "loads_bad", "Loads of targets that make no sense")      \
 	X(C_ENTRY_FOREIGN, "entries_foreign", "Entries that make no sense")
 
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -512,6 +512,26 @@
 	}
 }
 
+/* Guards against a header that states something new and goes unnoticed. */
+static void
+unknown_headers(void)
+{
+	static const char *const lines[] = {"HTTP/1.1 200 OK\r\n",
+	    "X-Server-Load: 1,0,2\r\n", "Content-Type: a/b\r\n",
+	    "Retry-After: 3\r\n", "Server-Leaving: 1\r\n",
+	    "Server-Mood: good\r\n", "ETag: x\r\n", NULL};
+	static const char *const plain[] = {
+	    "HTTP/1.1 200 OK\r\n", "content-type: a/b\r\n", NULL};
+	struct reply r;
+
+	parse_lines(&r, lines);
+	CU_ASSERT_STRING_EQUAL(r.unknown_header, "Server-Mood");
+	str_free(&r.headers);
+	parse_lines(&r, plain);
+	CU_ASSERT_STRING_EQUAL(r.unknown_header, "");
+	str_free(&r.headers);
+}
+
 /* Guards against missing for how long a target wants no requests. */
 static void
 retry_after(void)
@@ -595,6 +615,7 @@
     {"forwarded headers", forwarded_headers},
     {"rate limits", rate_limits},
     {"leave announcements", leave_announcements},
+    {"unknown headers", unknown_headers},
     {"retry after", retry_after},
     {"loads", loads},
     {"orders", orders},
