The era of the store, and writes refused for their revision, are logged

After the store came back from an old copy the logs named another writer and another host, of which there was none, and nothing said that the store had gone back. Its answers state an era, which rises each time: the adapter reads it, the platform service logs it. A write that is refused is logged with the revision that it was based on and the one in the store. Unit platform, "eras". Nothing acts on the era yet.

--- a/gspard/platform.c
+++ b/gspard/platform.c
@@ -30,6 +30,7 @@
 	CURLM *multi;
 	struct store_call *calls;
 	int addr_index; /* index of the address in use */
+	uint64_t era;	/* the store's, as last seen; 0 if none */
 	int stop;
 };
 
@@ -177,6 +178,36 @@
 	    conf->platform[c->addr_index], conf->platform[p->addr_index]);
 }
 
+/* Records the era of a response, and logs that it has risen. */
+static void
+note_era(struct platform *p, const struct store *st)
+{
+	if (st->era <= p->era)
+		return;
+	if (p->era == 0)
+		log_line(LOG_INFO, "platform", "The store's era is %llu.",
+		    (unsigned long long)st->era);
+	else
+		log_line(LOG_WARNING, "platform",
+		    "The store has come back from an old copy, era %llu, was "
+		    "%llu.",
+		    (unsigned long long)st->era, (unsigned long long)p->era);
+	p->era = st->era;
+}
+
+/* Logs a write that was refused because the object has another version. */
+static void
+log_conflict(const struct store *st)
+{
+	if (st->op == STORE_PUT && st->result == STORE_CONFLICT)
+		log_line(LOG_INFO, "platform",
+		    "Write of %s refused: based on revision %llu, the store "
+		    "has revision %llu, era %llu.",
+		    st->path, (unsigned long long)st->base,
+		    (unsigned long long)st->version,
+		    (unsigned long long)st->era);
+}
+
 /* Sends a call's outcome to the service that made it. */
 static void
 call_finish(struct service *s, struct store_call *c, CURLcode res)
@@ -199,8 +230,11 @@
 	str_free(&st->body);
 	st->body = c->body;
 	memset(&c->body, 0, sizeof(c->body));
-	if (st->status != 0)
+	if (st->status != 0) {
 		c->form->response(st);
+		note_era(s->state, st);
+		log_conflict(st);
+	}
 	c->store = NULL;
 	m = msg_new(MSG_STORE_DONE);
 	if (m == NULL) {
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -512,6 +512,26 @@
 	}
 }
 
+/* Guards against missing that the store has come back from an old copy. */
+static void
+eras(void)
+{
+	static const struct {
+		const char *line;
+		uint64_t era;
+	} cases[] = {{"Store-Era: 3\r\n", 3}, {"store-era:12\r\n", 12},
+	    {"Store-Era: \r\n", 0}, {"Store-Era: 3x\r\n", 0},
+	    {"Store-Era: -1\r\n", 0}, {"Store-Erasure: 3\r\n", 0}};
+	struct store st;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&st, 0, sizeof(st));
+		objects_form.header(&st, cases[i].line, strlen(cases[i].line));
+		CU_ASSERT_EQUAL(st.era, cases[i].era);
+	}
+}
+
 /* Guards against a header that states something new and goes unnoticed. */
 static void
 unknown_headers(void)
@@ -615,6 +635,7 @@
     {"forwarded headers", forwarded_headers},
     {"rate limits", rate_limits},
     {"leave announcements", leave_announcements},
+    {"eras", eras},
     {"unknown headers", unknown_headers},
     {"retry after", retry_after},
     {"loads", loads},
--- a/regress/words.sh
+++ b/regress/words.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.." || exit 1
 names='X-Request-Id|X-Deadline-Ms|X-Response-Signature|X-Expected-Instance'
 names="$names|X-Server-Load|X-Not-Executed|X-Instance-Id|X-Shard-Key"
-names="$names|X-Handover|Server-Limit|Server-Leaving|hold_time|path_prefix|traffic_split|target_latency"
+names="$names|X-Handover|Server-Limit|Server-Leaving|Store-Era|hold_time|path_prefix|traffic_split|target_latency"
 names="$names|max_attempts|cold_left|current_rev|has_more|serializable"
 names="$names|health_path|idle_timeout|header_timeout|budget_slack"
 names="$names|budget_window|config_apply|readyz|healthz|max_hold|draining\""
