--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -614,6 +614,72 @@
 	    doubles)
 end
 
+-- Checks all journals: no target took a key with a fence that was not above all
+-- with which others had had it.
+function Site:fences_ok()
+	local all = {}
+	for _, id in ipairs(self.sorder) do
+		for l in read_file(id .. ".journal"):gmatch("[^\n]+") do
+			local a, b, f, at, till = l:match(
+			    "^grant (%d+) (%d+) (%d+) (%d+) (%d+)")
+			if a and tonumber(till) > tonumber(at) then
+				table.insert(all, { id = id, from = tonumber(a),
+				    to = tonumber(b), fence = tonumber(f),
+				    at = tonumber(at) })
+			end
+		end
+	end
+	table.sort(all, function(x, y)
+		return x.at < y.at
+	end)
+	for key = 300, 65535, 1111 do
+		local fences = {}
+		for _, g in ipairs(all) do
+			if g.from <= key and key <= g.to and
+			    fences[g.id] ~= g.fence then
+				for id, f in pairs(fences) do
+					check(id == g.id or g.fence > f,
+					    "%s took key %d with fence %d, " ..
+					    "%s had it with fence %d", g.id,
+					    key, g.fence, id, f)
+				end
+				fences[g.id] = g.fence
+			end
+		end
+	end
+end
+
+-- Makes the store go back to a copy that is older than the last moves of keys:
+-- all keys of the data centre north have gone to others since, and its targets
+-- run on.  while_down is called while the store is away, for `away` ms.
+function Site:restore_after_moves(away, while_down)
+	local north = {}
+	for _, id in ipairs(self.sorder) do
+		north[id] = self.servers[id].dc == "north"
+	end
+	self:fault("save=1")
+	self:evacuate("north", true)
+	await("the keys of north moved", 8000, function()
+		local st, text = http("GET", "http://" .. self.store ..
+		    "/objects/gspar-owners/keyed")
+		for _, r in ipairs(st == 200 and json(text).spec.ranges or
+		    { { 0, "i-2" } }) do
+			if north[r[2]] or north[r[4]] or r[4] ~= "" then
+				return false
+			end
+		end
+		return true
+	end)
+	self:evacuate("north", false)
+	self:fault("down=1")
+	local till = now_ms() + away
+	while_down()
+	while now_ms() < till do
+		sleep_ms(10)
+	end
+	self:fault("restore=1&down=0")
+end
+
 -- Sends a request that crashes each target that runs it over and over, through
 -- one host after the other, also after a restart of all hosts; with
 -- lose_controller, the controller is killed and started again after the second
--- a/standin/store.c
+++ b/standin/store.c
@@ -37,6 +37,11 @@
 static int nevents;
 static json_int_t revision = 1;
 static json_int_t compacted; /* events up to this revision are compacted */
+static long era = 1;	     /* rises each time that a copy is restored */
+/* The copy that save_copy() made. */
+static struct object saved[MAX_OBJECTS];
+static int nsaved;
+static json_int_t saved_revision;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
 
@@ -237,7 +242,7 @@
 	watches++;
 	web_deadline(&until, wait_ms);
 	for (;;) {
-		if (after < compacted) {
+		if (after < compacted || after > revision) {
 			a->status = 410;
 			return;
 		}
@@ -319,7 +324,7 @@
 static void
 handle_call(const struct web_request *q, struct web_answer *a)
 {
-	char kind[NAME_SIZE], name[NAME_SIZE];
+	char kind[NAME_SIZE], name[NAME_SIZE], text[24];
 	int delay_ms;
 
 	if (strncmp(q->path, PREFIX, strlen(PREFIX)) != 0) {
@@ -336,7 +341,9 @@
 		handle_read(q, a, kind, name);
 	else if (!silent)
 		handle_write(q, a, kind, name);
+	snprintf(text, sizeof(text), "%ld", era);
 	pthread_mutex_unlock(&lock);
+	web_add_header(a, "Store-Era", text);
 	if (delay_ms > 0)
 		usleep((unsigned)delay_ms * 1000);
 }
@@ -349,6 +356,58 @@
 	pthread_cond_broadcast(&changed);
 }
 
+/* Copies all objects. */
+static void
+save_copy(void)
+{
+	int i;
+
+	for (i = 0; i < nsaved; i++)
+		json_decref(saved[i].value);
+	nsaved = nobjects;
+	saved_revision = revision;
+	for (i = 0; i < nobjects; i++) {
+		saved[i] = objects[i];
+		saved[i].value = json_deep_copy(objects[i].value);
+	}
+}
+
+/* True for a kind of object that the system under test writes. */
+static int
+is_own_kind(const char *kind)
+{
+	return (strncmp(kind, "gspar-", 6) == 0);
+}
+
+/*
+ * Goes back to the copy, as if the store had lost all later writes.  The
+ * objects of others are written again: these keep their present values, with
+ * new revisions.
+ */
+static void
+restore_copy(void)
+{
+	int i;
+
+	while (nevents > 0 && events[nevents - 1].revision > saved_revision)
+		json_decref(events[--nevents].object);
+	revision = saved_revision;
+	era++;
+	for (i = 0; i < nobjects; i++) {
+		if (!is_own_kind(objects[i].kind)) {
+			if (objects[i].value == NULL)
+				continue;
+			set_metadata(objects[i].value, objects[i].name);
+			add_event(objects[i].kind, objects[i].value, 0);
+			continue;
+		}
+		json_decref(objects[i].value);
+		objects[i].value =
+		    i < nsaved ? json_deep_copy(saved[i].value) : NULL;
+	}
+	pthread_cond_broadcast(&changed);
+}
+
 /* Sets faults, and answers with the call counts. */
 static void
 handle_control(const struct web_request *q, struct web_answer *a)
@@ -367,6 +426,10 @@
 		    (int)web_parse_number(web_arg(q, "page"), page_size);
 		if (web_parse_number(web_arg(q, "compact"), 0))
 			compact();
+		if (web_parse_number(web_arg(q, "save"), 0))
+			save_copy();
+		if (web_parse_number(web_arg(q, "restore"), 0))
+			restore_copy();
 		pthread_cond_broadcast(&changed);
 	}
 	n = snprintf(text, sizeof(text), "reads %lu\nwrites %lu\nwatches %lu\n",
