Versions of objects carry the store's era; what is older is not trusted

Part of the fault of the store that comes back from an old copy: its revisions go back and are given out again, so equal revisions of two eras name different things. A write based on one may replace what its sender has not read, a watch from one misses changes, and a list of evacuations from before counts as newer.

Versions now consist of the era and the revision (decide/version). Writes and watches based on an earlier era are ended without being sent; answers of an earlier era, and watches that began in one, are discarded. A host that sees the era rise lists all kinds anew, doubts missing targets for the time in which these write their entries again, and reads evacuations after that.

--- a/decide/membership.c
+++ b/decide/membership.c
@@ -124,6 +124,16 @@
 	k->failing_since = 0;
 }
 
+/*
+ * Records that the store has come back from an old copy.  Entries that targets
+ * wrote since may be missing until they write them again.
+ */
+void
+membership_store_restored(struct membership *k, usec now)
+{
+	k->doubt_until = now + LAPSE_GRACE;
+}
+
 /* True if a later incarnation of the target is known, so that news of this one
  * is outdated. */
 static int
--- a/decide/membership.h
+++ b/decide/membership.h
@@ -42,6 +42,7 @@
 void membership_free(struct membership *);
 void membership_store_failed(struct membership *, usec now);
 void membership_store_answered(struct membership *, usec now);
+void membership_store_restored(struct membership *, usec now);
 void membership_entry_put(
     struct membership *, const struct fleet_target *, usec now);
 void membership_entry_removed(
--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -106,8 +106,8 @@
 	int status;    /* HTTP status, or 0 if there was no response */
 	usec duration; /* time from sending to the end */
 	uint64_t version;
-	/* Of the response, 0 if the store has none: rises each time that the
-	 * store comes back from an old copy. */
+	/* Of the response, 0 if it states none: rises each time that the store
+	 * comes back from an old copy. */
 	uint64_t era;
 	enum store_result result;
 	int wait_ms;	 /* watch: how long to wait for a change */
--- a/gspard/platform.c
+++ b/gspard/platform.c
@@ -9,6 +9,7 @@
 #include "objects.h"
 #include "store.h"
 #include "transfer.h"
+#include "version.h"
 
 /* Timeout of a call; an answer that comes later is too late for any lease. */
 #define CALL_TIMEOUT_MS 1500
@@ -30,7 +31,8 @@
 	CURLM *multi;
 	struct store_call *calls;
 	int addr_index; /* index of the address in use */
-	uint64_t era;	/* the store's, as last seen; 0 if none */
+	uint64_t era;	/* the store's, as last seen */
+	int answered;	/* by the store, so that its era is known */
 	int stop;
 };
 
@@ -178,21 +180,49 @@
 	    conf->platform[c->addr_index], conf->platform[p->addr_index]);
 }
 
+/* Adds the era to the versions in a response. */
+static void
+add_era(struct store *st)
+{
+	int i;
+
+	st->version = version_make(st->era, st->version);
+	for (i = 0; i < st->nitems; i++)
+		st->items[i].version =
+		    version_make(st->era, st->items[i].version);
+}
+
+/*
+ * Discards a response that no longer holds.  One of an earlier era was sent
+ * before the store came back from a copy.  A watch that began in another era
+ * may have missed changes: the revision that it began from may have been given
+ * out again.
+ */
+static void
+check_era(const struct platform *p, struct store *st)
+{
+	/* Nothing was done, in whichever era. */
+	if (st->result == STORE_REFUSED || st->result == STORE_RATE_LIMITED)
+		return;
+	if (st->era < p->era)
+		st->result = STORE_NO_REPLY;
+	else if (st->op == STORE_WATCH && st->result == STORE_DONE &&
+	    st->base != 0 && version_era(st->base) != st->era)
+		st->result = STORE_COMPACTED;
+}
+
 /* Records the era of a response, and logs that it has risen. */
 static void
 note_era(struct platform *p, const struct store *st)
 {
-	if (st->era <= p->era)
-		return;
-	if (p->era == 0)
-		log_line(LOG_INFO, "platform", "The store's era is %llu.",
-		    (unsigned long long)st->era);
-	else
+	if (st->era > p->era && p->answered)
 		log_line(LOG_WARNING, "platform",
 		    "The store has come back from an old copy, era %llu, was "
 		    "%llu.",
 		    (unsigned long long)st->era, (unsigned long long)p->era);
-	p->era = st->era;
+	if (st->era > p->era)
+		p->era = st->era;
+	p->answered = 1;
 }
 
 /* Logs a write that was refused because the object has another version. */
@@ -203,17 +233,51 @@
 		log_line(LOG_INFO, "platform",
 		    "Write of %s refused: based on revision %llu, the store "
 		    "has revision %llu, era %llu.",
-		    st->path, (unsigned long long)st->base,
-		    (unsigned long long)st->version,
+		    st->path, (unsigned long long)version_revision(st->base),
+		    (unsigned long long)version_revision(st->version),
 		    (unsigned long long)st->era);
 }
 
-/* Sends a call's outcome to the service that made it. */
+/* Sends a call's outcome to the service that made it, and the call with it. */
+static void
+send_outcome(struct service *s, struct store *st)
+{
+	struct msg *m = msg_new(MSG_STORE_DONE);
+
+	if (m == NULL) {
+		store_free(st);
+		return;
+	}
+	m->data = st;
+	m->free_data = store_free;
+	if (kernel_send(s->kernel, st->reply_to, m) != 0)
+		msg_free(m);
+}
+
+/*
+ * Ends a call whose base is of an earlier era without sending it.  Its revision
+ * may have been given out again, and a write would then replace what its sender
+ * has not read.
+ */
+static int
+ends_outdated(struct service *s, struct store *st)
+{
+	const struct platform *p = s->state;
+
+	if ((st->op != STORE_PUT && st->op != STORE_WATCH) || st->base == 0 ||
+	    version_era(st->base) >= p->era)
+		return (0);
+	st->result = st->op == STORE_PUT ? STORE_CONFLICT : STORE_COMPACTED;
+	st->era = p->era;
+	send_outcome(s, st);
+	return (1);
+}
+
+/* Ends a call that got a response, or got none. */
 static void
 call_finish(struct service *s, struct store_call *c, CURLcode res)
 {
 	struct store *st = c->store;
-	struct msg *m;
 	long status = 0;
 
 	if (res == CURLE_OK)
@@ -232,19 +296,13 @@
 	memset(&c->body, 0, sizeof(c->body));
 	if (st->status != 0) {
 		c->form->response(st);
+		add_era(st);
 		note_era(s->state, st);
+		check_era(s->state, st);
 		log_conflict(st);
 	}
 	c->store = NULL;
-	m = msg_new(MSG_STORE_DONE);
-	if (m == NULL) {
-		store_free(st);
-		return;
-	}
-	m->data = st;
-	m->free_data = store_free;
-	if (kernel_send(s->kernel, st->reply_to, m) != 0)
-		msg_free(m);
+	send_outcome(s, st);
 }
 
 /* Handles all messages in the ring. */
@@ -256,7 +314,8 @@
 
 	while ((m = ring_get(s->in)) != NULL) {
 		if (m->kind == MSG_STORE_CALL) {
-			call_start(s, m->data);
+			if (!ends_outdated(s, m->data))
+				call_start(s, m->data);
 			m->data = NULL;
 		} else if (m->kind == MSG_QUIT)
 			p->stop = 1;
--- a/gspard/sitectl_quarantine.c
+++ b/gspard/sitectl_quarantine.c
@@ -13,6 +13,7 @@
 #include "decode.h"
 #include "incarnation.h"
 #include "sitectl.h"
+#include "version.h"
 #include "quarantine_text.h"
 
 #define QUARANTINE_PATH KIND_QUARANTINE "/main"
@@ -401,7 +402,7 @@
 		log_line(LOG_ERR, "control",
 		    "Quarantine list version %llu in the store is not valid, "
 		    "taken as empty.",
-		    (unsigned long long)st->version);
+		    (unsigned long long)version_revision(st->version));
 	k->quarantine_known = k->acting;
 	k->quarantine_version = st->result == STORE_DONE ? st->version : 0;
 	k->quarantine_stored = quarantine_checksum(&l);
--- a/gspard/sitectl_term.c
+++ b/gspard/sitectl_term.c
@@ -10,6 +10,7 @@
 #include "sitectl.h"
 #include "record.h"
 #include "standby.h"
+#include "version.h"
 
 #define RECORD_PATH KIND_CONTROL "/main"
 /* A host that has not been heard from for this long cannot be a standby. */
@@ -240,7 +241,7 @@
 		return;
 	log_line(LOG_ERR, "control",
 	    "Control record version %llu is not valid, taken as vacant.",
-	    (unsigned long long)st->version);
+	    (unsigned long long)version_revision(st->version));
 	memset(r, 0, sizeof(*r));
 	r->term = k->controller_term;
 }
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -11,6 +11,7 @@
 #include <xxhash.h>
 
 #include "decode.h"
+#include "version.h"
 #include "watch.h"
 
 #define TICK_US MS(100)
@@ -55,7 +56,7 @@
 	log_line(LOG_WARNING, "watch",
 	    "Entry of target %s, version %llu, is not valid; the target is "
 	    "treated as gone.",
-	    f->name, (unsigned long long)f->version);
+	    f->name, (unsigned long long)version_revision(f->version));
 }
 
 /* Handles a target's entry. */
@@ -201,7 +202,7 @@
 		log_line(LOG_NOTICE, "watch",
 		    "Evacuation of data centre %s %s, revision %llu.",
 		    e->list[i].dc, e->list[i].ended ? "has ended" : "in force",
-		    (unsigned long long)e->as_of);
+		    (unsigned long long)version_revision(e->as_of));
 }
 
 /* Publishes the targets if they have changed. */
@@ -338,6 +339,27 @@
 	return ((enum feed_kind)i);
 }
 
+/*
+ * Lists all kinds anew if the store has come back from an old copy.  Targets
+ * and the operator write again what it has lost, which takes a moment:
+ * meanwhile missing entries are doubted, and evacuations are not read.
+ */
+static void
+check_era(struct service *s, const struct store *st, usec now)
+{
+	struct watch *w = s->state;
+
+	if (st->status == 0 || (w->store_answered && st->era <= w->store_era))
+		return;
+	if (w->store_answered) {
+		membership_store_restored(&w->membership, now);
+		feed_list_all(s, now);
+		w->feeds[FEED_EVACUATIONS].next = now + LAPSE_GRACE;
+	}
+	w->store_era = st->era;
+	w->store_answered = 1;
+}
+
 /* Handles the outcome of a call. */
 static void
 call_done(struct service *s, const struct store *st, usec now)
@@ -347,6 +369,7 @@
 	struct feed *f = &w->feeds[kind];
 	usec since = f->backoff == 0 ? now : 0;
 
+	check_era(s, st, now);
 	if (st->generation != f->call_id)
 		return;
 	f->pending = 0;
--- a/regress/unit/t_membership.c
+++ b/regress/unit/t_membership.c
@@ -228,6 +228,23 @@
 	CU_ASSERT(k.list[1].t.gone);
 }
 
+/* Guards against taking targets for gone whose entries the store has lost. */
+static void
+restored_store(void)
+{
+	set_up(6);
+	membership_store_restored(&k, MS(5000));
+	membership_list_begin(&k);
+	put("t0", MS(5010));
+	put("t1", MS(5010));
+	put("t2", MS(5010));
+	put("t3", MS(5010));
+	membership_list_end(&k, MS(5010));
+	CU_ASSERT_EQUAL(usable(MS(6999)), 6);
+	put("t4", MS(6999));
+	CU_ASSERT_EQUAL(usable(MS(7000)), 5);
+}
+
 /* Returns how many targets with an id may get new requests. */
 static int
 usable_of(const char *id, usec now)
@@ -337,6 +354,7 @@
     {"from the controller", from_controller},
     {"leaving is final", leaving_is_final},
     {"leaving by answer", leaving_by_answer},
+    {"restored store", restored_store},
     {"restarted", restarted},
     {"restarted twice", restarted_twice},
     {"invalid entry", invalid_entry},
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -8,6 +8,7 @@
 #include "objects.h"
 #include "target.h"
 #include "unit.h"
+#include "version.h"
 
 static const char config[] =
     "{\"metadata\":{\"name\":\"main\",\"revision\":5},\"spec\":{"
@@ -224,6 +225,10 @@
 	CU_ASSERT_STRING_EQUAL(h.url, "http://h:1/objects/kind/name");
 	CU_ASSERT_PTR_NOT_NULL(strstr(h.body.p, "\"revision\":7"));
 	str_free(&h.body);
+	/* The store knows revisions, not eras. */
+	make_put(version_make(3, 8), &h);
+	CU_ASSERT_PTR_NOT_NULL(strstr(h.body.p, "\"revision\":8}"));
+	str_free(&h.body);
 }
 
 static struct store *
