--- a/gspard/direct_flow.c
+++ b/gspard/direct_flow.c
@@ -283,22 +283,8 @@
 		queue_or_refuse(d, p, s, &s->queue, now);
 }
 
-/* True if the service has a target that is not closed. */
-static int
-has_targets(const struct direct *d, const struct service_state *v, usec now)
-{
-	const struct target_state *s;
-
-	for (s = d->targets; s != NULL; s = s->next) {
-		if (!dest_closed(&s->dest, now) &&
-		    strcmp(s->service, v->name) == 0)
-			return (1);
-	}
-	return (0);
-}
-
 /* Returns how long no target of a service can be sent requests, because each
- * is backed off from or wants none. */
+ * is backed off from or wants none; -1 if all are closed. */
 static usec
 service_wait(const struct direct *d, const struct service_state *v, usec now)
 {
@@ -313,7 +299,7 @@
 		if (least < 0 || wait < least)
 			least = wait;
 	}
-	return (least < 0 ? 0 : least);
+	return (least);
 }
 
 /* Sends a request to any target of its service, queues it or refuses it. */
@@ -323,11 +309,14 @@
 	struct target_state *s = pick_target(d, p, now);
 	usec wait;
 
-	if (s != NULL)
+	if (s != NULL) {
 		send_to(d, p, s, &p->svc->queue, now);
-	else if (!has_targets(d, p->svc, now) && d->have_fleet)
+		return;
+	}
+	wait = service_wait(d, p->svc, now);
+	if (wait < 0 && d->have_fleet)
 		flow_fail(d, p, GS_NO_OWNER, MS(300), now);
-	else if ((wait = service_wait(d, p->svc, now)) > 0 &&
+	else if (wait > 0 &&
 	    now + wait + (usec)p->stats->avg_time > p->deadline)
 		flow_fail(d, p, GS_SHED, wait, now);
 	else
