The store's era is followed by one function, era_rose()

Five places compared a known era with that of a response, each with a flag of its own for the first one. They share struct store_era; control keeps the term's. An event's text is shorter, an argument that was not used is gone. No change in behaviour; unit version, "rising".

--- a/decide/keys.c
+++ b/decide/keys.c
@@ -43,7 +43,7 @@
 keys_end(struct keys *k)
 {
 	k->active = 0;
-	k->era_rose = 0;
+	k->restored = 0;
 	k->stale = 0;
 	k->rewrite = 0;
 	k->loaded = 0;
--- a/decide/keys.h
+++ b/decide/keys.h
@@ -13,6 +13,7 @@
 #include "fleet.h"
 #include "owners.h"
 #include "term.h"
+#include "version.h"
 
 /* A target's clock may run up to 2% slow, and the target hold keys longer. */
 #define KEYS_CLOCK_DRIFT 1.02
@@ -154,16 +155,12 @@
 	uint64_t top_fence;
 	uint64_t number; /* rises with each change of the owners */
 
-	/* The store's era, and whether it has risen since this controller
-	 * began: the store has come back from an old copy. */
-	uint64_t era;
-	int era_known;
-	int era_rose;
+	struct store_era era;
+	int restored; /* the era has risen since this controller began */
 
 	/* The object in the store, and the one write that may be pending. */
 	int stale;   /* as last read: the store may have lost later owners */
-	int rewrite; /* the store has lost the owners, which are written again
-		      */
+	int rewrite; /* the store has lost the owners: write them again */
 	int loaded;
 	int claimed;
 	int get_pending;
--- a/decide/keys_store.c
+++ b/decide/keys_store.c
@@ -41,7 +41,7 @@
 	for (i = 0; i < k->nranges; i++)
 		json_array_append_new(list, range_json(k, &k->ranges[i]));
 	o = json_pack("{s:I,s:I,s:I,s:I,s:I,s:o}", "term", (json_int_t)k->term,
-	    "era", (json_int_t)k->era, "write", (json_int_t)k->write_seq,
+	    "era", (json_int_t)k->era.number, "write", (json_int_t)k->write_seq,
 	    "fence", (json_int_t)k->top_fence, "hold_ms",
 	    (json_int_t)(k->conf.hold / 1000), "ranges", list);
 	text = json_dumps(o, JSON_COMPACT);
@@ -154,8 +154,9 @@
 	fence = (uint64_t)json_integer_value(json_object_get(o, "fence"));
 	if (fence > k->top_fence)
 		k->top_fence = fence;
-	k->stale = k->era_known &&
-	    (uint64_t)json_integer_value(json_object_get(o, "era")) != k->era;
+	k->stale = k->era.known &&
+	    (uint64_t)json_integer_value(json_object_get(o, "era")) !=
+		k->era.number;
 	grants_lapse_at = earlier_grants_lapse_at(k, MS(hold_ms), now);
 	k->nranges = 0;
 	for (i = 0; i < json_array_size(list); i++)
@@ -320,16 +321,11 @@
 void
 keys_store_era(struct keys *k, usec now, uint64_t era)
 {
-	int rose = k->era_known && era > k->era;
-
-	if (k->era_known && !rose)
-		return;
-	k->era_known = 1;
-	k->era = era;
-	if (!rose || !k->active)
+	if (!era_rose(&k->era, era) || !k->active)
 		return;
-	k->era_rose = 1;
-	k->loaded &= k->claimed;
+	k->restored = 1;
+	if (!k->claimed)
+		k->loaded = 0;
 	k->rewrite = k->claimed;
 	k->put_pending = 0;
 	k->put_unknown = 0;
@@ -386,7 +382,7 @@
 		return;
 	}
 	k->version = found ? version : 0;
-	if (!found && !k->era_rose)
+	if (!found && !k->restored)
 		init_ranges(k);
 	else if (!found || from_json(k, json, n, now) != 0)
 		reset_owners(k, now);
--- a/decide/membership.c
+++ b/decide/membership.c
@@ -211,7 +211,7 @@
 /* Records that a target has announced in an answer that it is leaving, before
  * its entry says so. */
 void
-membership_leave_announced(struct membership *k, const char *id, usec now)
+membership_leave_announced(struct membership *k, const char *id)
 {
 	struct membership_target *e = find(k, id);
 
--- a/decide/membership.h
+++ b/decide/membership.h
@@ -47,7 +47,7 @@
     struct membership *, const struct fleet_target *, usec now);
 void membership_entry_removed(
     struct membership *, const char *target, usec now);
-void membership_leave_announced(struct membership *, const char *id, usec now);
+void membership_leave_announced(struct membership *, const char *id);
 void membership_entry_invalid(
     struct membership *, const char *target, usec now);
 void membership_list_begin(struct membership *);
--- a/decide/term.c
+++ b/decide/term.c
@@ -94,7 +94,7 @@
 {
 	t->put_rec = *r;
 	t->put_rec.write_id = write_id(t);
-	t->put_rec.era = t->era;
+	t->put_rec.era = t->era.number;
 	t->base_version = t->version;
 	t->put_sent = now;
 	t->put_pending = 1;
@@ -219,31 +219,24 @@
  * Takes the era of the store from a response.  If it has risen, the store has
  * come back from an old copy and may have lost the record, leases and all.  The
  * holder goes on and writes the record again; a write whose outcome is not
- * known may be done or not, in either era.
+ * known may be done or not, in either era.  Returns 1 if the era has risen.
  */
-void
+int
 term_store_era(struct term *t, usec now, uint64_t era)
 {
-	int rose = t->era_known && era > t->era;
-
-	if (t->era_known && !rose)
-		return;
-	t->era_known = 1;
-	t->era = era;
-	if (!rose)
-		return;
-	t->era_rose = 1;
+	if (!era_rose(&t->era, era))
+		return (0);
+	t->restored = 1;
 	t->known = 0;
 	t->announced_version = 0;
 	t->next_get = now;
 	if (t->role == TERM_ACQUIRING)
-		become_follower(t,
-		    "store restored from a copy while control "
-		    "was being taken");
-	if (t->role != TERM_HOLDER)
-		return;
-	t->rewrite = 1;
-	t->put_unknown = t->put_pending;
+		become_follower(t, "store restored from a copy in a takeover");
+	if (t->role == TERM_HOLDER) {
+		t->rewrite = 1;
+		t->put_unknown = t->put_pending;
+	}
+	return (1);
 }
 
 /* Takes the term under which another host acts as controller: this host makes
@@ -378,7 +371,8 @@
 			t->first_seen = t->announced_at;
 	}
 	t->known = 1;
-	t->stale = t->era_known && (r == NULL ? t->era_rose : r->era != t->era);
+	t->stale =
+	    t->era.known && (r == NULL ? t->restored : r->era != t->era.number);
 	t->version = version;
 	t->last_seen = now;
 	if (r != NULL)
--- a/decide/term.h
+++ b/decide/term.h
@@ -10,6 +10,7 @@
 
 #include "clock.h"
 #include "str.h"
+#include "version.h"
 
 #define STANDBYS_MAX 2
 
@@ -89,11 +90,8 @@
 	int resigned;
 	int leaving; /* shutting down: never takes control again */
 
-	/* The store's era, and whether it has risen in this process's life: the
-	 * store has come back from an old copy. */
-	uint64_t era;
-	int era_known;
-	int era_rose;
+	struct store_era era;
+	int restored; /* the era has risen in this process's life */
 
 	/* The record as last read; version 0 means that there is none. */
 	int known;
@@ -114,8 +112,7 @@
 	usec next_put;
 
 	/* State of the holder. */
-	int rewrite;	/* the store has lost its record, which it writes again
-			 */
+	int rewrite;	/* the store has lost its record: write it again */
 	int from_stale; /* control was taken from a stale record */
 	usec lease_until;
 	struct promise promises[2 * STANDBYS_MAX];
@@ -143,7 +140,7 @@
 void term_init(struct term *, const struct term_conf *,
     const struct term_callbacks *, void *, uint64_t seed);
 void term_tick(struct term *, usec now);
-void term_store_era(struct term *, usec now, uint64_t era);
+int term_store_era(struct term *, usec now, uint64_t era);
 void term_heard(struct term *, uint64_t term);
 void term_get_done(struct term *, usec now, int found, uint64_t version,
     const struct control_record *);
--- a/decide/version.c
+++ b/decide/version.c
@@ -2,6 +2,19 @@
 
 #define REVISION_BITS 40
 
+/* Takes the era of a response; returns 1 if it has risen: the store has come
+ * back from an old copy. */
+int
+era_rose(struct store_era *e, uint64_t number)
+{
+	int rose = e->known && number > e->number;
+
+	if (!e->known || rose)
+		e->number = number;
+	e->known = 1;
+	return (rose);
+}
+
 /* Returns the version of a revision; 0, that of no object, for revision 0. */
 uint64_t
 version_make(uint64_t era, uint64_t revision)
--- a/gspard/platform.c
+++ b/gspard/platform.c
@@ -31,8 +31,7 @@
 	CURLM *multi;
 	struct store_call *calls;
 	int addr_index; /* index of the address in use */
-	uint64_t era;	/* the store's, as last seen */
-	int answered;	/* by the store, so that its era is known */
+	struct store_era era;
 	int stop;
 };
 
@@ -204,7 +203,7 @@
 	/* Nothing was done, in whichever era. */
 	if (st->result == STORE_REFUSED || st->result == STORE_RATE_LIMITED)
 		return;
-	if (st->era < p->era)
+	if (st->era < p->era.number)
 		st->result = STORE_NO_REPLY;
 	else if (st->op == STORE_WATCH && st->result == STORE_DONE &&
 	    st->base != 0 && version_era(st->base) != st->era)
@@ -215,14 +214,13 @@
 static void
 note_era(struct platform *p, const struct store *st)
 {
-	if (st->era > p->era && p->answered)
+	uint64_t was = p->era.number;
+
+	if (era_rose(&p->era, st->era))
 		log_line(LOG_WARNING, "platform",
 		    "The store has come back from an old copy, era %llu, was "
 		    "%llu.",
-		    (unsigned long long)st->era, (unsigned long long)p->era);
-	if (st->era > p->era)
-		p->era = st->era;
-	p->answered = 1;
+		    (unsigned long long)st->era, (unsigned long long)was);
 }
 
 /* Logs a write that was refused because the object has another version. */
@@ -265,10 +263,10 @@
 	const struct platform *p = s->state;
 
 	if ((st->op != STORE_PUT && st->op != STORE_WATCH) || st->base == 0 ||
-	    version_era(st->base) >= p->era)
+	    version_era(st->base) >= p->era.number)
 		return (0);
 	st->result = st->op == STORE_PUT ? STORE_CONFLICT : STORE_COMPACTED;
-	st->era = p->era;
+	st->era = p->era.number;
 	send_outcome(s, st);
 	return (1);
 }
--- a/gspard/sitectl.c
+++ b/gspard/sitectl.c
@@ -261,13 +261,10 @@
 {
 	int i;
 
-	if ((st->status == 0 && st->era == 0) ||
-	    (k->store_era_known && st->era <= k->store_era))
+	if (st->status == 0 && st->era == 0)
 		return;
-	k->store_era = st->era;
-	k->store_era_known = 1;
-	k->quarantine_known = 0;
-	term_store_era(&k->term, now, st->era);
+	if (term_store_era(&k->term, now, st->era))
+		k->quarantine_known = 0;
 	for (i = 0; i < k->nkeys; i++)
 		keys_store_era(k->keys[i], now, st->era);
 }
--- a/gspard/sitectl.h
+++ b/gspard/sitectl.h
@@ -113,8 +113,6 @@
 	usec next_store_probe;
 	usec next_standbys;
 	usec store_answered_at; /* last successful call for the record */
-	uint64_t store_era;	/* as last seen */
-	int store_era_known;
 
 	struct sitectl_host hosts[SITECTL_HOSTS_MAX];
 	int nhosts;
--- a/gspard/sitectl_keys.c
+++ b/gspard/sitectl_keys.c
@@ -119,8 +119,8 @@
 		kc.hold = MS(b->hold_max_ms);
 	kc.renew = kc.hold / RENEW_DIVISOR;
 	keys_init(ks, v->name, &kc, &keys_callbacks, k);
-	if (k->store_era_known)
-		keys_store_era(ks, now, k->store_era);
+	if (k->term.era.known)
+		keys_store_era(ks, now, k->term.era.number);
 	k->keys[k->nkeys++] = ks;
 	if (k->fleet != NULL)
 		keys_set_fleet(ks, k->fleet->p, now);
--- a/gspard/sitectl_term.c
+++ b/gspard/sitectl_term.c
@@ -244,7 +244,7 @@
 	    (unsigned long long)version_revision(st->version));
 	memset(r, 0, sizeof(*r));
 	r->term = k->controller_term;
-	r->era = k->store_era;
+	r->era = k->term.era.number;
 }
 
 /*
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -11,7 +11,6 @@
 #include <xxhash.h>
 
 #include "decode.h"
-#include "version.h"
 #include "watch.h"
 
 #define TICK_US MS(100)
@@ -345,21 +344,17 @@
  * meanwhile missing entries are doubted, and evacuations are not read.
  */
 static void
-check_era(struct service *s, const struct store *st, usec now)
+take_era(struct service *s, const struct store *st, usec now)
 {
 	struct watch *w = s->state;
 
-	if (st->status == 0 || (w->store_answered && st->era <= w->store_era))
+	if (st->status == 0 || !era_rose(&w->era, st->era))
 		return;
-	if (w->store_answered) {
-		membership_store_restored(&w->membership, now);
-		/* A list that was begun before is not read. */
-		watch_cancel_list(&w->feeds[FEED_EVACUATIONS]);
-		feed_list_all(s, now);
-		w->feeds[FEED_EVACUATIONS].next = now + LAPSE_GRACE;
-	}
-	w->store_era = st->era;
-	w->store_answered = 1;
+	membership_store_restored(&w->membership, now);
+	/* A list that was begun before is not read. */
+	watch_cancel_list(&w->feeds[FEED_EVACUATIONS]);
+	feed_list_all(s, now);
+	w->feeds[FEED_EVACUATIONS].next = now + LAPSE_GRACE;
 }
 
 /* Handles the outcome of a call. */
@@ -371,7 +366,7 @@
 	struct feed *f = &w->feeds[kind];
 	usec since = f->backoff == 0 ? now : 0;
 
-	check_era(s, st, now);
+	take_era(s, st, now);
 	if (st->generation != f->call_id)
 		return;
 	f->pending = 0;
@@ -510,7 +505,7 @@
 		membership_adopt(&w->membership, m->data, now);
 		break;
 	case MSG_LEAVE_ANNOUNCED:
-		membership_leave_announced(&w->membership, m->data, now);
+		membership_leave_announced(&w->membership, m->data);
 		break;
 	case MSG_QUIT:
 		w->stop = 1;
--- a/gspard/watch.h
+++ b/gspard/watch.h
@@ -5,6 +5,7 @@
 
 #include "gspard.h"
 #include "membership.h"
+#include "version.h"
 
 /* Number of invalid entries that are remembered as logged. */
 #define INVALID_LOGGED_MAX 64
@@ -35,9 +36,8 @@
 	uint64_t evacuations_logged; /* digest of those last logged */
 	int fresh;	     /* the targets are as read from the store */
 	int from_controller; /* this host gets changes from the controller */
-	uint64_t store_era;  /* the store's, as last seen */
-	int store_answered;  /* so that its era is known */
-	uint64_t version;    /* of the current site configuration */
+	struct store_era era;
+	uint64_t version; /* of the current site configuration */
 	uint64_t invalid_logged[INVALID_LOGGED_MAX]; /* digests of entries */
 	unsigned ninvalid_logged;
 	int stop;
--- a/regress/unit/t_membership.c
+++ b/regress/unit/t_membership.c
@@ -204,12 +204,12 @@
 
 	set_up(3);
 	k.changed = 0;
-	membership_leave_announced(&k, "t1", MS(1000));
+	membership_leave_announced(&k, "t1");
 	CU_ASSERT(k.changed);
 	CU_ASSERT_EQUAL(usable(MS(1000)), 2);
 	k.changed = 0;
-	membership_leave_announced(&k, "t1", MS(1100));
-	membership_leave_announced(&k, "t9", MS(1100));
+	membership_leave_announced(&k, "t1");
+	membership_leave_announced(&k, "t9");
 	CU_ASSERT(!k.changed);
 	put("t1", MS(1200));
 	CU_ASSERT_EQUAL(usable(MS(1200)), 2);
--- a/regress/unit/t_version.c
+++ b/regress/unit/t_version.c
@@ -24,8 +24,27 @@
 	CU_ASSERT_EQUAL(version_make(3, 0), 0);
 }
 
+/* Guards against taking the first era that is seen for one that has risen, and
+ * a late response of an earlier one for the present. */
+static void
+rising(void)
+{
+	struct store_era e = {0, 0};
+
+	CU_ASSERT(!era_rose(&e, 3));
+	CU_ASSERT(!era_rose(&e, 3));
+	CU_ASSERT(era_rose(&e, 4));
+	CU_ASSERT(!era_rose(&e, 3));
+	CU_ASSERT_EQUAL(e.number, 4);
+	/* A store that states none until it first rises. */
+	e.known = 0;
+	CU_ASSERT(!era_rose(&e, 0));
+	CU_ASSERT(era_rose(&e, 1));
+}
+
 static const struct unit_test tests[] = {
     {"eras differ", eras_differ},
     {"parts", parts},
+    {"rising", rising},
 };
 UNIT_MAIN("version", tests)
