Scenarios share what reads grants, releases and arrivals from journals

journals_ok() and fences_ok() parsed the same lines, site_limit had an arrivals() of its own, and the two scenarios of a restored store began alike.

--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -561,10 +561,9 @@
 	return false
 end
 
--- Checks all journals: no two running targets held a key at the same time, no
--- request that may run only once ran twice, and none of those in `refused` ran.
-function Site:journals_ok(refused)
-	local all, seen, doubles = {}, {}, 0
+-- Returns all grants and releases that targets carried out, in order.
+function Site:key_events()
+	local all = {}
 	for _, id in ipairs(self.sorder) do
 		for l in read_file(id .. ".journal"):gmatch("[^\n]+") do
 			local w, a, b, c, d, e = l:match(
@@ -572,8 +571,23 @@
 			if w then
 				table.insert(all, { at = tonumber(d), id = id,
 				    what = w, from = tonumber(a),
-				    to = tonumber(b), till = tonumber(e) })
+				    to = tonumber(b), fence = tonumber(c),
+				    till = tonumber(e) })
 			end
+		end
+	end
+	table.sort(all, function(x, y)
+		return x.at < y.at
+	end)
+	return all
+end
+
+-- Checks all journals: no two running targets held a key at the same time, no
+-- request that may run only once ran twice, and none of those in `refused` ran.
+function Site:journals_ok(refused)
+	local all, seen, doubles = self:key_events(), {}, 0
+	for _, id in ipairs(self.sorder) do
+		for l in read_file(id .. ".journal"):gmatch("[^\n]+") do
 			local rid, method = l:match("^run %S+ %S+ (%S+) (%S+)")
 			if rid and method == "POST" then
 				check(not seen[rid], "%s ran twice", rid)
@@ -584,9 +598,6 @@
 			end
 		end
 	end
-	table.sort(all, function(x, y)
-		return x.at < y.at
-	end)
 	for key = 300, 65535, 1111 do
 		local held = {}
 		for _, e in ipairs(all) do
@@ -617,25 +628,12 @@
 -- Checks all journals: no target took a key with a fence that was not above all
 -- with which others had had it.
 function Site:fences_ok()
-	local all = {}
-	for _, id in ipairs(self.sorder) do
-		for l in read_file(id .. ".journal"):gmatch("[^\n]+") do
-			local a, b, f, at, till = l:match(
-			    "^grant (%d+) (%d+) (%d+) (%d+) (%d+)")
-			if a and tonumber(till) > tonumber(at) then
-				table.insert(all, { id = id, from = tonumber(a),
-				    to = tonumber(b), fence = tonumber(f),
-				    at = tonumber(at) })
-			end
-		end
-	end
-	table.sort(all, function(x, y)
-		return x.at < y.at
-	end)
+	local all = self:key_events()
 	for key = 300, 65535, 1111 do
 		local fences = {}
 		for _, g in ipairs(all) do
-			if g.from <= key and key <= g.to and
+			if g.what == "grant" and g.till > g.at and
+			    g.from <= key and key <= g.to and
 			    fences[g.id] ~= g.fence then
 				for id, f in pairs(fences) do
 					check(id == g.id or g.fence > f,
@@ -651,9 +649,15 @@
 
 -- Makes the store go back to a copy that is older than the last moves of keys:
 -- all keys of the data centre north have gone to others since, as it is being
--- evacuated, and its targets run on.  while_down is called while the store is away, for `away` ms.
+-- evacuated, and its targets run on.  while_down(controller) is called while the
+-- store is away, for `away` ms.  Returns the controller of before.
 function Site:restore_after_moves(away, while_down)
 	local north = {}
+	local controller = await("a controller with two standbys", 8000,
+	    function()
+		local r = self:record()
+		return r and #r.standbys == 2 and self:controller()
+	end)
 	for _, id in ipairs(self.sorder) do
 		north[id] = self.servers[id].dc == "north"
 	end
@@ -672,11 +676,12 @@
 	end)
 	self:fault("down=1")
 	local till = now_ms() + away
-	while_down()
+	while_down(controller)
 	while now_ms() < till do
 		sleep_ms(10)
 	end
 	self:fault("restore=1&down=0")
+	return controller
 end
 
 -- Sends a request that crashes each target that runs it over and over, through
--- a/regress/scenario/site_limit.lua
+++ b/regress/scenario/site_limit.lua
@@ -59,10 +59,9 @@
 -- Returns the times at which requests arrived at a target within [from, to).
 local function arrivals(id, from, to)
 	local all = {}
-	for l in read_file(id .. ".journal"):gmatch("[^\n]+") do
-		local at = tonumber(l:match("^came (%d+)"))
-		if at and at / 1000 >= from and at / 1000 < to then
-			table.insert(all, at / 1000)
+	for _, a in ipairs(s:arrivals(id)) do
+		if a.at >= from and a.at < to then
+			table.insert(all, a.at)
 		end
 	end
 	return all
--- a/regress/scenario/site_restored.lua
+++ b/regress/scenario/site_restored.lua
@@ -3,11 +3,7 @@
 -- successor granted the keys to their earlier owners while others held them.
 dofile("regress/scenario/lib_site.lua")
 local s = standard_site { keyed = 4, bounds = "evacuate = 5s" }
-local first = await("a controller with two standbys", 8000, function()
-	local r = s:record()
-	return r and #r.standbys == 2 and s:controller()
-end)
-s:restore_after_moves(1500, function() end)
+local first = s:restore_after_moves(1500, function() end)
 local r = s:load(8000)
 local last = s:controller()
 s:evacuate("north", false)
--- a/regress/scenario/site_restored_lost.lua
+++ b/regress/scenario/site_restored_lost.lua
@@ -3,13 +3,9 @@
 -- earlier owners while others held them.
 dofile("regress/scenario/lib_site.lua")
 local s = standard_site { keyed = 4, bounds = "evacuate = 5s" }
-local first = await("a controller with two standbys", 8000, function()
-	local r = s:record()
-	return r and #r.standbys == 2 and s:controller()
-end)
-s:restore_after_moves(1500, function()
+local first = s:restore_after_moves(1500, function(controller)
 	sleep_ms(1200)
-	s:kill_host(first)
+	s:kill_host(controller)
 end)
 -- Targets get requests as long as they hold keys, by whichever grant.
 local r = s:load(6000)
