Soak: the mutant that uses leaving targets matches the code again

Since answers announce that a target leaves, its pattern changed nothing. It takes out both ways in which the router takes a target for leaving from a list.

--- a/regress/soak/mutants.sh
+++ b/regress/soak/mutants.sh
@@ -58,7 +58,8 @@
 mutant answer-of-another-target "" platform/target.c \
     's/strcmp(r->id, c->id) != 0)/0)/'
 mutant leaving-targets-used calm=1 gspard/direct_pick.c \
-    's/p->dest.leaving = t->leaving;/p->dest.leaving = 0;/'
+    's/p->dest.leaving = t->leaving \&\& !t->leave_unwritten;/p->dest.leaving = 0;/' \
+    gspard/direct_pick.c 's/^	if (t->leaving \&\& !t->gone)$/	if (0)/'
 # A configuration that is not pushed is read from the store 0.4 s later, so
 # either of the two is enough.
 mutant configurations-not-pushed calm=1 gspard/sitectl_config.c \
