--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -242,7 +242,7 @@
 without restored-owners-are-written keys keys_store.c \
     's/k->rewrite = k->claimed;/;/'
 without later-claim-stays keys keys_store.c 's/if (term > k->term) {/if (0) {/'
-without restored-record-is-written term term.c 's/^	t->rewrite = 1;/	;/'
+without restored-record-is-written term term.c 's/^		t->rewrite = 1;/		;/'
 without stale-record-is-waited-for term term.c 's/^	if (t->stale)$/	if (0)/'
 without later-holder-stays term term.c \
     '/^holder_read_again/,/^}/s/if (r != NULL \&\&/if (0 \&\&/'
