Router: a request that ends at its deadline tells the state of its attempt

Whether the connection was established, new or reused, and when any target last answered: the log of the incident cannot tell requests that wait on silent connections from those whose targets are slow.

--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -133,6 +133,7 @@
 	int nidle_easy;
 	uint64_t unknown_headers[UNKNOWN_HEADERS_MAX]; /* hashes of names */
 	int nunknown_headers;
+	usec last_answer; /* of any target; 0 if none yet */
 	int have_fleet;
 	int hosts_known; /* the number of hosts is known */
 	int rank;	 /* of this host among all hosts, from 0 */
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -277,6 +277,7 @@
 	if (res != CURLE_OK)
 		return;
 	s->ended = 0;
+	d->last_answer = now;
 	update_pause(s, &p->attempt->t.reply, now);
 	if (kind != REPLY_FOREIGN) {
 		note_unknown_header(d, s, p->attempt->t.reply.unknown_header);
@@ -315,6 +316,24 @@
 	}
 }
 
+/* Logs the state of an attempt that is still in flight at its request's
+ * deadline. */
+static void
+log_unfinished(const struct direct *d, const struct pending *p, usec now)
+{
+	const struct attempt *a = p->attempt;
+
+	log_request("router", p->call->id,
+	    "no answer from target %s at %s within %lld ms, %s, "
+	    "last answer of any target %lld ms ago",
+	    a->target->id, a->target->addr, (long long)((now - a->sent) / 1000),
+	    !a->t.maybe_sent	? "not connected"
+		: a->t.new_conn ? "sent on a new connection"
+				: "sent on a reused connection",
+	    d->last_answer == 0 ? -1ll
+				: (long long)((now - d->last_answer) / 1000));
+}
+
 /* Ends a request whose deadline has passed. */
 void
 flow_expire(struct direct *d, struct pending *p, usec now)
@@ -323,6 +342,7 @@
 		flow_fail(d, p, p->ran > 0 ? GS_DEADLINE : GS_TOO_LATE, 0, now);
 		return;
 	}
+	log_unfinished(d, p, now);
 	update_stats(p, DEST_TIMED_OUT, now);
 	crash_add_unanswered(d, p, now);
 	flow_fail(
