Failing test: hosts that are cut off from all targets serve hardly anybody

Stand-in targets can cut callers off by address: by dropped packets, by resets, or by closing new connections alone. So that they can tell hosts apart, a host may connect to targets from an address of its own ([host] source).

--- a/gspard/direct_send.c
+++ b/gspard/direct_send.c
@@ -67,13 +67,15 @@
 /* Sets the address, timeouts and connection reuse of the transfer; left is the
  * time until the deadline. */
 static void
-set_transfer(struct attempt *a, const struct pending *p, usec left)
+set_transfer(
+    struct direct *d, struct attempt *a, const struct pending *p, usec left)
 {
 	char url[FLEET_ADDR + 16];
 	long ms = (long)(left / 1000);
 
 	snprintf(url, sizeof(url), "http://%s/", a->target->addr);
-	transfer_set_options(&a->t, url, ms < CONNECT_MS ? ms + 1 : CONNECT_MS);
+	transfer_set_options(&a->t, url, ms < CONNECT_MS ? ms + 1 : CONNECT_MS,
+	    kernel_conf(d->s->kernel)->source);
 	curl_easy_setopt(a->t.easy, CURLOPT_PRIVATE, p);
 	curl_easy_setopt(a->t.easy, CURLOPT_MAXAGE_CONN,
 	    p->rule->idempotent ? IDLE_MAX_S : IDLE_MAX_ONCE_S);
@@ -108,7 +110,7 @@
 	a->t.body_max = ANSWER_MAX;
 	a->t.headers = d->ops->request(
 	    p->call, target->id, (int)(left / 1000) - RETURN_MS);
-	set_transfer(a, p, left);
+	set_transfer(d, a, p, left);
 	set_request(a, p->call);
 	p->attempt = a;
 	dest_sent(&target->dest, now);
--- a/gspard/sitectl_order.c
+++ b/gspard/sitectl_order.c
@@ -61,7 +61,7 @@
 
 /* Sets the URL, headers, body and options of the transfer. */
 static void
-order_call_set(struct order_call *c, long wait_ms)
+order_call_set(struct order_call *c, const char *source, long wait_ms)
 {
 	char url[FLEET_ADDR + 32], line[NAME_MAX_GS + 32];
 	const char *path = c->t.ops->order(&c->order, c->body, sizeof(c->body));
@@ -73,7 +73,7 @@
 	c->t.headers = curl_slist_append(c->t.headers, "Accept:");
 	c->t.ops->expect(c->order.target, line, sizeof(line));
 	c->t.headers = curl_slist_append(c->t.headers, line);
-	transfer_set_options(&c->t, url, CONNECT_TIMEOUT_MS);
+	transfer_set_options(&c->t, url, CONNECT_TIMEOUT_MS, source);
 	curl_easy_setopt(c->t.easy, CURLOPT_PRIVATE, c);
 	curl_easy_setopt(c->t.easy, CURLOPT_TIMEOUT_MS, wait_ms);
 	curl_easy_setopt(c->t.easy, CURLOPT_POSTFIELDS, c->body);
@@ -105,7 +105,7 @@
 	if (c->next != NULL)
 		c->next->link = &c->next;
 	k->calls = c;
-	order_call_set(c, wait);
+	order_call_set(c, kernel_conf(k->s->kernel)->source, wait);
 	count_add(C_GRANTS, 1);
 	curl_multi_add_handle(k->multi, c->t.easy);
 }
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -89,10 +89,11 @@
 	return (CURL_PREREQFUNC_OK);
 }
 
-/* Sets the options that all transfers to targets share. */
+/* Sets the options that all transfers to targets share; source is the IP
+ * address to connect from, or "". */
 void
-transfer_set_options(
-    struct transfer *t, const char *url, long connect_timeout_ms)
+transfer_set_options(struct transfer *t, const char *url,
+    long connect_timeout_ms, const char *source)
 {
 	t->reply.limit = -1;
 	curl_easy_setopt(t->easy, CURLOPT_URL, url);
@@ -100,6 +101,8 @@
 	curl_easy_setopt(t->easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(t->easy, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(t->easy, CURLOPT_PROXY, "");
+	if (source[0] != '\0')
+		curl_easy_setopt(t->easy, CURLOPT_INTERFACE, source);
 	curl_easy_setopt(
 	    t->easy, CURLOPT_CONNECTTIMEOUT_MS, connect_timeout_ms);
 	curl_easy_setopt(t->easy, CURLOPT_HTTPHEADER, t->headers);
--- a/gspard/transfer.h
+++ b/gspard/transfer.h
@@ -16,8 +16,8 @@
 
 void transfers_wake(void *multi);
 int transfer_set_keepalive(void *, curl_socket_t, curlsocktype);
-void transfer_set_options(
-    struct transfer *, const char *url, long connect_timeout_ms);
+void transfer_set_options(struct transfer *, const char *url,
+    long connect_timeout_ms, const char *source);
 void transfer_free(struct transfer *);
 
 #endif
--- a/lib/conf.c
+++ b/lib/conf.c
@@ -12,7 +12,7 @@
 #include "conf.h"
 #include "feature.h"
 
-enum kind { K_NAME, K_ADDR, K_ADDRS, K_INT, K_FORM, K_TIME, K_REAL };
+enum kind { K_NAME, K_ADDR, K_ADDRS, K_IP, K_INT, K_FORM, K_TIME, K_REAL };
 
 struct key {
 	const char *section;
@@ -29,6 +29,7 @@
     {"host", "dc", K_NAME, OFFSET(dc), 0, 0},
     {"host", "cores", K_REAL, OFFSET(cores), 0, 4096},
     {"host", "link_mbps", K_REAL, OFFSET(link_mbps), 0, 1000000},
+    {"host", "source", K_IP, OFFSET(source), 0, 0},
     {"listen", "callers", K_ADDR, OFFSET(callers), 0, 0},
     {"listen", "peers", K_ADDR, OFFSET(peers), 0, 0},
     {"listen", "reached", K_ADDR, OFFSET(advertised), 0, 0},
@@ -161,6 +162,22 @@
 	return (0);
 }
 
+/* Stores an IP address without a port. */
+static void
+store_ip(struct reader *r, const struct key *k, char *dst, const char *value)
+{
+	struct in6_addr a6;
+	struct in_addr a4;
+
+	if (inet_pton(AF_INET, value, &a4) != 1 &&
+	    inet_pton(AF_INET6, value, &a6) != 1)
+		report_error(r, r->line,
+		    "%s: '%s' is not an address; allowed: an IP number",
+		    k->name, value);
+	else
+		name_copy(dst, ADDR_MAX_GS, value);
+}
+
 /* Stores the platform's addresses, which are separated by blanks. */
 static void
 store_addrs(struct reader *r, const struct key *k, const char *value)
@@ -283,6 +300,9 @@
 	case K_ADDRS:
 		store_addrs(r, k, value);
 		break;
+	case K_IP:
+		store_ip(r, k, dst, value);
+		break;
 	case K_INT:
 		errno = 0;
 		n = strtol(value, &end, 10);
@@ -382,7 +402,7 @@
 	if (strcmp(k->section, "bounds") == 0 || k->offset == OFFSET(ready))
 		return (c->form == FORM_OBJECTS);
 	return (k->kind != K_INT && k->kind != K_FORM && k->kind != K_REAL &&
-	    k->offset != OFFSET(advertised));
+	    k->kind != K_IP && k->offset != OFFSET(advertised));
 }
 
 /*
--- a/lib/conf.h
+++ b/lib/conf.h
@@ -42,6 +42,8 @@
 	char dc[NAME_MAX_GS];
 	double cores;	  /* processor cores; 0 if not set */
 	double link_mbps; /* network bandwidth in Mbit/s; 0 if not set */
+	char source[ADDR_MAX_GS]; /* IP address from which targets are
+				     connected to; "" if any */
 	char callers[ADDR_MAX_GS];
 	char peers[ADDR_MAX_GS];
 	char
--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -279,6 +279,9 @@
 		    "-l", h.reached, "-t", h.peers, "-l", h.store, "-t",
 		    self.store, "-r", tostring(link), "-c", h.link)
 	end
+	if self.opt.sources then
+		h.source = "127.0.0." .. 20 + #self.order
+	end
 	self:write_settings(name)
 	return h
 end
@@ -286,13 +289,14 @@
 function Site:write_settings(name, more)
 	local h = self.hosts[name]
 	write_file(name .. ".conf", string.format(
-	    "[host]\nname = %s\ndc = %s\n%s\n[listen]\ncallers = %s\n" ..
+	    "[host]\nname = %s\ndc = %s\n%s%s\n[listen]\ncallers = %s\n" ..
 	    "ready = %s\npeers = %s\nreached = %s\nadmin = %s\n[platform]\n" ..
 	    "form = objects\naddress = %s\n[leases]\ncontrol_ms = 1500\n" ..
 	    "renew_ms = 500\nhost_ms = 1500\ngrant_ms = 1500\n[bounds]\n" ..
 	    "heartbeat = 900ms\ndrain = 2s\ngrace = 6s\nconfig_apply = 2s\n" ..
 	    "budget_window = 10s\nmax_hold = 10s\nretry_budget_ratio = 0.2\n" ..
-	    "%s\n", name, h.dc, (self.opt.size or {})[name] or
+	    "%s\n", name, h.dc, h.source and "source = " .. h.source .. "\n" or
+	    "", (self.opt.size or {})[name] or
 	    "cores = 1\nlink_mbps = 1000", h.callers, h.ready, h.peers,
 	    h.reached, h.admin,
 	    h.store or self.store, (self.opt.bounds or "") .. "\n" ..
@@ -451,6 +455,49 @@
 	    (on and "*" or ""), "")
 end
 
+-- Cuts hosts off from all targets, or from those listed, and ends earlier cuts;
+-- needs sources.  how is silent (packets are dropped), reset (connections are
+-- reset, new ones closed) or new (new ones are closed).
+function Site:cut_targets(hosts, how, targets)
+	local from = {}
+	for _, n in ipairs(hosts) do
+		table.insert(from, self.hosts[n].source)
+	end
+	for _, id in ipairs(targets or self.sorder) do
+		self:server_fault(id, "cut_from=" .. table.concat(from, ",") ..
+		    "&how=" .. (how or "silent"))
+	end
+end
+
+-- Sends requests of all kinds for `ms` through the hosts in turn, without
+-- waiting for answers.  Returns how many of those through the hosts in `set`
+-- were sent and served, and the same of the others.
+function Site:load_async(ms, set)
+	local till, n = now_ms() + ms, 0
+	self.answers = {}
+	while now_ms() < till do
+		n = n + 1
+		local h = self.order[n % #self.order + 1]
+		local where = set[h] and "in" or "out"
+		local key = n * 5003 % 65536
+		self:send_async(h, where, "/any/" .. n)
+		self:send_async(h, where, "/k/" .. key,
+		    "X-Shard-Key: " .. key .. "\r\n")
+		sleep_ms(5)
+	end
+	while #self.pending > 0 do
+		self:read_oldest()
+	end
+	local r = { ["in"] = { sent = 0, served = 0 },
+	    out = { sent = 0, served = 0 } }
+	for k, count in pairs(self.answers) do
+		local where, st = k:match("(%S+) (%S+)")
+		r[where].sent = r[where].sent + count
+		r[where].served = r[where].served + (st == "200" and count or 0)
+	end
+	return r["in"], r.out
+end
+
 -- Returns the control record in the store, or nil.
 function Site:record()
 	local st, text = http("GET", "http://" .. self.store ..
--- a/regress/unit/t_conf.c
+++ b/regress/unit/t_conf.c
@@ -81,6 +81,9 @@
 	    0);
 	CU_ASSERT_EQUAL(c.nplatforms, 2);
 	CU_ASSERT_STRING_EQUAL(c.platform[1], "[::1]:84");
+	CU_ASSERT_STRING_EQUAL(c.source, "");
+	CU_ASSERT_EQUAL(read_text(GOOD "[host]\nsource = 127.0.0.2\n"), 0);
+	CU_ASSERT_STRING_EQUAL(c.source, "127.0.0.2");
 }
 
 #define OBJECTS                                                                \
@@ -135,6 +138,7 @@
 	    {"[listen]\npeers = db.example:80\n", "2: peers: 'db.example:80'"},
 	    {"[listen]\npeers = 127.0.0.1:0\n", "is not an address"},
 	    {"[listen]\npeers = 127.0.0.1\n", "is not an address"},
+	    {GOOD "[host]\nsource = 127.0.0.1:80\n", "11: source: '127.0.0.1:"},
 	    {GOOD_BUT_PLATFORM "address = 127.0.0.1:83 db:84\n", "'db:84'"},
 	    {GOOD_BUT_PLATFORM "address =\n", "'' is not an address"},
 	    {GOOD_BUT_PLATFORM "address = 1.1.1.1:1 1.1.1.1:1 1.1.1.1:1 "
--- a/standin/server.c
+++ b/standin/server.c
@@ -40,6 +40,7 @@
 static const char *name = "i-1";
 static const char *crash_on; /* exits after running a path with this text */
 static FILE *journal;
+static struct MHD_Daemon *web;
 
 /* Faults, set by /_fault. */
 static int lose_answers;     /* number of runs without an answer */
@@ -311,6 +312,20 @@
 	pthread_mutex_unlock(&lock);
 }
 
+/* Cuts callers off, by cut_from=IP,... and how=silent, reset or new. */
+static void
+set_cut(const struct web_request *q)
+{
+	const char *how = web_arg(q, "how");
+
+	if (web_arg(q, "cut_from") == NULL)
+		return;
+	web_cut(web, web_arg(q, "cut_from"),
+	    how == NULL || strcmp(how, "silent") == 0 ? WEB_CUT_SILENT
+		: strcmp(how, "reset") == 0	      ? WEB_CUT_RESET
+						      : WEB_CUT_NEW);
+}
+
 /* Sets faults, and answers with the number of requests that ran. */
 static void
 set_faults(const struct web_request *q, struct web_answer *a)
@@ -318,6 +333,7 @@
 	char text[64];
 	int n;
 
+	set_cut(q);
 	pthread_mutex_lock(&lock);
 	lose_answers = (int)web_parse_number(web_arg(q, "lose"), lose_answers);
 	truncate_answers =
@@ -364,7 +380,8 @@
 {
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
 	signal(SIGPIPE, SIG_IGN);
-	if (web_start(listen_addr, handle_call) == NULL)
+	web = web_start(listen_addr, handle_call);
+	if (web == NULL)
 		errx(1, "cannot listen on %s", listen_addr);
 	for (;;)
 		pause();
--- a/standin/web.c
+++ b/standin/web.c
@@ -1,15 +1,36 @@
 #include <argp.h>
 #include <arpa/inet.h>
 #include <err.h>
+#include <linux/filter.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "conf.h"
 #include "web.h"
 
+/* Offset of the source address in an IPv4 header. */
+#define IP_SOURCE_OFFSET 12
+
+/* An open connection. */
+struct web_conn {
+	struct web_conn *next;
+	int fd;
+	in_addr_t from;
+	int nrequests;
+};
+
+static pthread_mutex_t conns_lock = PTHREAD_MUTEX_INITIALIZER;
+static struct web_conn *conns;
+/* Callers that are cut off, and how. */
+static in_addr_t cut_from[WEB_CUT_MAX];
+static int ncut;
+static enum web_cut cut_how;
+
 struct truncated_body {
 	struct str body;
 	size_t end;
@@ -118,15 +139,126 @@
 	return (r);
 }
 
-/* Allocates and frees the request counter of a connection. */
+/* True if connections from an address are cut; the lock is held. */
+static int
+is_cut(in_addr_t from)
+{
+	int i;
+
+	for (i = 0; i < ncut; i++) {
+		if (cut_from[i] == from)
+			return (1);
+	}
+	return (0);
+}
+
+/* Drops all packets from cut callers that arrive at a socket, or no longer any;
+ * the lock is held. */
+static void
+filter_packets(int fd, int drop)
+{
+	struct sock_filter code[WEB_CUT_MAX + 3];
+	struct sock_fprog program = {0, code};
+	int i, none = 0;
+
+	if (!drop || ncut == 0) {
+		setsockopt(
+		    fd, SOL_SOCKET, SO_DETACH_FILTER, &none, sizeof(none));
+		return;
+	}
+	code[program.len++] =
+	    (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS,
+		(unsigned)(SKF_NET_OFF + IP_SOURCE_OFFSET));
+	for (i = 0; i < ncut; i++)
+		code[program.len++] =
+		    (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K,
+			ntohl(cut_from[i]), (unsigned char)(ncut - i), 0);
+	code[program.len++] =
+	    (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, 0xffffffff);
+	code[program.len++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, 0);
+	if (setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+		sizeof(program)) != 0)
+		warn("SO_ATTACH_FILTER");
+}
+
+/* Resets a connection as soon as its thread closes it, which is at once. */
+static void
+reset_connection(int fd)
+{
+	struct linger hard = {1, 0};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+	shutdown(fd, SHUT_RDWR);
+}
+
+/*
+ * Cuts callers off by their IP addresses, separated by commas; none if the list
+ * is empty.
+ */
+void
+web_cut(struct MHD_Daemon *m, const char *from, enum web_cut how)
+{
+	const union MHD_DaemonInfo *info =
+	    MHD_get_daemon_info(m, MHD_DAEMON_INFO_LISTEN_FD);
+	char list[512], *word, *rest;
+	struct web_conn *c;
+
+	pthread_mutex_lock(&conns_lock);
+	ncut = 0;
+	snprintf(list, sizeof(list), "%s", from);
+	for (word = strtok_r(list, ",", &rest);
+	     word != NULL && ncut < WEB_CUT_MAX;
+	     word = strtok_r(NULL, ",", &rest))
+		cut_from[ncut++] = inet_addr(word);
+	cut_how = how;
+	filter_packets(info->listen_fd, how == WEB_CUT_SILENT);
+	for (c = conns; c != NULL; c = c->next) {
+		filter_packets(c->fd, how == WEB_CUT_SILENT);
+		if (how == WEB_CUT_RESET && is_cut(c->from))
+			reset_connection(c->fd);
+	}
+	pthread_mutex_unlock(&conns_lock);
+}
+
+/* Notes that a connection opens or closes. */
 static void
 on_connection(void *cls, struct MHD_Connection *conn, void **state,
     enum MHD_ConnectionNotificationCode what)
 {
-	if (what == MHD_CONNECTION_NOTIFY_STARTED)
-		*state = calloc(1, sizeof(int));
-	else
-		free(*state);
+	struct web_conn **at, *c = *state;
+
+	pthread_mutex_lock(&conns_lock);
+	if (what == MHD_CONNECTION_NOTIFY_STARTED) {
+		*state = c = calloc(1, sizeof(*c));
+		c->fd = MHD_get_connection_info(
+		    conn, MHD_CONNECTION_INFO_CONNECTION_FD)
+			    ->connect_fd;
+		c->from = ((const struct sockaddr_in *)MHD_get_connection_info(
+			       conn, MHD_CONNECTION_INFO_CLIENT_ADDRESS)
+			       ->client_addr)
+			      ->sin_addr.s_addr;
+		c->next = conns;
+		conns = c;
+	} else {
+		for (at = &conns; *at != c; at = &(*at)->next)
+			;
+		*at = c->next;
+		free(c);
+	}
+	pthread_mutex_unlock(&conns_lock);
+}
+
+/* Closes new connections from callers that are cut off by resets. */
+static enum MHD_Result
+accept_policy(void *cls, const struct sockaddr *addr, socklen_t size)
+{
+	const struct sockaddr_in *sin = (const struct sockaddr_in *)addr;
+	int closed;
+
+	pthread_mutex_lock(&conns_lock);
+	closed = cut_how != WEB_CUT_SILENT && is_cut(sin->sin_addr.s_addr);
+	pthread_mutex_unlock(&conns_lock);
+	return (closed ? MHD_NO : MHD_YES);
 }
 
 /* Counts a request on its connection and returns its number, from 1; 0 if
@@ -136,9 +268,9 @@
 {
 	const union MHD_ConnectionInfo *info =
 	    MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-	int *n = info == NULL ? NULL : info->socket_context;
+	struct web_conn *c = info == NULL ? NULL : info->socket_context;
 
-	return (n == NULL ? 0 : ++*n);
+	return (c == NULL ? 0 : ++c->nrequests);
 }
 
 /* Collects the body, then calls the stand-in's handler. */
@@ -210,7 +342,7 @@
 	*fn_copy = fn;
 	return (MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION |
 		MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
-	    (uint16_t)port, NULL, NULL, on_request, fn_copy,
+	    (uint16_t)port, accept_policy, NULL, on_request, fn_copy,
 	    MHD_OPTION_SOCK_ADDR, &sin, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
 	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, NULL,
--- a/standin/web.h
+++ b/standin/web.h
@@ -10,6 +10,15 @@
 
 /* Maximum of headers that web_add_header can add to an answer. */
 #define WEB_HEADERS_MAX 6
+/* Maximum of callers that web_cut can cut off. */
+#define WEB_CUT_MAX 64
+
+/* How callers are cut off. */
+enum web_cut {
+	WEB_CUT_SILENT, /* nothing from them arrives */
+	WEB_CUT_RESET,	/* their connections are reset, new ones are closed */
+	WEB_CUT_NEW	/* only new ones are closed */
+};
 
 struct web_request {
 	struct MHD_Connection *conn;
@@ -40,6 +49,7 @@
 typedef void (*web_handler)(const struct web_request *, struct web_answer *);
 
 struct MHD_Daemon *web_start(const char *addr, web_handler);
+void web_cut(struct MHD_Daemon *, const char *from, enum web_cut);
 int web_run_pair(int argc, char **argv, const char *doc, web_handler data,
     web_handler control);
 const char *web_arg(const struct web_request *, const char *);
