A host that is cut off from all targets reaches them through another host

Callers of hosts that had lost their way to all targets were served 9 of 658 and 7 of 387 first attempts in the incident; with the controller among those hosts all keys lapsed, and the others served 290 of 519.

Cause: each target was judged by itself. A host tried one after the other for 300 ms each, waited on silent connections until deadlines passed, and concluded nothing from many failures at once; there was no way to a target but its own. Ruled out as the only cause: the controller's part, as in the second cut the other hosts served all.

Change: failed or stuck attempts and orders raise a doubt, which the reach service settles by probes (decide/reach); a host that is cut off opens its connections to targets through another host, which relays them unread (tunnel). Attempts that have not left the host are moved; those that may have run are repeated only if idempotent and nothing comes from any target. While a doubt lasts no target is taken for lost or reported to have ended, by hosts or by the controller. Where nobody reaches a target requests are refused at once.

Before: site_partitioned, 0 of 198, 0 of 198 and 0 of 202 at cut hosts.

--- a/decide/dest.c
+++ b/decide/dest.c
@@ -140,6 +140,8 @@
 		if (++d->unanswered_streak >= BROKEN_STREAK_MAX)
 			back_off(d, now);
 		break;
+	case DEST_NOT_SENT:
+		break;
 	}
 }
 
@@ -197,6 +199,15 @@
 	return (now < d->paused_until);
 }
 
+/* Forgets failures that said nothing of the target, as no target was reached.
+ */
+void
+dest_forget_failures(struct dest *d)
+{
+	d->unanswered_streak = 0;
+	d->backoff_until = 0;
+}
+
 /* How long the target is backed off from or wants no requests. */
 usec
 dest_wait(const struct dest *d, usec now)
--- a/decide/dest.h
+++ b/decide/dest.h
@@ -42,7 +42,8 @@
 	DEST_NOT_OWNER, /* not the owner of the key: the request did not run */
 	DEST_UNREACHED, /* no connection */
 	DEST_BROKEN,	/* the connection ended without a whole answer */
-	DEST_TIMED_OUT
+	DEST_TIMED_OUT,
+	DEST_NOT_SENT /* ended before it left this host */
 };
 
 /* The end of one request, with what is learnt from it. */
@@ -64,6 +65,7 @@
 int dest_closed(const struct dest *, usec now);
 void dest_pause(struct dest *, usec until);
 int dest_paused(const struct dest *, usec now);
+void dest_forget_failures(struct dest *);
 usec dest_wait(const struct dest *, usec now);
 int dest_usable(const struct dest *, usec now);
 int dest_can_send(const struct dest *, usec now, const struct dest_conf *);
--- a/decide/keys.c
+++ b/decide/keys.c
@@ -5,6 +5,8 @@
 
 /* Interval between planning rounds. */
 #define PLAN_INTERVAL MS(200)
+/* Whether targets can be reached is known after this time. */
+#define DOUBT_MAX MS(900)
 
 /* Initializes the key assignment of one service, not yet in control. */
 void
@@ -306,6 +308,27 @@
 	return (1);
 }
 
+/* Records that orders may have failed because no target can be reached from
+ * here: no target is taken for lost until that is known. */
+void
+keys_doubt_orders(struct keys *k, usec now)
+{
+	if (now >= k->doubted_until)
+		k->doubted_until = now + DOUBT_MAX;
+}
+
+/* Records that it is known whether targets can be reached.  With `forget`,
+ * failed orders so far say nothing of targets. */
+void
+keys_settle_orders(struct keys *k, int forget)
+{
+	int i;
+
+	k->doubted_until = 0;
+	for (i = 0; i < k->ntargets && forget; i++)
+		k->targets[i].unanswered_streak = 0;
+}
+
 /* Does what is due; call it only while this host may send orders. */
 void
 keys_tick(struct keys *k, usec now)
@@ -320,7 +343,7 @@
 	for (i = 0; i < k->nranges; i++)
 		keys_range_tick(k, &k->ranges[i], now);
 	keys_grants_tick(k, now);
-	if (now < k->next_plan || k->handing_over)
+	if (now < k->next_plan || now < k->doubted_until || k->handing_over)
 		return;
 	k->next_plan = now + PLAN_INTERVAL;
 	join_ranges(k, now);
--- a/decide/keys.h
+++ b/decide/keys.h
@@ -146,6 +146,7 @@
 	int ntargets;
 	int have_fleet;
 	usec fleet_changed;
+	usec doubted_until; /* whether orders reach any target is not known */
 	int fleet_size;
 	struct key_range ranges[KEYS_RANGES_MAX];
 	int nranges;
@@ -206,6 +207,8 @@
     struct keys *, usec now, uint64_t write, enum put_result, uint64_t version);
 void keys_order_done(
     struct keys *, usec now, uint64_t id, int status, const char *handover);
+void keys_doubt_orders(struct keys *, usec now);
+void keys_settle_orders(struct keys *, int forget);
 void keys_tick(struct keys *, usec now);
 int keys_ready(const struct keys *);
 void keys_begin_handover(struct keys *);
--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -155,8 +155,12 @@
 		router_report_keys(h, d->svcs[i].name, &d->svcs[i].heat);
 		heat_clear(&d->svcs[i].heat);
 	}
-	h->crashes = d->crashes;
-	memset(&d->crashes, 0, sizeof(d->crashes));
+	/* Whether targets have ended is not known while they may be out of
+	 * reach. */
+	if (!path_is_doubted(d, now)) {
+		h->crashes = d->crashes;
+		memset(&d->crashes, 0, sizeof(d->crashes));
+	}
 	for (s = d->targets; s != NULL; s = s->next) {
 		router_report_target(h, s->id, &s->dest, s->answers);
 		s->answers = 0;
@@ -226,6 +230,9 @@
 		msg_take_snapshot(m, &d->quarantine);
 		crash_list_changed(d, now);
 		break;
+	case MSG_REACH:
+		path_received(d, m->data, now);
+		break;
 	case MSG_STOP:
 		begin_stop(d, m);
 		break;
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -15,6 +15,7 @@
 #include "stop_plan.h"
 #include "owners.h"
 #include "quarantine.h"
+#include "reach.h"
 #include "recent.h"
 #include "target_ops.h"
 #include "transfer.h"
@@ -76,7 +77,11 @@
 struct attempt {
 	struct transfer t;
 	struct target_state *target;
-	int on_probation; /* its content was on probation when it was sent */
+	int on_probation;   /* its content was on probation when it was sent */
+	int via;	    /* sent through another host */
+	long tunnel_status; /* that host's answer to the request for a tunnel;
+			       0 if none */
+	uint64_t path_number; /* of the way by which it was sent */
 	usec sent;
 };
 
@@ -99,8 +104,9 @@
 				      to a target that does not own the key,
 				      and how often */
 	int not_owner_count;
-	int waiting; /* in its queue */
-	int ran;     /* attempts that may have run */
+	int awaits_path; /* waits until the way to the targets is known */
+	int waiting;	 /* in its queue */
+	int ran;	 /* attempts that may have run */
 	int tries;
 	struct target_state *last_target; /* that it was sent to */
 	struct wait_queue *queue; /* that it waits in, or waited in last */
@@ -133,7 +139,15 @@
 	int nidle_easy;
 	uint64_t unknown_headers[UNKNOWN_HEADERS_MAX]; /* hashes of names */
 	int nunknown_headers;
-	usec last_answer; /* of any target; 0 if none yet */
+	struct reach_path path; /* the way to the targets */
+	uint64_t path_number;	/* rises with each change of it */
+	usec doubted_at;	/* since when it is doubted; 0 if it is not */
+	usec next_doubt;	/* when that may be told again */
+	usec next_cut_off_send; /* when a request may be sent though no target
+				   can be reached */
+	usec path_lost_at; /* when the relaying host failed; 0 if it works */
+	usec last_answer;  /* of any target by this way; 0 if none yet */
+	usec last_answer_before; /* the same by an earlier way */
 	int have_fleet;
 	int hosts_known; /* the number of hosts is known */
 	int rank;	 /* of this host among all hosts, from 0 */
@@ -167,6 +181,20 @@
 int crash_may_run(
     struct direct *, const struct pending *, usec *wait, usec now);
 
+/* Retries of an attempt; direct_outcome.c */
+int may_retry(const struct pending *, usec now);
+void retry(struct direct *, struct pending *, usec now);
+
+/* direct_path.c */
+int path_is_doubted(const struct direct *, usec now);
+int path_is_cut_off(struct direct *, usec now);
+int path_must_wait(const struct direct *, const struct pending *, usec now);
+void path_attempt_failed(
+    struct direct *, const struct attempt *, int host_relays, usec now);
+void path_received(struct direct *, const struct reach_path *, usec now);
+void path_answered(struct direct *, const struct attempt *, usec now);
+void path_check_attempt(struct direct *, struct pending *, usec now);
+
 /* direct_send.c */
 int attempt_start(
     struct direct *, struct pending *, struct target_state *, usec now);
--- a/gspard/direct_flow.c
+++ b/gspard/direct_flow.c
@@ -25,6 +25,8 @@
 #define RETRY_FIXED_MS 200
 /* Retry delay for keys that were not moved before their target was closed. */
 #define CLOSED_RETRY_DELAY MS(500)
+/* Retry delay where no target can be reached: another host may reach them. */
+#define CUT_OFF_RETRY_DELAY MS(300)
 /* Weight of a new sample in the mean time between starts. */
 #define START_INTERVAL_GAIN 0.2
 
@@ -334,6 +336,15 @@
 		flow_fail(d, p, GS_QUARANTINED, wait, now);
 		return;
 	}
+	if (path_is_cut_off(d, now)) {
+		flow_fail(d, p, GS_CUT_OFF, CUT_OFF_RETRY_DELAY, now);
+		return;
+	}
+	if (path_must_wait(d, p, now)) {
+		wait_queue_enter(p, &p->svc->queue);
+		return;
+	}
+	p->awaits_path = 0;
 	if (p->svc->keyed && p->call->key_number >= 0)
 		try_owner(d, p, now);
 	else
@@ -361,6 +372,8 @@
 		flow_fail(d, p, GS_TOO_LATE, 0, now);
 	else if (p->waiting)
 		flow_route(d, p, now);
+	else if (p->attempt != NULL)
+		path_check_attempt(d, p, now);
 }
 
 /* Handles all requests, in the order of their priority. */
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -10,6 +10,7 @@
 #include "feature.h"
 #include "hist.h"
 #include "incarnation.h"
+#include "tunnel.h"
 
 /* Bounds the attempts that did not run, because the target was not reached, was
  * full or did not own the key.  The rule's limit counts only those that may
@@ -19,6 +20,9 @@
  * Retry delay of a request that was sent to a target that does not own its key.
  */
 #define NOT_OWNER_RETRY_DELAY MS(250)
+/* If any target has answered within this time, a connection that breaks is no
+ * sign that all targets are out of reach. */
+#define ANSWERED_RECENTLY MS(100)
 /* Weight of a new sample in the average time of requests. */
 #define AVG_TIME_GAIN 0.05
 
@@ -38,12 +42,21 @@
 	flow_finish(d, p, now);
 }
 
+/* True if an attempt through another host ended because that one does not
+ * relay; else it has said that the target was not reached. */
+static int
+tunnel_failed(const struct attempt *a)
+{
+	return (a->via && a->tunnel_status != TUNNEL_REFUSED &&
+	    a->tunnel_status != TUNNEL_TIMEOUT);
+}
+
 /* Returns what the end of an attempt says about its target. */
 static enum dest_end
 attempt_dest_end(const struct attempt *a, CURLcode res, enum reply_kind kind)
 {
 	if (!a->t.maybe_sent)
-		return (DEST_UNREACHED);
+		return (tunnel_failed(a) ? DEST_NOT_SENT : DEST_UNREACHED);
 	if (res != CURLE_OK || kind == REPLY_FOREIGN)
 		return (DEST_BROKEN);
 	if (kind == REPLY_NOT_OWNER)
@@ -73,7 +86,7 @@
 }
 
 /* True if a request that may have run may be retried. */
-static int
+int
 may_retry(const struct pending *p, usec now)
 {
 	return (p->rule->idempotent && p->ran < p->rule->attempts &&
@@ -96,7 +109,7 @@
 }
 
 /* Retries a request. */
-static void
+void
 retry(struct direct *d, struct pending *p, usec now)
 {
 	attempt_drop(d, p);
@@ -158,6 +171,11 @@
 	crash_add_unanswered(d, p, now);
 	if (res != CURLE_OK && code == GS_TARGET_LOST)
 		crash_add_break(d, p, p->attempt->target, now);
+	/* A retry at once would meet the same cut. */
+	if (res != CURLE_OK && now - d->last_answer > ANSWERED_RECENTLY) {
+		path_attempt_failed(d, p->attempt, 0, now);
+		p->awaits_path = path_is_doubted(d, now);
+	}
 	log_request("router", p->call->id,
 	    "no complete answer from target %s at %s after %lld ms: %s, "
 	    "content %016llx, try %d",
@@ -176,10 +194,20 @@
 static void
 unreached(struct direct *d, struct pending *p, CURLcode res, usec now)
 {
+	struct attempt *a = p->attempt;
+
 	count_add(C_UNREACHED, 1);
-	log_request("router", p->call->id, "target %s at %s not reached: %s",
-	    p->attempt->target->id, p->attempt->target->addr,
+	log_request("router", p->call->id,
+	    "target %s at %s not reached%s%s, status %ld: %s", a->target->id,
+	    a->target->addr, a->via ? " through host " : "",
+	    a->via ? d->path.via : "", a->tunnel_status,
 	    curl_easy_strerror(res));
+	path_attempt_failed(d, a, !tunnel_failed(a), now);
+	/* A request that meets a second target out of reach would use up its
+	 * attempts before it is known whether the way to all is lost. */
+	p->awaits_path = p->tries > 1 && path_is_doubted(d, now);
+	if (p->awaits_path || tunnel_failed(a))
+		p->tries--;
 	if (may_resend(p, 0, now))
 		retry(d, p, now);
 	else
@@ -272,12 +300,12 @@
 {
 	struct target_state *s = p->attempt->target;
 
-	if (res == CURLE_COULDNT_CONNECT)
+	if (res == CURLE_COULDNT_CONNECT && !p->attempt->via)
 		crash_add_end(d, s);
 	if (res != CURLE_OK)
 		return;
 	s->ended = 0;
-	d->last_answer = now;
+	path_answered(d, p->attempt, now);
 	update_pause(s, &p->attempt->t.reply, now);
 	if (kind != REPLY_FOREIGN) {
 		note_unknown_header(d, s, p->attempt->t.reply.unknown_header);
--- a/gspard/direct_send.c
+++ b/gspard/direct_send.c
@@ -76,6 +76,11 @@
 	snprintf(url, sizeof(url), "http://%s/", a->target->addr);
 	transfer_set_options(&a->t, url, ms < CONNECT_MS ? ms + 1 : CONNECT_MS,
 	    kernel_conf(d->s->kernel)->source);
+	if (d->path.via[0] != '\0') {
+		transfer_set_tunnel(&a->t, d->path.addr);
+		a->via = 1;
+		count_add(C_SENT_VIA, 1);
+	}
 	curl_easy_setopt(a->t.easy, CURLOPT_PRIVATE, p);
 	curl_easy_setopt(a->t.easy, CURLOPT_MAXAGE_CONN,
 	    p->rule->idempotent ? IDLE_MAX_S : IDLE_MAX_ONCE_S);
@@ -85,9 +90,11 @@
 	 * with a long queue resets new connections, and the outcome would
 	 * change from "not run" to "may have run".  With 8 hosts and 29 targets
 	 * under heavy load this rule avoids about one failure in twenty; with
-	 * 12 hosts and 35 targets it makes no difference.
+	 * 12 hosts and 35 targets it makes no difference.  While the way to the
+	 * targets is doubted, a request that must not run twice uses a new one
+	 * too: if it cannot be connected, it is known not to have run.
 	 */
-	if (p->ran > 0)
+	if (p->ran > 0 || (!p->rule->idempotent && d->doubted_at != 0))
 		curl_easy_setopt(a->t.easy, CURLOPT_FRESH_CONNECT, 1L);
 }
 
@@ -112,6 +119,7 @@
 	    p->call, target->id, (int)(left / 1000) - RETURN_MS);
 	set_transfer(d, a, p, left);
 	set_request(a, p->call);
+	a->path_number = d->path_number;
 	p->attempt = a;
 	dest_sent(&target->dest, now);
 	count_add(C_SENT, 1);
@@ -149,6 +157,8 @@
 		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &p);
 		curl_easy_getinfo(
 		    m->easy_handle, CURLINFO_RESPONSE_CODE, &status);
+		curl_easy_getinfo(m->easy_handle, CURLINFO_HTTP_CONNECTCODE,
+		    &p->attempt->tunnel_status);
 		p->attempt->t.reply.status = (int)status;
 		flow_attempt_done(d, p, res, now);
 	}
--- a/gspard/door.c
+++ b/gspard/door.c
@@ -12,7 +12,7 @@
 
 #include <apr_general.h>
 
-#include "bind.h"
+#include "sock.h"
 #include "caller.h"
 #include "callers.h"
 #include "door_ops.h"
@@ -517,7 +517,7 @@
 	s->state = d;
 	d->ops = kernel_conf(s->kernel)->form == FORM_OBJECTS ? &objects_door
 							      : &native_door;
-	d->sock = bind_to(at);
+	d->sock = sock_bind(at);
 	if (d->sock < 0) {
 		log_line(LOG_ERR, "door", "Cannot listen on %s.", at);
 		free(d);
--- a/gspard/gspard.c
+++ b/gspard/gspard.c
@@ -92,7 +92,7 @@
  * directly. */
 static const struct service_ops *const objects_services[] = {&platform_service,
     &peer_service, &sitectl_service, &direct_service, &door_service,
-    &watch_service, &probe_service, NULL};
+    &watch_service, &probe_service, &reach_service, &tunnel_service, NULL};
 
 /* Sends MSG_STOP to a service. */
 static void
@@ -173,6 +173,7 @@
 	    door_inflight());
 	send_stop(k, "probe");
 	send_stop(k, "door");
+	send_stop(k, "tunnel");
 	send_stop_plan(k, "router", &plan);
 	send_stop_plan(k, "control", &plan);
 	while (clock_mono() < plan.accept_all_until)
--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -49,9 +49,12 @@
 	MSG_TARGETS_FRESH,     /* watch to control: store answers for targets */
 	MSG_TARGETS_STALE,  /* watch to control: it does not, or is not asked */
 	MSG_FLEET_RECEIVED, /* control to watch: targets from the controller */
-	MSG_LEAVE_ANNOUNCED, /* control to watch: a target is leaving */
-	MSG_STOP,	     /* kernel to all: begin the orderly stop */
-	MSG_QUIT	     /* kernel to all: end the thread */
+	MSG_LEAVE_ANNOUNCED,  /* control to watch: a target is leaving */
+	MSG_REACH,	      /* reach to others: the way to the targets */
+	MSG_REACH_DOUBTED,    /* any to reach: targets may be out of reach */
+	MSG_REACH_VIA_FAILED, /* any to reach: ... through the named host */
+	MSG_STOP,	      /* kernel to all: begin the orderly stop */
+	MSG_QUIT	      /* kernel to all: end the thread */
 };
 
 struct msg {
@@ -137,6 +140,7 @@
 	char dc[NAME_MAX_GS];
 	char addr[ADDR_MAX_GS];
 	char admin[ADDR_MAX_GS];
+	char tunnel[ADDR_MAX_GS]; /* at which it relays connections */
 	int leaving;
 };
 
@@ -234,5 +238,7 @@
 extern const struct service_ops sitectl_service;
 extern const struct service_ops watch_service;
 extern const struct service_ops probe_service;
+extern const struct service_ops reach_service;
+extern const struct service_ops tunnel_service;
 
 #endif
--- a/gspard/probe.c
+++ b/gspard/probe.c
@@ -8,7 +8,7 @@
 
 #include <microhttpd.h>
 
-#include "bind.h"
+#include "sock.h"
 #include "metrics.h"
 
 #define BACKLOG 32
@@ -77,7 +77,7 @@
 serve(struct service *s, const char *at, MHD_AccessHandlerCallback handler)
 {
 	struct MHD_Daemon *d;
-	int fd = bind_to(at);
+	int fd = sock_bind(at);
 
 	if (fd < 0 || listen(fd, BACKLOG) != 0) {
 		log_line(LOG_ERR, "probe", "Cannot listen on %s.", at);
--- a/gspard/sitectl.c
+++ b/gspard/sitectl.c
@@ -51,14 +51,30 @@
 		name_copy(a->host, sizeof(a->host), k->hosts[i].process.host);
 		name_copy(a->addr, sizeof(a->addr), k->hosts[i].process.addr);
 		name_copy(a->dc, sizeof(a->dc), k->hosts[i].dc);
+		name_copy(a->tunnel, sizeof(a->tunnel), k->hosts[i].tunnel);
 	}
 	if ((sh = shared_new(l, free)) == NULL) {
 		free(l);
 		return;
 	}
+	msg_post(
+	    k->s->kernel, "reach", MSG_PEERS, shared_ref(sh), shared_unref);
 	msg_post(k->s->kernel, "peer", MSG_PEERS, sh, shared_unref);
 }
 
+/* Sets the address at which a host relays connections to targets. */
+void
+sitectl_set_tunnel(struct sitectl *k, const char *host, const char *addr)
+{
+	struct sitectl_host *h = sitectl_host(k, host);
+
+	if (h == NULL || strcmp(h->tunnel, addr) == 0)
+		return;
+	name_copy(h->tunnel, sizeof(h->tunnel), addr);
+	k->hosts_changed = 1;
+	sitectl_publish_peers(k);
+}
+
 /* Returns the host with the given name, or NULL. */
 struct sitectl_host *
 sitectl_host(struct sitectl *k, const char *name)
@@ -393,6 +409,9 @@
 		quarantine_add_seen(k, &k->pending_report->crashes, now);
 		report_add_leaving(k, k->pending_report);
 		break;
+	case MSG_REACH:
+		orders_set_path(k, m->data, now);
+		break;
 	case MSG_STOP:
 		begin_stop(k, m->data, now);
 		free(m->data);
--- a/gspard/sitectl.h
+++ b/gspard/sitectl.h
@@ -17,12 +17,14 @@
 #include "owners.h"
 #include "pace.h"
 #include "quarantine.h"
+#include "reach.h"
 #include "target_ops.h"
 #include "term.h"
 
 #define SITECTL_HOSTS_MAX 512
 #define SITECTL_SERVICES_MAX 16
 #define SITECTL_PROMISES_MAX 64
+#define SITECTL_REFUSED_MAX 32
 /*
  * If a host's reports show that it lacks an update that was sent, the update is
  * sent again after this time.
@@ -83,6 +85,7 @@
 struct sitectl_host {
 	struct member process;
 	char dc[NAME_MAX_GS];
+	char tunnel[ADDR_MAX_GS]; /* at which it relays connections; or "" */
 	usec last_heard;
 	usec listed_at; /* when the controller last listed it; 0 if not */
 	usec assumed_up_until;	  /* sent to although it was not heard from */
@@ -162,6 +165,10 @@
 
 	CURLM *multi;
 	struct order_call *calls;
+	struct reach_path path; /* the way to the targets */
+	/* Targets that refused a connection since the path was doubted. */
+	char refused[SITECTL_REFUSED_MAX][NAME_MAX_GS];
+	int nrefused;
 	usec acting_since;
 	int yielded; /* released control; not a candidate until eligible_at */
 	usec eligible_at;
@@ -182,6 +189,7 @@
 int sitectl_host_up(const struct sitectl_host *, usec now);
 void sitectl_host_seen(struct sitectl *, const struct member *, const char *dc,
     int stopping, usec now);
+void sitectl_set_tunnel(struct sitectl *, const char *host, const char *addr);
 void sitectl_publish_peers(struct sitectl *);
 
 /* sitectl_term.c */
@@ -209,6 +217,7 @@
     struct sitectl *, const char *service, const struct key_order *);
 void orders_reap(struct sitectl *, usec now);
 void orders_cancel(struct sitectl *);
+void orders_set_path(struct sitectl *, const struct reach_path *, usec now);
 
 /* sitectl_fleet.c */
 void fleet_broadcast(struct sitectl *, usec now);
--- a/gspard/sitectl_broadcast.c
+++ b/gspard/sitectl_broadcast.c
@@ -251,6 +251,7 @@
 		hosts[i].host = h->process.host;
 		hosts[i].addr = h->process.addr;
 		hosts[i].dc = h->dc;
+		hosts[i].tunnel = h->tunnel;
 		hosts[i].boot = h->process.boot;
 		list[w.n_hosts++] = &hosts[i];
 	}
@@ -262,6 +263,7 @@
 	self.host = (char *)conf->host;
 	self.addr = (char *)conf->advertised;
 	self.dc = (char *)conf->dc;
+	self.tunnel = (char *)conf->tunnel;
 	self.boot = kernel_boot(k->s->kernel);
 	w.self = &self;
 	w.term = k->term.rec.term;
--- a/gspard/sitectl_order.c
+++ b/gspard/sitectl_order.c
@@ -8,6 +8,7 @@
 #include "hist.h"
 #include "sitectl.h"
 #include "transfer.h"
+#include "tunnel.h"
 
 /*
  * A release is answered once the requests in progress on its keys are complete.
@@ -30,6 +31,7 @@
 	struct key_order order;
 	char body[256];
 	usec sent;
+	int via; /* sent through another host */
 };
 
 /*
@@ -106,10 +108,62 @@
 		c->next->link = &c->next;
 	k->calls = c;
 	order_call_set(c, kernel_conf(k->s->kernel)->source, wait);
+	if (k->path.via[0] != '\0') {
+		transfer_set_tunnel(&c->t, k->path.addr);
+		c->via = 1;
+	}
 	count_add(C_GRANTS, 1);
 	curl_multi_add_handle(k->multi, c->t.easy);
 }
 
+/* Has it found out whether this host reaches the targets.  Until then no target
+ * is taken for lost. */
+static void
+doubt_path(struct sitectl *k, usec now)
+{
+	int i;
+
+	if (k->path.via[0] != '\0')
+		return;
+	k->path.doubted = 1;
+	for (i = 0; i < k->nkeys; i++)
+		keys_doubt_orders(k->keys[i], now);
+	msg_post(k->s->kernel, "reach", MSG_REACH_DOUBTED, NULL, NULL);
+}
+
+/* Has another host looked for that relays. */
+static void
+search_host(struct sitectl *k)
+{
+	struct msg *m = msg_new(MSG_REACH_VIA_FAILED);
+
+	if (m == NULL)
+		return;
+	name_copy(m->host, sizeof(m->host), k->path.via);
+	if (kernel_send(k->s->kernel, "reach", m) != 0)
+		msg_free(m);
+}
+
+/* Handles an order without a reply, which may be because of the way to the
+ * targets. */
+static void
+check_path(
+    struct sitectl *k, const struct order_call *c, CURLcode res, usec now)
+{
+	long tunnel_status = 0;
+
+	curl_easy_getinfo(c->t.easy, CURLINFO_HTTP_CONNECTCODE, &tunnel_status);
+	if (c->via && k->path.via[0] != '\0' &&
+	    tunnel_status != TUNNEL_REFUSED && tunnel_status != TUNNEL_TIMEOUT)
+		search_host(k);
+	if (c->via)
+		return;
+	doubt_path(k, now);
+	if (res == CURLE_COULDNT_CONNECT && k->nrefused < SITECTL_REFUSED_MAX)
+		name_copy(
+		    k->refused[k->nrefused++], NAME_MAX_GS, c->order.target);
+}
+
 /* Reports the outcome of an order to the key assignment and frees its call. */
 static void
 order_done(struct sitectl *k, struct order_call *c, CURLcode res, usec now)
@@ -118,15 +172,15 @@
 	long status = 0;
 
 	curl_easy_getinfo(c->t.easy, CURLINFO_RESPONSE_CODE, &status);
-	if (res == CURLE_COULDNT_CONNECT)
-		quarantine_conn_refused(k, c->order.target, now);
+	if (res != CURLE_OK && res != CURLE_ABORTED_BY_CALLBACK)
+		check_path(k, c, res, now);
 	if (res == CURLE_OK && status != 421 && c->t.reply.leaving)
 		fleet_leave_announced(k, c->order.target);
 	if (!c->t.maybe_sent)
 		status = ORDER_NOT_SENT;
 	else if (res != CURLE_OK || status == 421 || status >= 500)
-		status =
-		    c->t.new_conn ? ORDER_NO_REPLY_NEW_CONN : ORDER_NO_REPLY;
+		status = c->t.new_conn || c->via ? ORDER_NO_REPLY_NEW_CONN
+						 : ORDER_NO_REPLY;
 	if (status != 200) {
 		count_add(C_GRANTS_FAILED, 1);
 		log_line(LOG_INFO, "control",
@@ -178,6 +232,42 @@
 	expire_silent_grants(k, now);
 }
 
+/* Sends the orders again that have not left this host. */
+static void
+end_unsent_orders(struct sitectl *k, usec now)
+{
+	struct order_call *c, *next;
+
+	for (c = k->calls; c != NULL; c = next) {
+		next = c->next;
+		if (!c->t.maybe_sent)
+			order_done(k, c, CURLE_ABORTED_BY_CALLBACK, now);
+	}
+}
+
+/* Takes the way to the targets that was found. */
+void
+orders_set_path(struct sitectl *k, const struct reach_path *path, usec now)
+{
+	int i, changed = strcmp(k->path.via, path->via) != 0;
+
+	k->path = *path;
+	if (changed)
+		end_unsent_orders(k, now);
+	if (path->unreachable) {
+		for (i = 0; i < k->nkeys; i++)
+			keys_doubt_orders(k->keys[i], now);
+	}
+	if (path->doubted || path->unreachable)
+		return;
+	/* Behind a cut they would all seem to have ended. */
+	for (i = 0; i < k->nrefused && path->via[0] == '\0'; i++)
+		quarantine_conn_refused(k, k->refused[i], now);
+	k->nrefused = 0;
+	for (i = 0; i < k->nkeys; i++)
+		keys_settle_orders(k->keys[i], changed);
+}
+
 /* Aborts all orders in progress. */
 void
 orders_cancel(struct sitectl *k)
--- a/gspard/sitectl_report.c
+++ b/gspard/sitectl_report.c
@@ -81,6 +81,7 @@
 	w.boot = kernel_boot(k->s->kernel);
 	w.addr = (char *)conf->advertised;
 	w.dc = (char *)conf->dc;
+	w.tunnel = (char *)conf->tunnel;
 	w.stopping = k->stopping;
 	w.bears = (uint32_t)sitectl_capacity(k);
 	w.store = k->store_answered_at != 0 &&
@@ -171,6 +172,7 @@
 	name_copy(m.addr, sizeof(m.addr), msg->addr);
 	m.boot = msg->boot;
 	sitectl_host_seen(k, &m, msg->dc, msg->stopping, now);
+	sitectl_set_tunnel(k, host, msg->tunnel);
 	if (msg->term != 0)
 		term_holder_follows(&k->term, now, &m, msg->term);
 	if ((h = sitectl_host(k, host)) != NULL) {
--- a/gspard/sock.c
+++ b/gspard/sock.c
@@ -1,33 +1,134 @@
 #include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "bind.h"
 #include "conf.h"
+#include "sock.h"
+
+/* An IPv4 or IPv6 address for the socket calls. */
+struct sock_addr {
+	union {
+		struct sockaddr any;
+		struct sockaddr_in in;
+		struct sockaddr_in6 in6;
+	} u;
+	socklen_t size;
+};
+
+/* Converts an IP address and a port; returns 0, or -1 if it is invalid. */
+static int
+set_addr(struct sock_addr *a, const char *ip, int port)
+{
+	memset(a, 0, sizeof(*a));
+	if (inet_pton(AF_INET, ip, &a->u.in.sin_addr) == 1) {
+		a->u.in.sin_family = AF_INET;
+		a->u.in.sin_port = htons((uint16_t)port);
+		a->size = sizeof(a->u.in);
+		return (0);
+	}
+	if (inet_pton(AF_INET6, ip, &a->u.in6.sin6_addr) != 1)
+		return (-1);
+	a->u.in6.sin6_family = AF_INET6;
+	a->u.in6.sin6_port = htons((uint16_t)port);
+	a->size = sizeof(a->u.in6);
+	return (0);
+}
+
+/* The same for "IP:PORT". */
+static int
+parse_addr(struct sock_addr *a, const char *at)
+{
+	char ip[ADDR_MAX_GS];
+	int port;
+
+	if (addr_parse(at, ip, sizeof(ip), &port) != 0)
+		return (-1);
+	return (set_addr(a, ip, port));
+}
 
 /* Returns a TCP socket bound to "IP:PORT", or -1. */
 int
-bind_to(const char *at)
+sock_bind(const char *at)
 {
-	struct sockaddr_in sin = {.sin_family = AF_INET};
-	struct sockaddr_in6 sin6 = {.sin6_family = AF_INET6};
-	char ip[ADDR_MAX_GS];
-	int fd, port, six, on = 1, res;
-
-	addr_parse(at, ip, sizeof(ip), &port);
-	six = inet_pton(AF_INET, ip, &sin.sin_addr) != 1;
-	if (six)
-		inet_pton(AF_INET6, ip, &sin6.sin6_addr);
-	sin.sin_port = htons((uint16_t)port);
-	sin6.sin6_port = htons((uint16_t)port);
-	fd = socket(six ? AF_INET6 : AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	struct sock_addr a;
+	int fd, on = 1;
+
+	if (parse_addr(&a, at) != 0)
+		return (-1);
+	fd = socket(a.u.any.sa_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		return (-1);
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	res = six ? bind(fd, (struct sockaddr *)&sin6, sizeof(sin6))
-		  : bind(fd, (struct sockaddr *)&sin, sizeof(sin));
-	if (res == 0)
+	if (bind(fd, &a.u.any, a.size) == 0)
 		return (fd);
 	close(fd);
 	return (-1);
 }
+
+/*
+ * Returns a non-blocking socket that is being connected to "IP:PORT", from an
+ * IP address unless that is ""; -1 if the connection failed at once.
+ */
+int
+sock_connect(const char *to, const char *source)
+{
+	struct sock_addr a, from;
+	int fd;
+
+	if (parse_addr(&a, to) != 0 ||
+	    (source[0] != '\0' && set_addr(&from, source, 0) != 0))
+		return (-1);
+	fd = socket(
+	    a.u.any.sa_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	if (fd < 0)
+		return (-1);
+	if ((source[0] == '\0' || bind(fd, &from.u.any, from.size) == 0) &&
+	    (connect(fd, &a.u.any, a.size) == 0 || errno == EINPROGRESS))
+		return (fd);
+	close(fd);
+	return (-1);
+}
+
+/* Makes calls on a socket return instead of waiting; returns 0 or -1. */
+int
+sock_set_nonblocking(int fd)
+{
+	int flags = fcntl(fd, F_GETFL);
+
+	return (flags < 0 ? -1 : fcntl(fd, F_SETFL, flags | O_NONBLOCK));
+}
+
+/* Returns the pending error of a socket, an errno value, or 0. */
+int
+sock_error(int fd)
+{
+	int err = 0;
+	socklen_t n = sizeof(err);
+
+	getsockopt(fd, SOL_SOCKET, SO_ERROR, &err, &n);
+	return (err);
+}
+
+/* True if nothing is left to be read from a socket and the peer has closed or
+ * reset the connection. */
+int
+sock_is_closed(int fd)
+{
+	char byte;
+	ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	return (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR));
+}
+
+/* Closes a socket by a reset, which also discards its unsent bytes. */
+void
+sock_close_reset(int fd)
+{
+	struct linger hard = {1, 0};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+	close(fd);
+}
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -1,6 +1,7 @@
 /* HTTP transfers to targets. */
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -116,6 +117,20 @@
 	curl_easy_setopt(t->easy, CURLOPT_PREREQDATA, t);
 }
 
+/* Sends a transfer through a tunnel of the host at an address. */
+void
+transfer_set_tunnel(struct transfer *t, const char *host)
+{
+	char url[FLEET_ADDR + 16];
+
+	snprintf(url, sizeof(url), "http://%s", host);
+	curl_easy_setopt(t->easy, CURLOPT_INTERFACE, NULL);
+	curl_easy_setopt(t->easy, CURLOPT_PROXY, url);
+	curl_easy_setopt(t->easy, CURLOPT_HTTPPROXYTUNNEL, 1L);
+	curl_easy_setopt(t->easy, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
+	curl_easy_setopt(t->easy, CURLOPT_HEADEROPT, (long)CURLHEADER_SEPARATE);
+}
+
 /* Frees a transfer's headers and answer, but not its handle. */
 void
 transfer_free(struct transfer *t)
--- a/gspard/transfer.h
+++ b/gspard/transfer.h
@@ -18,6 +18,7 @@
 int transfer_set_keepalive(void *, curl_socket_t, curlsocktype);
 void transfer_set_options(struct transfer *, const char *url,
     long connect_timeout_ms, const char *source);
+void transfer_set_tunnel(struct transfer *, const char *host);
 void transfer_free(struct transfer *);
 
 #endif
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -224,6 +224,8 @@
 	}
 	watch_publish(s, "router", MSG_FLEET, sh);
 	watch_publish(s, "control", MSG_FLEET, sh);
+	watch_publish(s, "reach", MSG_FLEET, sh);
+	watch_publish(s, "tunnel", MSG_FLEET, sh);
 	shared_unref(sh);
 }
 
--- a/lib/conf.c
+++ b/lib/conf.c
@@ -35,6 +35,7 @@
     {"listen", "reached", K_ADDR, OFFSET(advertised), 0, 0},
     {"listen", "admin", K_ADDR, OFFSET(admin), 0, 0},
     {"listen", "ready", K_ADDR, OFFSET(ready), 0, 0},
+    {"listen", "tunnel", K_ADDR, OFFSET(tunnel), 0, 0},
     {"platform", "address", K_ADDRS, OFFSET(platform), 0, 0},
     {"platform", "form", K_FORM, OFFSET(form), 0, 0},
     {"bounds", "leave", K_TIME, OFFSET(bounds.leave_ms), 100, 60000},
@@ -402,7 +403,8 @@
 	if (strcmp(k->section, "bounds") == 0 || k->offset == OFFSET(ready))
 		return (c->form == FORM_OBJECTS);
 	return (k->kind != K_INT && k->kind != K_FORM && k->kind != K_REAL &&
-	    k->kind != K_IP && k->offset != OFFSET(advertised));
+	    k->kind != K_IP && k->offset != OFFSET(advertised) &&
+	    k->offset != OFFSET(tunnel));
 }
 
 /*
--- a/lib/conf.h
+++ b/lib/conf.h
@@ -51,8 +51,10 @@
 	char admin[ADDR_MAX_GS];
 	char platform[PLATFORMS_MAX][ADDR_MAX_GS];
 	int nplatforms;
-	int form;		 /* enum conf_form */
-	char ready[ADDR_MAX_GS]; /* readiness probes; FORM_OBJECTS only */
+	int form;		  /* enum conf_form */
+	char ready[ADDR_MAX_GS];  /* readiness probes; FORM_OBJECTS only */
+	char tunnel[ADDR_MAX_GS]; /* other hosts' connections to targets; ""
+				     if not relayed */
 	struct bounds bounds;
 	int control_lease_ms;
 	int host_lease_ms;
--- a/lib/count.h
+++ b/lib/count.h
@@ -54,6 +54,10 @@
 	X(C_QUARANTINED, "quarantined",                                        \
 	    "Requests refused: they crash targets")                            \
 	X(C_STORE_NEWS, "store_news", "Broadcasts of the store's news")        \
+	X(C_TUNNELS, "tunnels",                                                \
+	    "Connections to targets relayed for other hosts")                  \
+	X(C_TUNNEL_BYTES, "tunnel_bytes", "Bytes of these, both ways")         \
+	X(C_SENT_VIA, "sent_via", "Requests sent through another host")        \
 	X(C_HEADER_UNKNOWN, "headers_unknown",                                 \
 	    "Answers of targets with a header that is not known")              \
 	X(C_LOAD_BAD, "loads_bad", "Loads of targets that make no sense")      \
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -3865,7 +3865,7 @@
   (ProtobufCMessageInit) gspar__key_heat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__host_report__field_descriptors[18] =
+static const ProtobufCFieldDescriptor gspar__host_report__field_descriptors[19] =
 {
   {
     "boot",
@@ -4083,6 +4083,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tunnel",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostReport, tunnel),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__host_report__field_indices_by_name[] = {
   1,   /* field[1] = addr */
@@ -4103,11 +4115,12 @@
   10,   /* field[10] = store */
   7,   /* field[7] = targets */
   16,   /* field[16] = term */
+  18,   /* field[18] = tunnel */
 };
 static const ProtobufCIntRange gspar__host_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor gspar__host_report__descriptor =
 {
@@ -4117,7 +4130,7 @@
   "Gspar__HostReport",
   "gspar",
   sizeof(Gspar__HostReport),
-  18,
+  19,
   gspar__host_report__field_descriptors,
   gspar__host_report__field_indices_by_name,
   1,  gspar__host_report__number_ranges,
@@ -4316,7 +4329,7 @@
   (ProtobufCMessageInit) gspar__quarantine_told__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__host_addr__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gspar__host_addr__field_descriptors[5] =
 {
   {
     "host",
@@ -4366,17 +4379,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tunnel",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostAddr, tunnel),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__host_addr__field_indices_by_name[] = {
   1,   /* field[1] = addr */
   3,   /* field[3] = boot */
   2,   /* field[2] = dc */
   0,   /* field[0] = host */
+  4,   /* field[4] = tunnel */
 };
 static const ProtobufCIntRange gspar__host_addr__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gspar__host_addr__descriptor =
 {
@@ -4386,7 +4412,7 @@
   "Gspar__HostAddr",
   "gspar",
   sizeof(Gspar__HostAddr),
-  4,
+  5,
   gspar__host_addr__field_descriptors,
   gspar__host_addr__field_indices_by_name,
   1,  gspar__host_addr__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -537,10 +537,14 @@
    */
   size_t n_answered;
   uint64_t *answered;
+  /*
+   * Address at which it relays connections to targets, or empty.
+   */
+  char *tunnel;
 };
 #define GSPAR__HOST_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__host_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -609,10 +613,14 @@
   char *addr;
   char *dc;
   uint64_t boot;
+  /*
+   * Address at which it relays connections to targets, or empty.
+   */
+  char *tunnel;
 };
 #define GSPAR__HOST_ADDR__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__host_addr__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/regress/run.sh
+++ b/regress/run.sh
@@ -103,8 +103,9 @@
 else
 	scenarios plain $(cd regress/scenario && ls *.lua | grep -v '^lib' |
 	    sed 's/\.lua$//')
-	scenarios asan path door site_path site_door site_answers
-	scenarios tsan path site_path
+	scenarios asan path door site_path site_door site_answers site_tunnel \
+	    site_relay_lost
+	scenarios tsan path site_path site_tunnel
 fi
 # A short soak; seeds that failed once are run again in full.
 run soak-short bash regress/soak/run.sh 1 2 8
--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -257,5 +257,23 @@
     '/^membership_store_restored/,/^}/s/k->doubt_until = .*/(void)now;/'
 without eras-in-versions version version.c 's/(era \& VERSION_ERA_MAX) << REVISION_BITS |/0 |/'
 
+# A host that is cut off is told from one whose targets are lost.
+without cut-needs-another-host reach reach.c \
+    's/else if (r->found\[0\] != .* \&\& unreached)/else if (unreached)/'
+without one-target-is-no-cut reach reach.c \
+    's/^	else if (r->reached > 0)$/	else if (0)/'
+without cut-ends-when-sure reach reach.c 's/RETURN_ROUNDS 2/RETURN_ROUNDS 1/'
+without other-centres-are-tried reach reach.c 's/NEAR_FIRST 2/NEAR_FIRST 1000/'
+without failed-host-is-tried-last reach reach.c \
+    's/if (failed_recently(r, h->name, now))/if (0)/'
+without no-probes-without-doubt reach reach.c \
+    's/else if (r->path.doubted || r->path.unreachable)/else/'
+without targets-probed-in-all-centres reach reach.c \
+    's/for (apart = 1;/for (apart = 0;/'
+without doubted-orders-move-no-keys keys keys.c \
+    's/ || now < k->doubted_until//'
+without forgets-failures-of-the-path dest dest.c \
+    '/^dest_forget_failures/,/^}/s/d->backoff_until = 0;/;/'
+
 echo "$found found, $missed not found"
 [ $missed -eq 0 ]
--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -257,7 +257,8 @@
 
 function Site:add_host(name, dc)
 	local h = { name = name, dc = dc, callers = self:port(),
-	    ready = self:port(), peers = self:port(), admin = self:port() }
+	    ready = self:port(), peers = self:port(), admin = self:port(),
+	    tunnel = self:port() }
 	self.hosts[name] = h
 	table.insert(self.order, name)
 	if self.opt.store_wires then
@@ -290,7 +291,8 @@
 	local h = self.hosts[name]
 	write_file(name .. ".conf", string.format(
 	    "[host]\nname = %s\ndc = %s\n%s%s\n[listen]\ncallers = %s\n" ..
-	    "ready = %s\npeers = %s\nreached = %s\nadmin = %s\n[platform]\n" ..
+	    "ready = %s\npeers = %s\nreached = %s\nadmin = %s\ntunnel = %s\n" ..
+	    "[platform]\n" ..
 	    "form = objects\naddress = %s\n[leases]\ncontrol_ms = 1500\n" ..
 	    "renew_ms = 500\nhost_ms = 1500\ngrant_ms = 1500\n[bounds]\n" ..
 	    "heartbeat = 900ms\ndrain = 2s\ngrace = 6s\nconfig_apply = 2s\n" ..
@@ -298,7 +300,7 @@
 	    "%s\n", name, h.dc, h.source and "source = " .. h.source .. "\n" or
 	    "", (self.opt.size or {})[name] or
 	    "cores = 1\nlink_mbps = 1000", h.callers, h.ready, h.peers,
-	    h.reached, h.admin,
+	    h.reached, h.admin, h.tunnel,
 	    h.store or self.store, (self.opt.bounds or "") .. "\n" ..
 	    (more or "retry_budget_slack = 60")))
 end
@@ -469,6 +471,30 @@
 	end
 end
 
+-- Returns the host through which another one reaches the targets, by its log; nil
+-- if it reaches them itself.
+function Site:relay_of(name)
+	local via
+	for l in read_file(name .. ".log"):gmatch("[^\n]+") do
+		via = l:match("reaching them through host (%S+)%.") or
+		    not l:match("Reaching the targets directly") and via or nil
+	end
+	return via
+end
+
+-- Ends all cuts of hosts from targets, and waits until hosts know it.
+function Site:heal_targets()
+	self:cut_targets({})
+	await("all hosts reach the targets themselves", 5000, function()
+		for _, n in ipairs(self.order) do
+			if not self.hosts[n].dead and self:relay_of(n) then
+				return false
+			end
+		end
+		return true
+	end)
+end
+
 -- Sends requests of all kinds for `ms` through the hosts in turn, without
 -- waiting for answers.  Returns how many of those through the hosts in `set`
 -- were sent and served, and the same of the others.
--- a/regress/scenario/site_partitioned.lua
+++ b/regress/scenario/site_partitioned.lua
@@ -43,7 +43,7 @@
 	check(share(at_cut) >= SHARE * share(at_others),
 	    "%s, %s: cut hosts served %d of %d, the others %d of %d", which,
 	    how, at_cut.served, at_cut.sent, at_others.served, at_others.sent)
-	s:cut_targets({})
+	s:heal_targets()
 	s:await_keys(5000)
 end
 s:stop_all()
--- a/regress/unit/readers.c
+++ b/regress/unit/readers.c
@@ -20,6 +20,7 @@
 #include "site_change.h"
 #include "site_frame.h"
 #include "target.h"
+#include "tunnel.h"
 
 #define ENTRY                                                                  \
 	"{\"metadata\":{\"name\":\"i-1\",\"revision\":7},\"spec\":{"           \
@@ -256,6 +257,20 @@
 	unlink(path);
 }
 
+/* Reads a request for a tunnel, and an answer to one. */
+static void
+read_tunnel(const char *p, size_t n)
+{
+	char target[ADDR_MAX_GS], *copy = malloc(n + 1);
+
+	/* A copy, so that sanitizers notice a read beyond the end. */
+	memcpy(copy, p, n);
+	tunnel_parse_head(copy, n, target, sizeof(target));
+	if (tunnel_reply_complete(copy, n))
+		tunnel_reply_ok(copy, n);
+	free(copy);
+}
+
 /* Headers of the request that is being parsed. */
 #define HEADERS_MAX 16
 static char *header_names[HEADERS_MAX], *header_values[HEADERS_MAX];
@@ -438,6 +453,13 @@
 	return (copy_frame(to, capacity, &f));
 }
 
+/* A request for a tunnel. */
+static size_t
+tunnel_sample(char *to, size_t capacity)
+{
+	return ((size_t)tunnel_head(to, capacity, "10.1.2.3:8706"));
+}
+
 const struct reader readers[] = {
     {"page", read_page, page_sample},
     {"events", read_events, events_sample},
@@ -451,5 +473,6 @@
     {"told", read_frame, owners_frame_sample},
     {"report", read_frame, report_frame_sample},
     {"site", read_frame, site_frame_sample},
+    {"tunnel", read_tunnel, tunnel_sample},
 };
 const int nreaders = sizeof(readers) / sizeof(readers[0]);
--- a/regress/unit/t_dest.c
+++ b/regress/unit/t_dest.c
@@ -108,6 +108,34 @@
 	CU_ASSERT(dest_can_send(&d, MS(4000), &twelve));
 }
 
+/* Guards against backing off from targets that were out of reach, all at once,
+ * when there is another way to them. */
+static void
+failures_forgotten(void)
+{
+	struct dest d;
+	int i;
+
+	dest_init(&d, 4);
+	for (i = 0; i < 5; i++) {
+		dest_sent(&d, MS(1000));
+		record_end(&d, MS(1000), DEST_UNREACHED, 0, -1, 0);
+	}
+	CU_ASSERT(dest_wait(&d, MS(1000)) > MS(500));
+	dest_forget_failures(&d);
+	CU_ASSERT(dest_can_send(&d, MS(1000), &twelve));
+	/* The next failure counts as the first. */
+	dest_sent(&d, MS(1000));
+	record_end(&d, MS(1000), DEST_UNREACHED, 0, -1, 0);
+	CU_ASSERT(dest_wait(&d, MS(1000)) <= MS(150));
+	/* An attempt that did not leave this host says nothing. */
+	dest_forget_failures(&d);
+	dest_sent(&d, MS(1000));
+	record_end(&d, MS(1000), DEST_NOT_SENT, 0, -1, 0);
+	CU_ASSERT_EQUAL(d.inflight, 0);
+	CU_ASSERT(dest_can_send(&d, MS(1000), &twelve));
+}
+
 /* Guards against sending a cold target as many requests as a warm one. */
 static void
 cold(void)
@@ -270,6 +298,7 @@
     {"evacuated", evacuated},
     {"leave announced", leave_announced},
     {"paused", paused},
+    {"failures forgotten", failures_forgotten},
     {"cold", cold},
     {"unreached", unreached},
     {"broken", broken},
--- a/regress/unit/t_keys.c
+++ b/regress/unit/t_keys.c
@@ -812,6 +812,39 @@
 	CU_ASSERT_EQUAL(longest_unheld, 0);
 }
 
+/*
+ * While it is not known whether the controller reaches any target, a target
+ * that no order reaches would be taken for lost, and its keys move for nothing.
+ */
+static void
+doubted_orders(void)
+{
+	int i, moving;
+
+	start(4);
+	unreachable_target = 5;
+	run(MS(700));
+	for (i = 0; i < 35; i++) {
+		keys_doubt_orders(&ctl[0], now);
+		run(MS(20));
+	}
+	for (moving = 0, i = 0; i < ctl[0].nranges; i++)
+		moving += ctl[0].ranges[i].next != NO_TARGET;
+	CU_ASSERT_EQUAL(moving, 0);
+	unreachable_target = -1;
+	keys_settle_orders(&ctl[0], 1);
+	run(MS(2000));
+	CU_ASSERT_EQUAL(longest_unheld, 0);
+	CU_ASSERT_EQUAL(double_held, 0);
+	unreachable_target = 5;
+	run(MS(6000));
+	unreachable_target = -1;
+	for (moving = 0, i = 0; i < SAMPLES; i++)
+		moving += fakes[5].held_until[i] > now;
+	CU_ASSERT_EQUAL(moving, 0);
+	CU_ASSERT_EQUAL(double_held, 0);
+}
+
 /*
  * The entry of a target is gone, but it still serves, because it was cut off
  * from the store.  Its keys move only after it has released them.
@@ -1553,6 +1586,7 @@
     {"cold after an evacuation", cold_after_evacuation},
     {"cold again", cold_again},
     {"crash", crash},
+    {"doubted orders", doubted_orders},
     {"gone but alive", gone_but_serving},
     {"takeover", takeover},
     {"store unavailable", store_unavailable},
--- a/standin/server.c
+++ b/standin/server.c
@@ -333,8 +333,8 @@
 	char text[64];
 	int n;
 
-	set_cut(q);
 	pthread_mutex_lock(&lock);
+	set_cut(q);
 	lose_answers = (int)web_parse_number(web_arg(q, "lose"), lose_answers);
 	truncate_answers =
 	    (int)web_parse_number(web_arg(q, "cut"), truncate_answers);
@@ -380,7 +380,9 @@
 {
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
 	signal(SIGPIPE, SIG_IGN);
+	pthread_mutex_lock(&lock);
 	web = web_start(listen_addr, handle_call);
+	pthread_mutex_unlock(&lock);
 	if (web == NULL)
 		errx(1, "cannot listen on %s", listen_addr);
 	for (;;)
