--- a/regress/soak/faults.lua
+++ b/regress/soak/faults.lua
@@ -358,6 +358,49 @@
 	return dc
 end }
 
+-- Drawn only with cut=1: hosts are cut off from all targets, one after the other
+-- or all at once.
+local CUT_OFF = { 6, "hosts cut off from targets", function(s, f)
+	if s.cut_off then
+		return
+	end
+	local hosts, targets = {}, {}
+	local share, how = math.random(), pick({ "silent", "reset", "new" })
+	for _, n in ipairs(s.order) do
+		if math.random() < share then
+			table.insert(hosts, n)
+		end
+	end
+	for _, id in ipairs(s.sorder) do
+		local t = s.servers[id]
+		if not t.died and not t.broken then
+			table.insert(targets, id)
+		end
+	end
+	s.cut_off = true
+	s:cut_targets(hosts, how, targets)
+	f.poll = function()
+		-- A paused target cannot be told.
+		for _, id in ipairs(targets) do
+			if s.servers[id].broken then
+				return false
+			end
+		end
+		return true
+	end
+	f.heal = function()
+		local live = {}
+		for _, id in ipairs(targets) do
+			if not s.servers[id].died then
+				table.insert(live, id)
+			end
+		end
+		s:cut_targets({}, how, live)
+		s.cut_off = nil
+	end
+	return #hosts .. " " .. how
+end }
+
 -- With calm=1 only these kinds are drawn.  None excuses a host, so every late
 -- or missing update of a host fails a check.
 local CALM_KINDS = { stop = true, target = true, settings = true,
@@ -368,13 +411,19 @@
 local function enabled_kinds()
 	local all = {}
 	for _, k in ipairs(KINDS) do
-		if CALM_KINDS[k[2]] or not ARG:match("calm=1") then
+		local calm = CALM_KINDS[k[2]] or not ARG:match("calm=1")
+		-- Targets tell hosts apart only without proxies before them.
+		if calm and not (ARG:match("cut=1") and
+		    k[2] == "target wire") then
 			table.insert(all, k)
 		end
 	end
 	if ARG:match("evac=1") then
 		table.insert(all, EVACUATION)
 	end
+	if ARG:match("cut=1") then
+		table.insert(all, CUT_OFF)
+	end
 	for _, k in ipairs(ARG:match("more=1") and EXTRA_KINDS or {}) do
 		table.insert(all, k)
 	end
