A content that leaves probation names why; failing checks reach the output whole

The log did not tell an answer from a controller's list that lacks the content; it does now. run.sh cut what a failing test printed to its last 60 lines, of which the logs' tails took all: the count of the check that failed is lost for good.

--- a/decide/quarantine.c
+++ b/decide/quarantine.c
@@ -258,18 +258,22 @@
 
 /*
  * Clears a content that was answered: the targets that crashed while they ran
- * it had another reason.  A quarantined content stays.
+ * it had another reason.  A quarantined content stays.  Returns 1 if that ends
+ * its probation.
  */
-void
+int
 quarantine_clear(struct quarantine *q, uint64_t digest, usec now)
 {
 	struct quarantine_entry *e = find(q, digest);
+	int was_on_probation;
 
 	if (e == NULL || e->until != 0)
-		return;
+		return (0);
+	was_on_probation = e->probation_since != 0;
 	e->crashes = e->runs = 0;
 	e->probation_since = 0;
 	e->cleared = now;
+	return (was_on_probation);
 }
 
 /* Adds an item of another host's list; returns 1 if it is new here. */
@@ -300,13 +304,13 @@
 }
 
 /* Adopts the controller's list.  Contents that it does not list are taken off
- * probation; quarantined ones stay. */
-void
+ * probation; quarantined ones stay.  Returns how many were taken off. */
+int
 quarantine_adopt(
     struct quarantine *q, const struct quarantine_list *l, usec now)
 {
 	struct quarantine_entry *e;
-	int i;
+	int i, n = 0;
 
 	for (i = 0; i < q->nentries; i++) {
 		e = &q->entries[i];
@@ -315,9 +319,11 @@
 			continue;
 		e->crashes = e->runs = 0;
 		e->probation_since = 0;
+		n++;
 	}
 	for (i = 0; i < l->n; i++)
 		quarantine_add_item(q, &l->items[i], now);
+	return (n);
 }
 
 /* Lists the contents that are quarantined or on probation now. */
--- a/decide/quarantine.h
+++ b/decide/quarantine.h
@@ -95,10 +95,10 @@
     uint64_t target, int on_probation, usec now);
 int quarantine_add_end(struct quarantine *, uint64_t target, usec now);
 int quarantine_confirm_due(struct quarantine *, usec now);
-void quarantine_clear(struct quarantine *, uint64_t digest, usec now);
+int quarantine_clear(struct quarantine *, uint64_t digest, usec now);
 int quarantine_add_item(
     struct quarantine *, const struct quarantine_item *, usec now);
-void quarantine_adopt(
+int quarantine_adopt(
     struct quarantine *, const struct quarantine_list *, usec now);
 void quarantine_list(
     const struct quarantine *, struct quarantine_list *, usec now);
--- a/gspard/sitectl_quarantine.c
+++ b/gspard/sitectl_quarantine.c
@@ -144,6 +144,17 @@
 		send_list(k, NULL, now);
 }
 
+/* Records that a run of a content was answered, as a host says. */
+static void
+clear(struct sitectl *k, const char *host, uint64_t digest, usec now)
+{
+	if (quarantine_clear(&k->quarantine, digest, now))
+		log_line(LOG_NOTICE, "control",
+		    "Content %016" PRIx64
+		    " is taken off probation: host %s has had an answer to it.",
+		    digest, host);
+}
+
 /* Adds what this host's router has seen. */
 void
 quarantine_add_seen(struct sitectl *k, const struct crash_report *n, usec now)
@@ -156,7 +167,7 @@
 	for (i = 0; i < n->nended; i++)
 		quarantine_add_end(&k->quarantine, n->ended[i], now);
 	for (i = 0; i < n->nanswered; i++) {
-		quarantine_clear(&k->quarantine, n->answered[i], now);
+		clear(k, sitectl_self(k), n->answered[i], now);
 		if (k->nanswered < CRASH_REPORT_MAX)
 			k->answered[k->nanswered++] = n->answered[i];
 	}
@@ -294,7 +305,7 @@
 	for (n = 0; n < l.n; n++)
 		quarantine_add_item(&k->quarantine, &l.items[n], now);
 	for (i = 0; i < msg->n_answered; i++)
-		quarantine_clear(&k->quarantine, msg->answered[i], now);
+		clear(k, h->process.host, msg->answered[i], now);
 	/* This host's own observations are already counted. */
 	for (i = 0; i < msg->n_broken && !is_self(k, h); i++) {
 		from = msg->broken[i];
@@ -319,11 +330,17 @@
     struct sitectl *k, const Gspar__QuarantineTold *msg, usec now)
 {
 	struct quarantine_list l;
+	int n;
 
 	if (k->acting || msg->term < k->controller_term)
 		return;
 	decode_list(&l, msg->list, msg->n_list, now);
-	quarantine_adopt(&k->quarantine, &l, now);
+	n = quarantine_adopt(&k->quarantine, &l, now);
+	if (n > 0)
+		log_line(LOG_NOTICE, "control",
+		    "%d contents are taken off probation: the list of "
+		    "controller %s, term %llu, does not have them.",
+		    n, k->controller, (unsigned long long)msg->term);
 }
 
 /* Reads the list from the store or writes it. */
--- a/regress/run.sh
+++ b/regress/run.sh
@@ -20,7 +20,7 @@
 		echo "KNOWN RED $1: $(grep "^$1" KNOWN-RED.txt)"
 	else
 		echo "FAILED $1"
-		sed 's/^/    /' "$3" | tail -60
+		sed 's/^/    /' "$3"
 		failed=$((failed + 1))
 	fi
 }
