Hosts tell the reach service of failures by one function; states after a cut

Read as a newcomer: the message that a host does not relay was made in two places. A host's tunnel is learnt with the host, so peers are published once. After a time in which nobody reached a target, failures are forgotten as after a change of the way: the controller's first orders would have found most targets lost. Connections that are only to be refused are bounded too.

--- a/gspard/direct_path.c
+++ b/gspard/direct_path.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "direct.h"
+#include "reach_probe.h"
 
 /* A connection takes a round trip and about a millisecond. */
 #define CONNECT_PATIENCE MS(100)
@@ -67,24 +68,17 @@
 	d->next_doubt = now + DOUBT_INTERVAL;
 	if (!path_is_doubted(d, now))
 		d->doubted_at = now;
-	msg_post(d->s->kernel, "reach", MSG_REACH_DOUBTED, NULL, NULL);
+	reach_post_doubt(d->s->kernel);
 }
 
 /* Has another host looked for that relays. */
 static void
 search_host(struct direct *d, usec now)
 {
-	struct msg *m;
-
 	if (is_searching(d, now))
 		return;
 	d->path_lost_at = now;
-	m = msg_new(MSG_REACH_VIA_FAILED);
-	if (m == NULL)
-		return;
-	name_copy(m->host, sizeof(m->host), d->path.via);
-	if (kernel_send(d->s->kernel, "reach", m) != 0)
-		msg_free(m);
+	reach_post_via_failed(d->s->kernel, d->path.via);
 }
 
 /*
@@ -124,17 +118,16 @@
 {
 	int changed = strcmp(d->path.via, path->via) != 0;
 
+	if (changed || path->unreachable || d->path.unreachable)
+		forget_failures(d);
 	d->path = *path;
 	d->path_lost_at = 0;
 	d->doubted_at = path->doubted ? now : 0;
-	if (path->unreachable)
-		forget_failures(d);
 	if (!changed)
 		return;
 	d->path_number++;
 	d->last_answer_before = d->last_answer;
 	d->last_answer = now;
-	forget_failures(d);
 }
 
 /* Records that a target has answered. */
--- a/gspard/reach_probe.c
+++ b/gspard/reach_probe.c
@@ -13,6 +13,7 @@
 
 #include "gspard.h"
 #include "reach.h"
+#include "reach_probe.h"
 #include "sock.h"
 #include "tunnel.h"
 
@@ -50,6 +51,27 @@
 	int stop;
 };
 
+/* Tells the service that a connection to a target failed, or that nothing comes
+ * from any target. */
+void
+reach_post_doubt(struct kernel *k)
+{
+	msg_post(k, "reach", MSG_REACH_DOUBTED, NULL, NULL);
+}
+
+/* Tells the service that a host does not relay. */
+void
+reach_post_via_failed(struct kernel *k, const char *host)
+{
+	struct msg *m = msg_new(MSG_REACH_VIA_FAILED);
+
+	if (m == NULL)
+		return;
+	name_copy(m->host, sizeof(m->host), host);
+	if (kernel_send(k, "reach", m) != 0)
+		msg_free(m);
+}
+
 /* Returns a random number. */
 static uint64_t
 next_random(struct reach_service *v)
--- a/gspard/sitectl.c
+++ b/gspard/sitectl.c
@@ -62,19 +62,6 @@
 	msg_post(k->s->kernel, "peer", MSG_PEERS, sh, shared_unref);
 }
 
-/* Sets the address at which a host relays connections to targets. */
-void
-sitectl_set_tunnel(struct sitectl *k, const char *host, const char *addr)
-{
-	struct sitectl_host *h = sitectl_host(k, host);
-
-	if (h == NULL || strcmp(h->tunnel, addr) == 0)
-		return;
-	name_copy(h->tunnel, sizeof(h->tunnel), addr);
-	k->hosts_changed = 1;
-	sitectl_publish_peers(k);
-}
-
 /* Returns the host with the given name, or NULL. */
 struct sitectl_host *
 sitectl_host(struct sitectl *k, const char *name)
@@ -111,14 +98,15 @@
 
 /*
  * Updates a host that was heard from or that the controller listed; adds it if
- * new.
+ * new.  tunnel is the address at which it relays connections to targets, or
+ * NULL if that is not known.
  */
 void
 sitectl_host_seen(struct sitectl *k, const struct member *m, const char *dc,
-    int stopping, usec now)
+    const char *tunnel, int stopping, usec now)
 {
 	struct sitectl_host *h = sitectl_host(k, m->host);
-	int is_new = h == NULL;
+	int is_new = h == NULL, changed = 0;
 
 	term_process_seen(&k->term, now, m);
 	if (is_new && k->nhosts == SITECTL_HOSTS_MAX)
@@ -130,6 +118,13 @@
 		memset(h, 0, sizeof(*h));
 		h->process = *m;
 		name_copy(h->dc, sizeof(h->dc), dc);
+		changed = 1;
+	}
+	if (tunnel[0] != '\0' && strcmp(h->tunnel, tunnel) != 0) {
+		name_copy(h->tunnel, sizeof(h->tunnel), tunnel);
+		changed = 1;
+	}
+	if (changed) {
 		k->hosts_changed = 1;
 		sitectl_publish_peers(k);
 	}
@@ -196,7 +191,7 @@
 		/* The record was read before that heartbeat came. */
 		k->controller_term = r->term;
 		name_copy(k->controller, sizeof(k->controller), r->holder.host);
-		sitectl_host_seen(k, &r->holder, "", 0, now);
+		sitectl_host_seen(k, &r->holder, "", "", 0, now);
 		k->controller_heard = now;
 	}
 }
--- a/gspard/sitectl.h
+++ b/gspard/sitectl.h
@@ -188,8 +188,7 @@
 const struct fleet *sitectl_fleet(const struct sitectl *);
 int sitectl_host_up(const struct sitectl_host *, usec now);
 void sitectl_host_seen(struct sitectl *, const struct member *, const char *dc,
-    int stopping, usec now);
-void sitectl_set_tunnel(struct sitectl *, const char *host, const char *addr);
+    const char *tunnel, int stopping, usec now);
 void sitectl_publish_peers(struct sitectl *);
 
 /* sitectl_term.c */
--- a/gspard/sitectl_order.c
+++ b/gspard/sitectl_order.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include "hist.h"
+#include "reach_probe.h"
 #include "sitectl.h"
 #include "transfer.h"
 #include "tunnel.h"
@@ -128,20 +129,7 @@
 	k->path.doubted = 1;
 	for (i = 0; i < k->nkeys; i++)
 		keys_doubt_orders(k->keys[i], now);
-	msg_post(k->s->kernel, "reach", MSG_REACH_DOUBTED, NULL, NULL);
-}
-
-/* Has another host looked for that relays. */
-static void
-search_host(struct sitectl *k)
-{
-	struct msg *m = msg_new(MSG_REACH_VIA_FAILED);
-
-	if (m == NULL)
-		return;
-	name_copy(m->host, sizeof(m->host), k->path.via);
-	if (kernel_send(k->s->kernel, "reach", m) != 0)
-		msg_free(m);
+	reach_post_doubt(k->s->kernel);
 }
 
 /* Handles an order without a reply, which may be because of the way to the
@@ -155,7 +143,7 @@
 	curl_easy_getinfo(c->t.easy, CURLINFO_HTTP_CONNECTCODE, &tunnel_status);
 	if (c->via && k->path.via[0] != '\0' &&
 	    tunnel_status != TUNNEL_REFUSED && tunnel_status != TUNNEL_TIMEOUT)
-		search_host(k);
+		reach_post_via_failed(k->s->kernel, k->path.via);
 	if (c->via)
 		return;
 	doubt_path(k, now);
@@ -250,6 +238,7 @@
 orders_set_path(struct sitectl *k, const struct reach_path *path, usec now)
 {
 	int i, changed = strcmp(k->path.via, path->via) != 0;
+	int forget = changed || k->path.unreachable;
 
 	k->path = *path;
 	if (changed)
@@ -265,7 +254,7 @@
 		quarantine_conn_refused(k, k->refused[i], now);
 	k->nrefused = 0;
 	for (i = 0; i < k->nkeys; i++)
-		keys_settle_orders(k->keys[i], changed);
+		keys_settle_orders(k->keys[i], forget);
 }
 
 /* Aborts all orders in progress. */
--- a/gspard/sitectl_receive.c
+++ b/gspard/sitectl_receive.c
@@ -103,8 +103,7 @@
 	name_copy(m.host, sizeof(m.host), msg->host);
 	name_copy(m.addr, sizeof(m.addr), msg->addr);
 	m.boot = msg->boot;
-	sitectl_host_seen(k, &m, msg->dc, 0, now);
-	sitectl_set_tunnel(k, m.host, msg->tunnel);
+	sitectl_host_seen(k, &m, msg->dc, msg->tunnel, 0, now);
 }
 
 /*
--- a/gspard/tunnel.c
+++ b/gspard/tunnel.c
@@ -15,6 +15,7 @@
 
 #include "fleet.h"
 #include "gspard.h"
+#include "reach_probe.h"
 #include "reach.h"
 #include "sock.h"
 #include "transfer.h"
@@ -23,6 +24,8 @@
 /* Each takes two descriptors and up to two buffers.  Beyond this a host that is
  * cut off asks another one. */
 #define TUNNELS_MAX 512
+/* Connections accepted, with those that are still to be refused. */
+#define HOSTS_MAX (TUNNELS_MAX + 64)
 #define BACKLOG 256
 /* Unsent bytes of each direction. */
 #define BUFFER_SIZE 16384
@@ -227,14 +230,6 @@
 		connect_target(s, t, now);
 }
 
-/* Informs the service that decides whether this host reaches targets of a
- * connection that failed. */
-static void
-doubt(struct service *s)
-{
-	msg_post(s->kernel, "reach", MSG_REACH_DOUBTED, NULL, NULL);
-}
-
 /* Handles the end of connecting the target. */
 static void
 target_connected(struct service *s, struct tunnel *t, usec now)
@@ -243,7 +238,7 @@
 	int n;
 
 	if (sock_error(t->ends[TARGET].fd) != 0) {
-		doubt(s);
+		reach_post_doubt(s->kernel);
 		refuse(t, TUNNEL_REFUSED, now);
 		return;
 	}
@@ -430,12 +425,12 @@
 
 	while ((fd = accept4(v->listener, NULL, NULL,
 		    SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0) {
-		t = calloc(1, sizeof(*t));
+		t = v->ntunnels >= HOSTS_MAX ? NULL : calloc(1, sizeof(*t));
 		if (t == NULL ||
 		    apr_pool_create(&t->pool, NULL) != APR_SUCCESS) {
 			free(t);
 			close(fd);
-			return;
+			continue;
 		}
 		t->ends[TARGET].fd = -1;
 		t->next = v->tunnels;
@@ -462,7 +457,7 @@
 		return (1);
 	case TUNNEL_CONNECTING:
 		if (age > CONNECT_TIMEOUT) {
-			doubt(s);
+			reach_post_doubt(s->kernel);
 			refuse(t, TUNNEL_TIMEOUT, now);
 		}
 		return (1);
@@ -614,7 +609,7 @@
 	s->state = v;
 	v->listener = -1;
 	if (apr_pool_create(&v->pool, NULL) == APR_SUCCESS &&
-	    apr_pollset_create(&v->set, 2 * TUNNELS_MAX, v->pool,
+	    apr_pollset_create(&v->set, 2 * HOSTS_MAX, v->pool,
 		APR_POLLSET_WAKEABLE) == APR_SUCCESS &&
 	    listen_hosts(s) == 0) {
 		ring_set_wake(s->in, wake, v->set);
