--- a/gspard/sitectl.c
+++ b/gspard/sitectl.c
@@ -98,8 +98,8 @@
 
 /*
  * Updates a host that was heard from or that the controller listed; adds it if
- * new.  tunnel is the address at which it relays connections to targets, or
- * NULL if that is not known.
+ * new.  tunnel is the address at which it relays connections to targets, or ""
+ * if that is not known.
  */
 void
 sitectl_host_seen(struct sitectl *k, const struct member *m, const char *dc,
