--- a/decide/quarantine.c
+++ b/decide/quarantine.c
@@ -294,10 +294,7 @@
 			return (0);
 		e->runs = PROBATION_RUNS;
 		e->probation_since = now;
-		/* Probation ends when it does for the other host, or hosts
-		 * would renew it for each other. */
-		e->last_crash =
-		    now - (left < PROBATION_FOR ? PROBATION_FOR - left : 0);
+		e->last_crash = now;
 		return (1);
 	}
 	confirm(e, now);
@@ -306,56 +303,27 @@
 	return (1);
 }
 
-/* Takes a content off probation that was answered at some host, unless a target
- * has crashed under it since then; returns 1 if it was on probation. */
-static int
-adopt_cleared(
-    struct quarantine *q, const struct quarantine_item *item, usec now)
-{
-	usec cleared = now + quarantine_item_left(item, now) - CLEARED_FOR;
-	struct quarantine_entry *e = find(q, item->digest);
-
-	if (e == NULL || e->last_crash > cleared)
-		return (0);
-	return (quarantine_clear(q, item->digest, cleared));
-}
-
-/*
- * Adopts the controller's list, and the contents that it has cleared; returns
- * how many are taken off probation.  One that is in neither list stays: the
- * controller may just have begun, and not know of it yet.
- */
+/* Adopts the controller's list.  Contents that it does not list are taken off
+ * probation; quarantined ones stay.  Returns how many were taken off. */
 int
-quarantine_adopt(struct quarantine *q, const struct quarantine_list *l,
-    const struct quarantine_list *cleared, usec now)
+quarantine_adopt(
+    struct quarantine *q, const struct quarantine_list *l, usec now)
 {
+	struct quarantine_entry *e;
 	int i, n = 0;
 
-	for (i = 0; i < cleared->n; i++)
-		n += adopt_cleared(q, &cleared->items[i], now);
-	for (i = 0; i < l->n; i++)
-		quarantine_add_item(q, &l->items[i], now);
-	return (n);
-}
-
-/* Lists the contents that an answer has cleared recently. */
-void
-quarantine_list_cleared(
-    const struct quarantine *q, struct quarantine_list *l, usec now)
-{
-	const struct quarantine_entry *e;
-	int i;
-
-	l->n = 0;
 	for (i = 0; i < q->nentries; i++) {
 		e = &q->entries[i];
-		if (e->cleared == 0 || now - e->cleared >= CLEARED_FOR ||
-		    listed_until(e) > now)
+		if (e->probation_since == 0 ||
+		    quarantine_find(l, e->digest, now) != NULL)
 			continue;
-		l->items[l->n].digest = e->digest;
-		l->items[l->n].probation = 0;
-		l->items[l->n++].until = e->cleared + CLEARED_FOR;
+		e->crashes = e->runs = 0;
+		e->probation_since = 0;
+		n++;
 	}
+	for (i = 0; i < l->n; i++)
+		quarantine_add_item(q, &l->items[i], now);
+	return (n);
 }
 
 /* Lists the contents that are quarantined or on probation now. */
--- a/decide/quarantine.h
+++ b/decide/quarantine.h
@@ -98,10 +98,8 @@
 int quarantine_clear(struct quarantine *, uint64_t digest, usec now);
 int quarantine_add_item(
     struct quarantine *, const struct quarantine_item *, usec now);
-int quarantine_adopt(struct quarantine *, const struct quarantine_list *,
-    const struct quarantine_list *cleared, usec now);
-void quarantine_list_cleared(
-    const struct quarantine *, struct quarantine_list *, usec now);
+int quarantine_adopt(
+    struct quarantine *, const struct quarantine_list *, usec now);
 void quarantine_list(
     const struct quarantine *, struct quarantine_list *, usec now);
 void quarantine_confirmed(
--- a/gspard/sitectl_quarantine.c
+++ b/gspard/sitectl_quarantine.c
@@ -66,18 +66,12 @@
 	Gspar__QuarantineTold w = GSPAR__QUARANTINE_TOLD__INIT;
 	Gspar__Quarantined items[QUARANTINE_ENTRIES_MAX],
 	    *list[QUARANTINE_ENTRIES_MAX];
-	Gspar__Quarantined cleared_items[QUARANTINE_ENTRIES_MAX],
-	    *cleared[QUARANTINE_ENTRIES_MAX];
-	struct quarantine_list l;
 	struct sitectl_host *h;
 	int i;
 
 	w.term = k->term.rec.term;
 	w.n_list = fill_list(&k->quarantined, items, list, now);
 	w.list = list;
-	quarantine_list_cleared(&k->quarantine, &l, now);
-	w.n_cleared = fill_list(&l, cleared_items, cleared, now);
-	w.cleared = cleared;
 	f.body_case = GSPAR__FRAME__BODY_QUARANTINE_TOLD;
 	f.quarantine_told = &w;
 	for (i = 0; i < k->nhosts; i++) {
@@ -324,11 +318,8 @@
 	}
 	for (i = 0; i < msg->n_ended; i++)
 		quarantine_add_end(&k->quarantine, msg->ended[i], now);
-	if (!k->acting)
-		return;
-	/* Before the list is compared: it may lack what this report has. */
-	refresh(k, now);
-	if (msg->quarantine != quarantine_checksum(&k->quarantined) &&
+	if (k->acting &&
+	    msg->quarantine != quarantine_checksum(&k->quarantined) &&
 	    now - h->quarantine_sent_at > PUSH_RETRY_DELAY)
 		send_list(k, h->process.host, now);
 }
@@ -338,18 +329,17 @@
 quarantine_receive(
     struct sitectl *k, const Gspar__QuarantineTold *msg, usec now)
 {
-	struct quarantine_list l, cleared;
+	struct quarantine_list l;
 	int n;
 
 	if (k->acting || msg->term < k->controller_term)
 		return;
 	decode_list(&l, msg->list, msg->n_list, now);
-	decode_list(&cleared, msg->cleared, msg->n_cleared, now);
-	n = quarantine_adopt(&k->quarantine, &l, &cleared, now);
+	n = quarantine_adopt(&k->quarantine, &l, now);
 	if (n > 0)
 		log_line(LOG_NOTICE, "control",
-		    "%d contents are taken off probation: controller %s, "
-		    "term %llu, knows of answers to them.",
+		    "%d contents are taken off probation: the list of "
+		    "controller %s, term %llu, does not have them.",
 		    n, k->controller, (unsigned long long)msg->term);
 }
 
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -4278,7 +4278,7 @@
   (ProtobufCMessageInit) gspar__quarantined__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__quarantine_told__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gspar__quarantine_told__field_descriptors[2] =
 {
   {
     "term",
@@ -4304,28 +4304,15 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "cleared",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gspar__QuarantineTold, n_cleared),
-    offsetof(Gspar__QuarantineTold, cleared),
-    &gspar__quarantined__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned gspar__quarantine_told__field_indices_by_name[] = {
-  2,   /* field[2] = cleared */
   1,   /* field[1] = list */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange gspar__quarantine_told__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor gspar__quarantine_told__descriptor =
 {
@@ -4335,7 +4322,7 @@
   "Gspar__QuarantineTold",
   "gspar",
   sizeof(Gspar__QuarantineTold),
-  3,
+  2,
   gspar__quarantine_told__field_descriptors,
   gspar__quarantine_told__field_indices_by_name,
   1,  gspar__quarantine_told__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -600,17 +600,10 @@
   uint64_t term;
   size_t n_list;
   Gspar__Quarantined **list;
-  /*
-   * Contents that an answer has cleared recently, and how much longer
-   * crashes are not attributed to them.  One that is in neither list
-   * keeps its state.
-   */
-  size_t n_cleared;
-  Gspar__Quarantined **cleared;
 };
 #define GSPAR__QUARANTINE_TOLD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__quarantine_told__descriptor) \
-    , 0, 0,NULL, 0,NULL }
+    , 0, 0,NULL }
 
 
 struct  Gspar__HostAddr
--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -257,12 +257,6 @@
     '/^membership_store_restored/,/^}/s/k->doubt_until = .*/(void)now;/'
 without eras-in-versions version version.c 's/(era \& VERSION_ERA_MAX) << REVISION_BITS |/0 |/'
 
-# Evidence of crashes outlasts a controller that does not know of it.
-without answers-before-crashes-clear-nothing quarantine quarantine.c \
-    's/e == NULL || e->last_crash > cleared/e == NULL/'
-without probation-is-not-renewed quarantine quarantine.c \
-    's/(left < PROBATION_FOR ? PROBATION_FOR - left : 0)/0/'
-
 # A host that is cut off is told from one whose targets are lost.
 without cut-needs-another-host reach reach.c \
     's/else if (r->found\[0\] != .* \&\& unreached)/else if (unreached)/'
