--- a/decide/reach.c
+++ b/decide/reach.c
@@ -88,7 +88,7 @@
 /* Records that a connection to a target failed, or that nothing has come from
  * any target for too long. */
 void
-reach_doubt(struct reach *r, usec now)
+reach_doubt(struct reach *r)
 {
 	if (r->path.via[0] == '\0')
 		r->path.doubted = 1;
@@ -135,16 +135,16 @@
 }
 
 /* Ends a round; this host then reaches targets through a host, or itself if
- * that is "". */
+ * that is NULL. */
 static void
-end_round(struct reach *r, const char *via, usec now)
+end_round(struct reach *r, const struct reach_host *via, usec now)
 {
-	const struct reach_host *h = find_host(r, via);
-
-	if (strcmp(via, r->path.via) != 0)
+	if (via == NULL || strcmp(via->name, r->path.via) != 0)
 		r->returns = 0;
-	name_copy(r->path.via, sizeof(r->path.via), h == NULL ? "" : via);
-	name_copy(r->path.addr, sizeof(r->path.addr), h == NULL ? "" : h->addr);
+	name_copy(
+	    r->path.via, sizeof(r->path.via), via == NULL ? "" : via->name);
+	name_copy(
+	    r->path.addr, sizeof(r->path.addr), via == NULL ? "" : via->addr);
 	r->path.unreachable = 0;
 	r->round = REACH_IDLE;
 	r->verdicts++;
@@ -156,14 +156,13 @@
 static void
 settle_return(struct reach *r, usec now)
 {
-	char via[NAME_MAX_GS];
-
 	if (r->reached + r->unreached < RETURN_PROBES &&
 	    now - r->round_began < PROBE_MAX)
 		return;
 	r->returns = r->reached + 1 >= RETURN_PROBES ? r->returns + 1 : 0;
-	name_copy(via, sizeof(via), r->path.via);
-	end_round(r, r->returns >= RETURN_ROUNDS ? "" : via, now);
+	end_round(r,
+	    r->returns >= RETURN_ROUNDS ? NULL : find_host(r, r->path.via),
+	    now);
 }
 
 /* True if all targets and hosts that a round may try have failed. */
@@ -188,11 +187,11 @@
 	if (r->round == REACH_RETURN)
 		settle_return(r, now);
 	else if (r->reached > 0)
-		end_round(r, "", now);
+		end_round(r, NULL, now);
 	else if (r->found[0] != '\0' && unreached)
-		end_round(r, r->found, now);
+		end_round(r, find_host(r, r->found), now);
 	else if (age >= ROUND_MAX || nobody_reaches(r)) {
-		end_round(r, "", now);
+		end_round(r, NULL, now);
 		r->path.unreachable = 1;
 	}
 }
--- a/decide/reach.h
+++ b/decide/reach.h
@@ -84,7 +84,7 @@
 
 void reach_init(struct reach *, const char *dc, uint64_t seed);
 void reach_set_hosts(struct reach *, const struct reach_host *, int n);
-void reach_doubt(struct reach *, usec now);
+void reach_doubt(struct reach *);
 void reach_via_failed(struct reach *, const char *host, usec now);
 enum reach_action reach_next(
     struct reach *, usec now, const struct reach_host **host);
--- a/gspard/reach_probe.c
+++ b/gspard/reach_probe.c
@@ -331,7 +331,7 @@
 		take_hosts(s, ((struct shared *)m->data)->p);
 		break;
 	case MSG_REACH_DOUBTED:
-		reach_doubt(&v->reach, now);
+		reach_doubt(&v->reach);
 		break;
 	case MSG_REACH_VIA_FAILED:
 		reach_via_failed(&v->reach, m->host, now);
--- a/regress/unit/t_reach.c
+++ b/regress/unit/t_reach.c
@@ -142,7 +142,7 @@
 	struct world w = {.now = MS(1000), .targets_ok = 10};
 
 	make_fleet(8, 3, 1);
-	reach_doubt(&r, w.now);
+	reach_doubt(&r);
 	play(&w, MS(2000));
 	CU_ASSERT_STRING_EQUAL(r.path.via, "");
 	CU_ASSERT_EQUAL(r.verdicts, 1);
@@ -157,7 +157,7 @@
 	struct world w = {.now = MS(1000), .targets_ok = 3, .probes = 9};
 
 	make_fleet(8, 3, 1);
-	reach_doubt(&r, w.now);
+	reach_doubt(&r);
 	play(&w, MS(2000));
 	CU_ASSERT_STRING_EQUAL(r.path.via, "");
 	CU_ASSERT_EQUAL(r.verdicts, 1);
@@ -174,7 +174,7 @@
 		struct world w = {.now = MS(1000), .fails_at_once = at_once};
 
 		make_fleet(8, 3, 1);
-		reach_doubt(&r, w.now);
+		reach_doubt(&r);
 		play(&w, MS(3000));
 		CU_ASSERT_STRING_NOT_EQUAL(r.path.via, "");
 		/* A request of 800 ms that has met the cut can still be
@@ -201,7 +201,7 @@
 		struct world w = {.now = MS(1000), .cut_dc = 1};
 
 		make_fleet(sizes[i].n, sizes[i].centres, i + 1);
-		reach_doubt(&r, w.now);
+		reach_doubt(&r);
 		play(&w, MS(3000));
 		CU_ASSERT_STRING_NOT_EQUAL(r.path.via, "");
 		CU_ASSERT(w.now - MS(1000) <= MS(350));
@@ -217,7 +217,7 @@
 	struct world w = {.now = MS(1000), .helper = "none"};
 
 	make_fleet(8, 3, 1);
-	reach_doubt(&r, w.now);
+	reach_doubt(&r);
 	play(&w, MS(3000));
 	CU_ASSERT_STRING_EQUAL(r.path.via, "");
 	CU_ASSERT(r.path.unreachable);
@@ -251,7 +251,7 @@
 		make_fleet(sizes[i], 3, i + 7);
 		snprintf(name, sizeof(name), "h%d", sizes[i] / 2);
 		while (r.path.via[0] == '\0' && w.now < MS(300000)) {
-			reach_doubt(&r, w.now);
+			reach_doubt(&r);
 			play(&w, w.now + MS(2000));
 		}
 		CU_ASSERT_STRING_EQUAL(r.path.via, name);
@@ -268,7 +268,7 @@
 	usec healed;
 
 	make_fleet(8, 3, 1);
-	reach_doubt(&r, w.now);
+	reach_doubt(&r);
 	play(&w, MS(3000));
 	CU_ASSERT_STRING_NOT_EQUAL(r.path.via, "");
 	/* Rounds go on, and find nothing. */
@@ -299,7 +299,7 @@
 	usec lost;
 
 	make_fleet(8, 3, 1);
-	reach_doubt(&r, w.now);
+	reach_doubt(&r);
 	play(&w, MS(3000));
 	name_copy(was, sizeof(was), r.path.via);
 	w.now += MS(100);
@@ -333,7 +333,7 @@
 
 			make_fleet(sizes[s].n, sizes[s].centres,
 			    (uint64_t)i * 0x9e3779b97f4a7c15u);
-			reach_doubt(&r, w.now);
+			reach_doubt(&r);
 			play(&w, MS(3000));
 			CU_ASSERT_FATAL(r.path.via[0] != '\0');
 			load[atoi(r.path.via + 1)]++;
