Hosts of one message are published to their services once

A host that learnt of 300 others from one heartbeat published its growing list 300 times. The list is published before anything that the message makes this host send, as before.

--- a/gspard/sitectl.c
+++ b/gspard/sitectl.c
@@ -33,7 +33,8 @@
  */
 #define STOP_MARGIN MS(200)
 
-/* Sends the list of hosts and their addresses to the peer service. */
+/* Sends the list of hosts and their addresses to the services that connect to
+ * them, if it has changed. */
 void
 sitectl_publish_peers(struct sitectl *k)
 {
@@ -42,9 +43,12 @@
 	struct shared *sh;
 	int i;
 
+	if (!k->peers_changed)
+		return;
 	l = calloc(1, sizeof(*l) + (size_t)k->nhosts * sizeof(*l->list));
 	if (l == NULL)
 		return;
+	k->peers_changed = 0;
 	l->list = (struct peer_addr *)(void *)(l + 1);
 	for (i = 0; i < k->nhosts; i++) {
 		a = &l->list[l->n++];
@@ -98,15 +102,16 @@
 
 /*
  * Updates a host that was heard from or that the controller listed; adds it if
- * new.  tunnel is the address at which it relays connections to targets, or ""
- * if that is not known.
+ * new.  The caller publishes the peers, once for all hosts of a message. tunnel
+ * is the address at which it relays connections to targets, or "" if that is
+ * not known.
  */
 void
 sitectl_host_seen(struct sitectl *k, const struct member *m, const char *dc,
     const char *tunnel, int stopping, usec now)
 {
 	struct sitectl_host *h = sitectl_host(k, m->host);
-	int is_new = h == NULL, changed = 0;
+	int is_new = h == NULL;
 
 	term_process_seen(&k->term, now, m);
 	if (is_new && k->nhosts == SITECTL_HOSTS_MAX)
@@ -118,16 +123,13 @@
 		memset(h, 0, sizeof(*h));
 		h->process = *m;
 		name_copy(h->dc, sizeof(h->dc), dc);
-		changed = 1;
+		k->peers_changed = 1;
 	}
 	if (tunnel[0] != '\0' && strcmp(h->tunnel, tunnel) != 0) {
 		name_copy(h->tunnel, sizeof(h->tunnel), tunnel);
-		changed = 1;
-	}
-	if (changed) {
-		k->hosts_changed = 1;
-		sitectl_publish_peers(k);
+		k->peers_changed = 1;
 	}
+	k->hosts_changed |= k->peers_changed;
 	h->last_heard = now;
 	h->stopping = stopping;
 }
@@ -192,6 +194,7 @@
 		k->controller_term = r->term;
 		name_copy(k->controller, sizeof(k->controller), r->holder.host);
 		sitectl_host_seen(k, &r->holder, "", "", 0, now);
+		sitectl_publish_peers(k);
 		k->controller_heard = now;
 	}
 }
--- a/gspard/sitectl.h
+++ b/gspard/sitectl.h
@@ -120,6 +120,7 @@
 	struct sitectl_host hosts[SITECTL_HOSTS_MAX];
 	int nhosts;
 	int hosts_changed;
+	int peers_changed; /* since they were published */
 	struct keys *keys[SITECTL_SERVICES_MAX];
 	int nkeys;
 	int acting; /* this host is the controller */
--- a/gspard/sitectl_receive.c
+++ b/gspard/sitectl_receive.c
@@ -162,8 +162,10 @@
 	 */
 	if (msg->self != NULL)
 		receive_host_addr(k, msg->self, now);
-	if (!msg->whole) {
+	if (!msg->whole)
 		receive_host_list(k, msg, now);
+	sitectl_publish_peers(k);
+	if (!msg->whole) {
 		site_receive_heartbeat(k, msg, now);
 		term_version_announced(&k->term, now, msg->record);
 		k->controller_overloaded = msg->strained;
--- a/gspard/sitectl_report.c
+++ b/gspard/sitectl_report.c
@@ -172,6 +172,7 @@
 	name_copy(m.addr, sizeof(m.addr), msg->addr);
 	m.boot = msg->boot;
 	sitectl_host_seen(k, &m, msg->dc, msg->tunnel, msg->stopping, now);
+	sitectl_publish_peers(k);
 	if (msg->term != 0)
 		term_holder_follows(&k->term, now, &m, msg->term);
 	if ((h = sitectl_host(k, host)) != NULL) {
