Retry budgets are logged and counted

The incident's logs could not tell whether budgets of started hosts, the number of hosts or attempts that nobody pays for break the bound. Each second with retries a host now logs, by service, requests, retries sent and refused, what is left, and by how many hosts the slack was divided. retry_refused was a metric that nothing counted; retry_paid stands beside it. No decision changes.

--- a/decide/budget.c
+++ b/decide/budget.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "budget.h"
 
 /* Allows `share` retries for each first attempt, and a burst of `max`. */
@@ -7,12 +9,14 @@
 	b->share = share;
 	b->max = max;
 	b->tokens = max;
+	memset(&b->use, 0, sizeof(b->use));
 }
 
 /* Adds the tokens that a first attempt earns. */
 void
 budget_deposit(struct budget *b)
 {
+	b->use.deposits++;
 	b->tokens += b->share;
 	if (b->tokens > b->max)
 		b->tokens = b->max;
@@ -27,8 +31,21 @@
 int
 budget_withdraw(struct budget *b)
 {
-	if (b->tokens < 1)
+	if (b->tokens < 1) {
+		b->use.refused++;
 		return (0);
+	}
 	b->tokens -= 1;
+	b->use.retries++;
 	return (1);
 }
+
+/* Returns how the budget was used since the last call. */
+struct budget_use
+budget_take_use(struct budget *b)
+{
+	struct budget_use use = b->use;
+
+	memset(&b->use, 0, sizeof(b->use));
+	return (use);
+}
--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -122,20 +122,6 @@
 	flow_route(d, p, now);
 }
 
-/* Sets this host's share of each service's retry budget from the settings and
- * the number of hosts. */
-static void
-set_retry_budgets(struct direct *d)
-{
-	const struct bounds *b = &kernel_conf(d->s->kernel)->bounds;
-	int i;
-
-	for (i = 0; i < d->nsvcs; i++) {
-		d->svcs[i].retry_budget.max = b->retry_slack / d->conf.hosts;
-		d->svcs[i].retry_budget.share = b->retry_share;
-	}
-}
-
 /* Reports requested keys, crashes and the state of targets to the control
  * service. */
 static void
@@ -277,7 +263,7 @@
 		flow_pump(d, now);
 		targets_sweep(d);
 		if (now >= d->next_report) {
-			set_retry_budgets(d);
+			retry_budgets_update(d, now);
 			report(d, now);
 		}
 		curl_multi_perform(d->multi, &running);
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -211,6 +211,7 @@
 	int rank;	 /* of this host among all hosts, from 0 */
 	int ready;
 	usec next_report;
+	usec next_retry_use;
 	usec next_limits;
 	/* Admission to targets; see direct_pool.c. */
 	int permit_fd; /* datagrams between hosts; -1 if not open */
@@ -261,6 +262,9 @@
 int may_retry(const struct pending *, usec now);
 void retry(struct direct *, struct pending *, usec now);
 
+/* direct_retry.c */
+void retry_budgets_update(struct direct *, usec now);
+
 /* direct_path.c */
 int path_is_doubted(const struct direct *, usec now);
 int path_is_cut_off(struct direct *, usec now);
--- /dev/null
+++ b/gspard/direct_retry.c
@@ -0,0 +1,43 @@
+/* The retry budgets of services: this host's part of what all may send. */
+#include "direct.h"
+
+/* Interval at which the use of the budgets is counted and logged. */
+#define USE_INTERVAL MS(1000)
+
+/* Counts how a service's budget was used, and logs it unless no retry was asked
+ * for. */
+static void
+tell_use(const struct direct *d, struct service_state *v)
+{
+	struct budget *b = &v->retry_budget;
+	struct budget_use use = budget_take_use(b);
+
+	count_add(C_RETRY_PAID, (uint64_t)use.retries);
+	count_add(C_RETRY_REFUSED, (uint64_t)use.refused);
+	if (use.retries == 0 && use.refused == 0)
+		return;
+	log_line(LOG_INFO, "router",
+	    "Retry budget of service %s: %d requests, %d retries sent, %d "
+	    "refused, %.1f of %.1f left, hosts %d%s.",
+	    v->name, use.deposits, use.retries, use.refused, b->tokens, b->max,
+	    d->conf.hosts, d->hosts_known ? "" : " assumed");
+}
+
+/* Sets this host's share of each service's retry budget from the settings and
+ * the number of hosts. */
+void
+retry_budgets_update(struct direct *d, usec now)
+{
+	const struct bounds *b = &kernel_conf(d->s->kernel)->bounds;
+	int i;
+
+	for (i = 0; i < d->nsvcs; i++) {
+		d->svcs[i].retry_budget.max = b->retry_slack / d->conf.hosts;
+		d->svcs[i].retry_budget.share = b->retry_share;
+	}
+	if (now < d->next_retry_use)
+		return;
+	d->next_retry_use = now + USE_INTERVAL;
+	for (i = 0; i < d->nsvcs; i++)
+		tell_use(d, &d->svcs[i]);
+}
--- a/lib/count.h
+++ b/lib/count.h
@@ -15,6 +15,7 @@
 	X(C_CALLER_GONE, "caller_gone", "Callers that left early")             \
 	X(C_RELAYED, "relayed", "Requests relayed to another host")            \
 	X(C_RETRIES, "retries", "Requests sent again")                         \
+	X(C_RETRY_PAID, "retry_paid", "Retries taken from the budget")         \
 	X(C_RETRY_REFUSED, "retry_refused", "Retries the budget refused")      \
 	X(C_ANSWER_LATE, "answer_late", "Late or crossed answers dropped")     \
 	X(C_PARKED, "parked", "Requests held while their key moves")           \
