A retry budget is earned: a process begins without one

What callers saw: while targets turned requests away and hosts were killed and started, targets got up to 1.8 times the retries that the bounds allow.

Cause: each process began with a full budget. The last process of the host had used its own in the same ten seconds, so that each start added a host's whole part of the slack, and more where the number of hosts was not known yet.

Change: a budget begins empty and is earned by requests, so that what all processes of a host have in any window is at most one part and what the requests in it earn. Unit route filled budgets by starting them; it earns them now, all checks as they were.

--- a/decide/budget.c
+++ b/decide/budget.c
@@ -2,13 +2,17 @@
 
 #include "budget.h"
 
-/* Allows `share` retries for each first attempt, and a burst of `max`. */
+/*
+ * Allows `share` retries for each first attempt, and a burst of `max`, which
+ * first attempts have to earn.  If it were there from the start, a process that
+ * is killed and started again would send the burst each time.
+ */
 void
 budget_init(struct budget *b, double share, double max)
 {
 	b->share = share;
 	b->max = max;
-	b->tokens = max;
+	b->tokens = 0;
 	memset(&b->use, 0, sizeof(b->use));
 }
 
--- a/regress/unit/t_route.c
+++ b/regress/unit/t_route.c
@@ -6,6 +6,16 @@
 static const struct route_attempt idem = {1, 1, 0, MS(5000)};
 static const struct route_attempt once = {0, 1, 0, MS(5000)};
 
+/* Sets up a budget of `max` retries that are all earned: no decision ends a
+ * request for want of one. */
+static void
+fill_budget(struct budget *b, double share, double max)
+{
+	budget_init(b, share, max);
+	while (b->tokens < max)
+		budget_deposit(b);
+}
+
 /* A request that may have run and is not idempotent is never retried. */
 static void
 not_idempotent(void)
@@ -15,7 +25,7 @@
 	struct budget b;
 	size_t i;
 
-	budget_init(&b, 0.1, 10);
+	fill_budget(&b, 0.1, 10);
 	for (i = 0; i < sizeof(codes) / sizeof(codes[0]); i++)
 		CU_ASSERT_EQUAL(
 		    route_decide(&once, codes[i], OUT_UNKNOWN, 0, &b),
@@ -29,7 +39,7 @@
 	struct route_attempt many = idem;
 	struct budget b;
 
-	budget_init(&b, 0.1, 1);
+	fill_budget(&b, 0.1, 1);
 	CU_ASSERT_EQUAL(route_decide(&idem, GS_TARGET_LOST, OUT_UNKNOWN, 0, &b),
 	    ROUTE_RETRY);
 	CU_ASSERT_EQUAL(
@@ -40,7 +50,7 @@
 	many.attempts = 2;
 	CU_ASSERT_EQUAL(
 	    route_decide(&many, GS_PEER_LOST, OUT_UNKNOWN, 0, &b), ROUTE_END);
-	budget_init(&b, 0.1, 10);
+	fill_budget(&b, 0.1, 10);
 	CU_ASSERT_EQUAL(
 	    route_decide(&idem, GS_PEER_LOST, OUT_UNKNOWN, MS(5000), &b),
 	    ROUTE_END);
@@ -56,7 +66,7 @@
 	struct route_attempt t = once;
 	struct budget b;
 
-	budget_init(&b, 0.1, 10);
+	fill_budget(&b, 0.1, 10);
 	CU_ASSERT_EQUAL(
 	    route_decide(&t, GS_MOVED, OUT_NOT_RUN, MS(100), &b), ROUTE_HOLD);
 	t.held_since = MS(100);
@@ -75,7 +85,7 @@
 	struct budget b;
 	size_t i;
 
-	budget_init(&b, 0.1, 10);
+	fill_budget(&b, 0.1, 10);
 	for (i = 0; i < sizeof(codes) / sizeof(codes[0]); i++)
 		CU_ASSERT_EQUAL(
 		    route_decide(&idem, codes[i], OUT_NOT_RUN, 0, &b),
