Heartbeats tell hosts how many share limits

What callers saw: nothing by itself; after hosts were killed, or added, targets may get more retries than the bounds allow, and more than they limit all hosts to.

Cause: the number of hosts came with the owners of keys, and these are sent only when keys move or a host has none. Ruled out: that the controller itself learns of hosts so late; it had reports of all within a second or two.

Owners no longer carry it. What else is divided by it (rate limits of targets, turns on probation, admission hosts) follows.

--- a/decide/owners.c
+++ b/decide/owners.c
@@ -144,7 +144,6 @@
 	if (d == NULL)
 		return (NULL);
 	d->number = new->number;
-	d->hosts = new->hosts;
 	for (i = 0; i < new->nservices; i++) {
 		s = &new->services[i];
 		old_service = find_service(old, s->name);
@@ -227,7 +226,6 @@
 	if (o == NULL)
 		return (NULL);
 	o->number = diff->number;
-	o->hosts = diff->hosts;
 	for (i = 0; i < diff->nservices; i++) {
 		d = &diff->services[i];
 		b = find_service(base, d->name);
--- a/decide/owners.h
+++ b/decide/owners.h
@@ -29,8 +29,6 @@
 
 struct owners {
 	uint64_t number; /* version; increases with each change */
-	int hosts;	 /* number of hosts that send to the targets */
-	int rank;	 /* of this host among them */
 	char (*targets)[NAME_MAX_GS];
 	int ntargets;
 	struct owner_service *services;
--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -187,12 +187,20 @@
 		p->deadline = stop_plan_deadline(d->stop_plan, p->deadline);
 }
 
+/* Sets the number of hosts that share limits, and this host's turn. */
+static void
+set_host_count(struct direct *d, const struct host_turn *turn)
+{
+	d->pools_changed |= !d->hosts_known || d->conf.hosts != turn->hosts;
+	d->conf.hosts = turn->hosts;
+	d->rank = turn->rank;
+	d->hosts_known = 1;
+}
+
 /* Handles one message. */
 static void
 handle_message(struct direct *d, struct msg *m, usec now)
 {
-	int hosts;
-
 	switch (m->kind) {
 	case MSG_CALL:
 		accept_call(d, m->data, now);
@@ -205,14 +213,9 @@
 		break;
 	case MSG_OWNERS:
 		msg_take_snapshot(m, &d->owners);
-		hosts = ((struct owners *)d->owners->p)->hosts;
-		d->rank = ((struct owners *)d->owners->p)->rank;
-		if (hosts > 0) {
-			d->pools_changed |=
-			    !d->hosts_known || d->conf.hosts != hosts;
-			d->conf.hosts = hosts;
-			d->hosts_known = 1;
-		}
+		break;
+	case MSG_HOST_COUNT:
+		set_host_count(d, m->data);
 		break;
 	case MSG_QUARANTINE:
 		msg_take_snapshot(m, &d->quarantine);
--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -37,6 +37,7 @@
 	MSG_SITE,	    /* watch to all: current routes and services */
 	MSG_FLEET,	    /* watch to router and control: the targets */
 	MSG_OWNERS,	    /* control to router: owners of keys */
+	MSG_HOST_COUNT,	    /* control to router: hosts that share limits */
 	MSG_ROUTER_REPORT,  /* router to control: sample of requested keys */
 	MSG_QUARANTINE,	    /* control to router: quarantined contents */
 	MSG_SITE_RECEIVED,  /* control to watch: configuration from a host */
@@ -135,6 +136,12 @@
 	uint64_t digest;
 };
 
+/* The number of hosts that share limits, and this host's turn among them. */
+struct host_turn {
+	int hosts;
+	int rank; /* from 0 */
+};
+
 struct peer_addr {
 	char host[NAME_MAX_GS];
 	char dc[NAME_MAX_GS];
--- a/gspard/sitectl.h
+++ b/gspard/sitectl.h
@@ -162,6 +162,7 @@
 	/* The owners of keys, as last published on this host. */
 	struct shared *owners;
 	uint64_t number;
+	struct host_turn turn; /* as last published; 0 hosts if not yet */
 	usec next_heartbeat;
 
 	CURLM *multi;
@@ -241,6 +242,7 @@
 void broadcast_tick(struct sitectl *, usec now);
 void broadcast_resignation(struct sitectl *, usec now);
 void owners_publish(struct sitectl *, struct owners *);
+void host_count_publish(struct sitectl *, int hosts);
 
 /* sitectl_report.c */
 void report_add_leaving(struct sitectl *, const struct router_report *);
--- a/gspard/sitectl_broadcast.c
+++ b/gspard/sitectl_broadcast.c
@@ -37,12 +37,6 @@
 	if (o == NULL)
 		return (NULL);
 	o->number = owners_number(k);
-	/*
-	 * Hosts that were not heard from recently count too: they may still
-	 * send although they are cut off, and the shares of a rate limit must
-	 * not add up to more than it.
-	 */
-	o->hosts = k->nhosts;
 	for (i = 0; i < k->nkeys; i++)
 		o->ntargets += k->keys[i]->ntargets;
 	o->targets = calloc((size_t)o->ntargets + 1, sizeof(*o->targets));
@@ -84,13 +78,27 @@
 	return (n);
 }
 
+/* Tells the router how many hosts share limits, if that has changed. */
+void
+host_count_publish(struct sitectl *k, int hosts)
+{
+	struct host_turn now = {hosts, rank(k)}, *turn;
+
+	if (hosts == k->turn.hosts && now.rank == k->turn.rank)
+		return;
+	turn = malloc(sizeof(*turn));
+	if (turn == NULL)
+		return;
+	*turn = k->turn = now;
+	msg_post(k->s->kernel, "router", MSG_HOST_COUNT, turn, free);
+}
+
 /* Sends a snapshot to the router.  Takes ownership of it. */
 void
 owners_publish(struct sitectl *k, struct owners *o)
 {
 	struct shared *sh;
 
-	o->rank = rank(k);
 	sh = shared_new(o, owners_free);
 	if (sh == NULL) {
 		owners_free(o);
@@ -176,7 +184,6 @@
 	w.term = k->term.rec.term;
 	w.number = o->number;
 	w.since = since;
-	w.host_count = (uint32_t)o->hosts;
 	w.controller = (char *)sitectl_self(k);
 	w.whole = 1;
 	w.targets = names;
@@ -274,6 +281,12 @@
 	w.site_from = k->site_request ? k->site_source : "";
 	k->site_request = 0;
 	w.record = k->term.version;
+	/*
+	 * Hosts that were not heard from recently count too: they may still
+	 * send although they are cut off, and the shares of a rate limit must
+	 * not add up to more than it.
+	 */
+	w.host_count = (uint32_t)k->nhosts;
 	w.quarantine = quarantine_checksum(&k->quarantined);
 	/*
 	 * Not while this host cannot reach the store: other hosts may have
@@ -299,6 +312,7 @@
 		    strcmp(h->process.host, conf->host) != 0)
 			send_frame(k->s->kernel, h->process.host, 0, &f);
 	}
+	host_count_publish(k, k->nhosts);
 }
 
 /* Informs all hosts that this host is no longer the controller. */
--- a/gspard/sitectl_receive.c
+++ b/gspard/sitectl_receive.c
@@ -54,7 +54,6 @@
 	if (o == NULL)
 		return (NULL);
 	o->number = msg->number;
-	o->hosts = (int)msg->host_count;
 	o->targets = calloc(msg->n_targets + 1, sizeof(*o->targets));
 	o->services = calloc(msg->n_services + 1, sizeof(*o->services));
 	if (o->targets == NULL || o->services == NULL) {
@@ -166,6 +165,8 @@
 		receive_host_list(k, msg, now);
 	sitectl_publish_peers(k);
 	if (!msg->whole) {
+		if (msg->host_count > 0)
+			host_count_publish(k, (int)msg->host_count);
 		site_receive_heartbeat(k, msg, now);
 		term_version_announced(&k->term, now, msg->record);
 		k->controller_overloaded = msg->strained;
