The retry budgets of all hosts stay within the slack, whatever hosts are told

Cause: a host divided the slack by the number of hosts that it was told last: 12 until it was told any; few, where a controller had just begun; one side's, where hosts are cut off for longer than the 30 s in which a controller forgets them. All of the slack was divided, so that what other hosts hold besides, those just added, was beyond the bound. Where the part was less than one retry, a host had none at all.

Change: decide/host_count keeps the most hosts told in the last five to ten minutes, and knows no number for 5 s after the first; until then a host keeps one retry. Three quarters of the slack are divided. A part of less than one retry is one, earned at half the share. What it costs callers: a host of 65 keeps 1.96 retries instead of 2.6, one in its first 5 s.

Measured: unit budget plays 3, 12, 65, 300 and 490 hosts; each safeguard taken out by itself fails one of its tests (full at the start, unknown is 12, no time to settle, no memory, all of the slack divided, whole share).

--- a/decide/budget.c
+++ b/decide/budget.c
@@ -2,6 +2,12 @@
 
 #include "budget.h"
 
+/* The part of the slack that hosts divide among themselves.  The rest is for
+ * hosts that have just been added and are not counted yet. */
+#define SLACK_DIVIDED 0.75
+/* What a budget whose part is less than one retry earns of the share. */
+#define SMALL_PART_SHARE 0.5
+
 /*
  * Allows `share` retries for each first attempt, and a burst of `max`, which
  * first attempts have to earn.  If it were there from the start, a process that
@@ -16,6 +22,23 @@
 	memset(&b->use, 0, sizeof(b->use));
 }
 
+/*
+ * Sets the budget to the part of one of so many hosts, 0 if their number is not
+ * known: together they may send `share` retries for each first attempt and
+ * `slack` more.  A host can keep one retry in any case.  Where that is more
+ * than its part, it earns less.
+ */
+void
+budget_set_part(struct budget *b, double share, double slack, int hosts)
+{
+	double part = hosts > 0 ? SLACK_DIVIDED * slack / hosts : 1;
+
+	b->share = part < 1 ? share * SMALL_PART_SHARE : share;
+	b->max = part < 1 ? 1 : part;
+	if (b->tokens > b->max)
+		b->tokens = b->max;
+}
+
 /* Adds the tokens that a first attempt earns. */
 void
 budget_deposit(struct budget *b)
--- a/decide/budget.h
+++ b/decide/budget.h
@@ -18,6 +18,7 @@
 };
 
 void budget_init(struct budget *, double share, double max);
+void budget_set_part(struct budget *, double share, double slack, int hosts);
 void budget_deposit(struct budget *);
 int budget_withdraw(struct budget *);
 struct budget_use budget_take_use(struct budget *);
--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -189,8 +189,9 @@
 
 /* Sets the number of hosts that share limits, and this host's turn. */
 static void
-set_host_count(struct direct *d, const struct host_turn *turn)
+set_host_count(struct direct *d, const struct host_turn *turn, usec now)
 {
+	host_count_told(&d->host_count, turn->hosts, now);
 	d->pools_changed |= !d->hosts_known || d->conf.hosts != turn->hosts;
 	d->conf.hosts = turn->hosts;
 	d->rank = turn->rank;
@@ -215,7 +216,7 @@
 		msg_take_snapshot(m, &d->owners);
 		break;
 	case MSG_HOST_COUNT:
-		set_host_count(d, m->data);
+		set_host_count(d, m->data, now);
 		break;
 	case MSG_QUARANTINE:
 		msg_take_snapshot(m, &d->quarantine);
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -13,6 +13,7 @@
 #include "dest.h"
 #include "fleet.h"
 #include "heat.h"
+#include "host_count.h"
 #include "stop_plan.h"
 #include "owners.h"
 #include "permit_frame.h"
@@ -209,6 +210,7 @@
 	int have_fleet;
 	int hosts_known; /* the number of hosts is known */
 	int rank;	 /* of this host among all hosts, from 0 */
+	struct host_count host_count;
 	int ready;
 	usec next_report;
 	usec next_retry_use;
--- a/gspard/direct_pick.c
+++ b/gspard/direct_pick.c
@@ -193,8 +193,7 @@
 	memset(v, 0, sizeof(*v));
 	name_copy(v->name, sizeof(v->name), name);
 	v->avg_time = AVG_TIME_INITIAL;
-	budget_init(
-	    &v->retry_budget, b->retry_share, b->retry_slack / d->conf.hosts);
+	budget_init(&v->retry_budget, b->retry_share, 1);
 	return (v);
 }
 
--- a/gspard/direct_retry.c
+++ b/gspard/direct_retry.c
@@ -5,9 +5,9 @@
 #define USE_INTERVAL MS(1000)
 
 /* Counts how a service's budget was used, and logs it unless no retry was asked
- * for. */
+ * for; hosts is 0 if their number is not known. */
 static void
-tell_use(const struct direct *d, struct service_state *v)
+tell_use(struct service_state *v, int hosts)
 {
 	struct budget *b = &v->retry_budget;
 	struct budget_use use = budget_take_use(b);
@@ -18,26 +18,25 @@
 		return;
 	log_line(LOG_INFO, "router",
 	    "Retry budget of service %s: %d requests, %d retries sent, %d "
-	    "refused, %.1f of %.1f left, hosts %d%s.",
+	    "refused, %.1f of %.1f left, hosts %d.",
 	    v->name, use.deposits, use.retries, use.refused, b->tokens, b->max,
-	    d->conf.hosts, d->hosts_known ? "" : " assumed");
+	    hosts);
 }
 
-/* Sets this host's share of each service's retry budget from the settings and
+/* Sets this host's part of each service's retry budget from the settings and
  * the number of hosts. */
 void
 retry_budgets_update(struct direct *d, usec now)
 {
 	const struct bounds *b = &kernel_conf(d->s->kernel)->bounds;
-	int i;
+	int i, hosts = host_count_most(&d->host_count, now);
 
-	for (i = 0; i < d->nsvcs; i++) {
-		d->svcs[i].retry_budget.max = b->retry_slack / d->conf.hosts;
-		d->svcs[i].retry_budget.share = b->retry_share;
-	}
+	for (i = 0; i < d->nsvcs; i++)
+		budget_set_part(&d->svcs[i].retry_budget, b->retry_share,
+		    b->retry_slack, hosts);
 	if (now < d->next_retry_use)
 		return;
 	d->next_retry_use = now + USE_INTERVAL;
 	for (i = 0; i < d->nsvcs; i++)
-		tell_use(d, &d->svcs[i]);
+		tell_use(&d->svcs[i], hosts);
 }
