The number of hosts is told again if the router's ring was full

Found on reading: the number counted as told to the router even where the ring refused the message, and heartbeats tell only changes, so that the router would go on without a number until hosts come or go. It is recorded as told once the router has it; the next heartbeat tries again.

--- a/gspard/direct_retry.c
+++ b/gspard/direct_retry.c
@@ -4,10 +4,10 @@
 /* Interval at which the use of the budgets is counted and logged. */
 #define USE_INTERVAL MS(1000)
 
-/* Counts how a service's budget was used, and logs it unless no retry was asked
- * for; hosts is 0 if their number is not known. */
+/* Adds the use of a service's budget to the metrics, and logs it if a retry was
+ * sent or refused; hosts is 0 if their number is not known. */
 static void
-tell_use(struct service_state *v, int hosts)
+report_use(struct service_state *v, int hosts)
 {
 	struct budget *b = &v->retry_budget;
 	struct budget_use use = budget_take_use(b);
@@ -38,5 +38,5 @@
 		return;
 	d->next_retry_use = now + USE_INTERVAL;
 	for (i = 0; i < d->nsvcs; i++)
-		tell_use(&d->svcs[i], hosts);
+		report_use(&d->svcs[i], hosts);
 }
--- a/gspard/sitectl_broadcast.c
+++ b/gspard/sitectl_broadcast.c
@@ -78,19 +78,21 @@
 	return (n);
 }
 
-/* Tells the router how many hosts share limits, if that has changed. */
+/* Tells the router how many hosts share limits, if that has changed since it
+ * was told last. */
 void
 host_count_publish(struct sitectl *k, int hosts)
 {
-	struct host_turn now = {hosts, rank(k)}, *turn;
+	struct host_turn turn = {hosts, rank(k)}, *copy;
 
-	if (hosts == k->turn.hosts && now.rank == k->turn.rank)
+	if (turn.hosts == k->turn.hosts && turn.rank == k->turn.rank)
 		return;
-	turn = malloc(sizeof(*turn));
-	if (turn == NULL)
+	copy = malloc(sizeof(*copy));
+	if (copy == NULL)
 		return;
-	*turn = k->turn = now;
-	msg_post(k->s->kernel, "router", MSG_HOST_COUNT, turn, free);
+	*copy = turn;
+	if (msg_post(k->s->kernel, "router", MSG_HOST_COUNT, copy, free) == 0)
+		k->turn = turn;
 }
 
 /* Sends a snapshot to the router.  Takes ownership of it. */
