A controller that has just begun tells no number of hosts yet

Since heartbeats have the number, a controller told its own router, in its first, that there is one host; it would send as much as a target's limit allows all hosts, and run whatever is on probation, until others had reported.

--- a/gspard/sitectl_broadcast.c
+++ b/gspard/sitectl_broadcast.c
@@ -79,13 +79,13 @@
 }
 
 /* Tells the router how many hosts share limits, if that has changed since it
- * was told last. */
+ * was told last; does nothing if hosts is 0. */
 void
 host_count_publish(struct sitectl *k, int hosts)
 {
 	struct host_turn turn = {hosts, rank(k)}, *copy;
 
-	if (turn.hosts == k->turn.hosts && turn.rank == k->turn.rank)
+	if (hosts == 0 || (hosts == k->turn.hosts && turn.rank == k->turn.rank))
 		return;
 	copy = malloc(sizeof(*copy));
 	if (copy == NULL)
@@ -240,6 +240,35 @@
 	send_owners(k, o, 0, base, now);
 }
 
+/*
+ * True once this controller knows the owners of all services.  Until then hosts
+ * keep those of the previous controller: a snapshot sent now would name no
+ * owner at all.
+ */
+static int
+knows_owners(const struct sitectl *k)
+{
+	int i;
+
+	for (i = 0; i < k->nkeys; i++) {
+		if (!keys_ready(k->keys[i]))
+			return (0);
+	}
+	return (1);
+}
+
+/*
+ * Returns the number of hosts that share limits, or 0 while this controller has
+ * just begun and may not know most of them.  Hosts that were not heard from
+ * recently count too: they may still send although they are cut off, and the
+ * shares of a limit must not add up to more than it.
+ */
+static int
+host_count(const struct sitectl *k)
+{
+	return (knows_owners(k) ? k->nhosts : 0);
+}
+
 /* Sends a heartbeat to all hosts, with the list of hosts if it changed. */
 static void
 send_heartbeat(struct sitectl *k, usec now)
@@ -283,12 +312,7 @@
 	w.site_from = k->site_request ? k->site_source : "";
 	k->site_request = 0;
 	w.record = k->term.version;
-	/*
-	 * Hosts that were not heard from recently count too: they may still
-	 * send although they are cut off, and the shares of a rate limit must
-	 * not add up to more than it.
-	 */
-	w.host_count = (uint32_t)k->nhosts;
+	w.host_count = (uint32_t)host_count(k);
 	w.quarantine = quarantine_checksum(&k->quarantined);
 	/*
 	 * Not while this host cannot reach the store: other hosts may have
@@ -314,7 +338,7 @@
 		    strcmp(h->process.host, conf->host) != 0)
 			send_frame(k->s->kernel, h->process.host, 0, &f);
 	}
-	host_count_publish(k, k->nhosts);
+	host_count_publish(k, host_count(k));
 }
 
 /* Informs all hosts that this host is no longer the controller. */
@@ -324,23 +348,6 @@
 	send_heartbeat(k, now);
 }
 
-/*
- * True once this controller knows the owners of all services.  Until then hosts
- * keep those of the previous controller: a snapshot sent now would name no
- * owner at all.
- */
-static int
-knows_owners(const struct sitectl *k)
-{
-	int i;
-
-	for (i = 0; i < k->nkeys; i++) {
-		if (!keys_ready(k->keys[i]))
-			return (0);
-	}
-	return (1);
-}
-
 /* Sends owners and heartbeats that are due, as controller. */
 void
 broadcast_tick(struct sitectl *k, usec now)
--- a/gspard/sitectl_receive.c
+++ b/gspard/sitectl_receive.c
@@ -165,8 +165,7 @@
 		receive_host_list(k, msg, now);
 	sitectl_publish_peers(k);
 	if (!msg->whole) {
-		if (msg->host_count > 0)
-			host_count_publish(k, (int)msg->host_count);
+		host_count_publish(k, (int)msg->host_count);
 		site_receive_heartbeat(k, msg, now);
 		term_version_announced(&k->term, now, msg->record);
 		k->controller_overloaded = msg->strained;
