--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -291,5 +291,17 @@
 without silent-hosts-are-passed-over rendezvous rendezvous.c \
     's/^		if (now < hosts\[set\[i\]\].silent_until)/		if (0)/'
 
+# Retry budgets: parts of one limit of all hosts.
+without budget-begins-empty budget budget.c 's/b->tokens = 0;/b->tokens = max;/'
+without slack-is-kept-back budget budget.c 's/SLACK_DIVIDED 0.75/SLACK_DIVIDED 1.0/'
+without small-parts-earn-less budget budget.c \
+    's/SMALL_PART_SHARE 0.5/SMALL_PART_SHARE 1.0/'
+without one-retry-until-hosts-are-known budget budget.c \
+    's/slack \/ hosts : 1;/slack \/ hosts : slack \/ 12;/'
+without number-of-hosts-settles budget host_count.c \
+    's/^#define SETTLE_TIME .*/#define SETTLE_TIME 0/'
+without most-hosts-count budget host_count.c \
+    's/return (c->most.*/return (c->hosts);/'
+
 echo "$found found, $missed not found"
 [ $missed -eq 0 ]
