--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -31,7 +31,7 @@
  * for each transfer, more than half of all requests opened a new one. */
 #define CONN_CACHE_SIZE 400
 /* Number of hosts assumed until it is known, except for shares of rate limits
- * (RATE_HOSTS_ASSUMED). */
+ * (RATE_HOSTS_ASSUMED) and of retry budgets (host_count_most). */
 #define HOSTS_ASSUMED 12
 
 /* Inserts a request into the list, ordered by priority, then by arrival. */
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -692,7 +692,8 @@
    */
   uint64_t since;
   /*
-   * Hosts that send to targets, including those that went down recently.
+   * Hosts that send to targets, including those that went down recently;
+   * 0 while the controller does not know most of them yet.
    */
   uint32_t host_count;
   /*
--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -300,6 +300,7 @@
     's/slack \/ hosts : 1;/slack \/ hosts : slack \/ 12;/'
 without number-of-hosts-settles budget host_count.c \
     's/^#define SETTLE_TIME .*/#define SETTLE_TIME 0/'
+without reload-cuts-budgets budget budget.c '/^budget_set_part/,/^}/s/> b->max/> 1e9/'
 without most-hosts-count budget host_count.c \
     's/return (c->most.*/return (c->hosts);/'
 
--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -340,6 +340,15 @@
 	    nil, nil, 500) == 200
 end
 
+-- Waits until a host is ready, at most `ms`; without a name, until all are.
+function Site:await_ready(name, ms)
+	for _, n in ipairs(name and { name } or self.order) do
+		await(n .. " ready", ms or 8000, function()
+			return self:is_ready(n)
+		end)
+	end
+end
+
 -- Sends one request through a host; headers is a list of further header lines.
 -- Returns the status, body and header of the answer, and the request id.
 function Site:request(name, p, headers, method, body)
@@ -495,6 +504,32 @@
 	end)
 end
 
+-- Sends n requests through each host that is up.  Returns their number.
+function Site:request_each(n)
+	local sent = 0
+	for i = 1, n do
+		for _, h in ipairs(self.order) do
+			if not self.hosts[h].dead then
+				self:request(h, "/any/" .. i)
+				sent = sent + 1
+			end
+		end
+	end
+	return sent
+end
+
+-- Makes all targets without keys fail every request.  Returns how many requests
+-- they have run so far.
+function Site:fail_plain()
+	local n = 0
+	for _, id in ipairs(self.sorder) do
+		if not self.servers[id].opt.keyed then
+			n = n + self:server_fault(id, "fail=1")
+		end
+	end
+	return n
+end
+
 -- Sends requests of all kinds for `ms` through the hosts in turn, without
 -- waiting for answers.  Returns how many of those through the hosts in `set`
 -- were sent and served, and the same of the others.
@@ -581,11 +616,7 @@
 	for _, n in ipairs(s.order) do
 		s:start_host(n)
 	end
-	for _, n in ipairs(s.order) do
-		await(n .. " ready", 8000, function()
-			return s:is_ready(n)
-		end)
-	end
+	s:await_ready()
 	s:await_keys()
 	return s
 end
--- a/regress/scenario/site_admission_lost.lua
+++ b/regress/scenario/site_admission_lost.lua
@@ -66,9 +66,7 @@
 		s:start_host(h)
 	end
 	s.hosts[h].dead = nil
-	await(h .. " ready", 8000, function()
-		return s:is_ready(h)
-	end)
+	s:await_ready(h)
 	local before = how == "frozen" and given(h) or 0
 	await(h .. " admits again", 20000, function()
 		load(200)
--- a/regress/scenario/site_budget.lua
+++ b/regress/scenario/site_budget.lua
@@ -6,25 +6,15 @@
 -- allows.
 dofile("regress/scenario/lib_site.lua")
 local s = standard_site { plain = 3 }
-local function runs()
-	return s:server_fault("i-1", "fail=1") + s:server_fault("i-2", "fail=1") +
-	    s:server_fault("i-3", "fail=1")
-end
 local lost = s:controller() == "h3" and "h2" or "h3"
 s:kill_host(lost)
 -- Long enough for the others to detect the loss and broadcast it.
 s:load(4500)
 s:drain("i-4")
 s:load(1500)
-local before = runs()
-for i = 1, 100 do
-	for _, n in ipairs(s.order) do
-		if n ~= lost then
-			s:request(n, "/any/" .. i)
-		end
-	end
-end
-local retries = runs() - before - 200
+local before = s:fail_plain()
+s:request_each(100)
+local retries = s:fail_plain() - before - 200
 check(retries <= 40 + 40, "%d retries of 200 requests by two hosts of three",
     retries)
 check(retries >= 20, "too few retries: %d", retries)
--- a/regress/scenario/site_config.lua
+++ b/regress/scenario/site_config.lua
@@ -25,9 +25,7 @@
 local late = s:controller() == "h3" and "h2" or "h3"
 s:kill_host(late)
 s:start_host(late)
-await(late .. " ready", 5000, function()
-	return s:is_ready(late)
-end)
+s:await_ready(late, 5000)
 check(s:request(late, "/new/1") == 404,
     "a restarted host serves by an older version")
 s:configure({ route("r1", "/any/", "safe", nil, { split =
--- a/regress/scenario/site_larger.lua
+++ b/regress/scenario/site_larger.lua
@@ -10,9 +10,7 @@
 s:add_host("h4", "north")
 for _, n in ipairs { "h2", "h3", "h4" } do
 	s:start_host(n)
-	await(n .. " ready", 8000, function()
-		return s:is_ready(n)
-	end)
+	s:await_ready(n)
 end
 s:await_keys()
 local r = { any = 0, once = 0, key = 0 }
--- a/regress/scenario/site_rejoin.lua
+++ b/regress/scenario/site_rejoin.lua
@@ -10,9 +10,7 @@
 for i = 1, 6 do
 	s:kill_host(n)
 	s:start_host(n)
-	await(n .. " ready", 5000, function()
-		return s:is_ready(n)
-	end)
+	s:await_ready(n, 5000)
 	await(n .. " serves keys", 3000, function()
 		return s:request_key(n, 500 + i) == 200
 	end)
