A hash index of its own: from membership to lib/, for all tables by name

Look-ups by name in lists of hosts and targets take a time that grows with their number, and are made for each host or target. Membership had a hash table; it becomes lib/hash_index, so that the others can use the same.

Ruled out: APR's tables, which decide/ does not use, and which hold pointers where tables here are arrays that move as they grow.

Units membership and membership_size as before.

--- a/decide/membership.c
+++ b/decide/membership.c
@@ -20,47 +20,35 @@
 membership_free(struct membership *k)
 {
 	free(k->list);
-	free(k->buckets);
+	hash_index_free(&k->by_target);
 	memset(k, 0, sizeof(*k));
 }
 
-/* Returns the bucket of a target; all its incarnations are in it. */
-static int *
-bucket_of(const struct membership *k, const char *id)
+/* Returns the hash of a target, which all its incarnations share. */
+static uint64_t
+hash_of(const char *id)
 {
-	uint64_t h = XXH3_64bits(id, incarnation_id_length(id));
-
-	return (&k->buckets[h & (uint64_t)(k->nbuckets - 1)]);
+	return (XXH3_64bits(id, incarnation_id_length(id)));
 }
 
-/* Returns the first in the bucket of a target: 1 + index, 0 if empty.  Lists of
+/* Returns the first that may be an incarnation of a target, or -1.  Lists of
  * all targets are read entry by entry: scanning all targets for each would take
  * quadratic time. */
 static int
-bucket_first(const struct membership *k, const char *id)
-{
-	return (k->nbuckets == 0 ? 0 : *bucket_of(k, id));
-}
-
-/* Adds a target to its bucket. */
-static void
-bucket_add(struct membership *k, int i)
+first_of(const struct membership *k, const char *id)
 {
-	int *bucket = bucket_of(k, k->list[i].t.id);
-
-	k->list[i].next = *bucket;
-	*bucket = i + 1;
+	return (hash_index_first(&k->by_target, hash_of(id)));
 }
 
-/* Rebuilds the hash table. */
+/* Rebuilds the index. */
 static void
 rehash(struct membership *k)
 {
 	int i;
 
-	memset(k->buckets, 0, sizeof(*k->buckets) * (size_t)k->nbuckets);
+	hash_index_clear(&k->by_target);
 	for (i = 0; i < k->n; i++)
-		bucket_add(k, i);
+		hash_index_add(&k->by_target, i, hash_of(k->list[i].t.id));
 }
 
 /* Grows the list, if needed, to hold one more target; 0, or -1 if out of
@@ -70,22 +58,16 @@
 {
 	int capacity = k->capacity == 0 ? INITIAL_CAPACITY : k->capacity * 2;
 	struct membership_target *list;
-	int *buckets;
 
 	if (k->n < k->capacity)
 		return (0);
-	buckets = malloc(sizeof(*buckets) * (size_t)capacity);
 	list = realloc(k->list, sizeof(*list) * (size_t)capacity);
-	if (list != NULL)
-		k->list = list;
-	if (buckets == NULL || list == NULL) {
-		free(buckets);
+	if (list == NULL)
 		return (-1);
-	}
-	free(k->buckets);
-	k->buckets = buckets;
-	k->nbuckets = k->capacity = capacity;
-	rehash(k);
+	k->list = list;
+	if (hash_index_reserve(&k->by_target, capacity) != 0)
+		return (-1);
+	k->capacity = capacity;
 	return (0);
 }
 
@@ -95,9 +77,10 @@
 {
 	int i;
 
-	for (i = bucket_first(k, id); i != 0; i = k->list[i - 1].next) {
-		if (strcmp(k->list[i - 1].t.id, id) == 0)
-			return (&k->list[i - 1]);
+	for (i = first_of(k, id); i >= 0;
+	     i = hash_index_next(&k->by_target, i)) {
+		if (strcmp(k->list[i].t.id, id) == 0)
+			return (&k->list[i]);
 	}
 	return (NULL);
 }
@@ -141,8 +124,9 @@
 {
 	int i;
 
-	for (i = bucket_first(k, id); i != 0; i = k->list[i - 1].next) {
-		if (incarnation_follows(k->list[i - 1].t.id, id))
+	for (i = first_of(k, id); i >= 0;
+	     i = hash_index_next(&k->by_target, i)) {
+		if (incarnation_follows(k->list[i].t.id, id))
 			return (1);
 	}
 	return (0);
@@ -170,9 +154,10 @@
 {
 	int i;
 
-	for (i = bucket_first(k, id); i != 0; i = k->list[i - 1].next) {
-		if (incarnation_follows(id, k->list[i - 1].t.id))
-			mark_gone(k, &k->list[i - 1], now);
+	for (i = first_of(k, id); i >= 0;
+	     i = hash_index_next(&k->by_target, i)) {
+		if (incarnation_follows(id, k->list[i].t.id))
+			mark_gone(k, &k->list[i], now);
 	}
 }
 
@@ -193,7 +178,7 @@
 		e = &k->list[k->n++];
 		memset(e, 0, sizeof(*e));
 		name_copy(e->t.id, sizeof(e->t.id), t->id);
-		bucket_add(k, k->n - 1);
+		hash_index_add(&k->by_target, k->n - 1, hash_of(t->id));
 	}
 	e->t = *t;
 	/* A target that has announced that it leaves does not come back: an
@@ -244,9 +229,10 @@
 {
 	int i;
 
-	for (i = bucket_first(k, target); i != 0; i = k->list[i - 1].next) {
-		if (incarnation_is_of(k->list[i - 1].t.id, target))
-			fn(k, &k->list[i - 1], now);
+	for (i = first_of(k, target); i >= 0;
+	     i = hash_index_next(&k->by_target, i)) {
+		if (incarnation_is_of(k->list[i].t.id, target))
+			fn(k, &k->list[i], now);
 	}
 }
 
--- a/decide/membership.h
+++ b/decide/membership.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 
 #include "fleet.h"
+#include "hash_index.h"
 
 /* Entries that lapsed in a store outage are back this long after its end: the
  * platform's operators give about two seconds. */
@@ -23,15 +24,13 @@
 	int leave_announced; /* the target announced that it leaves, which is
 				final */
 	int seen;	     /* in the list that is being read */
-	int next;	     /* in its bucket: 1 + index, 0 at the end */
 };
 
 struct membership {
 	struct membership_target *list;
 	int n;
 	int capacity;
-	int *buckets; /* hash table by target id: 1 + index, 0 if empty */
-	int nbuckets; /* a power of two */
+	struct hash_index by_target; /* all incarnations of one are alike */
 	struct evacuations evacuations;
 	usec heartbeat;	    /* interval at which targets renew their entries */
 	usec failing_since; /* the store; 0 while it answers */
