The control service's table of hosts grows with the fleet

sitectl_host_seen() took no note of a host beyond the 512th and said nothing. Such a host gets no heartbeat, owners, targets or configuration from its controller, is missing in the number that limits are divided by, and follows the store by itself. The whole fleet has 985.

Lists as long as the fleet that stood on the stack are allocated. Running out of memory is logged.

--- a/gspard/sitectl.c
+++ b/gspard/sitectl.c
@@ -45,17 +45,20 @@
 
 	if (!k->peers_changed)
 		return;
-	l = calloc(1, sizeof(*l) + (size_t)k->nhosts * sizeof(*l->list));
+	l = calloc(1, sizeof(*l) + (size_t)k->hosts.n * sizeof(*l->list));
 	if (l == NULL)
 		return;
 	k->peers_changed = 0;
 	l->list = (struct peer_addr *)(void *)(l + 1);
-	for (i = 0; i < k->nhosts; i++) {
+	for (i = 0; i < k->hosts.n; i++) {
 		a = &l->list[l->n++];
-		name_copy(a->host, sizeof(a->host), k->hosts[i].process.host);
-		name_copy(a->addr, sizeof(a->addr), k->hosts[i].process.addr);
-		name_copy(a->dc, sizeof(a->dc), k->hosts[i].dc);
-		name_copy(a->tunnel, sizeof(a->tunnel), k->hosts[i].tunnel);
+		name_copy(
+		    a->host, sizeof(a->host), k->hosts.list[i].process.host);
+		name_copy(
+		    a->addr, sizeof(a->addr), k->hosts.list[i].process.addr);
+		name_copy(a->dc, sizeof(a->dc), k->hosts.list[i].dc);
+		name_copy(
+		    a->tunnel, sizeof(a->tunnel), k->hosts.list[i].tunnel);
 	}
 	if ((sh = shared_new(l, free)) == NULL) {
 		free(l);
@@ -68,19 +71,6 @@
 	msg_post(k->s->kernel, "peer", MSG_PEERS, sh, shared_unref);
 }
 
-/* Returns the host with the given name, or NULL. */
-struct sitectl_host *
-sitectl_host(struct sitectl *k, const char *name)
-{
-	int i;
-
-	for (i = 0; i < k->nhosts; i++) {
-		if (strcmp(k->hosts[i].process.host, name) == 0)
-			return (&k->hosts[i]);
-	}
-	return (NULL);
-}
-
 /* Returns this host's name. */
 const char *
 sitectl_self(const struct sitectl *k)
@@ -112,14 +102,15 @@
 sitectl_host_seen(struct sitectl *k, const struct member *m, const char *dc,
     const char *tunnel, int stopping, usec now)
 {
-	struct sitectl_host *h = sitectl_host(k, m->host);
+	struct host_entry *h = hosts_find(&k->hosts, m->host);
 	int is_new = h == NULL;
 
 	term_process_seen(&k->term, now, m);
-	if (is_new && k->nhosts == SITECTL_HOSTS_MAX)
+	if (is_new && (h = hosts_add(&k->hosts, m->host)) == NULL) {
+		log_line(LOG_ERR, "control",
+		    "Out of memory, host %s is not added.", m->host);
 		return;
-	if (is_new)
-		h = &k->hosts[k->nhosts++];
+	}
 	if (is_new || h->process.boot != m->boot ||
 	    strcmp(h->process.addr, m->addr) != 0) {
 		memset(h, 0, sizeof(*h));
@@ -142,7 +133,7 @@
  * not learn of it, so hosts are assumed to be up at first.
  */
 int
-sitectl_host_up(const struct sitectl_host *h, usec now)
+sitectl_host_up(const struct host_entry *h, usec now)
 {
 	return (
 	    now - h->last_heard < HOST_DOWN_AFTER || now < h->assumed_up_until);
@@ -154,13 +145,12 @@
 {
 	int i;
 
-	for (i = 0; i < k->nhosts; i++) {
-		if (now - k->hosts[i].last_heard < HOST_FORGET_AFTER ||
-		    (k->hosts[i].listed_at != 0 &&
-			now - k->hosts[i].listed_at < HOST_FORGET_AFTER))
+	for (i = 0; i < k->hosts.n; i++) {
+		if (now - k->hosts.list[i].last_heard < HOST_FORGET_AFTER ||
+		    (k->hosts.list[i].listed_at != 0 &&
+			now - k->hosts.list[i].listed_at < HOST_FORGET_AFTER))
 			continue;
-		k->hosts[i] = k->hosts[--k->nhosts];
-		i--;
+		hosts_remove(&k->hosts, i--);
 		k->hosts_changed = 1;
 	}
 }
@@ -176,8 +166,9 @@
 		sitectl_add_services(k, now);
 		for (i = 0; i < k->nkeys; i++)
 			keys_begin(k->keys[i], r->term, now);
-		for (i = 0; i < k->nhosts; i++)
-			k->hosts[i].assumed_up_until = now + HOST_DOWN_AFTER;
+		for (i = 0; i < k->hosts.n; i++)
+			k->hosts.list[i].assumed_up_until =
+			    now + HOST_DOWN_AFTER;
 		site_control_began(k);
 		k->hosts_changed = 1;
 	} else if (!holds && k->acting) {
@@ -487,6 +478,7 @@
 	shared_unref(k->fleet);
 	shared_unref(k->fleet_sent);
 	shared_unref(k->owners);
+	hosts_free(&k->hosts);
 	curl_multi_cleanup(k->multi);
 	free(k);
 }
--- a/gspard/sitectl.h
+++ b/gspard/sitectl.h
@@ -11,6 +11,7 @@
 #include "dest.h"
 #include "gspard.h"
 #include "heat.h"
+#include "hosts.h"
 #include "keys.h"
 #include "superseded.h"
 #include "stop_plan.h"
@@ -21,7 +22,6 @@
 #include "target_ops.h"
 #include "term.h"
 
-#define SITECTL_HOSTS_MAX 512
 #define SITECTL_SERVICES_MAX 16
 #define SITECTL_PROMISES_MAX 64
 #define SITECTL_REFUSED_MAX 32
@@ -81,27 +81,6 @@
     struct router_report *, const char *id, const struct dest *, int answers);
 void router_report_free(void *);
 
-/* A host as the other hosts know it, and what the controller sent to it. */
-struct sitectl_host {
-	struct member process;
-	char dc[NAME_MAX_GS];
-	char tunnel[ADDR_MAX_GS]; /* at which it relays connections; or "" */
-	usec last_heard;
-	usec listed_at; /* when the controller last listed it; 0 if not */
-	usec assumed_up_until;	  /* sent to although it was not heard from */
-	uint64_t owners_reported; /* number of the snapshot that it has */
-	uint64_t owners_sent;	  /* number last sent to it, and when */
-	usec owners_sent_at;
-	usec fleet_sent_at;	 /* when all targets were last sent to it */
-	usec quarantine_sent_at; /* when the quarantine list was sent */
-	int max_hosts;		 /* hosts that it could control */
-	int store_reachable;	 /* the store has answered it recently */
-	uint64_t site_version;	 /* version of its site configuration */
-	uint64_t site_sent;	 /* version last sent to it */
-	int site_requested;	 /* it has asked for the configuration */
-	int stopping;
-};
-
 struct sitectl {
 	struct service *s;
 	const struct target_ops *ops;
@@ -117,8 +96,7 @@
 	usec next_standbys;
 	usec store_answered_at; /* last successful call for the record */
 
-	struct sitectl_host hosts[SITECTL_HOSTS_MAX];
-	int nhosts;
+	struct hosts hosts;
 	int hosts_changed;
 	int peers_changed; /* since they were published */
 	struct keys *keys[SITECTL_SERVICES_MAX];
@@ -184,11 +162,10 @@
 };
 
 /* sitectl.c */
-struct sitectl_host *sitectl_host(struct sitectl *, const char *name);
 const char *sitectl_self(const struct sitectl *);
 const struct site *sitectl_site(const struct sitectl *);
 const struct fleet *sitectl_fleet(const struct sitectl *);
-int sitectl_host_up(const struct sitectl_host *, usec now);
+int sitectl_host_up(const struct host_entry *, usec now);
 void sitectl_host_seen(struct sitectl *, const struct member *, const char *dc,
     const char *tunnel, int stopping, usec now);
 void sitectl_publish_peers(struct sitectl *);
@@ -256,8 +233,8 @@
     struct sitectl *, const struct crash_report *, usec now);
 void quarantine_conn_refused(struct sitectl *, const char *target, usec now);
 void quarantine_fill_report(struct sitectl *, Gspar__HostReport *, usec now);
-void quarantine_receive_report(struct sitectl *, struct sitectl_host *,
-    const Gspar__HostReport *, usec now);
+void quarantine_receive_report(
+    struct sitectl *, struct host_entry *, const Gspar__HostReport *, usec now);
 void quarantine_receive(
     struct sitectl *, const Gspar__QuarantineTold *, usec now);
 void quarantine_tick(struct sitectl *, usec now);
@@ -266,8 +243,8 @@
 /* sitectl_config.c */
 void site_control_began(struct sitectl *);
 void site_broadcast(struct sitectl *, const struct site *was, usec now);
-void site_receive_report(struct sitectl *, struct sitectl_host *,
-    const Gspar__HostReport *, usec now);
+void site_receive_report(
+    struct sitectl *, struct host_entry *, const Gspar__HostReport *, usec now);
 void site_receive_heartbeat(struct sitectl *, const Gspar__Owners *, usec now);
 void site_tick(struct sitectl *, usec now);
 void site_receive(struct sitectl *, const Gspar__SiteTold *);
--- a/gspard/sitectl_broadcast.c
+++ b/gspard/sitectl_broadcast.c
@@ -73,8 +73,8 @@
 	const char *self = sitectl_self(k);
 	int i, n = 0;
 
-	for (i = 0; i < k->nhosts; i++)
-		n += strcmp(k->hosts[i].process.host, self) < 0;
+	for (i = 0; i < k->hosts.n; i++)
+		n += strcmp(k->hosts.list[i].process.host, self) < 0;
 	return (n);
 }
 
@@ -151,7 +151,7 @@
 
 /* True if a host has the base of a difference, or was sent it. */
 static int
-has_base(const struct sitectl_host *h, uint64_t number)
+has_base(const struct host_entry *h, uint64_t number)
 {
 	return (number != 0 &&
 	    (h->owners_sent == number || h->owners_reported == number));
@@ -159,7 +159,7 @@
 
 /* True if a snapshot is to be sent to a host now. */
 static int
-needs_owners(const struct sitectl_host *h, uint64_t number, usec now)
+needs_owners(const struct host_entry *h, uint64_t number, usec now)
 {
 	return (sitectl_host_up(h, now) && h->owners_reported != number &&
 	    (h->owners_sent != number ||
@@ -178,7 +178,7 @@
 	Gspar__Owners w = GSPAR__OWNERS__INIT;
 	Gspar__KeyOwners services[SITECTL_SERVICES_MAX],
 	    *list[SITECTL_SERVICES_MAX];
-	struct sitectl_host *h;
+	struct host_entry *h;
 	char **names;
 	int i, bad = 0;
 
@@ -200,8 +200,8 @@
 	w.n_services = (size_t)o->nservices;
 	f.body_case = GSPAR__FRAME__BODY_OWNERS;
 	f.owners = &w;
-	for (i = 0; i < k->nhosts && !bad && names != NULL; i++) {
-		h = &k->hosts[i];
+	for (i = 0; i < k->hosts.n && !bad && names != NULL; i++) {
+		h = &k->hosts.list[i];
 		if (!needs_owners(h, o->number, now) ||
 		    has_base(h, base) != (since != 0))
 			continue;
@@ -266,7 +266,37 @@
 static int
 host_count(const struct sitectl *k)
 {
-	return (knows_owners(k) ? k->nhosts : 0);
+	return (knows_owners(k) ? k->hosts.n : 0);
+}
+
+/* Encodes the list of hosts; returns -1 if memory runs out.  The caller frees
+ * the list and its items. */
+static int
+fill_hosts(const struct sitectl *k, Gspar__Owners *msg)
+{
+	const struct host_entry *h;
+	Gspar__HostAddr *items;
+	int i;
+
+	items = calloc((size_t)k->hosts.n + 1, sizeof(*items));
+	msg->hosts = calloc((size_t)k->hosts.n + 1, sizeof(*msg->hosts));
+	if (items == NULL || msg->hosts == NULL) {
+		free(items);
+		free(msg->hosts);
+		return (-1);
+	}
+	msg->hosts[0] = items;
+	for (i = 0; i < k->hosts.n; i++) {
+		h = &k->hosts.list[i];
+		gspar__host_addr__init(&items[i]);
+		items[i].host = (char *)h->process.host;
+		items[i].addr = (char *)h->process.addr;
+		items[i].dc = (char *)h->dc;
+		items[i].tunnel = (char *)h->tunnel;
+		items[i].boot = h->process.boot;
+		msg->hosts[msg->n_hosts++] = &items[i];
+	}
+	return (0);
 }
 
 /* Sends a heartbeat to all hosts, with the list of hosts if it changed. */
@@ -276,28 +306,15 @@
 	Gspar__Frame f = GSPAR__FRAME__INIT;
 	Gspar__Owners w = GSPAR__OWNERS__INIT;
 	const struct conf *conf = kernel_conf(k->s->kernel);
-	Gspar__HostAddr hosts[SITECTL_HOSTS_MAX], *list[SITECTL_HOSTS_MAX];
 	Gspar__HostAddr self = GSPAR__HOST_ADDR__INIT;
 	const struct site *site = sitectl_site(k);
 	const struct fleet *fleet = sitectl_fleet(k);
-	struct sitectl_host *h;
+	struct host_entry *h;
 	int i, late = term_renewal_late(&k->term, now);
 
-	for (i = 0; i < k->nhosts; i++) {
-		h = &k->hosts[i];
-		gspar__host_addr__init(&hosts[i]);
-		hosts[i].host = h->process.host;
-		hosts[i].addr = h->process.addr;
-		hosts[i].dc = h->dc;
-		hosts[i].tunnel = h->tunnel;
-		hosts[i].boot = h->process.boot;
-		list[w.n_hosts++] = &hosts[i];
-	}
 	/* The list of hosts changes rarely; the rest is a few bytes. */
-	if (!k->hosts_changed)
-		w.n_hosts = 0;
-	k->hosts_changed = 0;
-	w.hosts = list;
+	if (k->hosts_changed && fill_hosts(k, &w) == 0)
+		k->hosts_changed = 0;
 	self.host = (char *)conf->host;
 	self.addr = (char *)conf->advertised;
 	self.dc = (char *)conf->dc;
@@ -320,7 +337,7 @@
 	 */
 	w.follows = fleet != NULL && k->fresh && !late;
 	w.late = late;
-	w.strained = is_overloaded(sitectl_capacity(k), k->nhosts);
+	w.strained = is_overloaded(sitectl_capacity(k), k->hosts.n);
 	/*
 	 * Also while targets come and go: changes are sent before the heartbeat
 	 * with their digest, on the same connection, so a host whose list still
@@ -332,12 +349,15 @@
 		w.fleet = fleet->digest;
 	f.body_case = GSPAR__FRAME__BODY_OWNERS;
 	f.owners = &w;
-	for (i = 0; i < k->nhosts; i++) {
-		h = &k->hosts[i];
+	for (i = 0; i < k->hosts.n; i++) {
+		h = &k->hosts.list[i];
 		if (sitectl_host_up(h, now) &&
 		    strcmp(h->process.host, conf->host) != 0)
 			send_frame(k->s->kernel, h->process.host, 0, &f);
 	}
+	if (w.hosts != NULL)
+		free(w.hosts[0]);
+	free(w.hosts);
 	host_count_publish(k, host_count(k));
 }
 
@@ -356,8 +376,8 @@
 	struct owners *o;
 	int i, behind = number != k->number;
 
-	for (i = 0; i < k->nhosts && !behind; i++)
-		behind = needs_owners(&k->hosts[i], number, now);
+	for (i = 0; i < k->hosts.n && !behind; i++)
+		behind = needs_owners(&k->hosts.list[i], number, now);
 	if (behind && knows_owners(k) && (o = collect_owners(k)) != NULL) {
 		send_changes(k, o, now);
 		owners_publish(k, o);
--- a/gspard/sitectl_config.c
+++ b/gspard/sitectl_config.c
@@ -32,7 +32,7 @@
 		return;
 	update->site = site;
 	update->size = site_frame_size(&update->frame);
-	update->fits = pace_fits(update->size, k->nhosts, link);
+	update->fits = pace_fits(update->size, k->hosts.n, link);
 }
 
 /* Sends an update to a host. */
@@ -74,7 +74,7 @@
  * True if a host has the base version of a difference, or will when it arrives.
  */
 static int
-has_base(const struct sitectl_host *h, const struct site *diff)
+has_base(const struct host_entry *h, const struct site *diff)
 {
 	return (h->site_version == diff->since || h->site_sent == diff->since);
 }
@@ -88,11 +88,11 @@
     struct sitectl *k, struct update *diff, struct update *whole, usec now)
 {
 	uint64_t version = sitectl_site(k)->version;
-	struct sitectl_host *h;
+	struct host_entry *h;
 	int i;
 
-	for (i = 0; i < k->nhosts; i++) {
-		h = &k->hosts[i];
+	for (i = 0; i < k->hosts.n; i++) {
+		h = &k->hosts.list[i];
 		if (!sitectl_host_up(h, now) || h->site_version >= version ||
 		    strcmp(h->process.host, sitectl_self(k)) == 0)
 			continue;
@@ -139,13 +139,13 @@
 	int i;
 
 	k->site_pushed = 0;
-	for (i = 0; i < k->nhosts; i++)
-		k->hosts[i].site_sent = 0;
+	for (i = 0; i < k->hosts.n; i++)
+		k->hosts.list[i].site_sent = 0;
 }
 
 /* Handles the configuration's version in a host's report. */
 void
-site_receive_report(struct sitectl *k, struct sitectl_host *h,
+site_receive_report(struct sitectl *k, struct host_entry *h,
     const Gspar__HostReport *msg, usec now)
 {
 	const struct site *site = sitectl_site(k);
@@ -170,14 +170,14 @@
 {
 	double link = kernel_conf(k->s->kernel)->link_mbps;
 	const struct site *site = sitectl_site(k);
-	struct sitectl_host *h;
+	struct host_entry *h;
 	int i;
 
-	for (i = 0; i < k->nhosts && !k->hosts[i].site_requested; i++)
+	for (i = 0; i < k->hosts.n && !k->hosts.list[i].site_requested; i++)
 		;
-	if (i == k->nhosts || site == NULL || !pace_ready(&k->site_pace, now))
+	if (i == k->hosts.n || site == NULL || !pace_ready(&k->site_pace, now))
 		return;
-	h = &k->hosts[i];
+	h = &k->hosts.list[i];
 	h->site_requested = 0;
 	if (h->site_version >= site->version)
 		return;
--- a/gspard/sitectl_fleet.c
+++ b/gspard/sitectl_fleet.c
@@ -119,12 +119,13 @@
 	    fleet_fill_evacuations(&f->evacuations, items, list, now);
 	fr.body_case = GSPAR__FRAME__BODY_FLEET_TOLD;
 	fr.fleet_told = &w;
-	for (i = 0; i < k->nhosts; i++) {
-		if (host != NULL ? strcmp(k->hosts[i].process.host, host) == 0
-				 : sitectl_host_up(&k->hosts[i], now) &&
-			    strcmp(k->hosts[i].process.host, self) != 0)
-			send_frame(
-			    k->s->kernel, k->hosts[i].process.host, 0, &fr);
+	for (i = 0; i < k->hosts.n; i++) {
+		if (host != NULL
+			? strcmp(k->hosts.list[i].process.host, host) == 0
+			: sitectl_host_up(&k->hosts.list[i], now) &&
+			    strcmp(k->hosts.list[i].process.host, self) != 0)
+			send_frame(k->s->kernel, k->hosts.list[i].process.host,
+			    0, &fr);
 	}
 	free(entries);
 	free(w.targets);
@@ -156,7 +157,7 @@
 fleet_check_host(struct sitectl *k, const char *host, uint64_t digest, usec now)
 {
 	const struct fleet *f = sitectl_fleet(k);
-	struct sitectl_host *h = sitectl_host(k, host);
+	struct host_entry *h = hosts_find(&k->hosts, host);
 
 	if (f == NULL || digest == f->digest ||
 	    superseded_within(
--- a/gspard/sitectl_quarantine.c
+++ b/gspard/sitectl_quarantine.c
@@ -66,7 +66,7 @@
 	Gspar__QuarantineTold w = GSPAR__QUARANTINE_TOLD__INIT;
 	Gspar__Quarantined items[QUARANTINE_ENTRIES_MAX],
 	    *list[QUARANTINE_ENTRIES_MAX];
-	struct sitectl_host *h;
+	struct host_entry *h;
 	int i;
 
 	w.term = k->term.rec.term;
@@ -74,8 +74,8 @@
 	w.list = list;
 	f.body_case = GSPAR__FRAME__BODY_QUARANTINE_TOLD;
 	f.quarantine_told = &w;
-	for (i = 0; i < k->nhosts; i++) {
-		h = &k->hosts[i];
+	for (i = 0; i < k->hosts.n; i++) {
+		h = &k->hosts.list[i];
 		if (host != NULL ? strcmp(h->process.host, host) != 0
 				 : !sitectl_host_up(h, now))
 			continue;
@@ -283,14 +283,14 @@
 
 /* True if a host is this one. */
 static int
-is_self(const struct sitectl *k, const struct sitectl_host *h)
+is_self(const struct sitectl *k, const struct host_entry *h)
 {
 	return (strcmp(h->process.host, sitectl_self(k)) == 0);
 }
 
 /* Handles the crash data of a host's report, as controller. */
 void
-quarantine_receive_report(struct sitectl *k, struct sitectl_host *h,
+quarantine_receive_report(struct sitectl *k, struct host_entry *h,
     const Gspar__HostReport *msg, usec now)
 {
 	uint64_t source = XXH3_64bits_withSeed(
--- a/gspard/sitectl_receive.c
+++ b/gspard/sitectl_receive.c
@@ -113,20 +113,20 @@
 static void
 receive_host_list(struct sitectl *k, const Gspar__Owners *msg, usec now)
 {
-	struct sitectl_host *h;
+	struct host_entry *h;
 	size_t i;
 	int n;
 
-	for (n = 0; n < k->nhosts && msg->n_hosts > 0; n++)
-		k->hosts[n].listed_at = 0;
+	for (n = 0; n < k->hosts.n && msg->n_hosts > 0; n++)
+		k->hosts.list[n].listed_at = 0;
 	for (i = 0; i < msg->n_hosts; i++) {
 		receive_host_addr(k, msg->hosts[i], now);
-		if ((h = sitectl_host(k, msg->hosts[i]->host)) != NULL)
+		if ((h = hosts_find(&k->hosts, msg->hosts[i]->host)) != NULL)
 			h->listed_at = now;
 	}
-	for (n = 0; n < k->nhosts; n++) {
-		if (k->hosts[n].listed_at != 0)
-			k->hosts[n].listed_at = now;
+	for (n = 0; n < k->hosts.n; n++) {
+		if (k->hosts.list[n].listed_at != 0)
+			k->hosts.list[n].listed_at = now;
 	}
 }
 
--- a/gspard/sitectl_relay.c
+++ b/gspard/sitectl_relay.c
@@ -24,7 +24,7 @@
 	return (!k->acting && sitectl_is_standby(k) &&
 	    (!k->controller_follows ||
 		now - k->controller_heard > RELAY_AFTER) &&
-	    !is_overloaded(sitectl_capacity(k), k->nhosts));
+	    !is_overloaded(sitectl_capacity(k), k->hosts.n));
 }
 
 /* Lists the targets that get no new requests; returns how many. */
@@ -70,10 +70,10 @@
 	w.evacuations_as_of = f->evacuations.as_of;
 	fr.body_case = GSPAR__FRAME__BODY_STORE_NEWS;
 	fr.store_news = &w;
-	for (i = 0; i < k->nhosts; i++) {
-		if (strcmp(k->hosts[i].process.host, sitectl_self(k)) != 0)
-			send_frame(
-			    k->s->kernel, k->hosts[i].process.host, 0, &fr);
+	for (i = 0; i < k->hosts.n; i++) {
+		if (strcmp(k->hosts.list[i].process.host, sitectl_self(k)) != 0)
+			send_frame(k->s->kernel, k->hosts.list[i].process.host,
+			    0, &fr);
 	}
 out:
 	free(entries);
--- a/gspard/sitectl_report.c
+++ b/gspard/sitectl_report.c
@@ -161,7 +161,7 @@
     struct sitectl *k, const char *host, const Gspar__HostReport *msg, usec now)
 {
 	uint16_t keys[HEAT_SAMPLE_MAX];
-	struct sitectl_host *h;
+	struct host_entry *h;
 	struct member m;
 	struct keys *ks;
 	size_t i, n;
@@ -175,7 +175,7 @@
 	sitectl_publish_peers(k);
 	if (msg->term != 0)
 		term_holder_follows(&k->term, now, &m, msg->term);
-	if ((h = sitectl_host(k, host)) != NULL) {
+	if ((h = hosts_find(&k->hosts, host)) != NULL) {
 		h->owners_reported = msg->owners;
 		h->max_hosts = (int)msg->bears;
 		h->store_reachable = msg->store;
--- a/gspard/sitectl_term.c
+++ b/gspard/sitectl_term.c
@@ -130,7 +130,7 @@
 
 /* True if a host can be a standby. */
 static int
-can_be_standby(const struct sitectl *k, const struct sitectl_host *h, usec now)
+can_be_standby(const struct sitectl *k, const struct host_entry *h, usec now)
 {
 	return (!h->stopping && now - h->last_heard < STANDBY_SILENCE_MAX &&
 	    strcmp(h->process.host, sitectl_self(k)) != 0);
@@ -158,15 +158,18 @@
 	return (!k->stopping && is_standby_process(k, &k->term.conf.self));
 }
 
-/* Lists the hosts that can be standbys; returns their number. */
-static int
-candidates(const struct sitectl *k, struct candidate *c, usec now)
+/* Lists the hosts that can be standbys, and their number; the caller frees the
+ * list.  NULL if memory runs out. */
+static struct candidate *
+candidates(const struct sitectl *k, int *count, usec now)
 {
-	const struct sitectl_host *h;
+	const struct host_entry *h;
+	struct candidate *c;
 	int i, n = 0;
 
-	for (i = 0; i < k->nhosts; i++) {
-		h = &k->hosts[i];
+	c = calloc((size_t)k->hosts.n + 1, sizeof(*c));
+	for (i = 0; c != NULL && i < k->hosts.n; i++) {
+		h = &k->hosts.list[i];
 		if (!can_be_standby(k, h, now))
 			continue;
 		c[n].process = h->process;
@@ -176,23 +179,26 @@
 		c[n].store = h->store_reachable;
 		n++;
 	}
-	return (n);
+	*count = n;
+	return (c);
 }
 
 /* Chooses the standbys among the hosts that are heard from. */
 void
 sitectl_choose_standbys(struct sitectl *k, usec now)
 {
-	struct candidate c[SITECTL_HOSTS_MAX];
 	struct member want[STANDBYS_MAX];
+	struct candidate *c;
 	int n;
 
 	if (now < k->next_standbys)
 		return;
 	k->next_standbys = now + STANDBYS_INTERVAL;
-	n = candidates(k, c, now);
+	if ((c = candidates(k, &n, now)) == NULL)
+		return;
 	n = standbys_pick(c, n, kernel_conf(k->s->kernel)->dc, want);
 	term_set_standbys(&k->term, want, n);
+	free(c);
 }
 
 /*
@@ -202,8 +208,8 @@
 void
 sitectl_yield_if_isolated(struct sitectl *k, usec now)
 {
-	usec heard[SITECTL_HOSTS_MAX + 1];
-	int i, n = 0;
+	usec *heard;
+	int i, n = 0, isolated;
 
 	if (!k->acting) {
 		k->acting_since = now;
@@ -213,13 +219,17 @@
 		}
 		return;
 	}
-	for (i = 0; i < k->nhosts; i++) {
-		if (!k->hosts[i].stopping)
-			heard[n++] = k->hosts[i].last_heard;
-	}
 	if (k->yielded || k->resigned ||
 	    now - k->acting_since < NEW_CONTROLLER_GRACE ||
-	    hears_most_hosts(heard, n, now))
+	    (heard = calloc((size_t)k->hosts.n + 1, sizeof(*heard))) == NULL)
+		return;
+	for (i = 0; i < k->hosts.n; i++) {
+		if (!k->hosts.list[i].stopping)
+			heard[n++] = k->hosts.list[i].last_heard;
+	}
+	isolated = !hears_most_hosts(heard, n, now);
+	free(heard);
+	if (!isolated)
 		return;
 	log_line(LOG_WARNING, "control",
 	    "Most of %d hosts are no longer heard from, releasing control.", n);
@@ -316,8 +326,8 @@
 void
 sitectl_yield_to_larger(struct sitectl *k, usec now)
 {
-	struct candidate c[SITECTL_HOSTS_MAX];
-	int n;
+	struct candidate *c;
+	int n, ready;
 
 	if (k->stopping)
 		return;
@@ -334,15 +344,18 @@
 	}
 	if (!k->acting || k->yielded ||
 	    now - k->acting_since < NEW_CONTROLLER_GRACE ||
-	    !is_overloaded(sitectl_capacity(k), k->nhosts))
+	    !is_overloaded(sitectl_capacity(k), k->hosts.n))
+		return;
+	if ((c = candidates(k, &n, now)) == NULL)
 		return;
-	n = candidates(k, c, now);
-	if (!larger_standby_ready(c, n, sitectl_capacity(k), k->nhosts))
+	ready = larger_standby_ready(c, n, sitectl_capacity(k), k->hosts.n);
+	free(c);
+	if (!ready)
 		return;
 	log_line(LOG_NOTICE, "control",
 	    "This host can control %d of %d hosts, "
 	    "releasing control to a larger one.",
-	    sitectl_capacity(k), k->nhosts);
+	    sitectl_capacity(k), k->hosts.n);
 	k->handover_since = now;
 }
 
@@ -358,7 +371,7 @@
 
 	if (!k->controller_overloaded || k->acting ||
 	    now < k->next_store_probe || !is_standby_process(k, &self) ||
-	    is_overloaded(sitectl_capacity(k), k->nhosts))
+	    is_overloaded(sitectl_capacity(k), k->hosts.n))
 		return;
 	k->next_store_probe = now + STORE_PROBE_INTERVAL;
 	get_record(k);
