Admission hosts and relaying hosts: no host of a larger fleet is left out

The router took the first 512 of the list of hosts for admission hosts, and the reach service the first 512 for hosts that relay. Lists differ in their order, so hosts of a larger fleet chose different admission hosts for one target, which then has several, each giving out all of its room; replies to a host beyond the 512th were dropped. Nothing said so.

The router's list is as long as the hosts and indexed by digest; the reach service keeps its own list, which reach.c borrows.

Unit reach plays cuts with 985 and 2,000 hosts too: no host relays for more than five.

--- a/decide/reach.c
+++ b/decide/reach.c
@@ -51,12 +51,13 @@
 	return (NULL);
 }
 
-/* Sets the other hosts that relay connections. */
+/* Sets the other hosts that relay connections; the list must last until
+ * another is set. */
 void
 reach_set_hosts(struct reach *r, const struct reach_host *list, int n)
 {
-	r->nhosts = n < REACH_HOSTS_MAX ? n : REACH_HOSTS_MAX;
-	memcpy(r->hosts, list, sizeof(*list) * (size_t)r->nhosts);
+	r->hosts = list;
+	r->nhosts = n;
 }
 
 /* Remembers that a target was not reached through a host. */
--- a/decide/reach.h
+++ b/decide/reach.h
@@ -11,7 +11,6 @@
 #include "fleet.h"
 #include "str.h"
 
-#define REACH_HOSTS_MAX 512
 /* Targets that are probed in a round, and hosts that are tried. */
 #define REACH_TARGETS_MAX 4
 #define REACH_TRIES_MAX 6
@@ -58,7 +57,7 @@
 struct reach {
 	char dc[NAME_MAX_GS]; /* of this host */
 	uint64_t seed;	      /* of this host, to spread hosts over others */
-	struct reach_host hosts[REACH_HOSTS_MAX];
+	const struct reach_host *hosts; /* the caller's */
 	int nhosts;
 	struct reach_failure failures[REACH_FAILURES_MAX]; /* the last ones */
 	unsigned nfailures;
--- a/decide/rendezvous.h
+++ b/decide/rendezvous.h
@@ -8,12 +8,14 @@
 #include <stdint.h>
 
 #include "clock.h"
+#include "fleet.h"
 #include "str.h"
 
 /* A host that can be chosen. */
 struct rendezvous_host {
 	char name[NAME_MAX_GS];
 	char dc[NAME_MAX_GS];
+	char addr[FLEET_ADDR];
 	uint64_t digest; /* of its name */
 	usec silent_until;
 	int silent_streak; /* unanswered messages in a row */
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -12,6 +12,7 @@
 #include "call.h"
 #include "dest.h"
 #include "fleet.h"
+#include "hash_index.h"
 #include "heat.h"
 #include "host_count.h"
 #include "stop_plan.h"
@@ -31,8 +32,7 @@
 /* Interval at which callers are checked for being connected: targets must not
  * work for more than half a second after a caller has disconnected. */
 #define CALLER_CHECK_INTERVAL MS(100)
-/* Hosts that are known as admission hosts, and those of one pool. */
-#define ADMISSION_HOSTS_MAX 512
+/* Admission hosts of one pool. */
 #define POOL_HOSTS_MAX 64
 /* Admission hosts that are asked for one attempt of a request. */
 #define PERMIT_ASKS_MAX 3
@@ -217,10 +217,10 @@
 	usec next_limits;
 	/* Admission to targets; see direct_pool.c. */
 	int permit_fd; /* datagrams between hosts; -1 if not open */
-	struct rendezvous_host hosts[ADMISSION_HOSTS_MAX];
-	char host_addrs[ADMISSION_HOSTS_MAX][ADDR_MAX_GS];
+	struct rendezvous_host *hosts;
 	int nhosts;
-	int self; /* this host among them, or -1 */
+	int self;		      /* this host among them, or -1 */
+	struct hash_index host_index; /* of hosts, by digest */
 	struct admission_pool *pools;
 	int npools;
 	int pools_changed;
--- a/gspard/direct_admit.c
+++ b/gspard/direct_admit.c
@@ -162,7 +162,7 @@
 	}
 	n = permit_pack(m, buf, sizeof(buf));
 	if (n == 0 ||
-	    sock_send_datagram(d->permit_fd, d->host_addrs[host], buf, n) != 0)
+	    sock_send_datagram(d->permit_fd, d->hosts[host].addr, buf, n) != 0)
 		return;
 	count_add(C_PERMIT_BYTES, n);
 }
--- a/gspard/direct_pool.c
+++ b/gspard/direct_pool.c
@@ -59,42 +59,36 @@
 	for (i = 0; i < d->nsvcs; i++)
 		free(d->svcs[i].admission);
 	free(d->pools);
+	free(d->hosts);
+	hash_index_free(&d->host_index);
 }
 
 /* Returns the index of the host with this digest, or -1. */
 int
 pool_host_index(const struct direct *d, uint64_t digest)
 {
-	int i;
-
-	for (i = 0; i < d->nhosts; i++) {
-		if (d->hosts[i].digest == digest)
-			return (i);
-	}
-	return (-1);
+	return (hash_index_first(&d->host_index, digest));
 }
 
-/* Adds a host to the list, with what was known of it before. */
+/* Adds a host to a new list, for which there is room, with what was known of
+ * it before. */
 static void
-add_host(struct direct *d, const struct rendezvous_host *old, int nold,
+add_host(const struct direct *d, struct rendezvous_host *list, int *n,
     const char *name, const char *dc, const char *addr)
 {
-	struct rendezvous_host *h;
-	int i;
+	struct rendezvous_host *h = &list[*n];
+	int known;
 
-	if (d->nhosts == ADMISSION_HOSTS_MAX || dc[0] == '\0' ||
-	    addr[0] == '\0')
+	if (dc[0] == '\0' || addr[0] == '\0')
 		return;
-	name_copy(d->host_addrs[d->nhosts], ADDR_MAX_GS, addr);
-	h = &d->hosts[d->nhosts++];
 	memset(h, 0, sizeof(*h));
-	h->digest = XXH3_64bits(name, strlen(name));
-	for (i = 0; i < nold; i++) {
-		if (old[i].digest == h->digest)
-			*h = old[i];
-	}
+	h->digest = hash_name(name);
+	if ((known = pool_host_index(d, h->digest)) >= 0)
+		*h = d->hosts[known];
 	name_copy(h->name, sizeof(h->name), name);
 	name_copy(h->dc, sizeof(h->dc), dc);
+	name_copy(h->addr, sizeof(h->addr), addr);
+	(*n)++;
 }
 
 /* Replaces the list of hosts. */
@@ -102,22 +96,29 @@
 pools_set_hosts(struct direct *d, const struct peers *l)
 {
 	const struct conf *conf = kernel_conf(d->s->kernel);
-	struct rendezvous_host *old;
-	int i, nold = d->nhosts;
-
-	old = malloc(sizeof(d->hosts));
-	if (old == NULL)
+	struct rendezvous_host *list;
+	int i, n = 0;
+
+	list = calloc((size_t)l->n + 1, sizeof(*list));
+	if (list == NULL || hash_index_reserve(&d->host_index, l->n + 1) != 0) {
+		free(list);
+		log_line(LOG_ERR, "router",
+		    "Out of memory, the list of hosts is not renewed.");
 		return;
-	memcpy(old, d->hosts, sizeof(d->hosts));
-	d->nhosts = 0;
-	d->self = 0;
-	add_host(d, old, nold, conf->host, conf->dc, conf->advertised);
+	}
+	add_host(d, list, &n, conf->host, conf->dc, conf->advertised);
 	for (i = 0; i < l->n; i++) {
 		if (strcmp(l->list[i].host, conf->host) != 0)
-			add_host(d, old, nold, l->list[i].host, l->list[i].dc,
+			add_host(d, list, &n, l->list[i].host, l->list[i].dc,
 			    l->list[i].addr);
 	}
-	free(old);
+	free(d->hosts);
+	d->hosts = list;
+	d->nhosts = n;
+	d->self = 0;
+	hash_index_clear(&d->host_index);
+	for (i = 0; i < n; i++)
+		hash_index_add(&d->host_index, i, list[i].digest);
 	d->pools_changed = 1;
 }
 
--- a/gspard/reach_probe.c
+++ b/gspard/reach_probe.c
@@ -40,6 +40,7 @@
 
 struct reach_service {
 	struct reach reach;
+	struct reach_host *hosts;
 	struct shared *fleet;
 	struct target_probe probes[PROBES_MAX];
 	uint64_t round; /* of the probes */
@@ -314,7 +315,8 @@
 		name_copy(h->dc, sizeof(h->dc), l->list[i].dc);
 	}
 	reach_set_hosts(&v->reach, list, n);
-	free(list);
+	free(v->hosts);
+	v->hosts = list;
 }
 
 /* Handles one message. */
@@ -395,6 +397,7 @@
 	struct reach_service *v = s->state;
 
 	close_probes(v);
+	free(v->hosts);
 	shared_unref(v->fleet);
 	free(v);
 }
--- a/regress/unit/t_reach.c
+++ b/regress/unit/t_reach.c
@@ -9,6 +9,7 @@
 /* Time of a step of the simulation, and of a connection. */
 #define STEP MS(5)
 #define CONNECT_TIME MS(35)
+#define HOSTS_MAX 2000
 #define PENDING_MAX 16
 
 /* The network around one host. */
@@ -29,7 +30,7 @@
 };
 
 static struct reach r;
-static struct reach_host hosts[REACH_HOSTS_MAX];
+static struct reach_host hosts[HOSTS_MAX];
 
 /* Adds what ends later to the pending results. */
 static void
@@ -193,8 +194,8 @@
 {
 	static const struct {
 		int n, centres;
-	} sizes[] = {
-	    {8, 3}, {12, 3}, {65, 3}, {76, 4}, {90, 3}, {295, 5}, {490, 7}};
+	} sizes[] = {{8, 3}, {12, 3}, {65, 3}, {76, 4}, {90, 3}, {295, 5},
+	    {490, 7}, {985, 5}, {2000, 5}};
 	size_t i;
 
 	for (i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
@@ -320,8 +321,9 @@
 {
 	static const struct {
 		int n, centres;
-	} sizes[] = {{12, 3}, {65, 3}, {90, 3}, {295, 5}, {490, 7}};
-	int load[REACH_HOSTS_MAX], i, cut, most;
+	} sizes[] = {
+	    {12, 3}, {65, 3}, {90, 3}, {295, 5}, {490, 7}, {985, 5}, {2000, 5}};
+	int load[HOSTS_MAX], i, cut, most;
 	size_t s;
 
 	for (s = 0; s < sizeof(sizes) / sizeof(sizes[0]); s++) {
