Connections between hosts: found by name, swept when due, accepted in one go

Each frame was matched to its connection by a walk through all of them, and after each event all connections were written to and updated: with a thousand hosts both are walks of two thousand connections several thousand times a second, at the controller alone. The delay between attempts to connect was kept for the first 256 hosts that were ever tried; beyond them a host that is down was tried with each frame. 256 connections waited to be accepted, one for each event, and hosts connect all at once when a fleet starts or its controller changes; those beyond it try again after seconds.

Connections are indexed by id and by host, the attempt stands beside the latter, an event updates its own connection, and what waits is accepted at once.

--- a/gspard/peer.c
+++ b/gspard/peer.c
@@ -2,12 +2,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <apr_hash.h>
 #include <apr_portable.h>
 
 #include "conn.h"
 
-#define CONNS_MAX 2048
-#define ATTEMPTS_MAX 256
+/* Events that one poll returns at most. */
+#define EVENTS_MAX 2048
 #define TICK_INTERVAL MS(50)
 /* A connection without an answer for this long is sent a ping ... */
 #define PING_DELAY MS(250)
@@ -22,10 +23,11 @@
  */
 #define UNSENT_NOTICE_MIN 16384
 
-/* The last connection attempt to a host. */
-struct connect_attempt {
-	char host[NAME_MAX_GS];
-	usec at;
+/* What is known of a host that this one connects to. */
+struct peer_host {
+	char name[NAME_MAX_GS];
+	struct conn *conn; /* the newest that was opened, or NULL */
+	usec last_attempt; /* to connect */
 };
 
 struct peer {
@@ -34,10 +36,11 @@
 	apr_socket_t *listener;
 	apr_pollfd_t listen_pfd;
 	struct conn *conns;
+	apr_hash_t *by_id;
+	apr_hash_t *by_host; /* struct peer_host; none is ever removed */
 	uint64_t next_id;
 	struct shared *peers;
-	struct connect_attempt attempts[ATTEMPTS_MAX];
-	int nattempts;
+	int any_failed; /* connections that are to be closed */
 	int stop;
 };
 
@@ -114,6 +117,7 @@
 	}
 	c->next = p->conns;
 	p->conns = c;
+	apr_hash_set(p->by_id, &c->id, sizeof(c->id), c);
 	return (c);
 }
 
@@ -134,28 +138,22 @@
 	return (NULL);
 }
 
-/* True within CONNECT_RETRY_DELAY of the last attempt; else records one. */
-static int
-attempted_recently(struct peer *p, const char *host, usec now)
+/* Returns what is known of a host, which is added if it is new; NULL if memory
+ * runs out. */
+static struct peer_host *
+peer_host(struct peer *p, const char *name)
 {
-	struct connect_attempt *t;
-	int i;
+	struct peer_host *h;
 
-	for (i = 0; i < p->nattempts; i++) {
-		t = &p->attempts[i];
-		if (strcmp(t->host, host) != 0)
-			continue;
-		if (now - t->at < CONNECT_RETRY_DELAY)
-			return (1);
-		t->at = now;
-		return (0);
-	}
-	if (p->nattempts < ATTEMPTS_MAX) {
-		t = &p->attempts[p->nattempts++];
-		name_copy(t->host, sizeof(t->host), host);
-		t->at = now;
-	}
-	return (0);
+	h = apr_hash_get(p->by_host, name, APR_HASH_KEY_STRING);
+	if (h != NULL)
+		return (h);
+	h = apr_pcalloc(p->pool, sizeof(*h));
+	if (h == NULL)
+		return (NULL);
+	name_copy(h->name, sizeof(h->name), name);
+	apr_hash_set(p->by_host, h->name, APR_HASH_KEY_STRING, h);
+	return (h);
 }
 
 /* Opens a connection to a host; NULL if that fails at once. */
@@ -165,6 +163,7 @@
 	struct peer *p = s->state;
 	const char *at = host_address(p, host);
 	char ip[ADDR_MAX_GS];
+	struct peer_host *h;
 	apr_pool_t *pool;
 	apr_socket_t *sock;
 	apr_sockaddr_t *sa;
@@ -173,8 +172,11 @@
 	int port;
 
 	if (at == NULL || addr_parse(at, ip, sizeof(ip), &port) != 0 ||
-	    attempted_recently(p, host, now))
+	    (h = peer_host(p, host)) == NULL ||
+	    (h->last_attempt != 0 &&
+		now - h->last_attempt < CONNECT_RETRY_DELAY))
 		return (NULL);
+	h->last_attempt = now;
 	if (apr_pool_create(&pool, NULL) != APR_SUCCESS)
 		return (NULL);
 	if (apr_sockaddr_info_get(&sa, ip, APR_UNSPEC, (apr_port_t)port, 0,
@@ -189,6 +191,7 @@
 		return (NULL);
 	name_copy(c->host, sizeof(c->host), host);
 	c->outgoing = 1;
+	h->conn = c;
 	st = apr_socket_connect(sock, sa);
 	if (st != APR_SUCCESS && !APR_STATUS_IS_EINPROGRESS(st))
 		conn_fail(c, "connection refused");
@@ -201,16 +204,28 @@
 static struct conn *
 find_conn(struct peer *p, const char *host, uint64_t id)
 {
+	struct peer_host *h;
 	struct conn *c;
 
-	for (c = p->conns; c != NULL; c = c->next) {
-		if (c->failed)
-			continue;
-		if (id != 0 ? c->id == id
-			    : c->outgoing && strcmp(c->host, host) == 0)
-			return (c);
+	if (id != 0)
+		c = apr_hash_get(p->by_id, &id, sizeof(id));
+	else {
+		h = apr_hash_get(p->by_host, host, APR_HASH_KEY_STRING);
+		c = h == NULL ? NULL : h->conn;
 	}
-	return (NULL);
+	return (c == NULL || c->failed ? NULL : c);
+}
+
+/* Removes a connection from the tables. */
+static void
+forget_conn(struct peer *p, struct conn *c)
+{
+	struct peer_host *h;
+
+	apr_hash_set(p->by_id, &c->id, sizeof(c->id), NULL);
+	h = apr_hash_get(p->by_host, c->host, APR_HASH_KEY_STRING);
+	if (h != NULL && h->conn == c)
+		h->conn = NULL;
 }
 
 /* Informs the router that a request was not sent. */
@@ -249,6 +264,7 @@
 		else if (m->corr != 0)
 			conn_add_waiting(c, m->corr);
 		update_events(p, c);
+		p->any_failed |= c->failed;
 		return;
 	}
 	if (m->corr != 0)
@@ -311,8 +327,8 @@
 	deliver_frame(s->kernel, c->host, c->outgoing ? 0 : c->id, f);
 }
 
-/* Accepts a connection. */
-static void
+/* Accepts a connection; returns 0 if none is waiting. */
+static int
 accept_conn(struct service *s, usec now)
 {
 	struct peer *p = s->state;
@@ -321,14 +337,15 @@
 	struct conn *c;
 
 	if (apr_pool_create(&pool, NULL) != APR_SUCCESS)
-		return;
+		return (0);
 	if (apr_socket_accept(&sock, p->listener, pool) != APR_SUCCESS) {
 		apr_pool_destroy(pool);
-		return;
+		return (0);
 	}
 	c = add(s, sock, pool, now);
 	if (c != NULL)
 		update_events(p, c);
+	return (1);
 }
 
 /*
@@ -363,9 +380,11 @@
 handle_ready(struct service *s, const apr_pollfd_t *d, usec now)
 {
 	struct conn *c = d->client_data;
+	struct peer *p = s->state;
 
 	if (c == NULL) {
-		accept_conn(s, now);
+		while (accept_conn(s, now))
+			;
 		return;
 	}
 	if (c->connecting && (d->rtnevents & (APR_POLLOUT | APR_POLLERR))) {
@@ -386,6 +405,9 @@
 		conn_read(c, now, on_frame, s);
 	if (!c->failed)
 		conn_write(c, now);
+	if (!c->failed)
+		update_events(p, c);
+	p->any_failed |= c->failed;
 }
 
 /* Logs a lost connection and its unsent bytes. */
@@ -407,6 +429,7 @@
 	struct peer *p = s->state;
 	struct conn **at, *c;
 
+	p->any_failed = 0;
 	for (at = &p->conns; (c = *at) != NULL;) {
 		if (!c->failed)
 			check_timeouts(p, c, now);
@@ -423,6 +446,7 @@
 			    c->host, c->fail_reason);
 		log_lost(c);
 		*at = c->next;
+		forget_conn(p, c);
 		if (c->pfd.reqevents != 0)
 			apr_pollset_remove(p->set, &c->pfd);
 		/* Requests that were never sent certainly have not run. */
@@ -486,7 +510,7 @@
 		for (i = 0; i < n; i++)
 			handle_ready(s, &d[i], now);
 		handle_messages(s, now);
-		if (n > 0 || now - last_sweep >= TICK_INTERVAL) {
+		if (p->any_failed || now - last_sweep >= TICK_INTERVAL) {
 			sweep(s, now);
 			last_sweep = now;
 		}
@@ -516,9 +540,11 @@
 		return (-1);
 	s->state = p;
 	if (apr_pool_create(&p->pool, NULL) != APR_SUCCESS ||
-	    apr_pollset_create(&p->set, CONNS_MAX, p->pool,
+	    apr_pollset_create(&p->set, EVENTS_MAX, p->pool,
 		APR_POLLSET_WAKEABLE) != APR_SUCCESS)
 		goto bad;
+	p->by_id = apr_hash_make(p->pool);
+	p->by_host = apr_hash_make(p->pool);
 	addr_parse(at, ip, sizeof(ip), &port);
 	if (apr_sockaddr_info_get(&sa, ip, APR_UNSPEC, (apr_port_t)port, 0,
 		p->pool) != APR_SUCCESS ||
@@ -528,7 +554,7 @@
 	apr_socket_opt_set(p->listener, APR_SO_REUSEADDR, 1);
 	apr_socket_opt_set(p->listener, APR_SO_NONBLOCK, 1);
 	if (apr_socket_bind(p->listener, sa) != APR_SUCCESS ||
-	    apr_socket_listen(p->listener, 256) != APR_SUCCESS) {
+	    apr_socket_listen(p->listener, SOMAXCONN) != APR_SUCCESS) {
 		log_line(LOG_ERR, "peer", "Cannot listen on %s.", at);
 		goto bad;
 	}
