The list of hosts is told as a difference, and whole only to those without it

Whenever a host came, or a process of one started again, the controller put the list of all hosts into its next heartbeat to all of them: hosts squared each time, and to the third over a start. For 985 hosts of some 80 bytes that is 79 MB a heartbeat, while 20 Mbit/s is what a small host has.

The list has a digest that does not depend on order or process, told in heartbeats and reports. A heartbeat carries what has changed; a host that lacks it is sent all, as many copies as a quarter of the link allows. Which process a host runs is not told: others need its address, data centre and tunnel. A new controller whose hosts have its list sends none.

Found on the way: a host that was first known from the record kept an empty data centre on other hosts for as long as its process ran, and was no admission host for them.

Unit hosts (2,000 hosts): one that comes costs 2,000 differences and one whole list; one that starts again one whole list; a lost difference is made up 0.6 s later while others come; a new controller sends nothing.

--- a/decide/hosts.h
+++ b/decide/hosts.h
@@ -1,11 +1,14 @@
 /*
- * The hosts that this one knows, by name, in a table that grows with them.
+ * The hosts that this one knows, by name, in a table that grows with them, and
+ * which of the hosts that a controller controls are sent the list of hosts: all
+ * of it, or what has changed.
  */
 #ifndef HOSTS_H
 #define HOSTS_H
 
 #include "conf.h"
 #include "hash_index.h"
+#include "superseded.h"
 #include "term.h"
 
 /* A host as the other hosts know it, and what the controller sent to it. */
@@ -26,6 +29,11 @@
 	uint64_t site_version;	 /* version of its site configuration */
 	uint64_t site_sent;	 /* version last sent to it */
 	int site_requested;	 /* it has asked for the configuration */
+	int has_reported;	 /* to this controller */
+	uint64_t list_reported;	 /* digest of the list that it has */
+	uint64_t list_sent;	 /* digest last sent to it, and when */
+	usec list_sent_at;
+	int changed; /* since the list was last sent */
 	int stopping;
 };
 
@@ -34,11 +42,30 @@
 	int n;
 	int capacity;
 	struct hash_index by_name;
+	/* The list as sent by this host, as controller. */
+	uint64_t digest;
+	struct superseded superseded; /* earlier digests */
+	char (*gone)[NAME_MAX_GS];    /* removed since it was sent */
+	int ngone;
+	int changed; /* it differs from what was sent */
 };
 
+/* What is sent to a host. */
+enum list_update { LIST_NONE, LIST_DIFFERENCE, LIST_WHOLE };
+
 struct host_entry *hosts_find(const struct hosts *, const char *name);
 struct host_entry *hosts_add(struct hosts *, const char *name);
 void hosts_remove(struct hosts *, int i);
+int host_update(struct host_entry *, const struct member *, const char *dc,
+    const char *tunnel);
+uint64_t hosts_digest_of(const struct hosts *, int listed);
+void hosts_list_begin(struct hosts *);
+uint64_t hosts_list_renew(struct hosts *, usec now);
+enum list_update hosts_list_update(
+    const struct hosts *, const struct host_entry *, uint64_t base, usec now);
+void hosts_list_sent_to(
+    const struct hosts *, struct host_entry *, enum list_update, usec now);
+void hosts_list_sent(struct hosts *);
 void hosts_free(struct hosts *);
 
 #endif
--- a/decide/pace.c
+++ b/decide/pace.c
@@ -1,3 +1,6 @@
+#include <limits.h>
+#include <math.h>
+
 #include "pace.h"
 
 /*
@@ -49,3 +52,15 @@
 
 	p->free_at = now + (usec)(s * 1e6);
 }
+
+/* Returns how many copies of this many bytes may be sent in a time, to as many
+ * hosts; at least one. */
+int
+pace_copies(size_t bytes, usec span, double link_mbps)
+{
+	double s = (double)span / US_PER_SEC;
+	double n =
+	    link_bytes(link_mbps) * REQUESTED_SHARE * s / (double)(bytes + 1);
+
+	return (n < 1 ? 1 : (int)fmin(n, INT_MAX));
+}
--- a/gspard/sitectl.c
+++ b/gspard/sitectl.c
@@ -111,18 +111,11 @@
 		    "Out of memory, host %s is not added.", m->host);
 		return;
 	}
-	if (is_new || h->process.boot != m->boot ||
-	    strcmp(h->process.addr, m->addr) != 0) {
-		memset(h, 0, sizeof(*h));
-		h->process = *m;
-		name_copy(h->dc, sizeof(h->dc), dc);
+	if (host_update(h, m, dc, tunnel) || is_new) {
+		h->changed = 1;
 		k->peers_changed = 1;
+		k->hosts.changed = 1;
 	}
-	if (tunnel[0] != '\0' && strcmp(h->tunnel, tunnel) != 0) {
-		name_copy(h->tunnel, sizeof(h->tunnel), tunnel);
-		k->peers_changed = 1;
-	}
-	k->hosts_changed |= k->peers_changed;
 	h->last_heard = now;
 	h->stopping = stopping;
 }
@@ -151,8 +144,9 @@
 			now - k->hosts.list[i].listed_at < HOST_FORGET_AFTER))
 			continue;
 		hosts_remove(&k->hosts, i--);
-		k->hosts_changed = 1;
 	}
+	if (!k->acting)
+		hosts_list_sent(&k->hosts);
 }
 
 /* Starts or stops acting as controller, depending on the term's role. */
@@ -170,7 +164,7 @@
 			k->hosts.list[i].assumed_up_until =
 			    now + HOST_DOWN_AFTER;
 		site_control_began(k);
-		k->hosts_changed = 1;
+		hosts_list_begin(&k->hosts);
 	} else if (!holds && k->acting) {
 		sitectl_drop_keys(k);
 		orders_cancel(k);
--- a/gspard/sitectl.h
+++ b/gspard/sitectl.h
@@ -97,8 +97,8 @@
 	usec store_answered_at; /* last successful call for the record */
 
 	struct hosts hosts;
-	int hosts_changed;
-	int peers_changed; /* since they were published */
+	uint64_t hosts_digest; /* of the list that the controller sent */
+	int peers_changed;     /* since they were published */
 	struct keys *keys[SITECTL_SERVICES_MAX];
 	int nkeys;
 	int acting; /* this host is the controller */
@@ -214,6 +214,16 @@
 void relay_tick(struct sitectl *, usec now);
 void relay_receive(struct sitectl *, const Gspar__StoreNews *, usec now);
 
+/* sitectl_hosts.c */
+struct host_list;
+struct host_list *host_list_new(struct sitectl *, usec now);
+void host_list_free(struct sitectl *, struct host_list *);
+void host_list_fill(struct sitectl *, struct host_list *, struct host_entry *,
+    Gspar__Owners *, usec now);
+void host_list_receive(struct sitectl *, const Gspar__Owners *, usec now);
+void host_list_receive_addr(
+    struct sitectl *, const Gspar__HostAddr *, usec now);
+
 /* sitectl_broadcast.c */
 uint64_t owners_number(const struct sitectl *);
 void broadcast_tick(struct sitectl *, usec now);
--- a/gspard/sitectl_broadcast.c
+++ b/gspard/sitectl_broadcast.c
@@ -269,37 +269,8 @@
 	return (knows_owners(k) ? k->hosts.n : 0);
 }
 
-/* Encodes the list of hosts; returns -1 if memory runs out.  The caller frees
- * the list and its items. */
-static int
-fill_hosts(const struct sitectl *k, Gspar__Owners *msg)
-{
-	const struct host_entry *h;
-	Gspar__HostAddr *items;
-	int i;
-
-	items = calloc((size_t)k->hosts.n + 1, sizeof(*items));
-	msg->hosts = calloc((size_t)k->hosts.n + 1, sizeof(*msg->hosts));
-	if (items == NULL || msg->hosts == NULL) {
-		free(items);
-		free(msg->hosts);
-		return (-1);
-	}
-	msg->hosts[0] = items;
-	for (i = 0; i < k->hosts.n; i++) {
-		h = &k->hosts.list[i];
-		gspar__host_addr__init(&items[i]);
-		items[i].host = (char *)h->process.host;
-		items[i].addr = (char *)h->process.addr;
-		items[i].dc = (char *)h->dc;
-		items[i].tunnel = (char *)h->tunnel;
-		items[i].boot = h->process.boot;
-		msg->hosts[msg->n_hosts++] = &items[i];
-	}
-	return (0);
-}
-
-/* Sends a heartbeat to all hosts, with the list of hosts if it changed. */
+/* Sends a heartbeat to all hosts, with what each needs of the list of hosts.
+ */
 static void
 send_heartbeat(struct sitectl *k, usec now)
 {
@@ -309,12 +280,10 @@
 	Gspar__HostAddr self = GSPAR__HOST_ADDR__INIT;
 	const struct site *site = sitectl_site(k);
 	const struct fleet *fleet = sitectl_fleet(k);
+	struct host_list *list = host_list_new(k, now);
 	struct host_entry *h;
 	int i, late = term_renewal_late(&k->term, now);
 
-	/* The list of hosts changes rarely; the rest is a few bytes. */
-	if (k->hosts_changed && fill_hosts(k, &w) == 0)
-		k->hosts_changed = 0;
 	self.host = (char *)conf->host;
 	self.addr = (char *)conf->advertised;
 	self.dc = (char *)conf->dc;
@@ -351,13 +320,13 @@
 	f.owners = &w;
 	for (i = 0; i < k->hosts.n; i++) {
 		h = &k->hosts.list[i];
-		if (sitectl_host_up(h, now) &&
-		    strcmp(h->process.host, conf->host) != 0)
-			send_frame(k->s->kernel, h->process.host, 0, &f);
+		if (!sitectl_host_up(h, now) ||
+		    strcmp(h->process.host, conf->host) == 0)
+			continue;
+		host_list_fill(k, list, h, &w, now);
+		send_frame(k->s->kernel, h->process.host, 0, &f);
 	}
-	if (w.hosts != NULL)
-		free(w.hosts[0]);
-	free(w.hosts);
+	host_list_free(k, list);
 	host_count_publish(k, host_count(k));
 }
 
--- a/gspard/sitectl_receive.c
+++ b/gspard/sitectl_receive.c
@@ -92,44 +92,6 @@
 	return (o);
 }
 
-/* Handles a host that the controller lists. */
-static void
-receive_host_addr(struct sitectl *k, const Gspar__HostAddr *msg, usec now)
-{
-	struct member m;
-
-	memset(&m, 0, sizeof(m));
-	name_copy(m.host, sizeof(m.host), msg->host);
-	name_copy(m.addr, sizeof(m.addr), msg->addr);
-	m.boot = msg->boot;
-	sitectl_host_seen(k, &m, msg->dc, msg->tunnel, 0, now);
-}
-
-/*
- * Updates the list of hosts.  The controller sends it when it changes; in
- * between, each heartbeat confirms the last one.  If it expired, all hosts
- * would have the same rank, and with it the same turn at limited targets.
- */
-static void
-receive_host_list(struct sitectl *k, const Gspar__Owners *msg, usec now)
-{
-	struct host_entry *h;
-	size_t i;
-	int n;
-
-	for (n = 0; n < k->hosts.n && msg->n_hosts > 0; n++)
-		k->hosts.list[n].listed_at = 0;
-	for (i = 0; i < msg->n_hosts; i++) {
-		receive_host_addr(k, msg->hosts[i], now);
-		if ((h = hosts_find(&k->hosts, msg->hosts[i]->host)) != NULL)
-			h->listed_at = now;
-	}
-	for (n = 0; n < k->hosts.n; n++) {
-		if (k->hosts.list[n].listed_at != 0)
-			k->hosts.list[n].listed_at = now;
-	}
-}
-
 /* Handles a heartbeat or owners from the controller. */
 void
 broadcast_receive(struct sitectl *k, const Gspar__Owners *msg, usec now)
@@ -160,9 +122,9 @@
 	 * it owners.
 	 */
 	if (msg->self != NULL)
-		receive_host_addr(k, msg->self, now);
+		host_list_receive_addr(k, msg->self, now);
 	if (!msg->whole)
-		receive_host_list(k, msg, now);
+		host_list_receive(k, msg, now);
 	sitectl_publish_peers(k);
 	if (!msg->whole) {
 		host_count_publish(k, (int)msg->host_count);
--- a/gspard/sitectl_report.c
+++ b/gspard/sitectl_report.c
@@ -93,6 +93,7 @@
 	w.site_asked = k->site_request;
 	k->site_request = 0;
 	w.fleet = fleet == NULL ? 0 : fleet->digest;
+	w.hosts_digest = k->hosts_digest;
 	if (targets != NULL && tlist != NULL && buf != NULL) {
 		fill_report(&w, h, keys, klist, targets, tlist, buf);
 		quarantine_fill_report(k, &w, now);
@@ -177,6 +178,8 @@
 		term_holder_follows(&k->term, now, &m, msg->term);
 	if ((h = hosts_find(&k->hosts, host)) != NULL) {
 		h->owners_reported = msg->owners;
+		h->has_reported = 1;
+		h->list_reported = msg->hosts_digest;
 		h->max_hosts = (int)msg->bears;
 		h->store_reachable = msg->store;
 		site_receive_report(k, h, msg, now);
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -4045,7 +4045,7 @@
   (ProtobufCMessageInit) gspar__key_heat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__host_report__field_descriptors[19] =
+static const ProtobufCFieldDescriptor gspar__host_report__field_descriptors[20] =
 {
   {
     "boot",
@@ -4275,6 +4275,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hosts_digest",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__HostReport, hosts_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__host_report__field_indices_by_name[] = {
   1,   /* field[1] = addr */
@@ -4286,6 +4298,7 @@
   13,   /* field[13] = ended */
   8,   /* field[8] = fleet */
   6,   /* field[6] = heat */
+  19,   /* field[19] = hosts_digest */
   4,   /* field[4] = owners */
   14,   /* field[14] = quarantine */
   15,   /* field[15] = quarantined */
@@ -4300,7 +4313,7 @@
 static const ProtobufCIntRange gspar__host_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor gspar__host_report__descriptor =
 {
@@ -4310,7 +4323,7 @@
   "Gspar__HostReport",
   "gspar",
   sizeof(Gspar__HostReport),
-  19,
+  20,
   gspar__host_report__field_descriptors,
   gspar__host_report__field_indices_by_name,
   1,  gspar__host_report__number_ranges,
@@ -4689,7 +4702,7 @@
   (ProtobufCMessageInit) gspar__key_owners__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[19] =
+static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[22] =
 {
   {
     "term",
@@ -4919,6 +4932,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hosts_digest",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Owners, hosts_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hosts_since",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Owners, hosts_since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hosts_gone",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gspar__Owners, n_hosts_gone),
+    offsetof(Gspar__Owners, hosts_gone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__owners__field_indices_by_name[] = {
   2,   /* field[2] = controller */
@@ -4926,6 +4975,9 @@
   10,   /* field[10] = follows */
   12,   /* field[12] = host_count */
   6,   /* field[6] = hosts */
+  19,   /* field[19] = hosts_digest */
+  21,   /* field[21] = hosts_gone */
+  20,   /* field[20] = hosts_since */
   13,   /* field[13] = late */
   1,   /* field[1] = number */
   18,   /* field[18] = quarantine */
@@ -4944,7 +4996,7 @@
 static const ProtobufCIntRange gspar__owners__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor gspar__owners__descriptor =
 {
@@ -4954,7 +5006,7 @@
   "Gspar__Owners",
   "gspar",
   sizeof(Gspar__Owners),
-  19,
+  22,
   gspar__owners__field_descriptors,
   gspar__owners__field_indices_by_name,
   1,  gspar__owners__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -545,10 +545,14 @@
    * Address at which it relays connections to targets, or empty.
    */
   char *tunnel;
+  /*
+   * Digest of the list of hosts that it has.
+   */
+  uint64_t hosts_digest;
 };
 #define GSPAR__HOST_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__host_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -722,10 +726,21 @@
    * Checksum of the quarantine list.
    */
   uint64_t quarantine;
+  /*
+   * Digest of the list of hosts.
+   */
+  uint64_t hosts_digest;
+  /*
+   * If not 0, hosts and hosts_gone are a difference to the list of this
+   * digest.
+   */
+  uint64_t hosts_since;
+  size_t n_hosts_gone;
+  char **hosts_gone;
 };
 #define GSPAR__OWNERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__owners__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
 
 
 /*
--- a/regress/unit/t_hosts.c
+++ b/regress/unit/t_hosts.c
@@ -114,9 +114,163 @@
 	CU_ASSERT(many <= 15 * few);
 }
 
+/* A controller and what it has sent to its hosts. */
+struct sent {
+	struct hosts t;
+	int whole;
+	int differences;
+};
+
+/* Sends a heartbeat; each host gets what it is sent, unless `lost`. */
+static void
+send_heartbeat(struct sent *s, int lost, usec now)
+{
+	uint64_t base = hosts_list_renew(&s->t, now);
+	enum list_update update;
+	struct host_entry *h;
+	int i;
+
+	s->whole = s->differences = 0;
+	for (i = 0; i < s->t.n; i++) {
+		h = &s->t.list[i];
+		update = hosts_list_update(&s->t, h, base, now);
+		if (update == LIST_NONE)
+			continue;
+		s->whole += update == LIST_WHOLE;
+		s->differences += update == LIST_DIFFERENCE;
+		hosts_list_sent_to(&s->t, h, update, now);
+		if (!lost && (update == LIST_WHOLE || h->list_reported == base))
+			h->list_reported = s->t.digest;
+	}
+	hosts_list_sent(&s->t);
+}
+
+/* A report from a host with an address. */
+static void
+report(struct sent *s, int i, uint64_t boot, const char *addr)
+{
+	struct host_entry *h = hosts_find(&s->t, name_of(i));
+	struct member m;
+	int is_new = h == NULL;
+
+	memset(&m, 0, sizeof(m));
+	name_copy(m.host, sizeof(m.host), name_of(i));
+	name_copy(m.addr, sizeof(m.addr), addr);
+	m.boot = boot;
+	if (is_new)
+		h = hosts_add(&s->t, m.host);
+	if (host_update(h, &m, "hal-a", "") || is_new) {
+		h->changed = 1;
+		s->t.changed = 1;
+	}
+	h->has_reported = 1;
+}
+
+/* A controller whose n hosts all have its list. */
+static struct sent
+in_step(int n)
+{
+	struct sent s;
+	int i;
+
+	memset(&s, 0, sizeof(s));
+	hosts_list_begin(&s.t);
+	for (i = 0; i < n; i++)
+		report(&s, i, 1, "10.0.0.1:7200");
+	send_heartbeat(&s, 0, MS(300));
+	CU_ASSERT_EQUAL(s.whole, n);
+	send_heartbeat(&s, 0, MS(600));
+	CU_ASSERT_EQUAL(s.whole + s.differences, 0);
+	return (s);
+}
+
+/* Guards against a list that goes to all hosts whenever one host comes. */
+static void
+changes_are_differences(void)
+{
+	struct sent s = in_step(MANY);
+
+	report(&s, MANY, 1, "10.0.0.2:7200");
+	send_heartbeat(&s, 0, MS(900));
+	CU_ASSERT_EQUAL(s.differences, MANY);
+	CU_ASSERT_EQUAL(s.whole, 1);
+	report(&s, 7, 1, "10.0.0.3:7200");
+	send_heartbeat(&s, 0, MS(1200));
+	CU_ASSERT_EQUAL(s.differences, MANY + 1);
+	hosts_remove(&s.t, 3);
+	CU_ASSERT_EQUAL(s.t.ngone, 1);
+	send_heartbeat(&s, 0, MS(1500));
+	CU_ASSERT_EQUAL(s.differences, MANY);
+	CU_ASSERT_EQUAL(s.whole, 0);
+	hosts_free(&s.t);
+}
+
+/* Guards against a list that goes to all hosts whenever one starts again. */
+static void
+restarts_are_not_told(void)
+{
+	struct sent s = in_step(MANY);
+
+	report(&s, 5, 2, "10.0.0.1:7200");
+	send_heartbeat(&s, 0, MS(900));
+	CU_ASSERT_EQUAL(s.differences, 0);
+	/* To the new process, which has none. */
+	CU_ASSERT_EQUAL(s.whole, 1);
+	hosts_free(&s.t);
+}
+
+/* A host that lacks a difference is sent the whole list, while others come. */
+static void
+lost_difference(void)
+{
+	struct sent s = in_step(20);
+	struct host_entry *h;
+	int i, whole = 0;
+
+	for (i = 0; i < 20; i++) {
+		report(&s, 100 + i, 1, "10.0.0.2:7200");
+		send_heartbeat(&s, 0, MS(900) + i * MS(300));
+		if (i == 0) {
+			h = hosts_find(&s.t, name_of(4));
+			h->list_reported = 77;
+		}
+		whole += s.whole;
+	}
+	CU_ASSERT_EQUAL(whole, 20 + 1);
+	h = hosts_find(&s.t, name_of(4));
+	CU_ASSERT_EQUAL(h->list_reported, s.t.digest);
+	hosts_free(&s.t);
+}
+
+/* Guards against a new controller that sends its list to all hosts although
+ * they have the same one. */
+static void
+new_controller(void)
+{
+	struct sent s = in_step(MANY);
+	uint64_t digest = s.t.digest;
+	int i;
+
+	for (i = 0; i < s.t.n; i++)
+		s.t.list[i].list_sent = 0;
+	hosts_list_begin(&s.t);
+	send_heartbeat(&s, 0, MS(9000));
+	CU_ASSERT_EQUAL(s.whole + s.differences, 0);
+	CU_ASSERT_EQUAL(s.t.digest, digest);
+	for (i = 0; i < MANY; i++)
+		report(&s, i, 1, "10.0.0.1:7200");
+	send_heartbeat(&s, 0, MS(9300));
+	CU_ASSERT_EQUAL(s.whole + s.differences, 0);
+	hosts_free(&s.t);
+}
+
 static const struct unit_test tests[] = {
     {"no host is left out", no_host_is_left_out},
     {"removal", removal},
     {"linear time", linear_time},
+    {"changes are differences", changes_are_differences},
+    {"restarts are not told", restarts_are_not_told},
+    {"lost difference", lost_difference},
+    {"new controller", new_controller},
 };
 UNIT_MAIN("hosts", tests)
