Hosts that start wait for the controller's list of targets

Each host listed all targets from the store when it started, and again each time it had heard of no controller yet: 50 calls of 200 targets each for a fleet with 10,000 of them, by each of 985 hosts. The controller sent them the same list moments later.

A host that starts reads the configuration alone and waits: 0.6 to 1 s if it hears no controller, 1.5 to 2 s for one that does not follow the store (yet), 10 to 15 s for one that does and has not sent the list. Times differ by host. It reports as soon as it learns of the controller, which answers with the list.

Ruled out: stale reads at a tenth of the price, which are still 5 calls a host and seconds old.

Unit join: of 2,000 hosts none lists if a controller is there after 0.25 s and has the list a second later; all do by 1.1 s without one.

--- a/gspard/sitectl.c
+++ b/gspard/sitectl.c
@@ -183,20 +183,23 @@
 		sitectl_host_seen(k, &r->holder, "", "", 0, now);
 		sitectl_publish_peers(k);
 		k->controller_heard = now;
+		join_heard(&k->join, 0, now);
+		report_at_once(k, now);
 	}
 }
 
 /*
  * Informs the watch service whether this host follows the store itself: as the
- * controller, as a standby that relays, or if no host that follows it is
- * heard.  The platform allows 2 s until a leaving target must get no more
- * requests; detection here takes less than half of that.
+ * controller, as a standby that relays, or if no host that follows it is heard
+ * and none is waited for.  The platform allows 2 s until a leaving target must
+ * get no more requests; detection here takes less than half of that.
  */
 static void
 set_following(struct sitectl *k, usec now)
 {
+	int joining = k->fleet == NULL && join_waits(&k->join, now);
 	int follow = k->acting || relay_due(k, now) ||
-	    now - k->follower_heard > NO_CONTROLLER_AFTER;
+	    (now - k->follower_heard > NO_CONTROLLER_AFTER && !joining);
 
 	if (follow == k->following)
 		return;
@@ -451,7 +454,7 @@
 	k->ops = &objects_target;
 	curl_multi_setopt(k->multi, CURLMOPT_MAXCONNECTS, (long)ORDER_CONNS);
 	k->controller_heard = clock_mono();
-	k->following = 1; /* as the watch service starts */
+	join_begin(&k->join, kernel_boot(s->kernel), clock_mono());
 	sitectl_term_init(k);
 	ring_set_wake(s->in, transfers_wake, k->multi);
 	return (0);
--- a/gspard/sitectl.h
+++ b/gspard/sitectl.h
@@ -12,6 +12,7 @@
 #include "gspard.h"
 #include "heat.h"
 #include "hosts.h"
+#include "join.h"
 #include "keys.h"
 #include "superseded.h"
 #include "stop_plan.h"
@@ -108,6 +109,7 @@
 	uint64_t controller_fleet; /* the controller's digest; 0 if unknown */
 	usec fleet_differs_since;
 	usec next_relist;
+	struct join join;
 	int following;		/* the watch service follows the store */
 	int fresh;		/* the store answers this host for targets */
 	int controller_follows; /* the controller follows the store */
@@ -233,6 +235,7 @@
 
 /* sitectl_report.c */
 void report_add_leaving(struct sitectl *, const struct router_report *);
+void report_at_once(struct sitectl *, usec now);
 void report_tick(struct sitectl *, usec now);
 void report_receive(
     struct sitectl *, const char *host, const Gspar__HostReport *, usec now);
--- a/gspard/sitectl_fleet.c
+++ b/gspard/sitectl_fleet.c
@@ -253,6 +253,8 @@
 	    (f = read_targets(msg->targets, msg->n_targets)) == NULL)
 		return;
 	f->whole = msg->whole;
+	/* Sent only by a controller that follows the store. */
+	k->follower_heard = now;
 	read_evacuations(&f->evacuations, msg->evacuations, msg->n_evacuations,
 	    msg->evacuations_as_of, now);
 	pass_to_watch(k, f);
--- a/gspard/sitectl_receive.c
+++ b/gspard/sitectl_receive.c
@@ -134,6 +134,7 @@
 		k->controller_fleet = msg->fleet;
 		k->controller_quarantine = msg->quarantine;
 		k->controller_follows = msg->follows;
+		join_heard(&k->join, msg->follows, now);
 		if (msg->follows)
 			k->follower_heard = now;
 		else if (k->follower_heard > now - FOLLOW_HEAD_START)
--- a/gspard/sitectl_report.c
+++ b/gspard/sitectl_report.c
@@ -106,6 +106,16 @@
 	free(buf);
 }
 
+/* Tells a controller that has just become known of this host, which may lack
+ * all that the controller sends. */
+void
+report_at_once(struct sitectl *k, usec now)
+{
+	static const struct router_report nothing;
+
+	send_report(k, &nothing, now);
+}
+
 /* Adds to this host's own list which targets have announced that they are
  * leaving, so that it outlasts the router's state of them. */
 void
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -180,7 +180,7 @@
 {
 	const struct watch *w = s->state;
 
-	return (w->feeds[FEED_TARGETS].listed &&
+	return ((w->feeds[FEED_TARGETS].listed || w->received) &&
 	    (!is_followed(s, FEED_EVACUATIONS) ||
 		w->feeds[FEED_EVACUATIONS].listed ||
 		w->membership.evacuations.as_of != 0));
@@ -473,6 +473,17 @@
 		w->feeds[i].backoff = 0;
 }
 
+/* Takes targets from another host.  With all of them, a list from the store is
+ * no longer needed, unless this host follows the store itself. */
+static void
+fleet_received(struct watch *w, const struct fleet *f, usec now)
+{
+	membership_adopt(&w->membership, f, now);
+	w->received |= f->whole;
+	if (f->whole && w->from_controller)
+		watch_cancel_list(&w->feeds[FEED_TARGETS]);
+}
+
 /* Handles one message. */
 static void
 handle_message(struct service *s, struct msg *m, usec now)
@@ -504,7 +515,7 @@
 		set_fresh(s, 0);
 		break;
 	case MSG_FLEET_RECEIVED:
-		membership_adopt(&w->membership, m->data, now);
+		fleet_received(w, m->data, now);
 		break;
 	case MSG_LEAVE_ANNOUNCED:
 		membership_leave_announced(&w->membership, m->data);
@@ -549,9 +560,9 @@
 	w->feeds[FEED_SITE].kind = KIND_SITE;
 	w->feeds[FEED_TARGETS].kind = KIND_TARGETS;
 	w->feeds[FEED_EVACUATIONS].kind = KIND_EVACUATIONS;
+	/* The control service tells when this host is to follow the store. */
+	w->from_controller = 1;
 	w->feeds[FEED_SITE].listing = 1;
-	w->feeds[FEED_TARGETS].listing = 1;
-	w->feeds[FEED_EVACUATIONS].listing = 1;
 	w->membership.heartbeat =
 	    MS(kernel_conf(s->kernel)->bounds.heartbeat_ms);
 	return (0);
--- a/gspard/watch.h
+++ b/gspard/watch.h
@@ -36,6 +36,7 @@
 	uint64_t evacuations_logged; /* digest of those last logged */
 	int fresh;	     /* the targets are as read from the store */
 	int from_controller; /* this host gets changes from the controller */
+	int received;	     /* a whole list of targets from another host */
 	struct store_era era;
 	uint64_t version; /* of the current site configuration */
 	uint64_t invalid_logged[INVALID_LOGGED_MAX]; /* digests of entries */
