The router looks periodically only at targets where something is due

Up to fifty times a second a host walked through all targets to renew their limits, to free those that are gone and to report those that answered. Most targets of a large fleet have no limit, and a small host of it sends a few requests a second to 10,000 of them.

A target is noted when it answers, has a limit, announces that it leaves, is admitted to here or is no longer listed; the walks go through the noted ones, and every report drops those at which nothing is due any more. The state of targets moves to a file of its own.

--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -147,10 +147,11 @@
 		h->crashes = d->crashes;
 		memset(&d->crashes, 0, sizeof(d->crashes));
 	}
-	for (s = d->targets; s != NULL; s = s->next) {
+	for (s = d->noted; s != NULL; s = s->next_noted) {
 		router_report_target(h, s->id, &s->dest, s->answers);
 		s->answers = 0;
 	}
+	targets_drop_notes(d, now);
 	msg_post(
 	    d->s->kernel, "control", MSG_ROUTER_REPORT, h, router_report_free);
 }
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -65,6 +65,8 @@
 	int answers;	  /* since the last report */
 	int users;	  /* pending requests last sent to it */
 	int replaced;	  /* another target answers at its address */
+	int is_noted;	  /* something may be due at it, see target_note() */
+	struct target_state *next_noted;
 	uint64_t digest;
 	int ended; /* its end was reported; cleared by an answer */
 };
@@ -180,6 +182,7 @@
 	apr_pool_t *pool;
 	apr_hash_t *by_id;
 	struct target_state *targets;
+	struct target_state *noted;
 	struct shared *site;
 	struct shared *owners;
 	struct shared *quarantine;
@@ -313,12 +316,16 @@
 void attempt_drop(struct direct *, struct pending *);
 void attempts_reap(struct direct *, usec now);
 
-/* direct_pick.c */
+/* direct_targets.c */
 void targets_update(struct direct *, const struct fleet *, usec now);
 void targets_sweep(struct direct *);
 void targets_update_limits(struct direct *, usec now);
+void target_note(struct direct *, struct target_state *);
+void targets_drop_notes(struct direct *, usec now);
 usec target_grace(const struct direct *, const char *service, usec bound);
 struct target_state *target_state_find(struct direct *, const char *id);
+
+/* direct_pick.c */
 struct service_state *service_state_get(struct direct *, const char *name);
 struct rule_stats *rule_stats_get(struct direct *, const struct rule *);
 struct target_state *pick_target(
--- a/gspard/direct_admit.c
+++ b/gspard/direct_admit.c
@@ -73,6 +73,7 @@
 	if (n < 0)
 		return (-1);
 	s->admitted = 1;
+	target_note(d, s);
 	a->targets[n].open = s->listed && !s->dest.leaving;
 	return (n);
 }
@@ -220,7 +221,7 @@
 		if (d->svcs[i].admission != NULL)
 			admission_sweep(d->svcs[i].admission);
 	}
-	for (s = d->targets; s != NULL; s = s->next) {
+	for (s = d->noted; s != NULL; s = s->next_noted) {
 		if (s->mine || s->admitted)
 			update_target(d, s, now);
 	}
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -85,6 +85,7 @@
 
 	flow_attempt_ended(d, p, &ans, now);
 	a->target->answers += e <= DEST_NOT_OWNER;
+	target_note(d, a->target);
 	if (e != DEST_ANSWERED)
 		return;
 	hist_add(H_TARGET, now - a->sent);
@@ -239,6 +240,7 @@
 	if (limit == was)
 		return;
 	s->dest.limit = limit;
+	target_note(d, s);
 	d->next_limits = now;
 	if (limit >= 0)
 		log_line(LOG_NOTICE, "router",
@@ -260,6 +262,7 @@
 	    !dest_announce_leave(
 		&s->dest, now + target_grace(d, s->service, bound)))
 		return;
+	target_note(d, s);
 	log_line(LOG_NOTICE, "router",
 	    "Target %s has announced in an answer that it is leaving.", s->id);
 }
--- a/gspard/direct_pool.c
+++ b/gspard/direct_pool.c
@@ -278,9 +278,12 @@
 		add_to_pool(d, s);
 	for (i = 0; i < d->npools; i++)
 		choose_hosts(d, &d->pools[i]);
-	for (s = d->targets; s != NULL; s = s->next)
+	for (s = d->targets; s != NULL; s = s->next) {
 		s->mine = s->pool >= 0 && is_member(d, &d->pools[s->pool]) &&
 		    pool_host_of_target(d, s, INT64_MAX) == d->self;
+		if (s->mine)
+			target_note(d, s);
+	}
 	d->next_admission_update = now;
 }
 
--- /dev/null
+++ b/gspard/direct_targets.c
@@ -0,0 +1,241 @@
+/* The state of targets at the router: what is listed of them, and at which of
+ * them something is due. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "direct.h"
+#include "incarnation.h"
+
+/* Interval at which limits of targets are updated. */
+#define LIMITS_INTERVAL MS(20)
+/* Number of hosts assumed to share a rate limit until their number is known. */
+#define RATE_HOSTS_ASSUMED 512
+
+/* Returns a target's state by id, or NULL. */
+struct target_state *
+target_state_find(struct direct *d, const char *id)
+{
+	return (apr_hash_get(d->by_id, id, APR_HASH_KEY_STRING));
+}
+
+/* Returns a service of the current configuration by name, or NULL. */
+static const struct site_service *
+service_of(const struct direct *d, const char *name)
+{
+	const struct site *site = d->site == NULL ? NULL : d->site->p;
+	int n = site == NULL ? -1 : site_service(site, name);
+
+	return (n < 0 ? NULL : &site->services[n]);
+}
+
+/*
+ * Returns for how long a target that must get no new requests after `bound`
+ * still gets some: not at all, or for half of that time if it owns keys, which
+ * are moved first.
+ */
+usec
+target_grace(const struct direct *d, const char *service, usec bound)
+{
+	const struct site_service *v = service_of(d, service);
+
+	return (v != NULL && v->keyed ? bound / 2 : 0);
+}
+
+/* Returns when a target stops getting requests because its data centre is
+ * evacuated. */
+static usec
+closed_from(
+    const struct direct *d, const struct fleet *f, const struct fleet_target *t)
+{
+	usec bound = MS(kernel_conf(d->s->kernel)->bounds.evacuate_ms);
+
+	return (evacuations_closed_from(
+	    &f->evacuations, t->dc, target_grace(d, t->service, bound)));
+}
+
+/* Sets the time until which a target is cold, and its rate limit until then. */
+static void
+set_cold(struct dest *d, const struct site_service *v, const struct fleet *f,
+    const struct fleet_target *t)
+{
+	usec evacuation_cold_until = evacuations_cold_until(
+	    &f->evacuations, t->dc, v == NULL ? 0 : v->cold_start);
+
+	d->cold_until = t->cold_until > evacuation_cold_until
+	    ? t->cold_until
+	    : evacuation_cold_until;
+	d->cold_rate = v == NULL ? 0 : v->cold_rate;
+}
+
+/* Returns this host's turns at targets whose limit is shared by all hosts. */
+static struct rate_turns
+own_turns(const struct direct *d, usec now)
+{
+	struct rate_turns t = {d->conf.hosts, d->rank, now - clock_wall()};
+	const char *host = kernel_conf(d->s->kernel)->host;
+
+	if (d->hosts_known)
+		return (t);
+	/* Too small a share only delays requests; too large a one exceeds the
+	 * limits. */
+	t.hosts = RATE_HOSTS_ASSUMED;
+	t.rank = (int)(XXH3_64bits(host, strlen(host)) % RATE_HOSTS_ASSUMED);
+	return (t);
+}
+
+/* True if something may be due at a target without a request to it. */
+static int
+needs_note(const struct target_state *s, usec now)
+{
+	return (!s->listed || s->mine || s->admitted || s->answers > 0 ||
+	    (s->dest.leaving_from != 0 && !s->dest.leaving) ||
+	    s->dest.rate.limit >= 0 || dest_limit(&s->dest, now) >= 0);
+}
+
+/*
+ * Adds a target to those that are looked at periodically: to report it, apply
+ * its limit, admit to it or free it.  Most targets of a large fleet have
+ * nothing of this, and looking at each would take most of a small host's time.
+ */
+void
+target_note(struct direct *d, struct target_state *s)
+{
+	if (s->is_noted)
+		return;
+	s->is_noted = 1;
+	s->next_noted = d->noted;
+	d->noted = s;
+}
+
+/* Drops the targets at which nothing is due any more. */
+void
+targets_drop_notes(struct direct *d, usec now)
+{
+	struct target_state **at = &d->noted, *s;
+
+	while ((s = *at) != NULL) {
+		if (needs_note(s, now)) {
+			at = &s->next_noted;
+			continue;
+		}
+		*at = s->next_noted;
+		s->is_noted = 0;
+	}
+}
+
+/* Updates the limits of all targets that have one. */
+void
+targets_update_limits(struct direct *d, usec now)
+{
+	struct rate_turns t = own_turns(d, now);
+	struct target_state *p;
+
+	d->next_limits = now + LIMITS_INTERVAL;
+	for (p = d->noted; p != NULL; p = p->next_noted)
+		dest_apply_limit(&p->dest, &t, now);
+}
+
+/* Adds or updates a target from its entry. */
+static void
+update_entry(struct direct *d, const struct fleet *f,
+    const struct fleet_target *t, usec now)
+{
+	const struct conf *conf = kernel_conf(d->s->kernel);
+	struct target_state *p = target_state_find(d, t->id);
+
+	if (p == NULL) {
+		p = calloc(1, sizeof(*p));
+		if (p == NULL)
+			return;
+		name_copy(p->id, sizeof(p->id), t->id);
+		p->digest = incarnation_digest(p->id);
+		dest_init(&p->dest, t->slots);
+		p->next = d->targets;
+		d->targets = p;
+		apr_hash_set(d->by_id, p->id, APR_HASH_KEY_STRING, p);
+	}
+	name_copy(p->addr, sizeof(p->addr), t->addr);
+	name_copy(p->service, sizeof(p->service), t->service);
+	name_copy(p->dc, sizeof(p->dc), t->dc);
+	p->dest.slots = t->slots;
+	p->dest.same_dc = strcmp(t->dc, conf->dc) == 0;
+	set_cold(&p->dest, service_of(d, t->service), f, t);
+	p->dest.closed_from = closed_from(d, f, t);
+	if (t->gone && !p->dest.leaving)
+		crash_add_end(d, p);
+	if (t->leaving && !t->gone)
+		dest_announce_leave(&p->dest,
+		    now +
+			target_grace(d, t->service, MS(conf->bounds.leave_ms)));
+	p->dest.leaving = t->leaving && !t->leave_unwritten;
+	p->listed = 1;
+	if (needs_note(p, now))
+		target_note(d, p);
+}
+
+/* Updates all targets from a new list; those not on it are leaving. */
+void
+targets_update(struct direct *d, const struct fleet *f, usec now)
+{
+	struct target_state *p;
+	int i;
+
+	for (p = d->targets; p != NULL; p = p->next)
+		p->listed = 0;
+	for (i = 0; i < f->ntargets; i++)
+		update_entry(d, f, &f->targets[i], now);
+	for (p = d->targets; p != NULL; p = p->next) {
+		if (p->listed)
+			continue;
+		p->dest.leaving = 1;
+		target_note(d, p);
+	}
+	d->have_fleet = 1;
+	d->pools_changed = 1;
+	targets_update_limits(d, now);
+}
+
+/* True if a target is not listed and no request refers to it. */
+static int
+is_unused(const struct target_state *s)
+{
+	return (!s->listed && s->users == 0 && s->queue.waiting == 0);
+}
+
+/* Frees the unused targets. */
+static void
+free_unused(struct direct *d)
+{
+	struct target_state **at = &d->targets, *p;
+
+	while ((p = *at) != NULL) {
+		if (!is_unused(p)) {
+			at = &p->next;
+			continue;
+		}
+		*at = p->next;
+		apr_hash_set(d->by_id, p->id, APR_HASH_KEY_STRING, NULL);
+		free(p);
+	}
+}
+
+/* Frees targets that are not listed and that no request refers to. */
+void
+targets_sweep(struct direct *d)
+{
+	struct target_state **at = &d->noted, *s;
+	int unused = 0;
+
+	while ((s = *at) != NULL) {
+		if (!is_unused(s)) {
+			at = &s->next_noted;
+			continue;
+		}
+		*at = s->next_noted;
+		unused = 1;
+	}
+	if (unused)
+		free_unused(d);
+}
