Names of services and data centres are held once for all targets

Each list of targets, the membership and the router's state wrote both out for each target, 64 bytes each: a fleet of 10,000 targets has a handful of such names, and a host three lists or more.

An entry of a list takes 176 bytes instead of 288. Units intern, reach, keys, membership, direct_targets, platform and fuzz passed.

--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -16,8 +16,8 @@
 struct fleet_target {
 	char id[NAME_MAX_GS]; /* of the incarnation, see incarnation.h */
 	char addr[FLEET_ADDR];
-	char service[NAME_MAX_GS];
-	char dc[NAME_MAX_GS];
+	const char *service; /* of intern() */
+	const char *dc;	     /* of intern() */
 	int slots;
 	int leaving;	     /* announced by the target, or its entry is gone */
 	int leave_unwritten; /* its entry does not say yet that it leaves */
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -52,8 +52,8 @@
 	struct target_state *next;
 	char id[NAME_MAX_GS];
 	char addr[FLEET_ADDR];
-	char service[NAME_MAX_GS];
-	char dc[NAME_MAX_GS];
+	const char *service; /* of intern() */
+	const char *dc;
 	struct dest dest;
 	struct wait_queue queue;
 	usec keep_alive;  /* it keeps idle connections so long; 0 if unknown */
--- a/gspard/direct_targets.c
+++ b/gspard/direct_targets.c
@@ -157,8 +157,8 @@
 		apr_hash_set(d->by_id, p->id, APR_HASH_KEY_STRING, p);
 	}
 	name_copy(p->addr, sizeof(p->addr), t->addr);
-	name_copy(p->service, sizeof(p->service), t->service);
-	name_copy(p->dc, sizeof(p->dc), t->dc);
+	p->service = t->service;
+	p->dc = t->dc;
 	p->dest.slots = t->slots;
 	p->dest.same_dc = strcmp(t->dc, conf->dc) == 0;
 	set_cold(&p->dest, service_of(d, t->service), f, t);
--- a/gspard/sitectl_fleet.c
+++ b/gspard/sitectl_fleet.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "intern.h"
 #include "sitectl.h"
 
 /*
@@ -316,11 +317,14 @@
 	f->targets = calloc(n + 1, sizeof(*f->targets));
 	for (i = 0; f->targets != NULL && i < n; i++) {
 		t = list[i];
-		to = &f->targets[f->ntargets++];
+		to = &f->targets[f->ntargets];
 		name_copy(to->id, sizeof(to->id), t->id);
 		name_copy(to->addr, sizeof(to->addr), t->addr);
-		name_copy(to->service, sizeof(to->service), t->service);
-		name_copy(to->dc, sizeof(to->dc), t->dc);
+		to->service = intern(t->service);
+		to->dc = intern(t->dc);
+		if (to->service == NULL || to->dc == NULL)
+			continue;
+		f->ntargets++;
 		to->slots = (int)t->slots;
 		to->leaving = t->leaving;
 		to->gone = t->gone;
--- a/regress/unit/t_direct_targets.c
+++ b/regress/unit/t_direct_targets.c
@@ -61,8 +61,8 @@
 		t = &f.targets[f.ntargets++];
 		snprintf(t->id, sizeof(t->id), "i-%08x", (unsigned)i);
 		snprintf(t->addr, sizeof(t->addr), "10.0.0.1:%d", i);
-		name_copy(t->service, sizeof(t->service), "s");
-		name_copy(t->dc, sizeof(t->dc), "north");
+		t->service = "s";
+		t->dc = "north";
 		t->slots = 4;
 	}
 	targets_update(d, &f, MS(1000));
--- a/regress/unit/t_keys.c
+++ b/regress/unit/t_keys.c
@@ -438,11 +438,11 @@
 			continue;
 		name_copy(t[f.ntargets].id, NAME_MAX_GS, fakes[i].id);
 		name_copy(t[f.ntargets].addr, FLEET_ADDR, fakes[i].addr);
-		name_copy(t[f.ntargets].service, NAME_MAX_GS, "s");
+		t[f.ntargets].service = "s";
 		t[f.ntargets].slots = 2;
 		t[f.ntargets].leaving = fakes[i].leaving;
 		t[f.ntargets].cold_until = cold_until[i % 2];
-		snprintf(t[f.ntargets].dc, NAME_MAX_GS, "dc%d", i % 2);
+		t[f.ntargets].dc = i % 2 == 0 ? "dc0" : "dc1";
 		f.ntargets++;
 	}
 	keys_set_fleet(k, &f, now);
--- a/regress/unit/t_membership.c
+++ b/regress/unit/t_membership.c
@@ -16,7 +16,7 @@
 
 	memset(&t, 0, sizeof(t));
 	name_copy(t.id, sizeof(t.id), id);
-	name_copy(t.service, sizeof(t.service), "s");
+	t.service = t.dc = "s";
 	membership_entry_put(&k, &t, now);
 }
 
--- a/regress/unit/t_membership_size.c
+++ b/regress/unit/t_membership_size.c
@@ -21,7 +21,7 @@
 	memset(&k, 0, sizeof(k));
 	memset(&t, 0, sizeof(t));
 	k.heartbeat = MS(900);
-	name_copy(t.service, sizeof(t.service), "s");
+	t.service = t.dc = "s";
 	from = clock_mono();
 	for (pass = 2; pass > 0; pass--) {
 		membership_list_begin(&k);
--- a/regress/unit/t_reach.c
+++ b/regress/unit/t_reach.c
@@ -357,7 +357,7 @@
 
 	memset(list, 0, sizeof(list));
 	for (i = 0; i < 30; i++)
-		name_copy(list[i].dc, NAME_MAX_GS, i < 28 ? "north" : "south");
+		list[i].dc = i < 28 ? "north" : "south";
 	for (seed = 0; seed < 60; seed++) {
 		n = reach_choose_targets(&f, seed, chosen, REACH_TARGETS_MAX);
 		CU_ASSERT_EQUAL(n, REACH_TARGETS_MAX);
