Hosts of a large fleet report less often

Each host reported five times a second whatever their number, and the controller handles every report: 4,925 a second of 985 hosts, beside a heartbeat to each every 0.3 s.

The controller gets 1,500 reports a second at most: up to 300 hosts report as before, 985 every 0.66 s, 2,000 every 1.3 s. Crashes are reported as soon as before. What the controller concludes from a report that has not come, or that names what was replaced, follows from the same interval: who may be cut off, when something is sent again, who can be a standby (decide/hearing). With fixed times it would have sent all owners again to all hosts after each change.

Unit hearing: 3 to 2,000 hosts.

--- a/decide/copies.c
+++ b/decide/copies.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "copies.h"
+#include "hearing.h"
 
 /* A list of at most this size is sent by the controller itself, at once. */
 #define SMALL_LIST 65536
@@ -10,11 +11,6 @@
 #define LINK_SHARE_OWN 0.25
 /* Assumed link of a host that does not know its own, in Mbit/s. */
 #define LINK_DEFAULT 100.0
-/* A host that is sent a copy reports that it has it within this time, and the
- * time that the copy takes. */
-#define REPORT_DELAY MS(600)
-/* A host that was not heard from for this long is not asked for a copy. */
-#define SILENT_AFTER MS(1500)
 
 /* Returns how long a copy takes on a link. */
 usec
@@ -27,12 +23,13 @@
 
 /* True if a host can send a copy now. */
 static int
-can_send(const struct copies *c, const struct host_entry *h,
-    const struct host_entry *to, usec now)
+can_send(const struct copies *c, const struct hosts *t,
+    const struct host_entry *h, const struct host_entry *to, usec now)
 {
 	return (h != to && h->fleet_reported == c->digest &&
 	    now >= h->copies_until && !h->stopping &&
-	    now - h->last_heard < SILENT_AFTER && strcmp(h->dc, to->dc) == 0);
+	    now - h->last_heard < report_silence(t->n) &&
+	    strcmp(h->dc, to->dc) == 0);
 }
 
 /* Returns the host with the fastest link of those in the same data centre that
@@ -47,7 +44,7 @@
 	for (i = 0; i < t->n; i++) {
 		h = &t->list[i];
 		if ((best == NULL || h->link_mbps > best->link_mbps) &&
-		    can_send(c, h, to, now))
+		    can_send(c, t, h, to, now))
 			best = h;
 	}
 	return (best);
@@ -66,7 +63,7 @@
 	usec took = copy_time(c->bytes, to->link_mbps);
 
 	if (to->fleet_sent_at != 0 &&
-	    now - to->fleet_sent_at < REPORT_DELAY + 2 * took)
+	    now - to->fleet_sent_at < report_retry_delay(t->n) + 2 * took)
 		return (COPY_NONE);
 	*from = c->bytes <= SMALL_LIST ? NULL : best_source(c, t, to, now);
 	if (*from != NULL) {
--- a/decide/hosts.c
+++ b/decide/hosts.c
@@ -3,14 +3,12 @@
 
 #include <xxhash.h>
 
+#include "hearing.h"
 #include "hosts.h"
 
 #define INITIAL_CAPACITY 16
-/* A report may name a list that was replaced this long before: hosts report
- * every few hundred milliseconds, those of large fleets less often. */
-#define REPORT_LAG MS(3000)
-/* A host that lacks a list which was sent is sent all of it after this time. */
-#define RETRY_DELAY MS(600)
+/* Interval at which changes of the list are sent. */
+#define LIST_INTERVAL MS(300)
 
 /* Returns the host with a name, or NULL.  Valid until a host is added or
  * removed. */
@@ -217,8 +215,8 @@
 in_step(const struct hosts *t, const struct host_entry *h, usec now)
 {
 	return (h->list_reported == t->digest ||
-	    superseded_within(
-		&t->superseded, h->list_reported, REPORT_LAG, now));
+	    superseded_within(&t->superseded, h->list_reported,
+		report_lag(t->n) + LIST_INTERVAL, now));
 }
 
 /*
@@ -230,8 +228,8 @@
 hosts_list_update(
     const struct hosts *t, const struct host_entry *h, uint64_t base, usec now)
 {
-	int may_arrive =
-	    in_step(t, h, now) || now - h->list_sent_at < RETRY_DELAY;
+	int may_arrive = in_step(t, h, now) ||
+	    now - h->list_sent_at < report_retry_delay(t->n);
 
 	if (!h->has_reported || h->list_reported == t->digest ||
 	    (h->list_sent == t->digest && may_arrive))
--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -11,6 +11,7 @@
 
 #include "digest.h"
 #include "direct.h"
+#include "hearing.h"
 #include "hist.h"
 #include "sitectl.h"
 #include "target.h"
@@ -18,8 +19,6 @@
 /* Longest wait for events, with requests pending and without. */
 #define TICK_MS 20
 #define IDLE_MS 200
-/* Interval of reports to the control service. */
-#define REPORT_INTERVAL MS(200)
 /*
  * The host gives up and answers itself this long before the caller's deadline.
  */
@@ -122,6 +121,18 @@
 	flow_route(d, p, now);
 }
 
+/* True if a report is due.  Crashes are reported as often as in a small fleet:
+ * others may be prevented. */
+static int
+report_due(const struct direct *d, usec now)
+{
+	const struct crash_report *c = &d->crashes;
+	int urgent = c->nbroken > 0 || c->nended > 0 || c->nanswered > 0;
+	int hosts = urgent || !d->hosts_known ? 0 : d->conf.hosts;
+
+	return (now - d->last_report >= report_interval(hosts));
+}
+
 /* Reports requested keys, crashes and the state of targets to the control
  * service. */
 static void
@@ -131,7 +142,7 @@
 	struct target_state *s;
 	int i;
 
-	d->next_report = now + REPORT_INTERVAL;
+	d->last_report = now;
 	h = router_report_new(d->nsvcs);
 	if (h == NULL)
 		return;
@@ -267,7 +278,7 @@
 		admit_tick(d, now);
 		flow_pump(d, now);
 		targets_sweep(d);
-		if (now >= d->next_report) {
+		if (report_due(d, now)) {
 			retry_budgets_update(d, now);
 			report(d, now);
 		}
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -215,7 +215,7 @@
 	int rank;	 /* of this host among all hosts, from 0 */
 	struct host_count host_count;
 	int ready;
-	usec next_report;
+	usec last_report;
 	usec next_retry_use;
 	usec next_limits;
 	/* Admission to targets; see direct_pool.c. */
--- a/gspard/sitectl.c
+++ b/gspard/sitectl.c
@@ -21,8 +21,6 @@
  * A host that has not heard from a controller for this long looks for another.
  */
 #define NO_CONTROLLER_AFTER MS(900)
-/* A host that has not been heard from for this long is sent nothing more. */
-#define HOST_DOWN_AFTER MS(3000)
 /*
  * Hosts that have not been heard from for this long are removed from the list.
  */
@@ -126,10 +124,10 @@
  * not learn of it, so hosts are assumed to be up at first.
  */
 int
-sitectl_host_up(const struct host_entry *h, usec now)
+sitectl_host_up(const struct sitectl *k, const struct host_entry *h, usec now)
 {
-	return (
-	    now - h->last_heard < HOST_DOWN_AFTER || now < h->assumed_up_until);
+	return (now - h->last_heard < report_lost_after(k->hosts.n) ||
+	    now < h->assumed_up_until);
 }
 
 /* Removes hosts neither heard from nor listed for HOST_FORGET_AFTER. */
@@ -162,7 +160,7 @@
 			keys_begin(k->keys[i], r->term, now);
 		for (i = 0; i < k->hosts.n; i++)
 			k->hosts.list[i].assumed_up_until =
-			    now + HOST_DOWN_AFTER;
+			    now + report_lost_after(k->hosts.n);
 		site_control_began(k);
 		hosts_list_begin(&k->hosts);
 	} else if (!holds && k->acting) {
--- a/gspard/sitectl.h
+++ b/gspard/sitectl.h
@@ -11,6 +11,7 @@
 #include "copies.h"
 #include "dest.h"
 #include "gspard.h"
+#include "hearing.h"
 #include "heat.h"
 #include "hosts.h"
 #include "join.h"
@@ -27,11 +28,6 @@
 #define SITECTL_SERVICES_MAX 16
 #define SITECTL_PROMISES_MAX 64
 #define SITECTL_REFUSED_MAX 32
-/*
- * If a host's reports show that it lacks an update that was sent, the update is
- * sent again after this time.
- */
-#define PUSH_RETRY_DELAY MS(600)
 /*
  * State of a range on the wire: 0 is served, RANGE_MOVING is moving, and
  * RANGE_MOVING_UNTIL + n is moving and served again in n ms.
@@ -171,7 +167,8 @@
 const char *sitectl_self(const struct sitectl *);
 const struct site *sitectl_site(const struct sitectl *);
 const struct fleet *sitectl_fleet(const struct sitectl *);
-int sitectl_host_up(const struct host_entry *, usec now);
+int sitectl_host_up(
+    const struct sitectl *, const struct host_entry *, usec now);
 void sitectl_host_seen(struct sitectl *, const struct member *, const char *dc,
     const char *tunnel, int stopping, usec now);
 void sitectl_publish_peers(struct sitectl *);
--- a/gspard/sitectl_broadcast.c
+++ b/gspard/sitectl_broadcast.c
@@ -159,11 +159,12 @@
 
 /* True if a snapshot is to be sent to a host now. */
 static int
-needs_owners(const struct host_entry *h, uint64_t number, usec now)
+needs_owners(const struct sitectl *k, const struct host_entry *h,
+    uint64_t number, usec now)
 {
-	return (sitectl_host_up(h, now) && h->owners_reported != number &&
+	return (sitectl_host_up(k, h, now) && h->owners_reported != number &&
 	    (h->owners_sent != number ||
-		now - h->owners_sent_at >= PUSH_RETRY_DELAY));
+		now - h->owners_sent_at >= report_retry_delay(k->hosts.n)));
 }
 
 /*
@@ -202,7 +203,7 @@
 	f.owners = &w;
 	for (i = 0; i < k->hosts.n && !bad && names != NULL; i++) {
 		h = &k->hosts.list[i];
-		if (!needs_owners(h, o->number, now) ||
+		if (!needs_owners(k, h, o->number, now) ||
 		    has_base(h, base) != (since != 0))
 			continue;
 		h->owners_sent = o->number;
@@ -320,7 +321,7 @@
 	f.owners = &w;
 	for (i = 0; i < k->hosts.n; i++) {
 		h = &k->hosts.list[i];
-		if (!sitectl_host_up(h, now) ||
+		if (!sitectl_host_up(k, h, now) ||
 		    strcmp(h->process.host, conf->host) == 0)
 			continue;
 		host_list_fill(k, list, h, &w, now);
@@ -346,7 +347,7 @@
 	int i, behind = number != k->number;
 
 	for (i = 0; i < k->hosts.n && !behind; i++)
-		behind = needs_owners(&k->hosts.list[i], number, now);
+		behind = needs_owners(k, &k->hosts.list[i], number, now);
 	if (behind && knows_owners(k) && (o = collect_owners(k)) != NULL) {
 		send_changes(k, o, now);
 		owners_publish(k, o);
--- a/gspard/sitectl_config.c
+++ b/gspard/sitectl_config.c
@@ -93,7 +93,7 @@
 
 	for (i = 0; i < k->hosts.n; i++) {
 		h = &k->hosts.list[i];
-		if (!sitectl_host_up(h, now) || h->site_version >= version ||
+		if (!sitectl_host_up(k, h, now) || h->site_version >= version ||
 		    strcmp(h->process.host, sitectl_self(k)) == 0)
 			continue;
 		if (diff->fits && has_base(h, diff->site))
--- a/gspard/sitectl_fleet.c
+++ b/gspard/sitectl_fleet.c
@@ -5,11 +5,6 @@
 #include "intern.h"
 #include "sitectl.h"
 
-/*
- * A change reaches hosts in a frame, and hosts report their digest every 200
- * ms, so reports may name the previous list for this long.
- */
-#define REPORT_LAG_MAX MS(400)
 /*
  * A host whose targets differ from its controller's for this long has missed an
  * update.  It lists them from the store, at most once per interval.
@@ -155,7 +150,7 @@
 	if (host != NULL)
 		send_frame(k->s->kernel, host, 0, &f);
 	for (i = 0; i < k->hosts.n && host == NULL; i++) {
-		if (sitectl_host_up(&k->hosts.list[i], now) &&
+		if (sitectl_host_up(k, &k->hosts.list[i], now) &&
 		    strcmp(k->hosts.list[i].process.host, self) != 0)
 			send_frame(
 			    k->s->kernel, k->hosts.list[i].process.host, 0, &f);
@@ -268,8 +263,8 @@
 	struct host_entry *from;
 
 	if (f == NULL || h->fleet_reported == f->digest ||
-	    superseded_within(
-		&k->fleet_superseded, h->fleet_reported, REPORT_LAG_MAX, now) ||
+	    superseded_within(&k->fleet_superseded, h->fleet_reported,
+		report_lag(k->hosts.n), now) ||
 	    !k->fresh || term_renewal_late(&k->term, now))
 		return;
 	renew_copies(k, f, now);
--- a/gspard/sitectl_quarantine.c
+++ b/gspard/sitectl_quarantine.c
@@ -77,7 +77,7 @@
 	for (i = 0; i < k->hosts.n; i++) {
 		h = &k->hosts.list[i];
 		if (host != NULL ? strcmp(h->process.host, host) != 0
-				 : !sitectl_host_up(h, now))
+				 : !sitectl_host_up(k, h, now))
 			continue;
 		h->quarantine_sent_at = now;
 		if (strcmp(h->process.host, sitectl_self(k)) != 0)
@@ -320,7 +320,7 @@
 		quarantine_add_end(&k->quarantine, msg->ended[i], now);
 	if (k->acting &&
 	    msg->quarantine != quarantine_checksum(&k->quarantined) &&
-	    now - h->quarantine_sent_at > PUSH_RETRY_DELAY)
+	    now - h->quarantine_sent_at > report_retry_delay(k->hosts.n))
 		send_list(k, h->process.host, now);
 }
 
--- a/gspard/sitectl_term.c
+++ b/gspard/sitectl_term.c
@@ -13,8 +13,9 @@
 #include "version.h"
 
 #define RECORD_PATH KIND_CONTROL "/main"
-/* A host that has not been heard from for this long cannot be a standby. */
-#define STANDBY_SILENCE_MAX MS(1200)
+/* A standby may be silent for this much longer than other hosts: changing the
+ * standbys is a write to the store. */
+#define STANDBY_SLACK MS(300)
 /*
  * Host lease for the term rules: a new controller waits it out after its
  * predecessor's control lease.  Here hosts hold no leases from the controller.
@@ -132,7 +133,8 @@
 static int
 can_be_standby(const struct sitectl *k, const struct host_entry *h, usec now)
 {
-	return (!h->stopping && now - h->last_heard < STANDBY_SILENCE_MAX &&
+	return (!h->stopping &&
+	    now - h->last_heard < report_silence(k->hosts.n) + STANDBY_SLACK &&
 	    strcmp(h->process.host, sitectl_self(k)) != 0);
 }
 
--- a/regress/unit/t_hearing.c
+++ b/regress/unit/t_hearing.c
@@ -46,8 +46,33 @@
 	CU_ASSERT(hears_most_hosts(heard, 1, NOW));
 }
 
+/* Guards against a controller whose work for reports grows with the fleet, and
+ * one that takes hosts for lost which report in time. */
+static void
+large_fleets(void)
+{
+	static const int sizes[] = {3, 20, 300, 985, 2000};
+	usec interval;
+	size_t i;
+
+	for (i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+		interval = report_interval(sizes[i]);
+		CU_ASSERT(sizes[i] * US_PER_SEC <= 1501 * interval);
+		CU_ASSERT(report_lag(sizes[i]) >= 2 * interval);
+		CU_ASSERT(report_retry_delay(sizes[i]) >= 3 * interval);
+		/* Three reports in a row may be lost. */
+		CU_ASSERT(report_silence(sizes[i]) > 4 * interval);
+		CU_ASSERT(
+		    report_lost_after(sizes[i]) > report_silence(sizes[i]));
+	}
+	/* Up to 300 hosts report five times a second. */
+	CU_ASSERT_EQUAL(report_interval(300), MS(200));
+	CU_ASSERT(report_interval(2000) < MS(1400));
+}
+
 static const struct unit_test tests[] = {
     {"most hosts not heard", most_not_heard},
     {"no partition", no_partition},
+    {"large fleets", large_fleets},
 };
 UNIT_MAIN("hearing", tests)
