Hosts follow the store from where the controller was

A host that hears no controller follows the store itself, and listed all targets first, whatever it knew: 50 calls for 10,000 of them, by each of 985 hosts, and a standby relays nothing before its list is read, which is later than the others begin with theirs. So did a new controller.

Heartbeats name the version of the store up to which the controller has followed it. A host that has the controller's targets and configuration keeps that, and goes on from there with one watch of each kind, of which the first does not wait. The version does not pass a removal that is still doubted, or a host might never learn of it. If the store has dropped that history, it lists as before. A counter tells pages of lists.

--- a/decide/membership.c
+++ b/decide/membership.c
@@ -353,6 +353,20 @@
 		rehash(k);
 }
 
+/* True if entries are missing and it is not known yet whether their targets are
+ * gone. */
+int
+membership_has_doubts(const struct membership *k)
+{
+	int i;
+
+	for (i = 0; i < k->n; i++) {
+		if (k->list[i].missing_since != 0)
+			return (1);
+	}
+	return (0);
+}
+
 /* Returns a digest of one target and its state; sums of these do not depend on
  * the order of targets. */
 static uint64_t
--- a/decide/membership.h
+++ b/decide/membership.h
@@ -53,6 +53,7 @@
 void membership_list_end(struct membership *, usec now);
 void membership_mass_removal(struct membership *, int removed, usec now);
 void membership_tick(struct membership *, usec now);
+int membership_has_doubts(const struct membership *);
 void membership_adopt(struct membership *, const struct fleet *, usec now);
 struct fleet *membership_snapshot(struct membership *);
 
--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -45,10 +45,12 @@
 	MSG_SITE_READ_FAILED, /* watch to control: reading it failed */
 	MSG_SITE_READ,	      /* watch to control: it has been read */
 	MSG_RELIST, /* control to watch: changes were missed, list again */
-	MSG_FOLLOW_STORE,      /* control to watch: follow the store ... */
+	MSG_FOLLOW_STORE,      /* control to watch: follow the store from a
+				  version on, or list all ... */
 	MSG_FOLLOW_CONTROLLER, /* ... or the controller's updates */
 	MSG_TARGETS_FRESH,     /* watch to control: store answers for targets */
 	MSG_TARGETS_STALE,  /* watch to control: it does not, or is not asked */
+	MSG_STORE_AS_OF,    /* watch to control: version followed up to */
 	MSG_FLEET_RECEIVED, /* control to watch: targets from the controller */
 	MSG_LEAVE_ANNOUNCED,  /* control to watch: a target is leaving */
 	MSG_REACH,	      /* reach to others: the way to the targets */
--- a/gspard/platform.c
+++ b/gspard/platform.c
@@ -158,6 +158,7 @@
 	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->headers);
 	str_free(&h.body);
 	count_add(st->op == STORE_PUT ? C_STORE_PUT : C_STORE_GET, 1);
+	count_add(C_STORE_LIST, st->op == STORE_LIST);
 	curl_multi_add_handle(p->multi, c->easy);
 }
 
--- a/gspard/sitectl.c
+++ b/gspard/sitectl.c
@@ -195,6 +195,7 @@
 static void
 set_following(struct sitectl *k, usec now)
 {
+	uint64_t *as_of = NULL;
 	int joining = k->fleet == NULL && join_waits(&k->join, now);
 	int follow = k->acting || relay_due(k, now) ||
 	    (now - k->follower_heard > NO_CONTROLLER_AFTER && !joining);
@@ -208,8 +209,13 @@
 		     "heartbeat %lld ms ago.",
 	    k->controller, (long long)((now - k->controller_heard) / 1000));
 	k->following = follow;
+	if (!follow && k->store_as_of != 0)
+		k->told_as_of = k->store_as_of;
+	if (follow && k->told_as_of != 0 &&
+	    (as_of = malloc(sizeof(*as_of))) != NULL)
+		*as_of = k->told_as_of;
 	msg_post(k->s->kernel, "watch",
-	    follow ? MSG_FOLLOW_STORE : MSG_FOLLOW_CONTROLLER, NULL, NULL);
+	    follow ? MSG_FOLLOW_STORE : MSG_FOLLOW_CONTROLLER, as_of, free);
 }
 
 /* Runs all periodic work. */
@@ -390,6 +396,9 @@
 	case MSG_TARGETS_STALE:
 		k->fresh = 0;
 		break;
+	case MSG_STORE_AS_OF:
+		k->store_as_of = *(const uint64_t *)m->data;
+		break;
 	case MSG_ROUTER_REPORT:
 		if (k->pending_report != NULL)
 			router_report_free(k->pending_report);
--- a/gspard/sitectl.h
+++ b/gspard/sitectl.h
@@ -109,6 +109,9 @@
 	struct join join;
 	int following;		/* the watch service follows the store */
 	int fresh;		/* the store answers this host for targets */
+	uint64_t store_as_of;	/* version up to which this host has followed it
+				   itself, or ... */
+	uint64_t told_as_of;	/* ... has what a controller had that did */
 	int controller_follows; /* the controller follows the store */
 	usec follower_heard;	/* last heartbeat or relay of a follower */
 	usec next_relay;
--- a/gspard/sitectl_broadcast.c
+++ b/gspard/sitectl_broadcast.c
@@ -315,8 +315,10 @@
 	 * had stopped changing, it was never sent while targets were replaced
 	 * one by one.
 	 */
-	if (w.follows)
+	if (w.follows) {
 		w.fleet = fleet->digest;
+		w.as_of = k->store_as_of;
+	}
 	f.body_case = GSPAR__FRAME__BODY_OWNERS;
 	f.owners = &w;
 	for (i = 0; i < k->hosts.n; i++) {
--- a/gspard/sitectl_receive.c
+++ b/gspard/sitectl_receive.c
@@ -92,6 +92,19 @@
 	return (o);
 }
 
+/* Takes the version of the store as of which the controller has what this host
+ * has too. */
+static void
+take_as_of(struct sitectl *k, const Gspar__Owners *msg)
+{
+	const struct fleet *fleet = sitectl_fleet(k);
+	const struct site *site = sitectl_site(k);
+
+	if (msg->follows && fleet != NULL && fleet->digest == msg->fleet &&
+	    site != NULL && site->version == msg->site)
+		k->told_as_of = msg->as_of;
+}
+
 /* Handles a heartbeat or owners from the controller. */
 void
 broadcast_receive(struct sitectl *k, const Gspar__Owners *msg, usec now)
@@ -135,6 +148,7 @@
 		k->controller_quarantine = msg->quarantine;
 		k->controller_follows = msg->follows;
 		join_heard(&k->join, msg->follows, now);
+		take_as_of(k, msg);
 		if (msg->follows)
 			k->follower_heard = now;
 		else if (k->follower_heard > now - FOLLOW_HEAD_START)
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -19,6 +19,9 @@
  * is renewed.  Only the controller, and hosts without one, follow the store. */
 #define WATCH_MS 1000
 #define WATCH_EVACUATIONS_MS 2000
+/* The first watch after the controller's updates shows what has changed since,
+ * and that the store answers. */
+#define PROMPT_MS 1
 /* Pause after a change, so that changes in quick succession are read with one
  * call, as the platform counts calls.  A target that leaves must get no more
  * requests after 2 s, which leaves time for this pause. */
@@ -247,6 +250,33 @@
 	    fresh ? MSG_TARGETS_FRESH : MSG_TARGETS_STALE, NULL, NULL);
 }
 
+/* Tells the control service up to which version this host has followed all
+ * kinds of objects, if that has changed. */
+static void
+post_as_of(struct service *s)
+{
+	struct watch *w = s->state;
+	uint64_t least = UINT64_MAX, *copy;
+	int i;
+
+	for (i = 0; i < FEEDS; i++) {
+		if (!is_followed(s, i))
+			continue;
+		if (w->feeds[i].listing || w->feeds[i].base == 0)
+			return;
+		if (w->feeds[i].base < least)
+			least = w->feeds[i].base;
+	}
+	/* A removal that is doubted is not in the list yet. */
+	if (!w->fresh || least == w->as_of ||
+	    membership_has_doubts(&w->membership) ||
+	    (copy = malloc(sizeof(*copy))) == NULL)
+		return;
+	*copy = least;
+	if (msg_post(s->kernel, "control", MSG_STORE_AS_OF, copy, free) == 0)
+		w->as_of = least;
+}
+
 /*
  * Handles the end of a watch, with changes or without, and schedules the next.
  */
@@ -327,6 +357,34 @@
 	}
 }
 
+/*
+ * Follows the store from a version on, up to which this host has what the
+ * controller had.  If that is not known, lists all: 50 calls for 10,000
+ * targets, by each host that loses its controller.
+ */
+static void
+follow_from(struct service *s, uint64_t as_of, usec now)
+{
+	struct watch *w = s->state;
+	struct feed *f;
+	int i;
+
+	for (i = 0; i < FEEDS; i++) {
+		f = &w->feeds[i];
+		if (!is_followed(s, i))
+			continue;
+		if (as_of == 0 || f->listing) {
+			feed_list(f, now);
+			continue;
+		}
+		f->base = as_of;
+		f->prompt = 1;
+		f->next = now;
+		f->pending = 0;
+		f->call_id++;
+	}
+}
+
 /* Returns the kind of object that a call was for. */
 static enum feed_kind
 feed_kind_of(const struct watch *w, const char *tag)
@@ -403,6 +461,7 @@
 	publish_fleet(s, now);
 	if (kind == FEED_TARGETS && !f->listing && !w->from_controller)
 		set_fresh(s, 1);
+	post_as_of(s);
 }
 
 /* Starts a feed's next call, a page of a list or a watch. */
@@ -427,6 +486,9 @@
 		st->wait_ms = f == &w->feeds[FEED_EVACUATIONS]
 		    ? WATCH_EVACUATIONS_MS
 		    : WATCH_MS;
+		if (f->prompt)
+			st->wait_ms = PROMPT_MS;
+		f->prompt = 0;
 	}
 	st->generation = ++f->call_id;
 	f->pending = 1;
@@ -507,7 +569,7 @@
 		break;
 	case MSG_FOLLOW_STORE:
 		w->from_controller = 0;
-		feed_list_all(s, now);
+		follow_from(s, m->data == NULL ? 0 : *(uint64_t *)m->data, now);
 		break;
 	case MSG_FOLLOW_CONTROLLER:
 		w->from_controller = 1;
--- a/gspard/watch.h
+++ b/gspard/watch.h
@@ -22,6 +22,7 @@
 			  ignored */
 	uint64_t base;	  /* revision after which the next watch starts */
 	uint64_t list_base;	 /* revision of the list's first page */
+	int prompt;		 /* the next watch does not wait for a change */
 	char after[NAME_MAX_GS]; /* last name of the page before, or "" */
 	usec next;		 /* earliest time of the next call */
 	usec backoff;		 /* retry delay; 0 while the store answers */
@@ -37,6 +38,7 @@
 	int fresh;	     /* the targets are as read from the store */
 	int from_controller; /* this host gets changes from the controller */
 	int received;	     /* a whole list of targets from another host */
+	uint64_t as_of;	     /* last told to the control service */
 	struct store_era era;
 	uint64_t version; /* of the current site configuration */
 	uint64_t invalid_logged[INVALID_LOGGED_MAX]; /* digests of entries */
--- a/lib/count.h
+++ b/lib/count.h
@@ -38,6 +38,7 @@
 	X(C_SITE_TOLD, "site_told", "Configurations told to other hosts")      \
 	X(C_SITE_TOLD_BYTES, "site_told_bytes", "Of them, in bytes")           \
 	X(C_STORE_GET, "store_gets", "Reads of the platform")                  \
+	X(C_STORE_LIST, "store_lists", "Of these, pages of lists")             \
 	X(C_STORE_PUT, "store_puts", "Writes of the platform")                 \
 	X(C_STORE_FAIL, "store_failures", "Platform calls that failed")        \
 	X(C_RING_FULL, "ring_full", "Messages that a full ring refused")       \
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -4760,7 +4760,7 @@
   (ProtobufCMessageInit) gspar__key_owners__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[22] =
+static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[23] =
 {
   {
     "term",
@@ -5026,8 +5026,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "as_of",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gspar__Owners, as_of),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__owners__field_indices_by_name[] = {
+  22,   /* field[22] = as_of */
   2,   /* field[2] = controller */
   9,   /* field[9] = fleet */
   10,   /* field[10] = follows */
@@ -5054,7 +5067,7 @@
 static const ProtobufCIntRange gspar__owners__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor gspar__owners__descriptor =
 {
@@ -5064,7 +5077,7 @@
   "Gspar__Owners",
   "gspar",
   sizeof(Gspar__Owners),
-  22,
+  23,
   gspar__owners__field_descriptors,
   gspar__owners__field_indices_by_name,
   1,  gspar__owners__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -742,10 +742,15 @@
   uint64_t hosts_since;
   size_t n_hosts_gone;
   char **hosts_gone;
+  /*
+   * Version of the store as of which the controller has its targets and
+   * its configuration; 0 if not known.
+   */
+  uint64_t as_of;
 };
 #define GSPAR__OWNERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__owners__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
