--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -304,5 +304,34 @@
 without most-hosts-count budget host_count.c \
     's/return (c->most.*/return (c->hosts);/'
 
+# Large fleets: what each host is sent, and who reads the store.
+without list-of-hosts-as-difference hosts hosts.c \
+    's/return (LIST_DIFFERENCE);/return (LIST_WHOLE);/'
+without lost-differences-are-made-up hosts hosts.c \
+    's/if (update == LIST_WHOLE || in_step(t, h, now))/if (1)/'
+without restarts-are-not-told hosts hosts.c \
+    's/^	return (changed);/	return (1);/'
+without new-controllers-wait-for-reports hosts hosts.c \
+    's/if (!h->has_reported || /if (/'
+without copies-stay-in-their-data-centre copies copies.c \
+    's/ \&\& strcmp(h->dc, to->dc) == 0);/);/'
+without copies-come-from-other-hosts copies copies.c \
+    's/\*from = c->bytes <= SMALL_LIST ? NULL : .*/*from = NULL;/'
+without copies-are-not-sent-twice copies copies.c \
+    's/report_retry_delay(t->n) + 2 \* took/0/'
+without hosts-wait-for-the-list join join.c \
+    's/wait = j->told ? WAIT_TOLD : WAIT_UNTOLD;/;/'
+without hosts-do-not-wait-for-ever join join.c 's/WAIT_TOLD MS(10000)/WAIT_TOLD MS(90000)/'
+without reports-are-limited hearing hearing.c \
+    's/return (shared > INTERVAL_MIN ? shared : INTERVAL_MIN);/return (INTERVAL_MIN);/'
+without owners-are-limited keys_size keys_plan.c \
+    's/return (t->owns > 0 || k->owners < KEYS_OWNERS_MAX);/return (1);/'
+without spare-targets-are-logged keys_size keys_plan.c \
+    's/^	log_spare(k, .*/	;/'
+without unused-targets-are-found-at-once keys_size keys.c \
+    's/^	k->unused_from = i;/	;/'
+without too-many-names-are-refused intern ../lib/intern.c \
+    's/if (n == INTERN_MAX || /if (/'
+
 echo "$found found, $missed not found"
 [ $missed -eq 0 ]
