Copies: a data centre is not searched again at each report

While a fleet starts each report of a host without the list of targets searched all hosts for one that can send it, some 0.1 ms each of 5,000 reports a second. Where there was none, the next search is 25 ms later.

--- a/decide/copies.c
+++ b/decide/copies.c
@@ -9,6 +9,9 @@
  * controller for heartbeats. */
 #define LINK_SHARE_HOST 0.5
 #define LINK_SHARE_OWN 0.25
+/* Interval between searches for a host that can send, in a data centre where
+ * there was none: each report of a host without the list begins one. */
+#define SEARCH_INTERVAL MS(25)
 /* Assumed link of a host that does not know its own, in Mbit/s. */
 #define LINK_DEFAULT 100.0
 
@@ -32,21 +35,48 @@
 	    strcmp(h->dc, to->dc) == 0);
 }
 
+/* True if no host of a data centre could send a copy a moment ago. */
+static int
+none_lately(const struct copies *c, const char *dc, usec now)
+{
+	int i;
+
+	for (i = 0; i < COPIES_DCS_MAX; i++) {
+		if (now < c->none[i].again && strcmp(c->none[i].dc, dc) == 0)
+			return (1);
+	}
+	return (0);
+}
+
+/* Remembers for a moment that no host of a data centre can send a copy. */
+static void
+note_none(struct copies *c, const char *dc, usec now)
+{
+	unsigned i = c->nnone++ % COPIES_DCS_MAX;
+
+	name_copy(c->none[i].dc, sizeof(c->none[i].dc), dc);
+	c->none[i].again = now + SEARCH_INTERVAL;
+}
+
 /* Returns the host with the fastest link of those in the same data centre that
  * can send a copy now; NULL if there is none. */
 static struct host_entry *
-best_source(const struct copies *c, const struct hosts *t,
+best_source(struct copies *c, const struct hosts *t,
     const struct host_entry *to, usec now)
 {
 	struct host_entry *h, *best = NULL;
 	int i;
 
+	if (none_lately(c, to->dc, now))
+		return (NULL);
 	for (i = 0; i < t->n; i++) {
 		h = &t->list[i];
 		if ((best == NULL || h->link_mbps > best->link_mbps) &&
 		    can_send(c, t, h, to, now))
 			best = h;
 	}
+	if (best == NULL)
+		note_none(c, to->dc, now);
 	return (best);
 }
 
--- a/decide/copies.h
+++ b/decide/copies.h
@@ -15,12 +15,21 @@
 	COPY_HOST  /* from another host */
 };
 
+/* Data centres in which a search for a host that can send is remembered. */
+#define COPIES_DCS_MAX 8
+
 /* The list, and when the controller's link is free for another copy. */
 struct copies {
 	uint64_t digest;
 	size_t bytes;
 	double link_mbps; /* of the controller; 0 if not known */
 	usec free_at;
+	/* Where no host could send a copy, and when to look again. */
+	struct {
+		char dc[NAME_MAX_GS];
+		usec again;
+	} none[COPIES_DCS_MAX];
+	unsigned nnone;
 };
 
 usec copy_time(size_t bytes, double link_mbps);
