Changes of owners are sent to a large fleet less often

After each answered grant and each step of a move the owners changed, and every 25 ms the difference went to all hosts: 40 frames a second and host while keys move, 39,400 a second for 985 hosts.

All hosts together get 10,000 such frames a second: 300 hosts a change every 30 ms, 985 every 98, 2,000 every 200. A frame then has several changes.

--- a/decide/pace.c
+++ b/decide/pace.c
@@ -19,6 +19,8 @@
  * is for callers.
  */
 #define REQUESTED_SHARE 0.25
+/* Frames with changes that are sent each second at most, to all hosts. */
+#define FRAMES_PER_SECOND 10000
 /* Assumed link speed if none is configured, in Mbit/s. */
 #define LINK_DEFAULT_MBPS 100.0
 
@@ -37,6 +39,14 @@
 	    (double)bytes * hosts <= link_bytes(link_mbps) * PUSH_TIME_MAX_S);
 }
 
+/* Returns the shortest interval between changes that are sent to all hosts: in
+ * large fleets one frame has several changes. */
+usec
+pace_broadcast(int hosts)
+{
+	return ((usec)hosts * US_PER_SEC / FRAMES_PER_SECOND);
+}
+
 /* True if a copy may be sent now. */
 int
 pace_ready(const struct pace *p, usec now)
--- a/decide/pace.h
+++ b/decide/pace.h
@@ -15,6 +15,7 @@
 
 int pace_fits(size_t bytes, int hosts, double link_mbps);
 int pace_ready(const struct pace *, usec now);
+usec pace_broadcast(int hosts);
 int pace_copies(size_t bytes, usec span, double link_mbps);
 void pace_sent(struct pace *, size_t bytes, double link_mbps, usec now);
 
--- a/gspard/sitectl.h
+++ b/gspard/sitectl.h
@@ -147,6 +147,7 @@
 	uint64_t number;
 	struct host_turn turn; /* as last published; 0 hosts if not yet */
 	usec next_heartbeat;
+	usec next_owners; /* when changes of owners may be sent again */
 
 	CURLM *multi;
 	struct order_call *calls;
--- a/gspard/sitectl_broadcast.c
+++ b/gspard/sitectl_broadcast.c
@@ -348,11 +348,13 @@
 	struct owners *o;
 	int i, behind = number != k->number;
 
-	for (i = 0; i < k->hosts.n && !behind; i++)
+	for (i = 0; i < k->hosts.n && !behind && now >= k->next_owners; i++)
 		behind = needs_owners(k, &k->hosts.list[i], number, now);
-	if (behind && knows_owners(k) && (o = collect_owners(k)) != NULL) {
+	if (behind && now >= k->next_owners && knows_owners(k) &&
+	    (o = collect_owners(k)) != NULL) {
 		send_changes(k, o, now);
 		owners_publish(k, o);
+		k->next_owners = now + pace_broadcast(k->hosts.n);
 	}
 	if (now < k->next_heartbeat)
 		return;
--- a/regress/unit/t_pace.c
+++ b/regress/unit/t_pace.c
@@ -39,8 +39,31 @@
 	CU_ASSERT(n >= 70 && n <= 84);
 }
 
+/* Guards against changes that reach a large fleet in more frames than its
+ * controller can send, or a small one late. */
+static void
+broadcasts(void)
+{
+	CU_ASSERT(pace_broadcast(12) < MS(2));
+	CU_ASSERT(pace_broadcast(300) <= MS(30));
+	CU_ASSERT(985 * US_PER_SEC <= 10001 * pace_broadcast(985));
+	CU_ASSERT(pace_broadcast(2000) <= MS(200));
+}
+
+/* Copies of a list to a fleet take a quarter of the link; one is always sent.
+ */
+static void
+copies_in_a_time(void)
+{
+	CU_ASSERT_EQUAL(pace_copies(80000, MS(300), 1000), 117);
+	CU_ASSERT_EQUAL(pace_copies(COPY, MS(300), 1), 1);
+	CU_ASSERT(pace_copies(0, MS(300), 1000) > 1000);
+}
+
 static const struct unit_test tests[] = {
     {"fits", fits},
     {"copies", copies},
+    {"broadcasts", broadcasts},
+    {"copies in a time", copies_in_a_time},
 };
 UNIT_MAIN("pace", tests)
