Differences of the list of hosts have a field of their own

A host of an earlier version would have taken a difference for the whole list, and forgotten the other hosts 30 s later, while a fleet is rolled to this version. It ignores a field that it does not know, and is sent whole lists.

--- a/gspard/sitectl_hosts.c
+++ b/gspard/sitectl_hosts.c
@@ -108,7 +108,7 @@
 	    : hosts_list_update(&k->hosts, h, l->base, now);
 
 	msg->hosts_digest = k->hosts.digest;
-	msg->n_hosts = msg->n_hosts_gone = 0;
+	msg->n_hosts = msg->n_hosts_changed = msg->n_hosts_gone = 0;
 	msg->hosts_since = 0;
 	if (update == LIST_NONE || (update == LIST_WHOLE && l->copies-- <= 0))
 		return;
@@ -119,8 +119,8 @@
 		return;
 	}
 	msg->hosts_since = l->base;
-	msg->hosts = l->changed;
-	msg->n_hosts = l->nchanged;
+	msg->hosts_changed = l->changed;
+	msg->n_hosts_changed = l->nchanged;
 	msg->hosts_gone = l->gone;
 	msg->n_hosts_gone = l->ngone;
 }
@@ -148,22 +148,38 @@
 		h->listed_at = at;
 }
 
-/* Applies the list, or a difference to it. */
+/* Takes hosts that the controller lists. */
 static void
-apply_list(struct sitectl *k, const Gspar__Owners *msg, usec now)
+add_listed(struct sitectl *k, Gspar__HostAddr *const *list, size_t n, usec now)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		host_list_receive_addr(k, list[i], now);
+		set_listed(k, list[i]->host, now);
+	}
+}
+
+/* Replaces the list. */
+static void
+replace_list(struct sitectl *k, const Gspar__Owners *msg, usec now)
+{
+	int i;
+
+	for (i = 0; i < k->hosts.n; i++)
+		k->hosts.list[i].listed_at = 0;
+	add_listed(k, msg->hosts, msg->n_hosts, now);
+}
+
+/* Applies a difference to the list. */
+static void
+apply_difference(struct sitectl *k, const Gspar__Owners *msg, usec now)
 {
 	size_t i;
-	int n;
 
-	for (n = 0; n < k->hosts.n && msg->hosts_since == 0; n++)
-		k->hosts.list[n].listed_at = 0;
 	for (i = 0; i < msg->n_hosts_gone; i++)
 		set_listed(k, msg->hosts_gone[i], 0);
-	for (i = 0; i < msg->n_hosts; i++) {
-		host_list_receive_addr(k, msg->hosts[i], now);
-		set_listed(k, msg->hosts[i]->host, now);
-	}
-	k->hosts_digest = hosts_digest_of(&k->hosts, 1);
+	add_listed(k, msg->hosts_changed, msg->n_hosts_changed, now);
 }
 
 /*
@@ -177,9 +193,11 @@
 {
 	int n;
 
-	if ((msg->n_hosts > 0 || msg->n_hosts_gone > 0) &&
-	    (msg->hosts_since == 0 || msg->hosts_since == k->hosts_digest))
-		apply_list(k, msg, now);
+	if (msg->n_hosts > 0)
+		replace_list(k, msg, now);
+	else if (msg->hosts_since != 0 && msg->hosts_since == k->hosts_digest)
+		apply_difference(k, msg, now);
+	k->hosts_digest = hosts_digest_of(&k->hosts, 1);
 	for (n = 0; n < k->hosts.n; n++) {
 		if (k->hosts.list[n].listed_at != 0)
 			k->hosts.list[n].listed_at = now;
--- a/proto/gspar.pb-c.c
+++ b/proto/gspar.pb-c.c
@@ -4760,7 +4760,7 @@
   (ProtobufCMessageInit) gspar__key_owners__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[23] =
+static const ProtobufCFieldDescriptor gspar__owners__field_descriptors[24] =
 {
   {
     "term",
@@ -5038,6 +5038,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hosts_changed",
+    24,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gspar__Owners, n_hosts_changed),
+    offsetof(Gspar__Owners, hosts_changed),
+    &gspar__host_addr__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gspar__owners__field_indices_by_name[] = {
   22,   /* field[22] = as_of */
@@ -5046,6 +5058,7 @@
   10,   /* field[10] = follows */
   12,   /* field[12] = host_count */
   6,   /* field[6] = hosts */
+  23,   /* field[23] = hosts_changed */
   19,   /* field[19] = hosts_digest */
   21,   /* field[21] = hosts_gone */
   20,   /* field[20] = hosts_since */
@@ -5067,7 +5080,7 @@
 static const ProtobufCIntRange gspar__owners__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor gspar__owners__descriptor =
 {
@@ -5077,7 +5090,7 @@
   "Gspar__Owners",
   "gspar",
   sizeof(Gspar__Owners),
-  23,
+  24,
   gspar__owners__field_descriptors,
   gspar__owners__field_indices_by_name,
   1,  gspar__owners__number_ranges,
--- a/proto/gspar.pb-c.h
+++ b/proto/gspar.pb-c.h
@@ -736,12 +736,13 @@
    */
   uint64_t hosts_digest;
   /*
-   * If not 0, hosts and hosts_gone are a difference to the list of this
-   * digest.
+   * If not 0, the next two are a difference to the list of this digest.
    */
   uint64_t hosts_since;
   size_t n_hosts_gone;
   char **hosts_gone;
+  size_t n_hosts_changed;
+  Gspar__HostAddr **hosts_changed;
   /*
    * Version of the store as of which the controller has its targets and
    * its configuration; 0 if not known.
@@ -750,7 +751,7 @@
 };
 #define GSPAR__OWNERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gspar__owners__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
