The version that a host goes on from in the store only rises

A host that followed the store only for a moment went back to where it had followed it before, and would have listed all once that history was gone.

--- a/gspard/sitectl.c
+++ b/gspard/sitectl.c
@@ -211,7 +211,7 @@
 		     "heartbeat %lld ms ago.",
 	    k->controller, (long long)((now - k->controller_heard) / 1000));
 	k->following = follow;
-	if (!follow && k->store_as_of != 0)
+	if (!follow && k->store_as_of > k->told_as_of)
 		k->told_as_of = k->store_as_of;
 	if (follow && k->told_as_of != 0 &&
 	    (as_of = malloc(sizeof(*as_of))) != NULL)
--- a/gspard/sitectl_receive.c
+++ b/gspard/sitectl_receive.c
@@ -101,7 +101,8 @@
 	const struct site *site = sitectl_site(k);
 
 	if (msg->follows && fleet != NULL && fleet->digest == msg->fleet &&
-	    site != NULL && site->version == msg->site)
+	    site != NULL && site->version == msg->site &&
+	    msg->as_of > k->told_as_of)
 		k->told_as_of = msg->as_of;
 }
 
