--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -13,17 +13,18 @@
  * the target. */
 #define FLEET_SLOTS_MAX 65536
 
+/* What is looked at for each target of a list comes first. */
 struct fleet_target {
-	char id[NAME_MAX_GS]; /* of the incarnation, see incarnation.h */
-	char addr[FLEET_ADDR];
-	char service[NAME_MAX_GS];
-	char dc[NAME_MAX_GS];
+	const char *service; /* of intern() */
+	const char *dc;	     /* of intern() */
 	int slots;
 	int leaving;	     /* announced by the target, or its entry is gone */
 	int leave_unwritten; /* its entry does not say yet that it leaves */
 	int gone;	     /* its entry is gone */
 	usec cold_until; /* 0 if warm; for membership_entry_put() the time left
 			  */
+	char id[NAME_MAX_GS]; /* of the incarnation, see incarnation.h */
+	char addr[FLEET_ADDR];
 };
 
 struct fleet {
--- a/decide/pace.c
+++ b/decide/pace.c
@@ -1,3 +1,6 @@
+#include <limits.h>
+#include <math.h>
+
 #include "pace.h"
 
 /*
@@ -16,6 +19,8 @@
  * is for callers.
  */
 #define REQUESTED_SHARE 0.25
+/* Frames with changes that are sent each second at most, to all hosts. */
+#define FRAMES_PER_SECOND 10000
 /* Assumed link speed if none is configured, in Mbit/s. */
 #define LINK_DEFAULT_MBPS 100.0
 
@@ -34,6 +39,14 @@
 	    (double)bytes * hosts <= link_bytes(link_mbps) * PUSH_TIME_MAX_S);
 }
 
+/* Returns the shortest interval between changes that are sent to all hosts: in
+ * large fleets one frame has several changes. */
+usec
+pace_broadcast(int hosts)
+{
+	return ((usec)hosts * US_PER_SEC / FRAMES_PER_SECOND);
+}
+
 /* True if a copy may be sent now. */
 int
 pace_ready(const struct pace *p, usec now)
@@ -49,3 +62,15 @@
 
 	p->free_at = now + (usec)(s * 1e6);
 }
+
+/* Returns how many copies of this many bytes may be sent in a time, to as many
+ * hosts; at least one. */
+int
+pace_copies(size_t bytes, usec span, double link_mbps)
+{
+	double s = (double)span / US_PER_SEC;
+	double n =
+	    link_bytes(link_mbps) * REQUESTED_SHARE * s / (double)(bytes + 1);
+
+	return (n < 1 ? 1 : (int)fmin(n, INT_MAX));
+}
--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -11,6 +11,7 @@
 
 #include "digest.h"
 #include "direct.h"
+#include "hearing.h"
 #include "hist.h"
 #include "sitectl.h"
 #include "target.h"
@@ -18,8 +19,6 @@
 /* Longest wait for events, with requests pending and without. */
 #define TICK_MS 20
 #define IDLE_MS 200
-/* Interval of reports to the control service. */
-#define REPORT_INTERVAL MS(200)
 /*
  * The host gives up and answers itself this long before the caller's deadline.
  */
@@ -31,7 +30,7 @@
  * for each transfer, more than half of all requests opened a new one. */
 #define CONN_CACHE_SIZE 400
 /* Number of hosts assumed until it is known, except for shares of rate limits
- * (RATE_HOSTS_ASSUMED). */
+ * (RATE_HOSTS_ASSUMED) and of retry budgets (host_count_most). */
 #define HOSTS_ASSUMED 12
 
 /* Inserts a request into the list, ordered by priority, then by arrival. */
@@ -122,6 +121,18 @@
 	flow_route(d, p, now);
 }
 
+/* True if a report is due.  Crashes are reported as often as in a small fleet:
+ * others may be prevented. */
+static int
+report_due(const struct direct *d, usec now)
+{
+	const struct crash_report *c = &d->crashes;
+	int urgent = c->nbroken > 0 || c->nended > 0 || c->nanswered > 0;
+	int hosts = urgent || !d->hosts_known ? 0 : d->conf.hosts;
+
+	return (now - d->last_report >= report_interval(hosts));
+}
+
 /* Reports requested keys, crashes and the state of targets to the control
  * service. */
 static void
@@ -131,7 +142,7 @@
 	struct target_state *s;
 	int i;
 
-	d->next_report = now + REPORT_INTERVAL;
+	d->last_report = now;
 	h = router_report_new(d->nsvcs);
 	if (h == NULL)
 		return;
@@ -147,10 +158,11 @@
 		h->crashes = d->crashes;
 		memset(&d->crashes, 0, sizeof(d->crashes));
 	}
-	for (s = d->targets; s != NULL; s = s->next) {
+	for (s = d->noted; s != NULL; s = s->next_noted) {
 		router_report_target(h, s->id, &s->dest, s->answers);
 		s->answers = 0;
 	}
+	targets_drop_notes(d, now);
 	msg_post(
 	    d->s->kernel, "control", MSG_ROUTER_REPORT, h, router_report_free);
 }
@@ -210,7 +222,9 @@
 		msg_take_snapshot(m, &d->site);
 		break;
 	case MSG_FLEET:
-		targets_update(d, ((struct shared *)m->data)->p, now);
+		targets_update(d, d->fleet == NULL ? NULL : d->fleet->p,
+		    ((struct shared *)m->data)->p, now);
+		msg_take_snapshot(m, &d->fleet);
 		break;
 	case MSG_OWNERS:
 		msg_take_snapshot(m, &d->owners);
@@ -266,7 +280,7 @@
 		admit_tick(d, now);
 		flow_pump(d, now);
 		targets_sweep(d);
-		if (now >= d->next_report) {
+		if (report_due(d, now)) {
 			retry_budgets_update(d, now);
 			report(d, now);
 		}
@@ -322,6 +336,8 @@
 		d->targets = p->next;
 		free(p);
 	}
+	shared_unref(d->fleet);
+	shared_unref(d->targets_site);
 	shared_unref(d->site);
 	shared_unref(d->owners);
 	shared_unref(d->quarantine);
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -12,6 +12,7 @@
 #include "call.h"
 #include "dest.h"
 #include "fleet.h"
+#include "hash_index.h"
 #include "heat.h"
 #include "host_count.h"
 #include "stop_plan.h"
@@ -31,8 +32,7 @@
 /* Interval at which callers are checked for being connected: targets must not
  * work for more than half a second after a caller has disconnected. */
 #define CALLER_CHECK_INTERVAL MS(100)
-/* Hosts that are known as admission hosts, and those of one pool. */
-#define ADMISSION_HOSTS_MAX 512
+/* Admission hosts of one pool. */
 #define POOL_HOSTS_MAX 64
 /* Admission hosts that are asked for one attempt of a request. */
 #define PERMIT_ASKS_MAX 3
@@ -52,8 +52,8 @@
 	struct target_state *next;
 	char id[NAME_MAX_GS];
 	char addr[FLEET_ADDR];
-	char service[NAME_MAX_GS];
-	char dc[NAME_MAX_GS];
+	const char *service; /* of intern() */
+	const char *dc;	     /* of intern() */
 	struct dest dest;
 	struct wait_queue queue;
 	usec keep_alive;  /* it keeps idle connections so long; 0 if unknown */
@@ -65,6 +65,8 @@
 	int answers;	  /* since the last report */
 	int users;	  /* pending requests last sent to it */
 	int replaced;	  /* another target answers at its address */
+	int is_noted;	  /* something may be due at it, see target_note() */
+	struct target_state *next_noted;
 	uint64_t digest;
 	int ended; /* its end was reported; cleared by an answer */
 };
@@ -91,9 +93,10 @@
 /* The targets of a service in a data centre: each is admitted to by one of
  * these hosts. */
 struct admission_pool {
-	char service[NAME_MAX_GS];
-	char dc[NAME_MAX_GS];
+	const char *service; /* of intern() */
+	const char *dc;	     /* of intern() */
 	int ntargets;
+	int is_member; /* this host is one of its admission hosts */
 	struct pool_host hosts[POOL_HOSTS_MAX];
 	int nhosts;
 };
@@ -180,6 +183,9 @@
 	apr_pool_t *pool;
 	apr_hash_t *by_id;
 	struct target_state *targets;
+	struct target_state *noted;
+	struct shared *fleet;	     /* that the targets were updated from */
+	struct shared *targets_site; /* the same */
 	struct shared *site;
 	struct shared *owners;
 	struct shared *quarantine;
@@ -212,15 +218,15 @@
 	int rank;	 /* of this host among all hosts, from 0 */
 	struct host_count host_count;
 	int ready;
-	usec next_report;
+	usec last_report;
 	usec next_retry_use;
 	usec next_limits;
 	/* Admission to targets; see direct_pool.c. */
 	int permit_fd; /* datagrams between hosts; -1 if not open */
-	struct rendezvous_host hosts[ADMISSION_HOSTS_MAX];
-	char host_addrs[ADMISSION_HOSTS_MAX][ADDR_MAX_GS];
+	struct rendezvous_host *hosts;
 	int nhosts;
-	int self; /* this host among them, or -1 */
+	int self;		      /* this host among them, or -1 */
+	struct hash_index host_index; /* of hosts, by digest */
 	struct admission_pool *pools;
 	int npools;
 	int pools_changed;
@@ -282,7 +288,6 @@
 void pools_close(struct direct *);
 void pools_set_hosts(struct direct *, const struct peers *);
 void pools_update(struct direct *, usec now);
-int pool_find(const struct direct *, const char *service, const char *dc);
 int pool_service_known(const struct direct *, const char *service);
 int pool_host_index(const struct direct *, uint64_t digest);
 int pool_host_of_target(
@@ -313,12 +318,17 @@
 void attempt_drop(struct direct *, struct pending *);
 void attempts_reap(struct direct *, usec now);
 
-/* direct_pick.c */
-void targets_update(struct direct *, const struct fleet *, usec now);
+/* direct_targets.c */
+void targets_update(
+    struct direct *, const struct fleet *was, const struct fleet *, usec now);
 void targets_sweep(struct direct *);
 void targets_update_limits(struct direct *, usec now);
+void target_note(struct direct *, struct target_state *);
+void targets_drop_notes(struct direct *, usec now);
 usec target_grace(const struct direct *, const char *service, usec bound);
 struct target_state *target_state_find(struct direct *, const char *id);
+
+/* direct_pick.c */
 struct service_state *service_state_get(struct direct *, const char *name);
 struct rule_stats *rule_stats_get(struct direct *, const struct rule *);
 struct target_state *pick_target(
--- a/gspard/sitectl.c
+++ b/gspard/sitectl.c
@@ -21,8 +21,6 @@
  * A host that has not heard from a controller for this long looks for another.
  */
 #define NO_CONTROLLER_AFTER MS(900)
-/* A host that has not been heard from for this long is sent nothing more. */
-#define HOST_DOWN_AFTER MS(3000)
 /*
  * Hosts that have not been heard from for this long are removed from the list.
  */
@@ -34,28 +32,33 @@
 #define STOP_MARGIN MS(200)
 
 /* Sends the list of hosts and their addresses to the services that connect to
- * them, if it has changed. */
+ * them, if it has changed.  In large fleets not with each host that comes: the
+ * services would hold a list for each. */
 void
-sitectl_publish_peers(struct sitectl *k)
+sitectl_publish_peers(struct sitectl *k, usec now)
 {
 	struct peers *l;
 	struct peer_addr *a;
 	struct shared *sh;
 	int i;
 
-	if (!k->peers_changed)
+	if (!k->peers_changed || now < k->next_peers)
 		return;
-	l = calloc(1, sizeof(*l) + (size_t)k->nhosts * sizeof(*l->list));
+	l = calloc(1, sizeof(*l) + (size_t)k->hosts.n * sizeof(*l->list));
 	if (l == NULL)
 		return;
 	k->peers_changed = 0;
+	k->next_peers = now + pace_broadcast(k->hosts.n);
 	l->list = (struct peer_addr *)(void *)(l + 1);
-	for (i = 0; i < k->nhosts; i++) {
+	for (i = 0; i < k->hosts.n; i++) {
 		a = &l->list[l->n++];
-		name_copy(a->host, sizeof(a->host), k->hosts[i].process.host);
-		name_copy(a->addr, sizeof(a->addr), k->hosts[i].process.addr);
-		name_copy(a->dc, sizeof(a->dc), k->hosts[i].dc);
-		name_copy(a->tunnel, sizeof(a->tunnel), k->hosts[i].tunnel);
+		name_copy(
+		    a->host, sizeof(a->host), k->hosts.list[i].process.host);
+		name_copy(
+		    a->addr, sizeof(a->addr), k->hosts.list[i].process.addr);
+		name_copy(a->dc, sizeof(a->dc), k->hosts.list[i].dc);
+		name_copy(
+		    a->tunnel, sizeof(a->tunnel), k->hosts.list[i].tunnel);
 	}
 	if ((sh = shared_new(l, free)) == NULL) {
 		free(l);
@@ -68,19 +71,6 @@
 	msg_post(k->s->kernel, "peer", MSG_PEERS, sh, shared_unref);
 }
 
-/* Returns the host with the given name, or NULL. */
-struct sitectl_host *
-sitectl_host(struct sitectl *k, const char *name)
-{
-	int i;
-
-	for (i = 0; i < k->nhosts; i++) {
-		if (strcmp(k->hosts[i].process.host, name) == 0)
-			return (&k->hosts[i]);
-	}
-	return (NULL);
-}
-
 /* Returns this host's name. */
 const char *
 sitectl_self(const struct sitectl *k)
@@ -112,26 +102,20 @@
 sitectl_host_seen(struct sitectl *k, const struct member *m, const char *dc,
     const char *tunnel, int stopping, usec now)
 {
-	struct sitectl_host *h = sitectl_host(k, m->host);
+	struct host_entry *h = hosts_find(&k->hosts, m->host);
 	int is_new = h == NULL;
 
 	term_process_seen(&k->term, now, m);
-	if (is_new && k->nhosts == SITECTL_HOSTS_MAX)
+	if (is_new && (h = hosts_add(&k->hosts, m->host)) == NULL) {
+		log_line(LOG_ERR, "control",
+		    "Out of memory, host %s is not added.", m->host);
 		return;
-	if (is_new)
-		h = &k->hosts[k->nhosts++];
-	if (is_new || h->process.boot != m->boot ||
-	    strcmp(h->process.addr, m->addr) != 0) {
-		memset(h, 0, sizeof(*h));
-		h->process = *m;
-		name_copy(h->dc, sizeof(h->dc), dc);
-		k->peers_changed = 1;
 	}
-	if (tunnel[0] != '\0' && strcmp(h->tunnel, tunnel) != 0) {
-		name_copy(h->tunnel, sizeof(h->tunnel), tunnel);
+	if (host_update(h, m, dc, tunnel) || is_new) {
+		h->changed = 1;
 		k->peers_changed = 1;
+		k->hosts.changed = 1;
 	}
-	k->hosts_changed |= k->peers_changed;
 	h->last_heard = now;
 	h->stopping = stopping;
 }
@@ -142,10 +126,10 @@
  * not learn of it, so hosts are assumed to be up at first.
  */
 int
-sitectl_host_up(const struct sitectl_host *h, usec now)
+sitectl_host_up(const struct sitectl *k, const struct host_entry *h, usec now)
 {
-	return (
-	    now - h->last_heard < HOST_DOWN_AFTER || now < h->assumed_up_until);
+	return (now - h->last_heard < report_lost_after(k->hosts.n) ||
+	    now < h->assumed_up_until);
 }
 
 /* Removes hosts neither heard from nor listed for HOST_FORGET_AFTER. */
@@ -154,15 +138,15 @@
 {
 	int i;
 
-	for (i = 0; i < k->nhosts; i++) {
-		if (now - k->hosts[i].last_heard < HOST_FORGET_AFTER ||
-		    (k->hosts[i].listed_at != 0 &&
-			now - k->hosts[i].listed_at < HOST_FORGET_AFTER))
+	for (i = 0; i < k->hosts.n; i++) {
+		if (now - k->hosts.list[i].last_heard < HOST_FORGET_AFTER ||
+		    (k->hosts.list[i].listed_at != 0 &&
+			now - k->hosts.list[i].listed_at < HOST_FORGET_AFTER))
 			continue;
-		k->hosts[i] = k->hosts[--k->nhosts];
-		i--;
-		k->hosts_changed = 1;
+		hosts_remove(&k->hosts, i--);
 	}
+	if (!k->acting)
+		hosts_list_sent(&k->hosts);
 }
 
 /* Starts or stops acting as controller, depending on the term's role. */
@@ -176,10 +160,11 @@
 		sitectl_add_services(k, now);
 		for (i = 0; i < k->nkeys; i++)
 			keys_begin(k->keys[i], r->term, now);
-		for (i = 0; i < k->nhosts; i++)
-			k->hosts[i].assumed_up_until = now + HOST_DOWN_AFTER;
+		for (i = 0; i < k->hosts.n; i++)
+			k->hosts.list[i].assumed_up_until =
+			    now + report_lost_after(k->hosts.n);
 		site_control_began(k);
-		k->hosts_changed = 1;
+		hosts_list_begin(&k->hosts);
 	} else if (!holds && k->acting) {
 		sitectl_drop_keys(k);
 		orders_cancel(k);
@@ -196,22 +181,26 @@
 		k->controller_term = r->term;
 		name_copy(k->controller, sizeof(k->controller), r->holder.host);
 		sitectl_host_seen(k, &r->holder, "", "", 0, now);
-		sitectl_publish_peers(k);
+		sitectl_publish_peers(k, now);
 		k->controller_heard = now;
+		join_heard(&k->join, 0, now);
+		report_at_once(k, now);
 	}
 }
 
 /*
  * Informs the watch service whether this host follows the store itself: as the
- * controller, as a standby that relays, or if no host that follows it is
- * heard.  The platform allows 2 s until a leaving target must get no more
- * requests; detection here takes less than half of that.
+ * controller, as a standby that relays, or if no host that follows it is heard
+ * and none is waited for.  The platform allows 2 s until a leaving target must
+ * get no more requests; detection here takes less than half of that.
  */
 static void
 set_following(struct sitectl *k, usec now)
 {
+	uint64_t *as_of = NULL;
+	int joining = k->fleet == NULL && join_waits(&k->join, now);
 	int follow = k->acting || relay_due(k, now) ||
-	    now - k->follower_heard > NO_CONTROLLER_AFTER;
+	    (now - k->follower_heard > NO_CONTROLLER_AFTER && !joining);
 
 	if (follow == k->following)
 		return;
@@ -222,8 +211,13 @@
 		     "heartbeat %lld ms ago.",
 	    k->controller, (long long)((now - k->controller_heard) / 1000));
 	k->following = follow;
+	if (!follow && k->store_as_of > k->told_as_of)
+		k->told_as_of = k->store_as_of;
+	if (follow && k->told_as_of != 0 &&
+	    (as_of = malloc(sizeof(*as_of))) != NULL)
+		*as_of = k->told_as_of;
 	msg_post(k->s->kernel, "watch",
-	    follow ? MSG_FOLLOW_STORE : MSG_FOLLOW_CONTROLLER, NULL, NULL);
+	    follow ? MSG_FOLLOW_STORE : MSG_FOLLOW_CONTROLLER, as_of, free);
 }
 
 /* Runs all periodic work. */
@@ -233,6 +227,7 @@
 	int i;
 
 	k->term.no_controller = now - k->controller_heard > NO_CONTROLLER_AFTER;
+	sitectl_publish_peers(k, now);
 	if (k->acting)
 		sitectl_choose_standbys(k, now);
 	term_tick(&k->term, now);
@@ -318,6 +313,9 @@
 	case GSPAR__FRAME__BODY_FLEET_TOLD:
 		fleet_receive(k, m->frame->fleet_told, now);
 		break;
+	case GSPAR__FRAME__BODY_COPY_FLEET:
+		fleet_copy(k, m->frame->copy_fleet, now);
+		break;
 	case GSPAR__FRAME__BODY_SITE_TOLD:
 		site_receive(k, m->frame->site_told);
 		break;
@@ -401,6 +399,9 @@
 	case MSG_TARGETS_STALE:
 		k->fresh = 0;
 		break;
+	case MSG_STORE_AS_OF:
+		k->store_as_of = *(const uint64_t *)m->data;
+		break;
 	case MSG_ROUTER_REPORT:
 		if (k->pending_report != NULL)
 			router_report_free(k->pending_report);
@@ -466,7 +467,7 @@
 	k->ops = &objects_target;
 	curl_multi_setopt(k->multi, CURLMOPT_MAXCONNECTS, (long)ORDER_CONNS);
 	k->controller_heard = clock_mono();
-	k->following = 1; /* as the watch service starts */
+	join_begin(&k->join, kernel_boot(s->kernel), clock_mono());
 	sitectl_term_init(k);
 	ring_set_wake(s->in, transfers_wake, k->multi);
 	return (0);
@@ -487,6 +488,7 @@
 	shared_unref(k->fleet);
 	shared_unref(k->fleet_sent);
 	shared_unref(k->owners);
+	hosts_free(&k->hosts);
 	curl_multi_cleanup(k->multi);
 	free(k);
 }
--- a/gspard/sitectl.h
+++ b/gspard/sitectl.h
@@ -8,9 +8,13 @@
 #include <curl/curl.h>
 
 #include "behind.h"
+#include "copies.h"
 #include "dest.h"
 #include "gspard.h"
+#include "hearing.h"
 #include "heat.h"
+#include "hosts.h"
+#include "join.h"
 #include "keys.h"
 #include "superseded.h"
 #include "stop_plan.h"
@@ -21,15 +25,9 @@
 #include "target_ops.h"
 #include "term.h"
 
-#define SITECTL_HOSTS_MAX 512
 #define SITECTL_SERVICES_MAX 16
 #define SITECTL_PROMISES_MAX 64
 #define SITECTL_REFUSED_MAX 32
-/*
- * If a host's reports show that it lacks an update that was sent, the update is
- * sent again after this time.
- */
-#define PUSH_RETRY_DELAY MS(600)
 /*
  * State of a range on the wire: 0 is served, RANGE_MOVING is moving, and
  * RANGE_MOVING_UNTIL + n is moving and served again in n ms.
@@ -81,27 +79,6 @@
     struct router_report *, const char *id, const struct dest *, int answers);
 void router_report_free(void *);
 
-/* A host as the other hosts know it, and what the controller sent to it. */
-struct sitectl_host {
-	struct member process;
-	char dc[NAME_MAX_GS];
-	char tunnel[ADDR_MAX_GS]; /* at which it relays connections; or "" */
-	usec last_heard;
-	usec listed_at; /* when the controller last listed it; 0 if not */
-	usec assumed_up_until;	  /* sent to although it was not heard from */
-	uint64_t owners_reported; /* number of the snapshot that it has */
-	uint64_t owners_sent;	  /* number last sent to it, and when */
-	usec owners_sent_at;
-	usec fleet_sent_at;	 /* when all targets were last sent to it */
-	usec quarantine_sent_at; /* when the quarantine list was sent */
-	int max_hosts;		 /* hosts that it could control */
-	int store_reachable;	 /* the store has answered it recently */
-	uint64_t site_version;	 /* version of its site configuration */
-	uint64_t site_sent;	 /* version last sent to it */
-	int site_requested;	 /* it has asked for the configuration */
-	int stopping;
-};
-
 struct sitectl {
 	struct service *s;
 	const struct target_ops *ops;
@@ -117,10 +94,10 @@
 	usec next_standbys;
 	usec store_answered_at; /* last successful call for the record */
 
-	struct sitectl_host hosts[SITECTL_HOSTS_MAX];
-	int nhosts;
-	int hosts_changed;
-	int peers_changed; /* since they were published */
+	struct hosts hosts;
+	uint64_t hosts_digest; /* of the list that the controller sent */
+	int peers_changed;     /* since they were published */
+	usec next_peers;       /* when they may be published again */
 	struct keys *keys[SITECTL_SERVICES_MAX];
 	int nkeys;
 	int acting; /* this host is the controller */
@@ -130,12 +107,19 @@
 	uint64_t controller_fleet; /* the controller's digest; 0 if unknown */
 	usec fleet_differs_since;
 	usec next_relist;
+	struct join join;
 	int following;		/* the watch service follows the store */
 	int fresh;		/* the store answers this host for targets */
+	uint64_t store_as_of;	/* version up to which this host has followed it
+				   itself, or ... */
+	uint64_t told_as_of;	/* ... has what a controller had that did */
 	int controller_follows; /* the controller follows the store */
 	usec follower_heard;	/* last heartbeat or relay of a follower */
 	usec next_relay;
 	struct shared *fleet_sent; /* the targets last broadcast */
+	struct copies copies;	   /* of all targets, to hosts without them */
+	uint32_t fleet_changes;	   /* broadcast under this term */
+	uint64_t fleet_number;	   /* of the last list or change received */
 	struct behind behind;	   /* whether a newer configuration exists */
 	struct pace site_pace;	   /* of copies that hosts requested */
 	int site_pushed;	   /* was small enough to be pushed */
@@ -164,6 +148,7 @@
 	uint64_t number;
 	struct host_turn turn; /* as last published; 0 hosts if not yet */
 	usec next_heartbeat;
+	usec next_owners; /* when changes of owners may be sent again */
 
 	CURLM *multi;
 	struct order_call *calls;
@@ -184,14 +169,14 @@
 };
 
 /* sitectl.c */
-struct sitectl_host *sitectl_host(struct sitectl *, const char *name);
 const char *sitectl_self(const struct sitectl *);
 const struct site *sitectl_site(const struct sitectl *);
 const struct fleet *sitectl_fleet(const struct sitectl *);
-int sitectl_host_up(const struct sitectl_host *, usec now);
+int sitectl_host_up(
+    const struct sitectl *, const struct host_entry *, usec now);
 void sitectl_host_seen(struct sitectl *, const struct member *, const char *dc,
     const char *tunnel, int stopping, usec now);
-void sitectl_publish_peers(struct sitectl *);
+void sitectl_publish_peers(struct sitectl *, usec now);
 
 /* sitectl_term.c */
 void sitectl_term_init(struct sitectl *);
@@ -222,7 +207,8 @@
 
 /* sitectl_fleet.c */
 void fleet_broadcast(struct sitectl *, usec now);
-void fleet_check_host(struct sitectl *, const char *host, uint64_t, usec now);
+void fleet_check_host(struct sitectl *, struct host_entry *, usec now);
+void fleet_copy(struct sitectl *, const Gspar__CopyFleet *, usec now);
 void fleet_receive(struct sitectl *, const Gspar__FleetTold *, usec now);
 int fleet_leave_announced(struct sitectl *, const char *id);
 void fleet_relist_if_stale(struct sitectl *, usec now);
@@ -237,6 +223,16 @@
 void relay_tick(struct sitectl *, usec now);
 void relay_receive(struct sitectl *, const Gspar__StoreNews *, usec now);
 
+/* sitectl_hosts.c */
+struct host_list;
+struct host_list *host_list_new(struct sitectl *, usec now);
+void host_list_free(struct sitectl *, struct host_list *);
+void host_list_fill(struct sitectl *, struct host_list *, struct host_entry *,
+    Gspar__Owners *, usec now);
+void host_list_receive(struct sitectl *, const Gspar__Owners *, usec now);
+void host_list_receive_addr(
+    struct sitectl *, const Gspar__HostAddr *, usec now);
+
 /* sitectl_broadcast.c */
 uint64_t owners_number(const struct sitectl *);
 void broadcast_tick(struct sitectl *, usec now);
@@ -246,6 +242,7 @@
 
 /* sitectl_report.c */
 void report_add_leaving(struct sitectl *, const struct router_report *);
+void report_at_once(struct sitectl *, usec now);
 void report_tick(struct sitectl *, usec now);
 void report_receive(
     struct sitectl *, const char *host, const Gspar__HostReport *, usec now);
@@ -256,8 +253,8 @@
     struct sitectl *, const struct crash_report *, usec now);
 void quarantine_conn_refused(struct sitectl *, const char *target, usec now);
 void quarantine_fill_report(struct sitectl *, Gspar__HostReport *, usec now);
-void quarantine_receive_report(struct sitectl *, struct sitectl_host *,
-    const Gspar__HostReport *, usec now);
+void quarantine_receive_report(
+    struct sitectl *, struct host_entry *, const Gspar__HostReport *, usec now);
 void quarantine_receive(
     struct sitectl *, const Gspar__QuarantineTold *, usec now);
 void quarantine_tick(struct sitectl *, usec now);
@@ -266,8 +263,8 @@
 /* sitectl_config.c */
 void site_control_began(struct sitectl *);
 void site_broadcast(struct sitectl *, const struct site *was, usec now);
-void site_receive_report(struct sitectl *, struct sitectl_host *,
-    const Gspar__HostReport *, usec now);
+void site_receive_report(
+    struct sitectl *, struct host_entry *, const Gspar__HostReport *, usec now);
 void site_receive_heartbeat(struct sitectl *, const Gspar__Owners *, usec now);
 void site_tick(struct sitectl *, usec now);
 void site_receive(struct sitectl *, const Gspar__SiteTold *);
--- a/gspard/sitectl_receive.c
+++ b/gspard/sitectl_receive.c
@@ -92,42 +92,18 @@
 	return (o);
 }
 
-/* Handles a host that the controller lists. */
+/* Takes the version of the store as of which the controller has what this host
+ * has too. */
 static void
-receive_host_addr(struct sitectl *k, const Gspar__HostAddr *msg, usec now)
+take_as_of(struct sitectl *k, const Gspar__Owners *msg)
 {
-	struct member m;
+	const struct fleet *fleet = sitectl_fleet(k);
+	const struct site *site = sitectl_site(k);
 
-	memset(&m, 0, sizeof(m));
-	name_copy(m.host, sizeof(m.host), msg->host);
-	name_copy(m.addr, sizeof(m.addr), msg->addr);
-	m.boot = msg->boot;
-	sitectl_host_seen(k, &m, msg->dc, msg->tunnel, 0, now);
-}
-
-/*
- * Updates the list of hosts.  The controller sends it when it changes; in
- * between, each heartbeat confirms the last one.  If it expired, all hosts
- * would have the same rank, and with it the same turn at limited targets.
- */
-static void
-receive_host_list(struct sitectl *k, const Gspar__Owners *msg, usec now)
-{
-	struct sitectl_host *h;
-	size_t i;
-	int n;
-
-	for (n = 0; n < k->nhosts && msg->n_hosts > 0; n++)
-		k->hosts[n].listed_at = 0;
-	for (i = 0; i < msg->n_hosts; i++) {
-		receive_host_addr(k, msg->hosts[i], now);
-		if ((h = sitectl_host(k, msg->hosts[i]->host)) != NULL)
-			h->listed_at = now;
-	}
-	for (n = 0; n < k->nhosts; n++) {
-		if (k->hosts[n].listed_at != 0)
-			k->hosts[n].listed_at = now;
-	}
+	if (msg->follows && fleet != NULL && fleet->digest == msg->fleet &&
+	    site != NULL && site->version == msg->site &&
+	    msg->as_of > k->told_as_of)
+		k->told_as_of = msg->as_of;
 }
 
 /* Handles a heartbeat or owners from the controller. */
@@ -160,10 +136,10 @@
 	 * it owners.
 	 */
 	if (msg->self != NULL)
-		receive_host_addr(k, msg->self, now);
+		host_list_receive_addr(k, msg->self, now);
 	if (!msg->whole)
-		receive_host_list(k, msg, now);
-	sitectl_publish_peers(k);
+		host_list_receive(k, msg, now);
+	sitectl_publish_peers(k, now);
 	if (!msg->whole) {
 		host_count_publish(k, (int)msg->host_count);
 		site_receive_heartbeat(k, msg, now);
@@ -172,6 +148,8 @@
 		k->controller_fleet = msg->fleet;
 		k->controller_quarantine = msg->quarantine;
 		k->controller_follows = msg->follows;
+		join_heard(&k->join, msg->follows, now);
+		take_as_of(k, msg);
 		if (msg->follows)
 			k->follower_heard = now;
 		else if (k->follower_heard > now - FOLLOW_HEAD_START)
--- a/gspard/sitectl_report.c
+++ b/gspard/sitectl_report.c
@@ -93,6 +93,8 @@
 	w.site_asked = k->site_request;
 	k->site_request = 0;
 	w.fleet = fleet == NULL ? 0 : fleet->digest;
+	w.hosts_digest = k->hosts_digest;
+	w.link_mbps = (uint32_t)conf->link_mbps;
 	if (targets != NULL && tlist != NULL && buf != NULL) {
 		fill_report(&w, h, keys, klist, targets, tlist, buf);
 		quarantine_fill_report(k, &w, now);
@@ -105,6 +107,16 @@
 	free(buf);
 }
 
+/* Tells a controller that has just become known of this host, which may lack
+ * all that the controller sends. */
+void
+report_at_once(struct sitectl *k, usec now)
+{
+	static const struct router_report nothing;
+
+	send_report(k, &nothing, now);
+}
+
 /* Adds to this host's own list which targets have announced that they are
  * leaving, so that it outlasts the router's state of them. */
 void
@@ -161,7 +173,7 @@
     struct sitectl *k, const char *host, const Gspar__HostReport *msg, usec now)
 {
 	uint16_t keys[HEAT_SAMPLE_MAX];
-	struct sitectl_host *h;
+	struct host_entry *h;
 	struct member m;
 	struct keys *ks;
 	size_t i, n;
@@ -172,19 +184,25 @@
 	name_copy(m.addr, sizeof(m.addr), msg->addr);
 	m.boot = msg->boot;
 	sitectl_host_seen(k, &m, msg->dc, msg->tunnel, msg->stopping, now);
-	sitectl_publish_peers(k);
+	sitectl_publish_peers(k, now);
 	if (msg->term != 0)
 		term_holder_follows(&k->term, now, &m, msg->term);
-	if ((h = sitectl_host(k, host)) != NULL) {
+	if ((h = hosts_find(&k->hosts, host)) != NULL) {
 		h->owners_reported = msg->owners;
+		h->has_reported = 1;
+		h->list_reported = msg->hosts_digest;
+		h->fleet_reported = msg->fleet;
+		h->link_mbps = (int)msg->link_mbps;
 		h->max_hosts = (int)msg->bears;
 		h->store_reachable = msg->store;
 		site_receive_report(k, h, msg, now);
 		quarantine_receive_report(k, h, msg, now);
 	}
-	/* A list that differs by what this report tells is not out of date. */
-	if (receive_leaving(k, msg) == 0 && k->acting)
-		fleet_check_host(k, host, msg->fleet, now);
+	/* A list that differs by what this report tells is not out of date.  To
+	 * a host whose address is not published nothing can be sent. */
+	if (receive_leaving(k, msg) == 0 && k->acting && h != NULL &&
+	    !k->peers_changed)
+		fleet_check_host(k, h, now);
 	for (i = 0; i < msg->n_heat; i++) {
 		ks = sitectl_keys(k, msg->heat[i]->service);
 		for (n = 0; n < msg->heat[i]->n_keys && n < HEAT_SAMPLE_MAX;
--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -116,7 +116,7 @@
 without restarted-owner-keeps-grants keys keys_grant.c \
     's/if (!r->owner_restarted) {/if (1) {/'
 without reused-addresses keys keys.c \
-    '/strcmp(t->id, f->id) != 0)/{n;s/t->listed = 0/;/}'
+    '/if (is_addr_reused(/{n;s/t->listed = 0/;/}'
 without joined-ranges-keep-grants keys keys.c \
     's/a->unanswered_until = b->unanswered_until;/;/'
 without later-incarnation-only incarnation incarnation.c \
@@ -300,8 +300,34 @@
     's/slack \/ hosts : 1;/slack \/ hosts : slack \/ 12;/'
 without number-of-hosts-settles budget host_count.c \
     's/^#define SETTLE_TIME .*/#define SETTLE_TIME 0/'
+without reload-cuts-budgets budget budget.c '/^budget_set_part/,/^}/s/> b->max/> 1e9/'
 without most-hosts-count budget host_count.c \
     's/return (c->most.*/return (c->hosts);/'
 
+# Large fleets: what each host is sent, and who reads the store.
+without list-of-hosts-as-difference hosts hosts.c \
+    's/return (LIST_DIFFERENCE);/return (LIST_WHOLE);/'
+without lost-differences-are-made-up hosts hosts.c \
+    's/if (update == LIST_WHOLE || in_step(t, h, now))/if (1)/'
+without new-controllers-wait-for-reports hosts hosts.c \
+    's/if (!h->has_reported || /if (/'
+without copies-stay-in-their-data-centre copies copies.c \
+    's/strcmp(h->dc, to->dc) == 0);/1);/'
+without copies-come-from-other-hosts copies copies.c \
+    's/\*from = c->bytes <= SMALL_LIST ? NULL : .*/*from = NULL;/'
+without copies-are-not-sent-twice copies copies.c \
+    's/report_retry_delay(t->n) + 2 \* took/0/'
+without hosts-wait-for-the-list join join.c \
+    's/wait = j->told ? WAIT_TOLD : WAIT_UNTOLD;/;/'
+without hosts-do-not-wait-for-ever join join.c 's/WAIT_TOLD MS(10000)/WAIT_TOLD MS(90000)/'
+without reports-are-limited hearing hearing.c \
+    's/return (shared > INTERVAL_MIN ? shared : INTERVAL_MIN);/return (INTERVAL_MIN);/'
+without owners-are-limited keys_size keys_plan.c \
+    's/return (t->owns > 0 || k->owners < KEYS_OWNERS_MAX);/return (1);/'
+without spare-targets-are-logged keys_size keys_plan.c \
+    's/^	log_spare(k, .*/	;/'
+without unused-targets-are-found-at-once keys_size keys.c \
+    's/^	k->unused_from = i;/	;/'
+
 echo "$found found, $missed not found"
 [ $missed -eq 0 ]
