Hosts of a large fleet wait for standbys before they follow the store

The controller lists all targets again, which takes a second, and says meanwhile that it does not follow. 0.35 s later all 109 hosts whose logs were kept followed the store themselves, found that history gone and listed all targets too; the controller's own calls were then among those that the store refused, and it did not follow for 3.2 and 4.7 s more.

What hosts wait beyond the time of a small fleet grows with their number: 18 to 36 ms for 12 hosts, 1.05 to 2.1 s for 985, never beyond three quarters of the time in which a leaving target must be known. Standbys relay without that delay.

Ruled out: the loss of heartbeats (the last were 10 to 80 ms old); standbys too small to relay (985 of 1,250).

Unit join, 1 to 2,000 hosts with bounds of 0 to 4 s; six scenarios passed. Not played on the whole fleet.

--- a/decide/join.c
+++ b/decide/join.c
@@ -13,6 +13,8 @@
 #define SPREAD_TOLD MS(5000)
 /* A controller that was not heard for this long may be gone. */
 #define SILENT_AFTER MS(900)
+/* Time that hosts wait for others for each host of the fleet. */
+#define DELAY_PER_HOST MS(3)
 
 /* Records that the host has started. */
 void
@@ -32,6 +34,25 @@
 	j->told = told;
 }
 
+/*
+ * Returns how much longer than in a small fleet a host waits before it follows
+ * the store itself.  A controller that has lost its watch lists all targets
+ * again, which takes a second for 10,000 of them; if all hosts did meanwhile,
+ * their calls would exceed the store's rate, and the controller's with them.
+ * With the time that passes before, a leaving target must be known within
+ * three quarters of leave_bound.
+ */
+usec
+follow_delay(int hosts, uint64_t seed, usec leave_bound)
+{
+	usec delay = hosts * DELAY_PER_HOST;
+	usec most = leave_bound * 3 / 4 - SILENT_AFTER;
+
+	if (delay > most)
+		delay = most > 0 ? most : 0;
+	return (delay / 2 + (usec)(seed % (uint64_t)(delay / 2 + 1)));
+}
+
 /*
  * True while the host waits.  A list of 10,000 targets is 50 calls, and a
  * fleet that starts together would make them for each of its hosts; only hosts
--- a/decide/join.h
+++ b/decide/join.h
@@ -1,6 +1,7 @@
 /*
- * Whether a host that has started waits for a controller to send the targets,
- * or lists them from the store itself.
+ * How long hosts wait for others before they read the store themselves: one
+ * that has started, for a controller to send the targets; one that hears of
+ * nobody who follows the store, for a standby or the next controller.
  */
 #ifndef JOIN_H
 #define JOIN_H
@@ -19,5 +20,6 @@
 void join_begin(struct join *, uint64_t seed, usec now);
 void join_heard(struct join *, int told, usec now);
 int join_waits(const struct join *, usec now);
+usec follow_delay(int hosts, uint64_t seed, usec leave_bound);
 
 #endif
--- a/gspard/sitectl.c
+++ b/gspard/sitectl.c
@@ -199,8 +199,11 @@
 {
 	uint64_t *as_of = NULL;
 	int joining = k->fleet == NULL && join_waits(&k->join, now);
+	usec wait = NO_CONTROLLER_AFTER +
+	    follow_delay(k->hosts.n, kernel_boot(k->s->kernel),
+		MS(kernel_conf(k->s->kernel)->bounds.leave_ms));
 	int follow = k->acting || relay_due(k, now) ||
-	    (now - k->follower_heard > NO_CONTROLLER_AFTER && !joining);
+	    (now - k->follower_heard > wait && !joining);
 
 	if (follow == k->following)
 		return;
--- a/regress/unit/t_join.c
+++ b/regress/unit/t_join.c
@@ -72,11 +72,40 @@
 	CU_ASSERT(!join_waits(&j, MS(1400)));
 }
 
+/* Guards against hosts of a large fleet that all list the targets while their
+ * controller does, and against hosts that learn too late what is leaving. */
+static void
+follow_in_time(void)
+{
+	static const int sizes[] = {1, 12, 90, 300, 985, 2000};
+	static const usec bounds[] = {MS(0), MS(1000), MS(2000), MS(4000)};
+	usec delay, bound;
+	uint64_t seed;
+	size_t i, k;
+
+	for (i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+		for (k = 0; k < sizeof(bounds) / sizeof(bounds[0]); k++) {
+			for (seed = 1; seed < 50; seed++) {
+				bound = bounds[k];
+				delay = follow_delay(sizes[i],
+				    seed * 0x9e3779b97f4a7c15u, bound);
+				CU_ASSERT(delay >= 0);
+				CU_ASSERT(delay == 0 ||
+				    MS(900) + delay <= bound * 3 / 4);
+				CU_ASSERT(sizes[i] > 12 || delay <= MS(36));
+				CU_ASSERT(sizes[i] < 985 || bound < MS(4000) ||
+				    delay >= MS(1000));
+			}
+		}
+	}
+}
+
 static const struct unit_test tests[] = {
     {"fleet starts", fleet_starts},
     {"no controller", no_controller},
     {"controller without store", controller_without_store},
     {"controller sends nothing", controller_sends_nothing},
     {"controller lost", controller_lost},
+    {"follow in time", follow_in_time},
 };
 UNIT_MAIN("join", tests)
