The unit of switches makes its keys by the interface

Tables of keys are allocated since they grow; the unit filled in fixed ones and crashed, in the build with switches alone.

--- a/regress/unit/t_feature.c
+++ b/regress/unit/t_feature.c
@@ -177,18 +177,22 @@
 static struct keys *
 two_targets(void)
 {
+	static const struct keys_conf conf;
 	struct keys *k = calloc(1, sizeof(*k));
 	struct key_range *r;
 	int i;
 
-	k->gain = 1;
-	k->ntargets = 2;
+	keys_init(k, "s", &conf, NULL, NULL);
+	keys_ranges_reserve(k, 2);
 	k->nranges = 2;
 	for (i = 0; i < 2; i++) {
-		k->targets[i].used = k->targets[i].listed = 1;
+		keys_target_add(k, i == 0 ? "a" : "b");
+		k->targets[i].listed = 1;
+		k->targets[i].leaving = 0;
 		k->targets[i].slots = 4;
 		k->targets[i].latency_ratio = i == 0 ? 1.5 : 0.5;
 		r = &k->ranges[i];
+		memset(r, 0, sizeof(*r));
 		r->from = i == 0 ? 0 : KEYS / 2;
 		r->to = i == 0 ? KEYS / 2 - 1 : KEYS - 1;
 		r->owner = i;
@@ -211,6 +215,7 @@
 			    ? k->ranges[i].next
 			    : k->ranges[i].owner;
 	}
+	keys_free(k);
 	free(k);
 	return (to);
 }
