An answer that ends within its head is not taken for a whole one

Cause: a transfer that libcurl ends without an error was taken for a whole answer. libcurl compares the body with its length or its chunks, which it knows of from the head on; if the connection ends before, nothing is missing. Id and signature stand first in the head, so the rest of the checks held.

Now decide/framing follows the lines of an answer and the size of its body, and says whether it is whole; nothing is whole whose head has not ended. Requests to targets ask it. A message that states two lengths, a transfer coding that nobody asked for, a status out of range or a switch of protocols that nobody asked for is no answer (RFC 9112, 6.1, 6.3; RFC 9110, 15). Such an attempt has the outcome of any that broke: it may have run.

--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -174,7 +174,7 @@
 maybe_run(struct direct *d, struct pending *p, CURLcode res, usec now)
 {
 	int code =
-	    p->attempt->t.reply.too_large ? GS_ANSWER_LARGE : GS_TARGET_LOST;
+	    p->attempt->t.framing.too_large ? GS_ANSWER_LARGE : GS_TARGET_LOST;
 
 	count_add(res == CURLE_OK ? C_ANSWER_FOREIGN : C_TARGET_LOST, 1);
 	p->ran++;
--- a/gspard/direct_send.c
+++ b/gspard/direct_send.c
@@ -151,8 +151,8 @@
 	}
 	a->target = target;
 	a->sent = now;
-	a->t.ops = d->ops;
-	a->t.body_max = ANSWER_MAX;
+	transfer_init(
+	    &a->t, d->ops, ANSWER_MAX, strcmp(p->call->method, "HEAD") == 0);
 	a->t.headers = d->ops->request(
 	    p->call, target->id, (int)(left / 1000) - RETURN_MS);
 	set_transfer(d, a, p, now);
@@ -190,7 +190,6 @@
 	while ((m = curl_multi_info_read(d->multi, &left)) != NULL) {
 		if (m->msg != CURLMSG_DONE)
 			continue;
-		res = m->data.result;
 		status = opened = 0;
 		curl_easy_getinfo(
 		    m->easy_handle, CURLINFO_NUM_CONNECTS, &opened);
@@ -201,6 +200,7 @@
 		curl_easy_getinfo(m->easy_handle, CURLINFO_HTTP_CONNECTCODE,
 		    &p->attempt->tunnel_status);
 		p->attempt->t.reply.status = (int)status;
+		res = transfer_end(&p->attempt->t, m->data.result);
 		flow_attempt_done(d, p, res, now);
 	}
 }
--- a/gspard/sitectl_order.c
+++ b/gspard/sitectl_order.c
@@ -16,6 +16,8 @@
  */
 #define RELEASE_TIMEOUT_MS 2500
 #define CONNECT_TIMEOUT_MS 300
+/* Largest body of an answer, in bytes. */
+#define ANSWER_MAX 65536
 /*
  * Time limit of a grant on a reused connection: it is normally read at once and
  * answered within milliseconds, so without a reply its connection is broken.
@@ -99,7 +101,8 @@
 		keys_order_done(keys, clock_mono(), o->id, ORDER_NOT_SENT, "");
 		return;
 	}
-	c->t.ops = k->ops;
+	transfer_init(&c->t, k->ops, ANSWER_MAX, 0);
+	c->t.discards_body = 1;
 	c->order = *o;
 	c->sent = clock_mono();
 	name_copy(c->service, sizeof(c->service), service);
--- a/gspard/target_ops.h
+++ b/gspard/target_ops.h
@@ -16,7 +16,6 @@
 	int status;
 	struct str headers; /* forwarded to the caller: lines with CRLF */
 	struct str body;
-	int too_large;
 	char id[128];		    /* of the request it answers, or "" */
 	char instance[NAME_MAX_GS]; /* of the target, or "" */
 	char handover[NAME_MAX_GS]; /* of a release */
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -42,6 +42,17 @@
 	return (CURL_SOCKOPT_OK);
 }
 
+/* Prepares for an answer with a body of at most body_max bytes; to_head is true
+ * if the request is a HEAD. */
+void
+transfer_init(struct transfer *t, const struct target_ops *ops, size_t body_max,
+    int to_head)
+{
+	t->ops = ops;
+	t->reply.limit = -1;
+	framing_init(&t->framing, body_max, to_head);
+}
+
 /* Appends received bytes to the answer's body, or discards them if the body
  * is not wanted. */
 static size_t
@@ -49,12 +60,10 @@
 {
 	struct transfer *t = arg;
 
-	if (t->body_max == 0)
-		return (size * n);
-	if (t->reply.body.n + size * n > t->body_max) {
-		t->reply.too_large = 1;
+	if (framing_body(&t->framing, size * n) != 0)
 		return (0);
-	}
+	if (t->discards_body)
+		return (size * n);
 	return (str_add(&t->reply.body, p, size * n) == 0 ? size * n : 0);
 }
 
@@ -65,10 +74,26 @@
 {
 	struct transfer *t = arg;
 
+	if (framing_line(&t->framing, p, size * n) == FRAMING_INVALID)
+		return (0);
 	t->ops->head(&t->reply, p, size * n);
 	return (size * n);
 }
 
+/*
+ * Returns CURLE_OK if a transfer that ended with res has brought a whole
+ * answer.  libcurl reports no error if the connection ends within the head and
+ * no length has been read yet.
+ */
+CURLcode
+transfer_end(const struct transfer *t, CURLcode res)
+{
+	if (res != CURLE_OK)
+		return (res);
+	return (
+	    framing_is_whole(&t->framing, 1) ? CURLE_OK : CURLE_PARTIAL_FILE);
+}
+
 /*
  * Called by libcurl just before it sends the request, and again before it
  * resends it because a reused connection died without an answer.  The target
@@ -96,7 +121,6 @@
 transfer_set_options(struct transfer *t, const char *url,
     long connect_timeout_ms, const char *source)
 {
-	t->reply.limit = -1;
 	curl_easy_setopt(t->easy, CURLOPT_URL, url);
 	curl_easy_setopt(t->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(t->easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
--- a/gspard/transfer.h
+++ b/gspard/transfer.h
@@ -2,23 +2,28 @@
 #ifndef TRANSFER_H
 #define TRANSFER_H
 
+#include "framing.h"
 #include "target_ops.h"
 
 struct transfer {
 	const struct target_ops *ops;
 	CURL *easy;
 	struct curl_slist *headers;
+	struct framing framing; /* of the answer */
 	struct reply reply;
-	size_t body_max; /* of the answer; 0 discards the body */
-	int maybe_sent;	 /* bytes may have been sent */
-	int new_conn;	 /* ... on a connection opened for this transfer */
+	int discards_body;
+	int maybe_sent; /* bytes may have been sent */
+	int new_conn;	/* ... on a connection opened for this transfer */
 };
 
 void transfers_wake(void *multi);
 int transfer_set_keepalive(void *, curl_socket_t, curlsocktype);
+void transfer_init(
+    struct transfer *, const struct target_ops *, size_t body_max, int to_head);
 void transfer_set_options(struct transfer *, const char *url,
     long connect_timeout_ms, const char *source);
 void transfer_set_tunnel(struct transfer *, const char *host);
+CURLcode transfer_end(const struct transfer *, CURLcode);
 void transfer_free(struct transfer *);
 
 #endif
--- a/regress/scenario/site_answers.lua
+++ b/regress/scenario/site_answers.lua
@@ -27,7 +27,16 @@
 	got[s:request("h1", "/once/c" .. i, nil, "POST", "b")] = true
 end
 check(got[502] and not got[503], "answer cut short: not reported as unknown")
-fault_both("cut=0&foreign=1")
+-- The connection ends within the head, after the signature and before any
+-- length.
+fault_both("cut_head=100")
+for i = 1, 6 do
+	st = s:request("h1", "/once/h" .. i, nil, "POST", "b")
+	check(st == 502, "answer broken off in its head was forwarded: %d", st)
+	st = s:request("h1", "/any/h" .. i)
+	check(st == 502, "answer broken off in its head was forwarded: %d", st)
+end
+fault_both("cut_head=0&foreign=1")
 st = s:request("h1", "/once/f", nil, "POST", "b")
 check(st == 502, "answer to another request was forwarded: %d", st)
 fault_both("foreign=0&fail=1")
--- /dev/null
+++ b/regress/unit/t_transfer.c
@@ -0,0 +1,178 @@
+/* Transfers from targets, through the HTTP library and a real connection. */
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "target.h"
+#include "transfer.h"
+#include "unit.h"
+
+#define BODY_MAX 100000
+#define TIMEOUT_MS 5000L
+#define HEADERS "X-Request-Id: me\r\nX-Response-Signature: s\r\n"
+#define STATUS "HTTP/1.1 200 OK\r\n"
+
+/* How a server ends the connection on which it answers. */
+enum ending { CLOSE, RESET };
+
+/* A server that answers one request with the first n bytes of a text. */
+struct server {
+	int listener;
+	char url[64];
+	const char *text;
+	size_t n;
+	enum ending ending;
+};
+
+/* Accepts a connection, reads the request and answers it. */
+static void *
+serve(void *arg)
+{
+	struct server *s = arg;
+	struct linger hard = {1, 0};
+	char buf[4096];
+	size_t got = 0;
+	ssize_t n;
+	int fd = accept(s->listener, NULL, NULL);
+
+	while ((n = recv(fd, buf + got, sizeof(buf) - got, 0)) > 0) {
+		got += (size_t)n;
+		if (memmem(buf, got, "\r\n\r\n", 4) != NULL)
+			break;
+	}
+	if (send(fd, s->text, s->n, MSG_NOSIGNAL) != (ssize_t)s->n)
+		got = 0;
+	if (s->ending == RESET)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+	close(fd);
+	return (NULL);
+}
+
+/* Listens on a free port. */
+static void
+server_open(struct server *s)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	socklen_t size = sizeof(sin);
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	s->listener = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_EQUAL_FATAL(
+	    bind(s->listener, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	listen(s->listener, 1);
+	getsockname(s->listener, (struct sockaddr *)&sin, &size);
+	snprintf(s->url, sizeof(s->url), "http://127.0.0.1:%d/",
+	    ntohs(sin.sin_port));
+}
+
+/* Makes one request to the server; returns how its transfer ended. */
+static CURLcode
+request(struct server *s, struct transfer *t, int to_head)
+{
+	pthread_t thread;
+	CURLcode res;
+
+	memset(t, 0, sizeof(*t));
+	t->easy = curl_easy_init();
+	transfer_init(t, &objects_target, BODY_MAX, to_head);
+	transfer_set_options(t, s->url, 1000, "");
+	curl_easy_setopt(t->easy, CURLOPT_TIMEOUT_MS, TIMEOUT_MS);
+	if (to_head)
+		curl_easy_setopt(t->easy, CURLOPT_NOBODY, 1L);
+	pthread_create(&thread, NULL, serve, s);
+	res = transfer_end(t, curl_easy_perform(t->easy));
+	pthread_join(thread, NULL);
+	curl_easy_cleanup(t->easy);
+	t->easy = NULL;
+	return (res);
+}
+
+/* An answer, and how many of its last bytes may be missing from a whole one. */
+struct form {
+	const char *text;
+	size_t optional;
+	const char *body;
+	int to_head;
+};
+
+#define HINTS                                                                  \
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
+#define TRAILER "Retry-After: 9\r\n\r\n"
+
+/* A body in chunks is complete with the last chunk's size (RFC 9112, section
+ * 8); one without a length, with the end of the connection. */
+static const struct form forms[] = {
+    {STATUS HEADERS "Content-Length: 4\r\n\r\nbody", 0, "body", 0},
+    {STATUS "Content-Length: 4\r\n" HEADERS "\r\nbody", 0, "body", 0},
+    {STATUS HEADERS "Content-Length: 0\r\n" HEADERS "\r\n", 0, "", 0},
+    {STATUS HEADERS CHUNKED "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n", 2, "body", 0},
+    {STATUS HEADERS CHUNKED "4;x=y\r\nbody\r\n0\r\n" TRAILER,
+	sizeof(TRAILER) - 1, "body", 0},
+    {HINTS STATUS HEADERS "Content-Length: 4\r\n\r\nbody", 0, "body", 0},
+    {"HTTP/1.1 204 No Content\r\n" HEADERS "\r\n", 0, "", 0},
+    {STATUS HEADERS "Content-Length: 4\r\n\r\n", 0, "", 1},
+    {STATUS HEADERS "Connection: close\r\n\r\nbody", 4, "body", 0}};
+#define NFORMS (sizeof(forms) / sizeof(forms[0]))
+
+/* An answer that its target breaks off at any byte is taken for whole. */
+static void
+ends_at_each_byte(void)
+{
+	struct server s = {0};
+	const struct form *f;
+	struct transfer t;
+	size_t n, length;
+	CURLcode res;
+
+	server_open(&s);
+	for (f = forms; f < forms + NFORMS; f++) {
+		s.text = f->text;
+		length = strlen(f->text);
+		for (n = 0; n <= length; n++) {
+			s.n = n;
+			res = request(&s, &t, f->to_head);
+			if (n + f->optional < length && res == CURLE_OK)
+				fprintf(stderr,
+				    "Answer %d: whole after byte %zu.\n",
+				    (int)(f - forms), n);
+			CU_ASSERT_FALSE(
+			    n + f->optional < length && res == CURLE_OK);
+			if (n == length) {
+				CU_ASSERT_EQUAL(res, CURLE_OK);
+				CU_ASSERT_EQUAL(
+				    t.reply.body.n, strlen(f->body));
+				CU_ASSERT_TRUE(t.reply.is_signed);
+			}
+			transfer_free(&t);
+		}
+	}
+	close(s.listener);
+}
+
+/* An answer whose connection is reset is taken for whole. */
+static void
+resets(void)
+{
+	struct server s = {.ending = RESET};
+	const struct form *f;
+	struct transfer t;
+
+	server_open(&s);
+	for (f = forms; f < forms + NFORMS; f++) {
+		s.text = f->text;
+		s.n = strlen(f->text) - 1;
+		CU_ASSERT_NOT_EQUAL(request(&s, &t, f->to_head), CURLE_OK);
+		transfer_free(&t);
+	}
+	close(s.listener);
+}
+
+static const struct unit_test tests[] = {
+    {"ends at each byte", ends_at_each_byte}, {"resets", resets}};
+
+UNIT_MAIN("transfer", tests)
--- a/standin/server.c
+++ b/standin/server.c
@@ -45,6 +45,7 @@
 /* Faults, set by /_fault. */
 static int lose_answers;     /* number of runs without an answer */
 static int truncate_answers; /* number of answers with a truncated body */
+static int broken_heads;     /* number of answers that end in their head */
 static int wrong_ids;	     /* answers with another request's id */
 static int grant_delay_ms;   /* applies grants late, without an answer */
 static int fail_all;	     /* answers 500 */
@@ -235,6 +236,22 @@
 	return (0);
 }
 
+/* Breaks off an answer within its head, after the signature; the lock is held.
+ */
+static void
+break_head(struct web_answer *a, const char *id)
+{
+	char text[300];
+	int n;
+
+	broken_heads--;
+	n = snprintf(text, sizeof(text),
+	    "HTTP/1.1 %d OK\r\nX-Request-Id: %s\r\nX-Response-Signature: %s\r\n"
+	    "X-Handover: token\r\n",
+	    a->status, id == NULL ? "-" : id, name);
+	str_set(&a->raw, text, (size_t)n);
+}
+
 /* Runs an accepted request; the lock is held. */
 static void
 run(const struct web_request *q, struct web_answer *a, long key)
@@ -285,6 +302,8 @@
 		truncate_answers--;
 		a->truncate_at = (size_t)n / 2;
 	}
+	if (broken_heads > 0)
+		break_head(a, id);
 }
 
 /* Handles a request. */
@@ -343,6 +362,8 @@
 	lose_answers = (int)web_parse_number(web_arg(q, "lose"), lose_answers);
 	truncate_answers =
 	    (int)web_parse_number(web_arg(q, "cut"), truncate_answers);
+	broken_heads =
+	    (int)web_parse_number(web_arg(q, "cut_head"), broken_heads);
 	wrong_ids = (int)web_parse_number(web_arg(q, "foreign"), wrong_ids);
 	grant_delay_ms =
 	    (int)web_parse_number(web_arg(q, "late"), grant_delay_ms);
--- a/standin/web.c
+++ b/standin/web.c
@@ -1,7 +1,9 @@
 #include <argp.h>
 #include <arpa/inet.h>
 #include <err.h>
+#include <errno.h>
 #include <linux/filter.h>
+#include <poll.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
@@ -139,6 +141,39 @@
 	return (r);
 }
 
+/* Sends bytes on the connection of a request; 0, or -1 if it is closed. */
+static int
+send_bytes(const struct web_request *q, const struct str *s)
+{
+	const union MHD_ConnectionInfo *c =
+	    MHD_get_connection_info(q->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	struct pollfd p = {c->connect_fd, POLLOUT, 0};
+	size_t sent = 0;
+	ssize_t n;
+
+	while (sent < s->n) {
+		n = send(p.fd, s->p + sent, s->n - sent, MSG_NOSIGNAL);
+		if (n > 0)
+			sent += (size_t)n;
+		else if (errno != EAGAIN || poll(&p, 1, -1) < 0)
+			return (-1);
+	}
+	return (0);
+}
+
+/* Sends the bytes that replace an answer. */
+static void
+send_raw(const struct web_request *q, struct web_answer *a)
+{
+	if (send_bytes(q, &a->raw) == 0 && a->repeated.n > 0) {
+		while (send_bytes(q, &a->repeated) == 0)
+			;
+	}
+	str_free(&a->raw);
+	str_free(&a->repeated);
+	a->drop = 1;
+}
+
 /* True if connections from an address are cut; the lock is held. */
 static int
 is_cut(in_addr_t from)
@@ -299,6 +334,8 @@
 	q->method = method;
 	q->path = url;
 	fn(q, &a);
+	if (a.raw.n > 0)
+		send_raw(q, &a);
 	if (a.drop) {
 		str_free(&a.body);
 		return (MHD_NO);
--- a/standin/web.h
+++ b/standin/web.h
@@ -44,6 +44,10 @@
 	/* If not 0, end the body after this many bytes, before its
 	 * Content-Length. */
 	size_t truncate_at;
+	/* If not empty, sent in place of the answer; then the connection is
+	 * closed, or `repeated` is sent until the caller closes it. */
+	struct str raw;
+	struct str repeated;
 };
 
 typedef void (*web_handler)(const struct web_request *, struct web_answer *);
