Headers of interim answers and of trailers are not read as an answer's own

A target's interim answer, or the header lines that follow its body in chunks, could sign an answer that has no signature, give another request's id, say of a request that had run that it had not, so that one that must run once would be sent again, announce that the target leaves, or set its rate limit. Trailers went to the caller as headers.

Cause: libcurl passes every header line, and only the forwarded ones of an interim answer were discarded; nothing marked the end of the head.

Trailers may be dropped (RFC 9110, 6.5.1).

An order's status is now that of an answer whose head has ended.

--- a/gspard/direct_send.c
+++ b/gspard/direct_send.c
@@ -184,22 +184,19 @@
 	struct pending *p;
 	CURLMsg *m;
 	CURLcode res;
-	long status, opened;
+	long opened;
 	int left;
 
 	while ((m = curl_multi_info_read(d->multi, &left)) != NULL) {
 		if (m->msg != CURLMSG_DONE)
 			continue;
-		status = opened = 0;
+		opened = 0;
 		curl_easy_getinfo(
 		    m->easy_handle, CURLINFO_NUM_CONNECTS, &opened);
 		count_add(C_TARGET_CONNS, (uint64_t)opened);
 		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &p);
-		curl_easy_getinfo(
-		    m->easy_handle, CURLINFO_RESPONSE_CODE, &status);
 		curl_easy_getinfo(m->easy_handle, CURLINFO_HTTP_CONNECTCODE,
 		    &p->attempt->tunnel_status);
-		p->attempt->t.reply.status = (int)status;
 		res = transfer_end(&p->attempt->t, m->data.result);
 		flow_attempt_done(d, p, res, now);
 	}
--- a/gspard/sitectl_order.c
+++ b/gspard/sitectl_order.c
@@ -160,9 +160,8 @@
 order_done(struct sitectl *k, struct order_call *c, CURLcode res, usec now)
 {
 	struct keys *keys = sitectl_keys(k, c->service);
-	long status = 0;
+	long status = c->t.reply.status;
 
-	curl_easy_getinfo(c->t.easy, CURLINFO_RESPONSE_CODE, &status);
 	if (res != CURLE_OK && res != CURLE_ABORTED_BY_CALLBACK)
 		check_path(k, c, res, now);
 	if (res == CURLE_OK && status != 421 && c->t.reply.leaving)
--- a/regress/unit/t_transfer.c
+++ b/regress/unit/t_transfer.c
@@ -172,7 +172,79 @@
 	close(s.listener);
 }
 
+/* Requests a whole text; returns how its transfer ended. */
+static CURLcode
+request_text(const char *text, struct transfer *t)
+{
+	struct server s = {.text = text, .n = strlen(text)};
+	CURLcode res;
+
+	server_open(&s);
+	res = request(&s, t, 0);
+	close(s.listener);
+	return (res);
+}
+
+#define OTHERS                                                                  \
+	"X-Request-Id: you\r\nX-Response-Signature: s\r\nX-Not-Executed: 1\r\n" \
+	"X-Handover: t\r\nX-Instance-Id: i-2\r\nX-Server-Load: 1,2,3\r\n"       \
+	"Server-Limit: 5\r\nServer-Leaving: 1\r\nRetry-After: 9\r\n"            \
+	"Keep-Alive: timeout=9\r\nConnection: close\r\nX-Other: y\r\n"
+
+/* Checks that nothing was taken from the headers of OTHERS, and frees the
+ * transfer. */
+static void
+check_others_unread(struct transfer *t)
+{
+	const struct reply *r = &t->reply;
+
+	CU_ASSERT_EQUAL(r->status, 200);
+	CU_ASSERT_STRING_EQUAL(r->id, "me");
+	CU_ASSERT_FALSE(r->not_run);
+	CU_ASSERT_STRING_EQUAL(r->handover, "");
+	CU_ASSERT_STRING_EQUAL(r->instance, "");
+	CU_ASSERT_FALSE(r->load.reported);
+	CU_ASSERT_TRUE(r->limit < 0);
+	CU_ASSERT_FALSE(r->leaving);
+	CU_ASSERT_EQUAL(r->retry_after, 0);
+	CU_ASSERT_EQUAL(r->keep_alive, 0);
+	CU_ASSERT_FALSE(r->closes);
+	CU_ASSERT_STRING_EQUAL(r->unknown_header, "");
+	CU_ASSERT_PTR_NULL(strstr(r->headers.p, "X-Other"));
+	transfer_free(t);
+}
+
+/* Headers of an interim answer are taken for those of the answer. */
+static void
+interim_headers(void)
+{
+	struct transfer t;
+
+	CU_ASSERT_EQUAL(request_text("HTTP/1.1 103 Early Hints\r\n" OTHERS
+				     "\r\n" STATUS "X-Request-Id: me\r\n"
+				     "Content-Length: 0\r\n\r\n",
+			    &t),
+	    CURLE_OK);
+	CU_ASSERT_FALSE(t.reply.is_signed);
+	check_others_unread(&t);
+}
+
+/* Headers that follow a body in chunks are taken for those of the head. */
+static void
+trailers(void)
+{
+	struct transfer t;
+
+	CU_ASSERT_EQUAL(
+	    request_text(
+		STATUS HEADERS CHUNKED "4\r\nbody\r\n0\r\n" OTHERS "\r\n", &t),
+	    CURLE_OK);
+	CU_ASSERT_TRUE(t.reply.is_signed);
+	check_others_unread(&t);
+}
+
 static const struct unit_test tests[] = {
-    {"ends at each byte", ends_at_each_byte}, {"resets", resets}};
+    {"ends at each byte", ends_at_each_byte}, {"resets", resets},
+    {"interim headers", interim_headers}, {"trailers", trailers}};
 
 UNIT_MAIN("transfer", tests)
