An order whose answer breaks off in its head is not answered

What callers saw: not seen by callers; found on the paths related to answers that end within their head. A target's broken answer to a release counted as the release's answer: the keys went to the next owner without the token that keeps them warm, or with one from half a head. A broken 409 raised a fence.

Cause: as for requests, an ended transfer was taken for an answer. Now an order has the answer of transfer_end(); else it may have been carried out, as after any break: a release is sent again, a grant counts as one that may have come.

A broken answer does not put the way to the targets in doubt, as its bytes have come by it; the same for requests, by reading, with no test of its own.

--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -182,7 +182,8 @@
 	if (res != CURLE_OK && code == GS_TARGET_LOST)
 		crash_add_break(d, p, p->attempt->target, now);
 	/* A retry at once would meet the same cut. */
-	if (res != CURLE_OK && now - d->last_answer > ANSWERED_RECENTLY) {
+	if (res != CURLE_OK && !transfer_broke_off(&p->attempt->t, res) &&
+	    now - d->last_answer > ANSWERED_RECENTLY) {
 		path_attempt_failed(d, p->attempt, 0, now);
 		p->awaits_path = path_is_doubted(d, now);
 	}
--- a/gspard/sitectl_order.c
+++ b/gspard/sitectl_order.c
@@ -162,7 +162,8 @@
 	struct keys *keys = sitectl_keys(k, c->service);
 	long status = c->t.reply.status;
 
-	if (res != CURLE_OK && res != CURLE_ABORTED_BY_CALLBACK)
+	if (res != CURLE_OK && res != CURLE_ABORTED_BY_CALLBACK &&
+	    !transfer_broke_off(&c->t, res))
 		check_path(k, c, res, now);
 	if (res == CURLE_OK && status != 421 && c->t.reply.leaving)
 		fleet_leave_announced(k, c->order.target);
@@ -215,8 +216,8 @@
 	while ((m = curl_multi_info_read(k->multi, &left)) != NULL) {
 		if (m->msg != CURLMSG_DONE)
 			continue;
-		res = m->data.result;
 		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &c);
+		res = transfer_end(&c->t, m->data.result);
 		order_done(k, c, res, now);
 	}
 	expire_silent_grants(k, now);
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -115,6 +115,15 @@
 	    framing_is_whole(&t->framing, 1) ? CURLE_OK : CURLE_PARTIAL_FILE);
 }
 
+/* True if a transfer that ended with res failed though the way to the target
+ * works: its answer had begun, and the target or this host ended it. */
+int
+transfer_broke_off(const struct transfer *t, CURLcode res)
+{
+	return (t->framing.head_size > 0 &&
+	    (res == CURLE_PARTIAL_FILE || res == CURLE_WRITE_ERROR));
+}
+
 /*
  * Called by libcurl just before it sends the request, and again before it
  * resends it because a reused connection died without an answer.  The target
--- a/standin/server.c
+++ b/standin/server.c
@@ -46,6 +46,7 @@
 static int lose_answers;     /* number of runs without an answer */
 static int truncate_answers; /* number of answers with a truncated body */
 static int broken_heads;     /* number of answers that end in their head */
+static int broken_releases;  /* the same, of releases */
 static int wrong_ids;	     /* answers with another request's id */
 static int grant_delay_ms;   /* applies grants late, without an answer */
 static int fail_all;	     /* answers 500 */
@@ -179,6 +180,21 @@
 	return (clock_mono() - MS(info.tcpi_last_data_recv));
 }
 
+/* Breaks off an answer within its head, after the signature; the lock is held.
+ */
+static void
+break_head(struct web_answer *a, const char *id)
+{
+	char text[300];
+	int n;
+
+	n = snprintf(text, sizeof(text),
+	    "HTTP/1.1 %d OK\r\nX-Request-Id: %s\r\nX-Response-Signature: %s\r\n"
+	    "X-Handover: token\r\n",
+	    a->status, id == NULL ? "-" : id, name);
+	str_set(&a->raw, text, (size_t)n);
+}
+
 /* Handles a grant or a release; a release waits for the runs of its keys. */
 static void
 handle_order(const struct web_request *q, struct web_answer *a, int release)
@@ -217,6 +233,10 @@
 				pthread_cond_wait(&run_ended, &lock);
 		}
 		web_add_header(a, "X-Handover", "token");
+		if (broken_releases > 0) {
+			broken_releases--;
+			break_head(a, NULL);
+		}
 	}
 	pthread_mutex_unlock(&lock);
 }
@@ -236,22 +256,6 @@
 	return (0);
 }
 
-/* Breaks off an answer within its head, after the signature; the lock is held.
- */
-static void
-break_head(struct web_answer *a, const char *id)
-{
-	char text[300];
-	int n;
-
-	broken_heads--;
-	n = snprintf(text, sizeof(text),
-	    "HTTP/1.1 %d OK\r\nX-Request-Id: %s\r\nX-Response-Signature: %s\r\n"
-	    "X-Handover: token\r\n",
-	    a->status, id == NULL ? "-" : id, name);
-	str_set(&a->raw, text, (size_t)n);
-}
-
 /* Runs an accepted request; the lock is held. */
 static void
 run(const struct web_request *q, struct web_answer *a, long key)
@@ -302,8 +306,10 @@
 		truncate_answers--;
 		a->truncate_at = (size_t)n / 2;
 	}
-	if (broken_heads > 0)
+	if (broken_heads > 0) {
+		broken_heads--;
 		break_head(a, id);
+	}
 }
 
 /* Handles a request. */
@@ -364,6 +370,8 @@
 	    (int)web_parse_number(web_arg(q, "cut"), truncate_answers);
 	broken_heads =
 	    (int)web_parse_number(web_arg(q, "cut_head"), broken_heads);
+	broken_releases =
+	    (int)web_parse_number(web_arg(q, "cut_release"), broken_releases);
 	wrong_ids = (int)web_parse_number(web_arg(q, "foreign"), wrong_ids);
 	grant_delay_ms =
 	    (int)web_parse_number(web_arg(q, "late"), grant_delay_ms);
