A store's answer that ends within its head is none

What callers saw: a few requests refused (503, 1 or 2 of some hundred in 3 s) while the store breaks off answers that say that an object does not exist. On our own interface a list or an object whose answer broke off counted as done and empty; nobody saw a failure there, as later answers were read too.

Cause: the store's client took any ended transfer for an answer, with the status alone, on the same path as requests did (libcurl tells no end within the head). Now decide/framing says whether an answer is whole; one that is not counts as no answer, so the call may have been done. An answer has 32 MB at most: its body had no bound.

--- a/gspard/platform.c
+++ b/gspard/platform.c
@@ -5,6 +5,7 @@
 
 #include <curl/curl.h>
 
+#include "framing.h"
 #include "hist.h"
 #include "objects.h"
 #include "store.h"
@@ -23,6 +24,9 @@
 /* Longest wait for events, without large calls in flight and with. */
 #define POLL_IDLE_MS 1000
 #define POLL_LARGE_MS 100
+/* Largest body of an answer, in bytes: a list has 1 MB at most, but a watch may
+ * bring all changes of the store's history. */
+#define ANSWER_MAX (32u * 1024 * 1024)
 
 struct store_call;
 
@@ -43,6 +47,7 @@
 	const struct store_form *form;
 	CURL *easy;
 	struct curl_slist *headers;
+	struct framing framing; /* of the answer */
 	struct str body;
 	int addr_index; /* index of the address that it was sent to */
 	usec sent;
@@ -56,17 +61,29 @@
 	struct store_call *c = arg;
 
 	c->received_at = clock_mono();
+	if (framing_body(&c->framing, size * n) != 0)
+		return (0);
 	return (str_add(&c->body, p, size * n) == 0 ? size * n : 0);
 }
 
-/* Passes a header line of the answer to the kind of store. */
+/* Passes the headers of the answer's own head to the kind of store. */
 static size_t
 on_header(char *p, size_t size, size_t n, void *arg)
 {
 	struct store_call *c = arg;
 
-	if (c->form->header != NULL)
-		c->form->header(c->store, p, size * n);
+	switch (framing_line(&c->framing, p, size * n)) {
+	case FRAMING_STATUS:
+	case FRAMING_HEAD_END:
+	case FRAMING_IGNORED:
+		break;
+	case FRAMING_FIELD:
+		if (c->framing.status >= 200 && c->form->header != NULL)
+			c->form->header(c->store, p, size * n);
+		break;
+	case FRAMING_INVALID:
+		return (0);
+	}
 	return (size * n);
 }
 
@@ -115,6 +132,7 @@
 		store_free(st);
 		return;
 	}
+	framing_init(&c->framing, ANSWER_MAX, 0);
 	c->store = st;
 	c->addr_index = p->addr_index;
 	c->sent = c->received_at = clock_mono();
@@ -272,16 +290,15 @@
 	return (1);
 }
 
-/* Ends a call that got a response, or got none. */
+/* Ends a call that got a response, or got none: one that is not whole is
+ * none. */
 static void
 call_finish(struct service *s, struct store_call *c, CURLcode res)
 {
 	struct store *st = c->store;
-	long status = 0;
+	int whole = framing_is_whole(&c->framing, res == CURLE_OK);
 
-	if (res == CURLE_OK)
-		curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
-	else {
+	if (!whole) {
 		count_add(C_STORE_FAIL, 1);
 		switch_address(s, c);
 	}
@@ -289,7 +306,7 @@
 	/* Not for a watch, in which the store waits for changes. */
 	if (st->wait_ms == 0)
 		hist_add(H_STORE, st->duration);
-	st->status = (int)status;
+	st->status = whole ? c->framing.status : 0;
 	str_free(&st->body);
 	st->body = c->body;
 	memset(&c->body, 0, sizeof(c->body));
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -30,9 +30,10 @@
 static struct str hosts;
 
 /* Faults, set through the control address. */
-static int down;	    /* closes connections without an answer */
-static int slow_ms;	    /* delay of each call */
-static int lose_answers;    /* number of writes to apply without an answer */
+static int down;	 /* closes connections without an answer */
+static int slow_ms;	 /* delay of each call */
+static int lose_answers; /* number of writes to apply without an answer */
+static int cut_status; /* status of answers that end in their head; 0 if none */
 static char lose_path[256]; /* only of paths that contain this */
 static char cut_hosts[256]; /* ",HOST,...,": hosts that get no answer */
 static unsigned long n_get, n_put, n_watch, n_list, n_conflict;
@@ -215,6 +216,10 @@
 	 * answer. */
 	if (down || is_cut(q))
 		a->drop = 1;
+	if (cut_status != 0) {
+		a->status = cut_status;
+		web_break_head(a);
+	}
 out:
 	pthread_mutex_unlock(&lock);
 }
@@ -235,6 +240,8 @@
 		slow_ms = (int)web_parse_number(web_arg(q, "slow_ms"), slow_ms);
 		lose_answers =
 		    (int)web_parse_number(web_arg(q, "lose"), lose_answers);
+		cut_status =
+		    (int)web_parse_number(web_arg(q, "cut_head"), cut_status);
 		if ((s = web_arg(q, "path")) != NULL)
 			snprintf(lose_path, sizeof(lose_path), "%s", s);
 		if ((s = web_arg(q, "cut")) != NULL)
--- a/standin/server.c
+++ b/standin/server.c
@@ -180,21 +180,6 @@
 	return (clock_mono() - MS(info.tcpi_last_data_recv));
 }
 
-/* Breaks off an answer within its head, after the signature; the lock is held.
- */
-static void
-break_head(struct web_answer *a, const char *id)
-{
-	char text[300];
-	int n;
-
-	n = snprintf(text, sizeof(text),
-	    "HTTP/1.1 %d OK\r\nX-Request-Id: %s\r\nX-Response-Signature: %s\r\n"
-	    "X-Handover: token\r\n",
-	    a->status, id == NULL ? "-" : id, name);
-	str_set(&a->raw, text, (size_t)n);
-}
-
 /* Handles a grant or a release; a release waits for the runs of its keys. */
 static void
 handle_order(const struct web_request *q, struct web_answer *a, int release)
@@ -235,7 +220,7 @@
 		web_add_header(a, "X-Handover", "token");
 		if (broken_releases > 0) {
 			broken_releases--;
-			break_head(a, NULL);
+			web_break_head(a);
 		}
 	}
 	pthread_mutex_unlock(&lock);
@@ -308,7 +293,7 @@
 	}
 	if (broken_heads > 0) {
 		broken_heads--;
-		break_head(a, id);
+		web_break_head(a);
 	}
 }
 
--- a/standin/store.c
+++ b/standin/store.c
@@ -46,10 +46,11 @@
 static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
 
 /* Faults, set through the control address. */
-static int down;	    /* answers 503 */
-static int silent;	    /* closes connections after 3 s without an answer */
-static int slow_ms;	    /* delay of each answer */
-static int lose_answers;    /* number of writes to apply without an answer */
+static int down;	 /* answers 503 */
+static int silent;	 /* closes connections after 3 s without an answer */
+static int slow_ms;	 /* delay of each answer */
+static int lose_answers; /* number of writes to apply without an answer */
+static int cut_status; /* status of answers that end in their head; 0 if none */
 static int page_size = 500; /* objects per page of a list */
 static unsigned long reads, writes, watches;
 
@@ -344,6 +345,10 @@
 	snprintf(text, sizeof(text), "%ld", era);
 	pthread_mutex_unlock(&lock);
 	web_add_header(a, "Store-Era", text);
+	if (cut_status != 0) {
+		a->status = cut_status;
+		web_break_head(a);
+	}
 	if (delay_ms > 0)
 		usleep((unsigned)delay_ms * 1000);
 }
@@ -422,6 +427,8 @@
 		slow_ms = (int)web_parse_number(web_arg(q, "slow"), slow_ms);
 		lose_answers =
 		    (int)web_parse_number(web_arg(q, "lose"), lose_answers);
+		cut_status =
+		    (int)web_parse_number(web_arg(q, "cut_head"), cut_status);
 		page_size =
 		    (int)web_parse_number(web_arg(q, "page"), page_size);
 		if (web_parse_number(web_arg(q, "compact"), 0))
--- a/standin/web.c
+++ b/standin/web.c
@@ -86,6 +86,22 @@
 	a->nheaders++;
 }
 
+/* Breaks an answer off within its head, after the headers that were added. */
+void
+web_break_head(struct web_answer *a)
+{
+	char line[300];
+	int i, n;
+
+	n = snprintf(line, sizeof(line), "HTTP/1.1 %d X\r\n", a->status);
+	str_set(&a->raw, line, (size_t)n);
+	for (i = 0; i < a->nheaders; i++) {
+		n = snprintf(line, sizeof(line), "%s: %s\r\n",
+		    a->headers[i].name, a->headers[i].value);
+		str_add(&a->raw, line, (size_t)n);
+	}
+}
+
 /* Returns the first bytes of a body and then fails, as a crashing server
  * does. */
 static ssize_t
--- a/standin/web.h
+++ b/standin/web.h
@@ -58,6 +58,7 @@
     web_handler control);
 const char *web_arg(const struct web_request *, const char *);
 const char *web_header(const struct web_request *, const char *);
+void web_break_head(struct web_answer *);
 void web_add_header(struct web_answer *, const char *name, const char *value);
 long web_parse_number(const char *, long);
 void web_deadline(struct timespec *, long ms);
