Own interface: an answer that ends within its head is cut short

What callers saw: a whole 200 with an empty body, without an error code, where the target had broken off its answer within the head (scenario outcomes, "200 code - -"). A ticket kept that answer for its repeats.

Cause: the same as for the platform's targets, on its own path: an ended transfer was taken for an answer. Now runs and short calls ask decide/framing; the answer is cut short (303, may have run), and the type and the outcome are read from the answer's own head alone. A short call's answer has 64 KB at most; it had no bound.

Failed before: scenario outcomes, at the line that it has more. After: passes, with once and session.

--- a/gspard/dispatch.h
+++ b/gspard/dispatch.h
@@ -8,6 +8,7 @@
 #include <curl/curl.h>
 
 #include "budget.h"
+#include "framing.h"
 #include "grant.h"
 #include "gspard.h"
 #include "once.h"
@@ -44,9 +45,8 @@
 	usec arrived;
 	CURL *easy;
 	struct curl_slist *headers;
+	struct framing framing; /* of the answer */
 	struct str body;
-	size_t answer_max;
-	int too_large;
 	int cancelled;
 	int resent;    /* sent a second time */
 	int refused;   /* the target says that it did not run it */
@@ -62,6 +62,7 @@
 	uint64_t epoch;
 	usec sent;
 	CURL *easy;
+	struct framing framing; /* of the answer */
 	struct str out;
 	struct str in;
 };
--- a/gspard/run.c
+++ b/gspard/run.c
@@ -208,7 +208,6 @@
 	r->requesters[0] = *a;
 	r->nrequesters = 1;
 	r->arrived = now;
-	r->answer_max = t->answer_max;
 	r->job.user_data = r;
 	r->job.deadline = now + MS(q->left_ms);
 	r->job.caller = caller_hash(q->caller);
--- a/gspard/send.c
+++ b/gspard/send.c
@@ -16,21 +16,18 @@
 {
 	struct run *r = arg;
 
-	if (r->body.n + size * n > r->answer_max) {
-		r->too_large = 1;
+	if (framing_body(&r->framing, size * n) != 0)
 		return (0);
-	}
 	return (str_add(&r->body, p, size * n) == 0 ? size * n : 0);
 }
 
-/* Reads the content type and the outcome from the answer's headers. */
-static size_t
-on_header(char *p, size_t size, size_t n, void *arg)
+/* Reads the content type or the outcome from a header. */
+static void
+read_header(struct run *r, const char *p, size_t len)
 {
 	static const char type[] = "Content-Type:";
 	static const char outcome[] = "Gspar-Outcome:";
-	struct run *r = arg;
-	size_t len = size * n, k = sizeof(type) - 1;
+	size_t k = sizeof(type) - 1;
 
 	if (len > k && strncasecmp(p, type, k) == 0) {
 		while (k < len && p[k] == ' ')
@@ -45,6 +42,26 @@
 	    strncasecmp(p, outcome, sizeof(outcome) - 1) == 0 &&
 	    memmem(p, len, "not_run", 7) != NULL)
 		r->refused = 1;
+}
+
+/* Reads the headers of the answer's own head. */
+static size_t
+on_header(char *p, size_t size, size_t n, void *arg)
+{
+	struct run *r = arg;
+
+	switch (framing_line(&r->framing, p, size * n)) {
+	case FRAMING_STATUS:
+	case FRAMING_HEAD_END:
+	case FRAMING_IGNORED:
+		break;
+	case FRAMING_FIELD:
+		if (r->framing.status >= 200)
+			read_header(r, p, size * n);
+		break;
+	case FRAMING_INVALID:
+		return (0);
+	}
 	return (size * n);
 }
 
@@ -120,6 +137,7 @@
 	if (r->easy == NULL)
 		return (-1);
 	r->id = ++d->next_id;
+	framing_init(&r->framing, t->answer_max, 0);
 	key = curl_easy_escape(r->easy, q->key, 0);
 	snprintf(url, sizeof(url), "http://%s/run/%s/%s%s", t->addr, t->service,
 	    key, q->rest);
@@ -296,7 +314,7 @@
 static int
 failure_code(const struct run *r, CURLcode res)
 {
-	if (r->too_large)
+	if (r->framing.too_large)
 		return (GS_ANSWER_LARGE);
 	switch (res) {
 	case CURLE_OPERATION_TIMEDOUT:
@@ -353,14 +371,15 @@
 run_done(struct service *s, struct run *r, CURLcode res, usec now)
 {
 	struct target *t = r->target;
-	long status = 0;
+	long status = r->framing.status;
 
+	if (res == CURLE_OK && !framing_is_whole(&r->framing, 1))
+		res = CURLE_PARTIAL_FILE;
 	t->nruns--;
 	t->inflight[r->job.shard]--;
 	t->busy[r->job.shard] += (uint32_t)(now - r->sent);
 	queue_done(&t->queue, &r->job,
 	    res == CURLE_OK && !r->refused ? now - r->sent : 0);
-	curl_easy_getinfo(r->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (res == CURLE_OK)
 		silence_request_answered(&t->silence, r->sent);
 	if (res != CURLE_OK)
--- a/gspard/target.c
+++ b/gspard/target.c
@@ -13,6 +13,8 @@
 
 /* Timeout of a short call. */
 #define TARGET_CALL_TIMEOUT_MS 300
+/* Largest body of an answer to one, in bytes. */
+#define CALL_ANSWER_MAX 65536
 /* Budget of requests retried after a target was silent: their share of all
  * requests, and the largest burst. */
 #define RETRY_SHARE 0.1
@@ -226,9 +228,23 @@
 {
 	struct target_call *target_call = arg;
 
+	if (framing_body(&target_call->framing, size * n) != 0)
+		return (0);
 	return (str_add(&target_call->in, p, size * n) == 0 ? size * n : 0);
 }
 
+/* Follows the head of the answer to a short call. */
+static size_t
+on_header(char *p, size_t size, size_t n, void *arg)
+{
+	struct target_call *target_call = arg;
+
+	return (
+	    framing_line(&target_call->framing, p, size * n) == FRAMING_INVALID
+		? 0
+		: size * n);
+}
+
 /* Starts a short call; it owns the body, if any. */
 static void
 target_call_send(struct service *s, struct target *t, enum grant_step step,
@@ -244,6 +260,7 @@
 		free(body);
 		return;
 	}
+	framing_init(&n->framing, CALL_ANSWER_MAX, 0);
 	n->target = t;
 	n->step = step;
 	n->epoch = t->grant.epoch;
@@ -263,6 +280,8 @@
 	limit_conn_age(t, n->easy, n->sent);
 	curl_easy_setopt(n->easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(n->easy, CURLOPT_WRITEDATA, n);
+	curl_easy_setopt(n->easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(n->easy, CURLOPT_HEADERDATA, n);
 	/* The low bit distinguishes short calls from runs in reap(). */
 	curl_easy_setopt(n->easy, CURLOPT_PRIVATE, (void *)((uintptr_t)n | 1));
 	if (body != NULL) {
@@ -362,16 +381,15 @@
 	struct target *t = n->target;
 	json_int_t clock, boot;
 	json_t *o = NULL;
-	long status = 0;
 	int leaving, was_up = t->grant.up;
 
 	if (n->step == STEP_NONE)
 		goto out;
-	if (res == CURLE_OK) {
-		curl_easy_getinfo(n->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (res == CURLE_OK && !framing_is_whole(&n->framing, 1))
+		res = CURLE_PARTIAL_FILE;
+	if (res == CURLE_OK)
 		o = json_loadb(
 		    n->in.p == NULL ? "" : n->in.p, n->in.n, 0, NULL);
-	}
 	if (res != CURLE_OK)
 		silence_probe_missed(&t->silence);
 	else if (silence_probe_answered(&t->silence, n->sent))
@@ -383,8 +401,8 @@
 		if (n->epoch != t->grant.epoch)
 			t->grant.up = was_up;
 	} else {
-		grant_answered(
-		    &t->grant, now, n->step, status == 200, clock, boot);
+		grant_answered(&t->grant, now, n->step,
+		    n->framing.status == 200, clock, boot);
 		leaving = json_is_true(json_object_get(o, "leaving"));
 		if (leaving != t->leaving)
 			d->report_due = 1;
--- a/regress/scenario/outcomes.lua
+++ b/regress/scenario/outcomes.lua
@@ -16,6 +16,12 @@
 request("answer cut short", "key-1?size=5000")
 f:target_fault("t1", "cut=0")
 f:target_fault("t2", "cut=0")
+-- The connection ends within the head, before any length.
+f:target_fault("t1", "cut_head=1")
+f:target_fault("t2", "cut_head=1")
+request("answer cut within its head", "key-1")
+f:target_fault("t1", "cut_head=0")
+f:target_fault("t2", "cut_head=0")
 local text = request("answer whole", "key-1?size=5000")
 check(#text > 5000, "the answer is short: %d", #text)
 
--- a/standin/target.c
+++ b/standin/target.c
@@ -50,6 +50,7 @@
 static int fail_all;
 static int false_load = -1;  /* load to report instead of the real one */
 static int truncate_answers; /* truncates bodies */
+static int break_heads;	     /* breaks answers off in their heads */
 static int draining;	     /* 1 reports that it is leaving, 2 also refuses */
 static const char *listen_addr;
 static const char *name = "target";
@@ -374,6 +375,8 @@
 	}
 	if (truncate_answers)
 		a->truncate_at = a->body.n / 2;
+	if (break_heads)
+		web_break_head(a);
 }
 
 /* Cancels a run by its id; answers 404 if there is none. */
@@ -415,6 +418,8 @@
 	work_ms = (int)web_parse_number(web_arg(q, "work"), work_ms);
 	truncate_answers =
 	    (int)web_parse_number(web_arg(q, "cut"), truncate_answers);
+	break_heads =
+	    (int)web_parse_number(web_arg(q, "cut_head"), break_heads);
 	draining = (int)web_parse_number(web_arg(q, "drain"), draining);
 }
 
