A relaying host that stops does not end an answer in an orderly way

What callers saw: the first half of an answer as a whole 200, where the host through which theirs reaches the targets stopped while the target paused amid an answer without a length. The review suspected it by reading.

Cause: a stopping host closed tunnels in order that had been without a byte for 100 ms after one from the target. That closes idle connections, but the target may be amid an answer, and one without a length ends with its connection, so the host takes its part for whole. Now such a tunnel is reset, once the host has received all bytes; a reset is never the end of an answer.

--- a/gspard/sock.c
+++ b/gspard/sock.c
@@ -1,7 +1,9 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -153,6 +155,16 @@
 	return (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR));
 }
 
+/* Returns the number of bytes sent that the peer has not acknowledged; 0 if it
+ * cannot be known. */
+int
+sock_unsent(int fd)
+{
+	int n;
+
+	return (ioctl(fd, SIOCOUTQ, &n) == 0 ? n : 0);
+}
+
 /* Closes a socket by a reset, which also discards its unsent bytes. */
 void
 sock_close_reset(int fd)
--- a/gspard/sock.h
+++ b/gspard/sock.h
@@ -11,6 +11,7 @@
 int sock_set_nonblocking(int fd);
 int sock_error(int fd);
 int sock_is_closed(int fd);
+int sock_unsent(int fd);
 void sock_close_reset(int fd);
 
 #endif
--- a/gspard/tunnel.c
+++ b/gspard/tunnel.c
@@ -35,7 +35,7 @@
 #define CONNECT_TIMEOUT MS(250)
 #define CLOSE_TIMEOUT MS(1000)
 /* During a stop, tunnels are closed after this time without a byte if the last
- * one came from the target: no request is in progress there. */
+ * one came from the target: most likely no request is in progress there. */
 #define STOP_IDLE MS(100)
 /* Interval of checking timeouts while there are any. */
 #define TICK_INTERVAL MS(50)
@@ -443,6 +443,19 @@
 	}
 }
 
+/*
+ * True if a tunnel seems to have no request in progress and the host has
+ * received all that the target sent.  The target may still be amid an answer,
+ * and one without a length ends with its connection, so such a tunnel is closed
+ * by a reset.
+ */
+static int
+is_idle(const struct tunnel *t, usec now)
+{
+	return (t->last_from == TARGET && now - t->last_byte > STOP_IDLE &&
+	    !has_unsent(&t->ends[HOST]) && sock_unsent(t->ends[HOST].fd) == 0);
+}
+
 /* Handles what takes too long; returns true if the state has a timeout. */
 static int
 check_timeout(struct service *s, struct tunnel *t, usec now)
@@ -466,9 +479,8 @@
 			abort_tunnel(t, now);
 		return (1);
 	case TUNNEL_OPEN:
-		if (v->stopping && t->last_from == TARGET &&
-		    now - t->last_byte > STOP_IDLE)
-			end_of_bytes(t, TARGET, now);
+		if (v->stopping && is_idle(t, now))
+			abort_tunnel(t, now);
 		return (v->stopping);
 	case TUNNEL_CLOSED:
 		break;
--- a/standin/server.c
+++ b/standin/server.c
@@ -47,6 +47,7 @@
 static int truncate_answers; /* number of answers with a truncated body */
 static int broken_heads;     /* number of answers that end in their head */
 static int broken_releases;  /* the same, of releases */
+static int halt_ms;	     /* pause amid bodies, sent without a length */
 static int wrong_ids;	     /* answers with another request's id */
 static int grant_delay_ms;   /* applies grants late, without an answer */
 static int fail_all;	     /* answers 500 */
@@ -291,6 +292,8 @@
 		truncate_answers--;
 		a->truncate_at = (size_t)n / 2;
 	}
+	if (halt_ms > 0)
+		web_halt_body(a, halt_ms);
 	if (broken_heads > 0) {
 		broken_heads--;
 		web_break_head(a);
@@ -357,6 +360,7 @@
 	    (int)web_parse_number(web_arg(q, "cut_head"), broken_heads);
 	broken_releases =
 	    (int)web_parse_number(web_arg(q, "cut_release"), broken_releases);
+	halt_ms = (int)web_parse_number(web_arg(q, "halt"), halt_ms);
 	wrong_ids = (int)web_parse_number(web_arg(q, "foreign"), wrong_ids);
 	grant_delay_ms =
 	    (int)web_parse_number(web_arg(q, "late"), grant_delay_ms);
--- a/standin/web.c
+++ b/standin/web.c
@@ -102,6 +102,19 @@
 	}
 }
 
+/* Sends an answer without a length, with a pause amid its body. */
+void
+web_halt_body(struct web_answer *a, int pause_ms)
+{
+	size_t half = a->body.n / 2;
+
+	web_break_head(a);
+	str_add(&a->raw, "\r\n", 2);
+	str_add(&a->raw, a->body.p, half);
+	str_set(&a->rest, a->body.p + half, a->body.n - half);
+	a->pause_ms = pause_ms;
+}
+
 /* Returns the first bytes of a body and then fails, as a crashing server
  * does. */
 static ssize_t
@@ -181,12 +194,13 @@
 static void
 send_raw(const struct web_request *q, struct web_answer *a)
 {
-	if (send_bytes(q, &a->raw) == 0 && a->repeated.n > 0) {
-		while (send_bytes(q, &a->repeated) == 0)
+	if (send_bytes(q, &a->raw) == 0) {
+		usleep((unsigned)a->pause_ms * 1000);
+		while (send_bytes(q, &a->rest) == 0 && a->repeat)
 			;
 	}
 	str_free(&a->raw);
-	str_free(&a->repeated);
+	str_free(&a->rest);
 	a->drop = 1;
 }
 
--- a/standin/web.h
+++ b/standin/web.h
@@ -44,10 +44,12 @@
 	/* If not 0, end the body after this many bytes, before its
 	 * Content-Length. */
 	size_t truncate_at;
-	/* If not empty, sent in place of the answer; then the connection is
-	 * closed, or `repeated` is sent until the caller closes it. */
+	/* If not empty, `raw` is sent in place of the answer, then `rest` after
+	 * a pause, once or until the caller closes the connection. */
 	struct str raw;
-	struct str repeated;
+	int pause_ms;
+	struct str rest;
+	int repeat;
 };
 
 typedef void (*web_handler)(const struct web_request *, struct web_answer *);
@@ -59,6 +61,7 @@
 const char *web_arg(const struct web_request *, const char *);
 const char *web_header(const struct web_request *, const char *);
 void web_break_head(struct web_answer *);
+void web_halt_body(struct web_answer *, int pause_ms);
 void web_add_header(struct web_answer *, const char *name, const char *value);
 long web_parse_number(const char *, long);
 void web_deadline(struct timespec *, long ms);
