Answers without end are given up, and take a bounded part of memory

What callers saw: where all four targets of a service send bodies without end at 30 MB/s each, a host grew to 478 MB (560 MB with bodies in chunks), and requests to other targets took up to 464 ms. With one such target of four, 40 of 115 requests were refused (bodies without a length), 3 of 114 got a 504 (in chunks). A machine has 260 MB, the smallest 120.

Cause: each body was read up to 48 MB or its request's deadline, whichever came first, however many came at once, and an answer to another request was read to its end as well. As large bodies were freed the allocator moved its threshold up and took the next ones from the heap, where each left holes as it grew: 120 MB for 48 MB of bodies, 62 with a fixed threshold.

Now a body whose length is not stated has 16 MB at most, and all bodies that are being received 48 MB together; beyond that the largest is given up, as one without end soon is. A body whose stated length is too large, an answer to another request, and a head, interim answers or trailers of over 64 KB are read no further. Such an answer may have run: a request that may be repeated goes to another target within its budget, the target counts as one that broke, but no crash is suspected. Counter answers_stopped.

Ruled out: a lower limit for all answers; one with a stated length has an end, and up to 48 MB were passed on so far.

Failed before: scenario site_endless ("others waited 441 ms"), unit transfer "foreign".

--- a/decide/framing.c
+++ b/decide/framing.c
@@ -4,14 +4,16 @@
 
 #include "framing.h"
 
-/* Prepares for an answer with a body of at most body_max bytes; to_head is true
- * for the answer to a HEAD request. */
+/* Prepares for an answer with a body of at most body_max bytes, or open_max if
+ * its length is not stated; to_head is true for the answer to a HEAD request.
+ */
 void
-framing_init(struct framing *f, size_t body_max, int to_head)
+framing_init(struct framing *f, size_t body_max, size_t open_max, int to_head)
 {
 	memset(f, 0, sizeof(*f));
 	f->state = FRAMING_AT_STATUS;
 	f->body_max = body_max;
+	f->open_max = open_max;
 	f->to_head = to_head;
 }
 
@@ -173,9 +175,11 @@
 int
 framing_body(struct framing *f, size_t n)
 {
+	size_t max = f->has_length ? f->body_max : f->open_max;
+
 	if (f->state != FRAMING_IN_BODY || f->too_large)
 		return (-1);
-	if (n > f->body_max - f->body_size) {
+	if (n > max - f->body_size) {
 		f->too_large = 1;
 		return (-1);
 	}
--- a/decide/framing.h
+++ b/decide/framing.h
@@ -32,7 +32,8 @@
 struct framing {
 	enum framing_state state;
 	int to_head;	  /* answers a HEAD request, so it has no body */
-	size_t body_max;  /* limit on the body in bytes */
+	size_t body_max;  /* limit on the body in bytes ... */
+	size_t open_max;  /* ... if its length was not stated */
 	int status;	  /* of the answer that was begun last; 0 if none */
 	int chunked;	  /* the body is sent in chunks */
 	int has_length;	  /* its length was stated ... */
@@ -42,7 +43,8 @@
 	int too_large;	  /* the body is over its limit */
 };
 
-void framing_init(struct framing *, size_t body_max, int to_head);
+void framing_init(
+    struct framing *, size_t body_max, size_t open_max, int to_head);
 enum framing_line framing_line(struct framing *, const char *line, size_t n);
 int framing_body(struct framing *, size_t n);
 int framing_is_whole(const struct framing *, int ended);
--- a/gsparctl/web.c
+++ b/gsparctl/web.c
@@ -71,7 +71,7 @@
 	CURL *c;
 
 	memset(r, 0, sizeof(*r));
-	framing_init(&r->framing, ANSWER_MAX, 0);
+	framing_init(&r->framing, ANSWER_MAX, ANSWER_MAX, 0);
 	c = curl_easy_init();
 	if (c == NULL)
 		return;
--- a/gspard/direct.c
+++ b/gspard/direct.c
@@ -272,6 +272,7 @@
 		curl_multi_perform(d->multi, &running);
 		now = clock_mono();
 		attempts_reap(d, now);
+		attempts_limit(d, now);
 		if (now >= d->next_limits)
 			targets_update_limits(d, now);
 		pools_update(d, now);
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -200,6 +200,7 @@
 	struct rule_stats rule_stats[RULE_STATS_SIZE];
 	struct pending *first;
 	struct pending *last;
+	size_t answer_bytes; /* of all bodies that are being received */
 	CURL *idle_easy[IDLE_EASY_MAX];
 	int nidle_easy;
 	uint64_t unknown_headers[UNKNOWN_HEADERS_MAX]; /* hashes of names */
@@ -317,6 +318,7 @@
     struct direct *, struct pending *, struct target_state *, usec now);
 void attempt_drop(struct direct *, struct pending *);
 void attempts_reap(struct direct *, usec now);
+void attempts_limit(struct direct *, usec now);
 
 /* direct_targets.c */
 void targets_update(
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -169,17 +169,39 @@
 		flow_fail(d, p, GS_SHED, (usec)p->stats->avg_time, now);
 }
 
+/* Describes why an attempt has no complete answer. */
+static const char *
+describe_fault(const struct attempt *a, CURLcode res)
+{
+	const struct framing *f = &a->t.framing;
+
+	if (res == CURLE_OK)
+		return ("not an answer to this request");
+	if (f->too_large)
+		return ("body too large");
+	if (res == CURLE_WRITE_ERROR)
+		return (f->state == FRAMING_BROKEN ? "not a valid answer"
+						   : "no memory for the body");
+	if (res == CURLE_PARTIAL_FILE && f->state != FRAMING_IN_BODY)
+		return ("ended within the head");
+	return (curl_easy_strerror(res));
+}
+
 /* Handles an attempt without a complete answer, which may have run. */
 static void
 maybe_run(struct direct *d, struct pending *p, CURLcode res, usec now)
 {
-	int code =
-	    p->attempt->t.framing.too_large ? GS_ANSWER_LARGE : GS_TARGET_LOST;
+	const struct framing *f = &p->attempt->t.framing;
+	/* A body without a stated length may be without end, and another
+	 * target's answer be fit. */
+	int is_large = f->too_large && f->has_length;
 
 	count_add(res == CURLE_OK ? C_ANSWER_FOREIGN : C_TARGET_LOST, 1);
+	count_add(C_ANSWER_STOPPED, res == CURLE_WRITE_ERROR);
 	p->ran++;
 	crash_add_unanswered(d, p, now);
-	if (res != CURLE_OK && code == GS_TARGET_LOST)
+	/* The target is not suspected if this host ended the answer. */
+	if (res != CURLE_OK && res != CURLE_WRITE_ERROR)
 		crash_add_break(d, p, p->attempt->target, now);
 	/* A retry at once would meet the same cut. */
 	if (res != CURLE_OK && !transfer_broke_off(&p->attempt->t, res) &&
@@ -192,13 +214,13 @@
 	    "content %016llx, try %d",
 	    p->attempt->target->id, p->attempt->target->addr,
 	    (long long)((now - p->attempt->sent) / 1000),
-	    res == CURLE_OK ? "not an answer to this request"
-			    : curl_easy_strerror(res),
-	    (unsigned long long)p->digest, p->tries);
-	if (code == GS_TARGET_LOST && may_retry(p, now))
+	    describe_fault(p->attempt, res), (unsigned long long)p->digest,
+	    p->tries);
+	if (!is_large && may_retry(p, now))
 		retry(d, p, now);
 	else
-		flow_fail(d, p, code, 0, now);
+		flow_fail(d, p, f->too_large ? GS_ANSWER_LARGE : GS_TARGET_LOST,
+		    0, now);
 }
 
 /* Handles an attempt that did not reach its target. */
--- a/gspard/direct_send.c
+++ b/gspard/direct_send.c
@@ -4,9 +4,14 @@
 #include <string.h>
 
 #include "direct.h"
+#include "excess.h"
 
-/* Largest body of an answer; larger ones are refused. */
+/* Largest body of an answer, and of one whose length is not stated, which may
+ * have no end, in bytes; larger ones are refused. */
 #define ANSWER_MAX (48u * 1024 * 1024)
+#define OPEN_ANSWER_MAX (16u * 1024 * 1024)
+/* Limit on all bodies that are being received, in bytes. */
+#define ANSWERS_MAX (48u * 1024 * 1024)
 /* A target that does not accept a connection within this time is unreachable:
  * a connection takes one round trip and about 1 ms. */
 #define CONNECT_MS 300
@@ -151,8 +156,10 @@
 	}
 	a->target = target;
 	a->sent = now;
-	transfer_init(
-	    &a->t, d->ops, ANSWER_MAX, strcmp(p->call->method, "HEAD") == 0);
+	transfer_init(&a->t, d->ops, ANSWER_MAX, OPEN_ANSWER_MAX,
+	    strcmp(p->call->method, "HEAD") == 0);
+	a->t.call = p->call;
+	a->t.held = &d->answer_bytes;
 	a->t.headers = d->ops->request(
 	    p->call, target->id, (int)(left / 1000) - RETURN_MS);
 	set_transfer(d, a, p, now);
@@ -201,3 +208,24 @@
 		flow_attempt_done(d, p, res, now);
 	}
 }
+
+/* Gives up answers until the bodies of the others fit in memory. */
+void
+attempts_limit(struct direct *d, usec now)
+{
+	struct excess e;
+	struct pending *p;
+
+	while (d->answer_bytes > ANSWERS_MAX) {
+		memset(&e, 0, sizeof(e));
+		for (p = d->first; p != NULL; p = p->next) {
+			if (p->attempt != NULL)
+				excess_add(
+				    &e, p->attempt->t.framing.body_size, p);
+		}
+		p = excess_choose(&e, ANSWERS_MAX);
+		if (p == NULL)
+			return;
+		flow_attempt_done(d, p, CURLE_WRITE_ERROR, now);
+	}
+}
--- a/gspard/gspard.c
+++ b/gspard/gspard.c
@@ -1,5 +1,6 @@
 /* gspard: the daemon that runs on every host and routes callers' requests. */
 #include <argp.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -30,6 +31,9 @@
 #define ANSWER_TRANSIT_MS 150
 /* How long a newly accepted connection may take to send its request. */
 #define FIRST_REQUEST_MS 250
+/* Allocations from this size in bytes on go back to the system when they are
+ * freed: the body of a large answer would leave a hole as it grows. */
+#define LARGE_ALLOCATION (256 * 1024)
 
 static const char *file;
 static int check_only;
@@ -282,6 +286,7 @@
 	const struct service_ops *const *list;
 	int res = 1;
 
+	mallopt(M_MMAP_THRESHOLD, LARGE_ALLOCATION);
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
 	settings_add_aliases();
 	if (conf_read(&conf, file, print_setting_error) != 0)
--- a/gspard/platform.c
+++ b/gspard/platform.c
@@ -132,7 +132,7 @@
 		store_free(st);
 		return;
 	}
-	framing_init(&c->framing, ANSWER_MAX, 0);
+	framing_init(&c->framing, ANSWER_MAX, ANSWER_MAX, 0);
 	c->store = st;
 	c->addr_index = p->addr_index;
 	c->sent = c->received_at = clock_mono();
--- a/gspard/send.c
+++ b/gspard/send.c
@@ -137,7 +137,7 @@
 	if (r->easy == NULL)
 		return (-1);
 	r->id = ++d->next_id;
-	framing_init(&r->framing, t->answer_max, 0);
+	framing_init(&r->framing, t->answer_max, t->answer_max, 0);
 	key = curl_easy_escape(r->easy, q->key, 0);
 	snprintf(url, sizeof(url), "http://%s/run/%s/%s%s", t->addr, t->service,
 	    key, q->rest);
--- a/gspard/sitectl_order.c
+++ b/gspard/sitectl_order.c
@@ -101,7 +101,7 @@
 		keys_order_done(keys, clock_mono(), o->id, ORDER_NOT_SENT, "");
 		return;
 	}
-	transfer_init(&c->t, k->ops, ANSWER_MAX, 0);
+	transfer_init(&c->t, k->ops, ANSWER_MAX, ANSWER_MAX, 0);
 	c->t.discards_body = 1;
 	c->order = *o;
 	c->sent = clock_mono();
--- a/gspard/target.c
+++ b/gspard/target.c
@@ -260,7 +260,7 @@
 		free(body);
 		return;
 	}
-	framing_init(&n->framing, CALL_ANSWER_MAX, 0);
+	framing_init(&n->framing, CALL_ANSWER_MAX, CALL_ANSWER_MAX, 0);
 	n->target = t;
 	n->step = step;
 	n->epoch = t->grant.epoch;
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -42,15 +42,15 @@
 	return (CURL_SOCKOPT_OK);
 }
 
-/* Prepares for an answer with a body of at most body_max bytes; to_head is true
- * if the request is a HEAD. */
+/* Prepares for an answer with a body of at most body_max bytes, or open_max if
+ * its length is not stated; to_head is true if the request is a HEAD. */
 void
 transfer_init(struct transfer *t, const struct target_ops *ops, size_t body_max,
-    int to_head)
+    size_t open_max, int to_head)
 {
 	t->ops = ops;
 	t->reply.limit = -1;
-	framing_init(&t->framing, body_max, to_head);
+	framing_init(&t->framing, body_max, open_max, to_head);
 }
 
 /* Appends received bytes to the answer's body, or discards them if the body
@@ -62,6 +62,8 @@
 
 	if (framing_body(&t->framing, size * n) != 0)
 		return (0);
+	if (t->held != NULL)
+		*t->held += size * n;
 	if (t->discards_body)
 		return (size * n);
 	return (str_add(&t->reply.body, p, size * n) == 0 ? size * n : 0);
@@ -92,6 +94,10 @@
 		break;
 	case FRAMING_HEAD_END:
 		t->reply.status = t->framing.status;
+		t->is_foreign = t->call != NULL &&
+		    t->ops->kind(&t->reply, t->call) == REPLY_FOREIGN;
+		if (t->is_foreign)
+			return (0);
 		break;
 	case FRAMING_IGNORED:
 		break;
@@ -103,12 +109,15 @@
 
 /*
  * Returns CURLE_OK if a transfer that ended with res has brought a whole
- * answer.  libcurl reports no error if the connection ends within the head and
- * no length has been read yet.
+ * answer, or one to another request, which is not read any further.  libcurl
+ * reports no error if the connection ends within the head and no length has
+ * been read yet.
  */
 CURLcode
 transfer_end(const struct transfer *t, CURLcode res)
 {
+	if (t->is_foreign)
+		return (CURLE_OK);
 	if (res != CURLE_OK)
 		return (res);
 	return (
@@ -192,4 +201,6 @@
 	curl_slist_free_all(t->headers);
 	str_free(&t->reply.headers);
 	str_free(&t->reply.body);
+	if (t->held != NULL)
+		*t->held -= t->framing.body_size;
 }
--- a/gspard/transfer.h
+++ b/gspard/transfer.h
@@ -9,17 +9,21 @@
 	const struct target_ops *ops;
 	CURL *easy;
 	struct curl_slist *headers;
-	struct framing framing; /* of the answer */
+	const struct call *call; /* the request; NULL for an order */
+	struct framing framing;	 /* of the answer */
 	struct reply reply;
+	size_t *held; /* bytes of all bodies that are being received, or NULL */
 	int discards_body;
+	int is_foreign; /* the answer's head shows that it is not to the request
+			 */
 	int maybe_sent; /* bytes may have been sent */
 	int new_conn;	/* ... on a connection opened for this transfer */
 };
 
 void transfers_wake(void *multi);
 int transfer_set_keepalive(void *, curl_socket_t, curlsocktype);
-void transfer_init(
-    struct transfer *, const struct target_ops *, size_t body_max, int to_head);
+void transfer_init(struct transfer *, const struct target_ops *,
+    size_t body_max, size_t open_max, int to_head);
 void transfer_set_options(struct transfer *, const char *url,
     long connect_timeout_ms, const char *source);
 void transfer_set_tunnel(struct transfer *, const char *host);
--- a/lib/count.h
+++ b/lib/count.h
@@ -50,6 +50,8 @@
 	    "Requests whose target gave no whole answer")                      \
 	X(C_ANSWER_FOREIGN, "foreign",                                         \
 	    "Answers that belong to no request here")                          \
+	X(C_ANSWER_STOPPED, "answers_stopped",                                 \
+	    "Answers read no further: not valid, or too large")                \
 	X(C_NOT_OWNER, "missent", "Requests that came to no owner of the key") \
 	X(C_TARGET_FULL, "target_full", "Requests that a full target refused") \
 	X(C_GRANTS_FAILED, "grants_failed", "Orders not answered in time")     \
--- a/regress/unit/t_framing.c
+++ b/regress/unit/t_framing.c
@@ -6,6 +6,7 @@
 #include "unit.h"
 
 #define BODY_MAX 1000
+#define OPEN_MAX 300
 
 /* Follows lines up to the empty one that ends the last head; returns what the
  * last line was. */
@@ -26,7 +27,7 @@
 static enum framing_line
 head(struct framing *f, const char *text)
 {
-	framing_init(f, BODY_MAX, 0);
+	framing_init(f, BODY_MAX, OPEN_MAX, 0);
 	return (follow(f, text));
 }
 
@@ -44,7 +45,7 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(heads) / sizeof(heads[0]); i++) {
-		framing_init(&f, BODY_MAX, 0);
+		framing_init(&f, BODY_MAX, OPEN_MAX, 0);
 		for (p = heads[i]; *p != '\0'; p = end) {
 			CU_ASSERT_FALSE(framing_is_whole(&f, 1));
 			end = strchr(p, '\n') + 1;
@@ -81,7 +82,7 @@
 {
 	struct framing f;
 
-	framing_init(&f, BODY_MAX, 1);
+	framing_init(&f, BODY_MAX, OPEN_MAX, 1);
 	follow(&f, "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n");
 	CU_ASSERT_TRUE(framing_is_whole(&f, 1));
 	head(&f, "HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n\r\n");
@@ -135,7 +136,7 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
-		framing_init(&f, BODY_MAX, 0);
+		framing_init(&f, BODY_MAX, OPEN_MAX, 0);
 		if (strchr(bad[i], '\n') == NULL)
 			framing_line(&f, bad[i], strlen(bad[i]));
 		else
@@ -155,7 +156,7 @@
 {
 	struct framing f;
 
-	framing_init(&f, BODY_MAX, 0);
+	framing_init(&f, BODY_MAX, OPEN_MAX, 0);
 	CU_ASSERT_EQUAL(
 	    follow(&f, "HTTP/1.1 103 Early Hints\r\n"), FRAMING_STATUS);
 	CU_ASSERT_EQUAL(follow(&f, "Content-Length: 7\r\n"), FRAMING_FIELD);
@@ -188,7 +189,7 @@
 		CU_ASSERT_TRUE(n <= FRAMING_HEAD_MAX);
 		CU_ASSERT_FALSE(framing_is_whole(&f, 1));
 	}
-	framing_init(&f, BODY_MAX, 0);
+	framing_init(&f, BODY_MAX, OPEN_MAX, 0);
 	for (n = 0;
 	     follow(&f, "HTTP/1.1 100 Continue\r\n\r\n") == FRAMING_IGNORED;)
 		n += 25;
@@ -196,7 +197,7 @@
 	head(&f, "HTTP/1.1 200 OK\r\n\r\n");
 	for (n = 0; framing_body(&f, 3) == 0;)
 		n += 3;
-	CU_ASSERT_EQUAL(n, BODY_MAX / 3 * 3);
+	CU_ASSERT_EQUAL(n, OPEN_MAX / 3 * 3);
 	CU_ASSERT_TRUE(f.too_large);
 	CU_ASSERT_FALSE(framing_is_whole(&f, 1));
 	CU_ASSERT_EQUAL(framing_body(&f, 0), -1);
@@ -211,6 +212,8 @@
 	CU_ASSERT_EQUAL(
 	    head(&f, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n"),
 	    FRAMING_HEAD_END);
+	CU_ASSERT_EQUAL(framing_body(&f, BODY_MAX), 0);
+	CU_ASSERT_TRUE(framing_is_whole(&f, 1));
 	CU_ASSERT_EQUAL(
 	    head(&f, "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n"),
 	    FRAMING_INVALID);
--- a/regress/unit/t_transfer.c
+++ b/regress/unit/t_transfer.c
@@ -12,6 +12,7 @@
 #include "unit.h"
 
 #define BODY_MAX 100000
+#define OPEN_MAX 50000
 #define TIMEOUT_MS 5000L
 #define HEADERS "X-Request-Id: me\r\nX-Response-Signature: s\r\n"
 #define STATUS "HTTP/1.1 200 OK\r\n"
@@ -19,13 +20,17 @@
 /* How a server ends the connection on which it answers. */
 enum ending { CLOSE, RESET };
 
-/* A server that answers one request with the first n bytes of a text. */
+/* A server that answers one request with the first n bytes of a text, and with
+ * another text again and again if there is one. */
 struct server {
 	int listener;
 	char url[64];
 	const char *text;
 	size_t n;
+	const char *repeated;
 	enum ending ending;
+	const struct call *call; /* that is answered, or NULL */
+	size_t *held;		 /* counts bytes of bodies, or NULL */
 };
 
 /* Accepts a connection, reads the request and answers it. */
@@ -44,8 +49,9 @@
 		if (memmem(buf, got, "\r\n\r\n", 4) != NULL)
 			break;
 	}
-	if (send(fd, s->text, s->n, MSG_NOSIGNAL) != (ssize_t)s->n)
-		got = 0;
+	n = send(fd, s->text, s->n, MSG_NOSIGNAL);
+	while (n > 0 && s->repeated != NULL)
+		n = send(fd, s->repeated, strlen(s->repeated), MSG_NOSIGNAL);
 	if (s->ending == RESET)
 		setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
 	close(fd);
@@ -78,7 +84,9 @@
 
 	memset(t, 0, sizeof(*t));
 	t->easy = curl_easy_init();
-	transfer_init(t, &objects_target, BODY_MAX, to_head);
+	transfer_init(t, &objects_target, BODY_MAX, OPEN_MAX, to_head);
+	t->call = s->call;
+	t->held = s->held;
 	transfer_set_options(t, s->url, 1000, "");
 	curl_easy_setopt(t->easy, CURLOPT_TIMEOUT_MS, TIMEOUT_MS);
 	if (to_head)
@@ -243,8 +251,84 @@
 	check_others_unread(&t);
 }
 
+/* Answers of which a part is repeated without end. */
+static const struct {
+	const char *text;
+	const char *repeated;
+} endless[] = {{STATUS, "X-Header: x\r\n"}, {STATUS "X-Header: ", "xxxxxxxx"},
+    {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {STATUS HEADERS "\r\n", "xxxxxxxx"},
+    {STATUS HEADERS CHUNKED, "8\r\nxxxxxxxx\r\n"},
+    {STATUS HEADERS CHUNKED, "0000000000000000"},
+    {STATUS HEADERS CHUNKED "1\r\nx\r\n0\r\n", "X-Header: x\r\n"},
+    {STATUS HEADERS CHUNKED "1\r\nx\r\n0\r\n", "xxxxxxxx"},
+    {STATUS HEADERS "Content-Length: 100001\r\n\r\n", "xxxxxxxx"},
+    {"no answer", "xxxxxxxx"}, {"no answer\r\n", "xxxxxxxx\r\n"}};
+#define NENDLESS (sizeof(endless) / sizeof(endless[0]))
+
+/* An answer without end is read until its deadline, and held in memory. */
+static void
+without_end(void)
+{
+	struct server s = {0};
+	struct transfer t;
+	size_t i;
+	CURLcode res;
+
+	server_open(&s);
+	for (i = 0; i < NENDLESS; i++) {
+		s.text = endless[i].text;
+		s.n = strlen(s.text);
+		s.repeated = endless[i].repeated;
+		res = request(&s, &t, 0);
+		CU_ASSERT_NOT_EQUAL(res, CURLE_OK);
+		CU_ASSERT_NOT_EQUAL(res, CURLE_OPERATION_TIMEDOUT);
+		CU_ASSERT_TRUE(t.reply.body.n <= OPEN_MAX);
+		CU_ASSERT_TRUE(t.reply.headers.n <= FRAMING_HEAD_MAX);
+		transfer_free(&t);
+	}
+	close(s.listener);
+}
+
+/* An answer to another request is read to its end. */
+static void
+foreign(void)
+{
+	const struct call c = {.id = "another"};
+	struct server s = {
+	    .text = STATUS HEADERS "\r\n", .repeated = "xxxxxxxx", .call = &c};
+	struct transfer t;
+
+	s.n = strlen(s.text);
+	server_open(&s);
+	CU_ASSERT_EQUAL(request(&s, &t, 0), CURLE_OK);
+	CU_ASSERT_TRUE(t.is_foreign);
+	CU_ASSERT_EQUAL(t.reply.body.n, 0);
+	transfer_free(&t);
+	close(s.listener);
+}
+
+/* The bytes held for bodies do not become fewer as these are freed. */
+static void
+held_bytes(void)
+{
+	size_t held = 7;
+	struct server s = {.text = forms[0].text, .held = &held};
+	struct transfer t;
+
+	s.n = strlen(s.text);
+	server_open(&s);
+	request(&s, &t, 0);
+	CU_ASSERT_EQUAL(held, 11);
+	transfer_free(&t);
+	CU_ASSERT_EQUAL(held, 7);
+	close(s.listener);
+}
+
 static const struct unit_test tests[] = {
     {"ends at each byte", ends_at_each_byte}, {"resets", resets},
-    {"interim headers", interim_headers}, {"trailers", trailers}};
+    {"interim headers", interim_headers}, {"trailers", trailers},
+    {"without end", without_end}, {"foreign", foreign},
+    {"held bytes", held_bytes}};
 
 UNIT_MAIN("transfer", tests)
--- a/standin/server.c
+++ b/standin/server.c
@@ -48,6 +48,7 @@
 static int broken_heads;     /* number of answers that end in their head */
 static int broken_releases;  /* the same, of releases */
 static int halt_ms;	     /* pause amid bodies, sent without a length */
+static char endless[8];	     /* answers without end, see web_repeat(); or "" */
 static int wrong_ids;	     /* answers with another request's id */
 static int grant_delay_ms;   /* applies grants late, without an answer */
 static int fail_all;	     /* answers 500 */
@@ -292,6 +293,8 @@
 		truncate_answers--;
 		a->truncate_at = (size_t)n / 2;
 	}
+	if (endless[0] != '\0')
+		web_repeat(a, endless);
 	if (halt_ms > 0)
 		web_halt_body(a, halt_ms);
 	if (broken_heads > 0) {
@@ -360,6 +363,8 @@
 	    (int)web_parse_number(web_arg(q, "cut_head"), broken_heads);
 	broken_releases =
 	    (int)web_parse_number(web_arg(q, "cut_release"), broken_releases);
+	if (web_arg(q, "endless") != NULL)
+		snprintf(endless, sizeof(endless), "%s", web_arg(q, "endless"));
 	halt_ms = (int)web_parse_number(web_arg(q, "halt"), halt_ms);
 	wrong_ids = (int)web_parse_number(web_arg(q, "foreign"), wrong_ids);
 	grant_delay_ms =
--- a/standin/web.c
+++ b/standin/web.c
@@ -17,6 +17,8 @@
 
 /* Offset of the source address in an IPv4 header. */
 #define IP_SOURCE_OFFSET 12
+/* Bytes that an answer without end sends at a time. */
+#define REPEATED_SIZE 65536
 
 /* An open connection. */
 struct web_conn {
@@ -115,6 +117,37 @@
 	a->pause_ms = pause_ms;
 }
 
+/* Sends an answer without end, at some 30 MB/s: of header lines, of a body in
+ * chunks, of the extension of a chunk's size, or of a body without a length. */
+void
+web_repeat(struct web_answer *a, const char *how)
+{
+	static const char header[] = "X-Repeated: xx\r\n";
+	const size_t k = sizeof(header) - 1;
+	char line[64];
+	size_t n;
+
+	web_break_head(a);
+	a->repeat = 1;
+	a->pause_ms = 2;
+	for (n = 0; n < REPEATED_SIZE; n += k)
+		str_add(&a->rest, header, k);
+	if (strcmp(how, "size") == 0) {
+		str_add(&a->raw, "Transfer-Encoding: chunked\r\n\r\n1;", 32);
+		a->rest.n -= k;
+		for (n = 0; n < a->rest.n; n++)
+			a->rest.p[n] = 'x';
+	} else if (strcmp(how, "chunks") == 0) {
+		n = (size_t)snprintf(line, sizeof(line),
+		    "Transfer-Encoding: chunked\r\n\r\n%zx\r\n", a->rest.n);
+		str_add(&a->raw, line, n);
+		n = (size_t)snprintf(
+		    line, sizeof(line), "\r\n%zx\r\n", a->rest.n);
+		str_add(&a->rest, line, n);
+	} else if (strcmp(how, "plain") == 0)
+		str_add(&a->raw, "\r\n", 2);
+}
+
 /* Returns the first bytes of a body and then fails, as a crashing server
  * does. */
 static ssize_t
@@ -195,9 +228,9 @@
 send_raw(const struct web_request *q, struct web_answer *a)
 {
 	if (send_bytes(q, &a->raw) == 0) {
-		usleep((unsigned)a->pause_ms * 1000);
-		while (send_bytes(q, &a->rest) == 0 && a->repeat)
-			;
+		do {
+			usleep((unsigned)a->pause_ms * 1000);
+		} while (send_bytes(q, &a->rest) == 0 && a->repeat);
 	}
 	str_free(&a->raw);
 	str_free(&a->rest);
--- a/standin/web.h
+++ b/standin/web.h
@@ -45,7 +45,8 @@
 	 * Content-Length. */
 	size_t truncate_at;
 	/* If not empty, `raw` is sent in place of the answer, then `rest` after
-	 * a pause, once or until the caller closes the connection. */
+	 * a pause, once or again and again until the caller closes the
+	 * connection. */
 	struct str raw;
 	int pause_ms;
 	struct str rest;
@@ -62,6 +63,7 @@
 const char *web_header(const struct web_request *, const char *);
 void web_break_head(struct web_answer *);
 void web_halt_body(struct web_answer *, int pause_ms);
+void web_repeat(struct web_answer *, const char *how);
 void web_add_header(struct web_answer *, const char *name, const char *value);
 long web_parse_number(const char *, long);
 void web_deadline(struct timespec *, long ms);
