--- a/decide/framing.c
+++ b/decide/framing.c
@@ -41,7 +41,7 @@
 	    !isdigit((unsigned char)line[k + 2]) ||
 	    !isdigit((unsigned char)line[k + 3]) ||
 	    !isdigit((unsigned char)line[k + 4]) ||
-	    strchr(" \r\n", line[k + 5]) == NULL)
+	    memchr(" \r\n", line[k + 5], 3) == NULL)
 		return (-1);
 	status = (line[k + 2] - '0') * 100 + (line[k + 3] - '0') * 10 +
 	    line[k + 4] - '0';
