--- a/standin/server.c
+++ b/standin/server.c
@@ -51,6 +51,7 @@
 static char endless[8];	     /* answers without end, see web_repeat(); or "" */
 static int wrong_ids;	     /* answers with another request's id */
 static int grant_delay_ms;   /* applies grants late, without an answer */
+static int double_grants;    /* answers the order before once more */
 static int fail_all;	     /* answers 500 */
 static int refusals_left;    /* number of requests refused as if full */
 static double rate_limit;    /* stated in answers, but not in failures; in
@@ -192,7 +193,7 @@
 	long to = (long)json_integer_value(json_object_get(o, "target"));
 	long long f = json_integer_value(json_object_get(o, "fence"));
 	usec end = arrival_time(q) + MS(hold == NULL ? 0 : atoi(hold));
-	int delay_ms;
+	int delay_ms, is_doubled;
 
 	json_decref(o);
 	if (o == NULL || from < 0 || to >= KEY_COUNT ||
@@ -202,7 +203,11 @@
 	}
 	pthread_mutex_lock(&lock);
 	delay_ms = grant_delay_ms;
+	is_doubled = double_grants && q->request_number > 1;
 	pthread_mutex_unlock(&lock);
+	if (is_doubled)
+		web_send_extra(
+		    q, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
 	if (!release && delay_ms > 0) {
 		usleep((unsigned)delay_ms * 1000);
 		a->drop = 1;
@@ -369,6 +374,8 @@
 	wrong_ids = (int)web_parse_number(web_arg(q, "foreign"), wrong_ids);
 	grant_delay_ms =
 	    (int)web_parse_number(web_arg(q, "late"), grant_delay_ms);
+	double_grants =
+	    (int)web_parse_number(web_arg(q, "double"), double_grants);
 	fail_all = (int)web_parse_number(web_arg(q, "fail"), fail_all);
 	refusals_left =
 	    (int)web_parse_number(web_arg(q, "refuse"), refusals_left);
--- a/standin/web.c
+++ b/standin/web.c
@@ -223,6 +223,15 @@
 	return (0);
 }
 
+/* Sends an answer more before that to a request. */
+void
+web_send_extra(const struct web_request *q, const char *answer)
+{
+	struct str s = {(char *)answer, strlen(answer)};
+
+	send_bytes(q, &s);
+}
+
 /* Sends the bytes that replace an answer. */
 static void
 send_raw(const struct web_request *q, struct web_answer *a)
--- a/standin/web.h
+++ b/standin/web.h
@@ -61,6 +61,7 @@
     web_handler control);
 const char *web_arg(const struct web_request *, const char *);
 const char *web_header(const struct web_request *, const char *);
+void web_send_extra(const struct web_request *, const char *answer);
 void web_break_head(struct web_answer *);
 void web_halt_body(struct web_answer *, int pause_ms);
 void web_repeat(struct web_answer *, const char *how);
