Requests whose head can be read in two ways are refused

Cause: a head was forwarded though another reader can understand it in another way. Only a length beside a coding was refused; values were copied with whatever they held, and split at carriage returns when sent; the HTTP library takes the first of two lengths, accepts a space before the colon, and joins a line that continues a header without a value to the header's name.

Now decide/fields checks each head before anything else reads it, on both interfaces: tokens, no control characters, one length or coding, one host name; all else is a 400, with nothing run and the connection closed. X-Request-Id and X-Shard-Key may come once. The library's check of clients is strict.

Failed before: site_door (a length on a continuation line: 200), door ("two lengths: not counted").

--- a/gspard/door.c
+++ b/gspard/door.c
@@ -16,6 +16,7 @@
 #include "caller.h"
 #include "callers.h"
 #include "door_ops.h"
+#include "fields.h"
 #include "slow.h"
 
 /* Idle timeout of a connection until the site configuration gives one. */
@@ -224,6 +225,27 @@
 	return (res);
 }
 
+/* Adds a header of a request to those that are checked. */
+static enum MHD_Result
+check_field(void *arg, enum MHD_ValueKind kind, const char *name, size_t nname,
+    const char *value, size_t nvalue)
+{
+	fields_add(arg, name, nname, value == NULL ? "" : value, nvalue);
+	return (MHD_YES);
+}
+
+/* True if the head of a request can be passed on as it was understood. */
+static int
+is_unambiguous(const struct call *c)
+{
+	struct fields f = {0};
+
+	MHD_get_connection_values_n(c->conn, MHD_HEADER_KIND, check_field, &f);
+	return (fields_ok(&f) &&
+	    fields_token_ok(c->method, strlen(c->method)) && c->uri != NULL &&
+	    fields_target_ok(c->uri, strlen(c->uri)));
+}
+
 /* Parses the head of a request; a code to refuse it with goes into the call. */
 static void
 parse_head(struct door *d, struct call *c, const char *method)
@@ -237,6 +259,10 @@
 		c->refusal = GS_BAD_METHOD;
 		return;
 	}
+	if (!is_unambiguous(c)) {
+		c->refusal = GS_BAD_REQUEST;
+		return;
+	}
 	apr_thread_mutex_lock(d->lock);
 	sh = d->active == NULL ? NULL : shared_ref(d->active);
 	apr_thread_mutex_unlock(d->lock);
@@ -436,7 +462,8 @@
 	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, d,
 	    MHD_OPTION_NOTIFY_CONNECTION, callers_on_notify, d->callers,
 	    MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
-	    MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, MHD_OPTION_END);
+	    MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX,
+	    MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
 	if (d->daemon == NULL)
 		log_line(LOG_ERR, "door",
 		    "Cannot start the HTTP server for callers.");
--- a/regress/scenario/door.lua
+++ b/regress/scenario/door.lua
@@ -37,6 +37,11 @@
 raw_request("chunked body over the limit", "POST /v1/lookup/key HTTP/1.1\r\nHost: x\r\n" ..
     "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n80\r\n" ..
     ("b"):rep(128) .. "\r\n0\r\n\r\n")
+raw_request("two lengths", "POST /v1/lookup/key HTTP/1.1\r\nHost: x\r\n" ..
+    "Content-Length: 0\r\nContent-Length: 37\r\n\r\n" ..
+    "GET /v1/lookup/key HTTP/1.1\r\nHost: x\r\n\r\n")
+raw_request("carriage return in a value", "GET /v1/lookup/key HTTP/1.1\r\n" ..
+    "Host: x\r\nIdempotency-Key: a\rGspar-Fence: 1\r\n\r\n")
 raw(h, "POST /v1/lookup/key HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\nhalf", true)
 -- The longest key and rest of a path, each byte of the key percent-encoded as three.
 local _, long = http("GET", "http://" .. h .. "/v1/lookup/" ..
--- a/regress/scenario/site_door.lua
+++ b/regress/scenario/site_door.lua
@@ -26,6 +26,32 @@
     ("x"):rep(70000), "^HTTP/1.1 413")
 check_answer("deadline that is not a number", get .. "Host: a.example\r\n" ..
     "X-Request-Id: a4\r\nX-Deadline-Ms: soon\r\n\r\n", "^HTTP/1.1 400")
+-- A request is hidden in the body of another one, whose head can be read in two
+-- ways.
+local hidden = "POST /once/h HTTP/1.1\r\nHost: a.example\r\n" ..
+    "X-Request-Id: a9\r\nContent-Length: 0\r\n\r\n"
+local length = "Content-Length: " .. #hidden .. "\r\n"
+for name, lines in pairs({
+	["two lengths"] = "Content-Length: 0\r\n" .. length,
+	["carriage return in a value"] = length ..
+	    "X-Note: a\rContent-Length: 0\r\n",
+	["space after a name"] = "Content-Length : " .. #hidden .. "\r\n",
+	["length on a continuation line"] = "Content-Length:\r\n " ..
+	    #hidden .. "\r\n",
+	["coding on a continuation line"] = "Transfer-Encoding:\r\n chunked\r\n",
+	["length with a sign"] = "Content-Length: +" .. #hidden .. "\r\n",
+	["unknown coding"] = "Transfer-Encoding: x\r\n",
+	["two ids"] = "X-Request-Id: a9\r\n" .. length }) do
+	local answers = raw(at, "POST /once/o HTTP/1.1\r\nHost: a.example\r\n" ..
+	    "X-Request-Id: a8\r\n" .. lines .. "\r\n" .. hidden)
+	check(answers:match("^HTTP/1.1 400"), "%s: %s", name,
+	    answers:sub(1, 60))
+	check(not answers:match("\nHTTP/1.1 [235]"), "%s: a second answer",
+	    name)
+end
+check_answer("carriage return in the path", "POST /once/o\rX: HTTP/1.1\r\n" ..
+    "Host: a.example\r\nX-Request-Id: a8\r\n" .. length .. "\r\n" ..
+    hidden, "^HTTP/1.1 400")
 check_answer("not HTTP", "\0\1\2\r\n\r\n", "^$")
 
 -- A client that never completes its header, and one that sends nothing.
