--- a/standin/server.c
+++ b/standin/server.c
@@ -51,7 +51,7 @@
 static char endless[8];	     /* answers without end, see web_repeat(); or "" */
 static int wrong_ids;	     /* answers with another request's id */
 static int grant_delay_ms;   /* applies grants late, without an answer */
-static int double_grants;    /* answers the order before once more */
+static int double_grants;    /* answers orders on used connections twice */
 static int fail_all;	     /* answers 500 */
 static int refusals_left;    /* number of requests refused as if full */
 static double rate_limit;    /* stated in answers, but not in failures; in
--- a/standin/web.c
+++ b/standin/web.c
@@ -223,7 +223,7 @@
 	return (0);
 }
 
-/* Sends an answer more before that to a request. */
+/* Sends another answer before the one to a request. */
 void
 web_send_extra(const struct web_request *q, const char *answer)
 {
