--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -329,5 +329,27 @@
 without unused-targets-are-found-at-once keys_size keys.c \
     's/^	k->unused_from = i;/	;/'
 
+# Answers that are not whole, and heads that can be read in two ways.
+without answers-end-after-their-head framing framing.c \
+    's/if (!ended || f->state != FRAMING_IN_BODY/if (!ended/'
+without stated-lengths-are-kept framing framing.c \
+    's/ || !f->has_length || f->body_size == f->length/ || 1/'
+without lengths-do-not-contradict framing framing.c \
+    's/if (f->has_length \&\& f->length != length)/if (0)/'
+without header-lines-have-an-end framing framing.c \
+    's/f->head_size > FRAMING_HEAD_MAX/0/'
+without bodies-have-an-end framing framing.c \
+    's/if (n > max - f->body_size)/if (0)/'
+without lines-after-the-head-are-left-out framing framing.c \
+    's/if (f->state == FRAMING_IN_BODY)/if (0)/'
+without the-largest-answer-is-given-up excess excess.c \
+    's/if (size <= e->largest)/if (0)/'
+without requests-have-one-length fields fields.c \
+    's/f->lengths + f->codings <= 1/1/'
+without values-have-no-control-characters fields fields.c \
+    's/ || !value_ok(value, nvalue)//'
+without request-targets-have-no-spaces fields fields.c \
+    's/(unsigned char)p\[i\] <= . . || //'
+
 echo "$found found, $missed not found"
 [ $missed -eq 0 ]
