Readers of answers share the choice of the headers that count

Four readers repeated which lines are headers of the answer's own head; it is one decision of framing_line() now, so nothing of an interim answer has to be taken back.

--- a/decide/framing.c
+++ b/decide/framing.c
@@ -58,7 +58,7 @@
 	f->state = FRAMING_IN_HEAD;
 	f->chunked = f->has_length = 0;
 	f->length = 0;
-	return (FRAMING_STATUS);
+	return (FRAMING_IGNORED);
 }
 
 /* Returns the value of the line if it is the named header, else NULL; sets its
@@ -125,7 +125,7 @@
 			return (invalid(f));
 		f->chunked = 1;
 	}
-	return (FRAMING_FIELD);
+	return (f->status < 200 ? FRAMING_IGNORED : FRAMING_FIELD);
 }
 
 /* True if the answer has no body, whatever its headers say. */
--- a/decide/framing.h
+++ b/decide/framing.h
@@ -15,10 +15,9 @@
 
 /* What a line is. */
 enum framing_line {
-	FRAMING_STATUS,	  /* begins an answer, which may be an interim one */
-	FRAMING_FIELD,	  /* a header of the answer that was begun last */
-	FRAMING_HEAD_END, /* ends the head; the body follows */
-	FRAMING_IGNORED,  /* ends an interim answer, or follows the body */
+	FRAMING_FIELD,	  /* a header of the answer's own head */
+	FRAMING_HEAD_END, /* ends that head; the body follows */
+	FRAMING_IGNORED,  /* any other line of an answer */
 	FRAMING_INVALID	  /* the bytes are no answer, or are too many */
 };
 
--- a/gsparctl/web.c
+++ b/gsparctl/web.c
@@ -41,20 +41,11 @@
 on_header(char *p, size_t n, size_t m, void *arg)
 {
 	struct reply *r = arg;
+	enum framing_line line = framing_line(&r->framing, p, n * m);
 
-	switch (framing_line(&r->framing, p, n * m)) {
-	case FRAMING_STATUS:
-	case FRAMING_HEAD_END:
-	case FRAMING_IGNORED:
-		break;
-	case FRAMING_FIELD:
-		if (r->framing.status >= 200)
-			read_header(r, p, n * m);
-		break;
-	case FRAMING_INVALID:
-		return (0);
-	}
-	return (n * m);
+	if (line == FRAMING_FIELD)
+		read_header(r, p, n * m);
+	return (line == FRAMING_INVALID ? 0 : n * m);
 }
 
 /*
--- a/gspard/platform.c
+++ b/gspard/platform.c
@@ -71,20 +71,11 @@
 on_header(char *p, size_t size, size_t n, void *arg)
 {
 	struct store_call *c = arg;
+	enum framing_line line = framing_line(&c->framing, p, size * n);
 
-	switch (framing_line(&c->framing, p, size * n)) {
-	case FRAMING_STATUS:
-	case FRAMING_HEAD_END:
-	case FRAMING_IGNORED:
-		break;
-	case FRAMING_FIELD:
-		if (c->framing.status >= 200 && c->form->header != NULL)
-			c->form->header(c->store, p, size * n);
-		break;
-	case FRAMING_INVALID:
-		return (0);
-	}
-	return (size * n);
+	if (line == FRAMING_FIELD && c->form->header != NULL)
+		c->form->header(c->store, p, size * n);
+	return (line == FRAMING_INVALID ? 0 : size * n);
 }
 
 /* Removes a call from the list and frees it. */
--- a/gspard/send.c
+++ b/gspard/send.c
@@ -49,20 +49,11 @@
 on_header(char *p, size_t size, size_t n, void *arg)
 {
 	struct run *r = arg;
+	enum framing_line line = framing_line(&r->framing, p, size * n);
 
-	switch (framing_line(&r->framing, p, size * n)) {
-	case FRAMING_STATUS:
-	case FRAMING_HEAD_END:
-	case FRAMING_IGNORED:
-		break;
-	case FRAMING_FIELD:
-		if (r->framing.status >= 200)
-			read_header(r, p, size * n);
-		break;
-	case FRAMING_INVALID:
-		return (0);
-	}
-	return (size * n);
+	if (line == FRAMING_FIELD)
+		read_header(r, p, size * n);
+	return (line == FRAMING_INVALID ? 0 : size * n);
 }
 
 /* Adds one header to the request. */
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -69,15 +69,6 @@
 	return (str_add(&t->reply.body, p, size * n) == 0 ? size * n : 0);
 }
 
-/* Begins an answer: discards the headers of an interim one before it. */
-static void
-begin_reply(struct reply *r)
-{
-	str_free(&r->headers);
-	memset(r, 0, sizeof(*r));
-	r->limit = -1;
-}
-
 /* Passes the headers of the answer's own head to the operations for this kind
  * of target. */
 static size_t
@@ -86,9 +77,6 @@
 	struct transfer *t = arg;
 
 	switch (framing_line(&t->framing, p, size * n)) {
-	case FRAMING_STATUS:
-		begin_reply(&t->reply);
-		break;
 	case FRAMING_FIELD:
 		t->ops->head(&t->reply, p, size * n);
 		break;
--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -342,6 +342,8 @@
     's/if (n > max - f->body_size)/if (0)/'
 without lines-after-the-head-are-left-out framing framing.c \
     's/if (f->state == FRAMING_IN_BODY)/if (0)/'
+without headers-of-interim-answers-are-left-out framing framing.c \
+    's/f->status < 200 ? FRAMING_IGNORED : FRAMING_FIELD/FRAMING_FIELD/'
 without the-largest-answer-is-given-up excess excess.c \
     's/if (size <= e->largest)/if (0)/'
 without requests-have-one-length fields fields.c \
--- a/regress/unit/t_framing.c
+++ b/regress/unit/t_framing.c
@@ -158,10 +158,10 @@
 
 	framing_init(&f, BODY_MAX, OPEN_MAX, 0);
 	CU_ASSERT_EQUAL(
-	    follow(&f, "HTTP/1.1 103 Early Hints\r\n"), FRAMING_STATUS);
-	CU_ASSERT_EQUAL(follow(&f, "Content-Length: 7\r\n"), FRAMING_FIELD);
+	    follow(&f, "HTTP/1.1 103 Early Hints\r\n"), FRAMING_IGNORED);
+	CU_ASSERT_EQUAL(follow(&f, "Content-Length: 7\r\n"), FRAMING_IGNORED);
 	CU_ASSERT_EQUAL(follow(&f, "\r\n"), FRAMING_IGNORED);
-	CU_ASSERT_EQUAL(follow(&f, "HTTP/1.1 200 OK\r\n"), FRAMING_STATUS);
+	CU_ASSERT_EQUAL(follow(&f, "HTTP/1.1 200 OK\r\n"), FRAMING_IGNORED);
 	CU_ASSERT_FALSE(f.has_length);
 	CU_ASSERT_EQUAL(
 	    follow(&f, "Transfer-Encoding: chunked\r\n"), FRAMING_FIELD);
