--- a/gspard/sitectl_order.c
+++ b/gspard/sitectl_order.c
@@ -83,16 +83,6 @@
 	curl_easy_setopt(c->t.easy, CURLOPT_TIMEOUT_MS, wait_ms);
 	curl_easy_setopt(c->t.easy, CURLOPT_POSTFIELDS, c->body);
 	curl_easy_setopt(c->t.easy, CURLOPT_MAXAGE_CONN, 4L);
-	/*
-	 * A target may answer an order twice, and the second answer is read as
-	 * that to the next order on the connection.  If that is a release, its
-	 * keys would be granted to others amid the work on them, so nothing
-	 * else uses its connection.
-	 */
-	if (c->order.release) {
-		curl_easy_setopt(c->t.easy, CURLOPT_FRESH_CONNECT, 1L);
-		curl_easy_setopt(c->t.easy, CURLOPT_FORBID_REUSE, 1L);
-	}
 	curl_easy_setopt(c->t.easy, CURLOPT_SOCKOPTFUNCTION, order_sockopt);
 }
 
