Readers of answers and of heads: what stood twice is one function

An ended transfer became its result in three places, in the same two lines (transfer_result()). The value of a header line was taken apart by framing as it was by the adapter of targets (header_line_value()). Two stand-ins keep the layout of their neighbouring lines.

--- a/decide/framing.c
+++ b/decide/framing.c
@@ -3,6 +3,7 @@
 #include <strings.h>
 
 #include "framing.h"
+#include "str.h"
 
 /* Prepares for an answer with a body of at most body_max bytes, or open_max if
  * its length is not stated; to_head is true for the answer to a HEAD request.
@@ -62,21 +63,16 @@
 }
 
 /* Returns the value of the line if it is the named header, else NULL; sets its
- * length, without spaces around it. */
+ * length, without blanks around it. */
 static const char *
 value_of(const char *line, size_t n, const char *name, size_t *size)
 {
-	size_t k = strlen(name);
-
-	if (n <= k || line[k] != ':' || strncasecmp(line, name, k) != 0)
-		return (NULL);
-	k++;
-	while (k < n && isspace((unsigned char)line[k]))
-		k++;
-	while (n > k && isspace((unsigned char)line[n - 1]))
-		n--;
-	*size = n - k;
-	return (line + k);
+	const char *p = header_line_value(line, n, name, size);
+
+	while (p != NULL && *size > 0 &&
+	    (p[*size - 1] == ' ' || p[*size - 1] == '\t'))
+		(*size)--;
+	return (p);
 }
 
 /* Parses a Content-Length; 0, or -1 if it is invalid or contradicts an earlier
--- a/gspard/send.c
+++ b/gspard/send.c
@@ -6,6 +6,7 @@
 
 #include "call.h"
 #include "dispatch.h"
+#include "transfer.h"
 
 /* Percent-encoding makes a key at most three times as long. */
 #define URL_MAX_GS (3 * KEY_MAX_GS + REST_MAX + 256)
@@ -364,8 +365,7 @@
 	struct target *t = r->target;
 	long status = r->framing.status;
 
-	if (res == CURLE_OK && !framing_is_whole(&r->framing, 1))
-		res = CURLE_PARTIAL_FILE;
+	res = transfer_result(&r->framing, res);
 	t->nruns--;
 	t->inflight[r->job.shard]--;
 	t->busy[r->job.shard] += (uint32_t)(now - r->sent);
--- a/gspard/target.c
+++ b/gspard/target.c
@@ -9,6 +9,7 @@
 #include <apr_general.h>
 
 #include "dispatch.h"
+#include "transfer.h"
 #include "view.h"
 
 /* Timeout of a short call. */
@@ -385,8 +386,7 @@
 
 	if (n->step == STEP_NONE)
 		goto out;
-	if (res == CURLE_OK && !framing_is_whole(&n->framing, 1))
-		res = CURLE_PARTIAL_FILE;
+	res = transfer_result(&n->framing, res);
 	if (res == CURLE_OK)
 		o = json_loadb(
 		    n->in.p == NULL ? "" : n->in.p, n->in.n, 0, NULL);
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -97,19 +97,23 @@
 
 /*
  * Returns CURLE_OK if a transfer that ended with res has brought a whole
- * answer, or one to another request, which is not read any further.  libcurl
- * reports no error if the connection ends within the head and no length has
- * been read yet.
+ * answer.  libcurl reports no error if the connection ends within the head and
+ * no length has been read yet.
  */
 CURLcode
+transfer_result(const struct framing *f, CURLcode res)
+{
+	if (res == CURLE_OK && !framing_is_whole(f, 1))
+		return (CURLE_PARTIAL_FILE);
+	return (res);
+}
+
+/* The same for a request or an order; an answer to another request, which is
+ * not read any further, is no error. */
+CURLcode
 transfer_end(const struct transfer *t, CURLcode res)
 {
-	if (t->is_foreign)
-		return (CURLE_OK);
-	if (res != CURLE_OK)
-		return (res);
-	return (
-	    framing_is_whole(&t->framing, 1) ? CURLE_OK : CURLE_PARTIAL_FILE);
+	return (t->is_foreign ? CURLE_OK : transfer_result(&t->framing, res));
 }
 
 /* True if a transfer that ended with res failed though the way to the target
--- a/gspard/transfer.h
+++ b/gspard/transfer.h
@@ -27,6 +27,7 @@
 void transfer_set_options(struct transfer *, const char *url,
     long connect_timeout_ms, const char *source);
 void transfer_set_tunnel(struct transfer *, const char *host);
+CURLcode transfer_result(const struct framing *, CURLcode);
 CURLcode transfer_end(const struct transfer *, CURLcode);
 int transfer_broke_off(const struct transfer *, CURLcode);
 void transfer_free(struct transfer *);
--- a/lib/str.c
+++ b/lib/str.c
@@ -2,6 +2,7 @@
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "str.h"
 
@@ -75,3 +76,23 @@
 	memcpy(dst, src, n + 1);
 	return (0);
 }
+
+/*
+ * Returns the value in a header line of n bytes if it is the named header, else
+ * NULL; sets its length.  Blanks before it and the line end are left out.
+ */
+const char *
+header_line_value(const char *line, size_t n, const char *name, size_t *size)
+{
+	size_t k = strlen(name);
+
+	if (n <= k || line[k] != ':' || strncasecmp(line, name, k) != 0)
+		return (NULL);
+	k++;
+	while (k < n && (line[k] == ' ' || line[k] == '\t'))
+		k++;
+	while (n > k && (line[n - 1] == '\r' || line[n - 1] == '\n'))
+		n--;
+	*size = n - k;
+	return (line + k);
+}
--- a/lib/str.h
+++ b/lib/str.h
@@ -18,5 +18,7 @@
 void str_free(struct str *);
 int name_ok(const char *, size_t);
 int name_copy(char *, size_t, const char *);
+const char *header_line_value(
+    const char *line, size_t n, const char *name, size_t *size);
 
 #endif
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -30,10 +30,10 @@
 static struct str hosts;
 
 /* Faults, set through the control address. */
-static int down;	 /* closes connections without an answer */
-static int slow_ms;	 /* delay of each call */
-static int lose_answers; /* number of writes to apply without an answer */
-static int cut_status; /* status of answers that end in their head; 0 if none */
+static int down;	    /* closes connections without an answer */
+static int slow_ms;	    /* delay of each call */
+static int lose_answers;    /* number of writes to apply without an answer */
+static int cut_status;	    /* in heads that break off; 0 if none */
 static char lose_path[256]; /* only of paths that contain this */
 static char cut_hosts[256]; /* ",HOST,...,": hosts that get no answer */
 static unsigned long n_get, n_put, n_watch, n_list, n_conflict;
--- a/standin/store.c
+++ b/standin/store.c
@@ -46,11 +46,11 @@
 static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
 
 /* Faults, set through the control address. */
-static int down;	 /* answers 503 */
-static int silent;	 /* closes connections after 3 s without an answer */
-static int slow_ms;	 /* delay of each answer */
-static int lose_answers; /* number of writes to apply without an answer */
-static int cut_status; /* status of answers that end in their head; 0 if none */
+static int down;	    /* answers 503 */
+static int silent;	    /* closes connections after 3 s without an answer */
+static int slow_ms;	    /* delay of each answer */
+static int lose_answers;    /* number of writes to apply without an answer */
+static int cut_status;	    /* in heads that break off; 0 if none */
 static int page_size = 500; /* objects per page of a list */
 static unsigned long reads, writes, watches;
 
