Logs tell whose answer came on which connection

A refusal in the log could be the request's own, a second one to another request, or a second one to an earlier attempt: all looked alike. Lines about attempts that were refused or got no complete answer now have the connection's local port, whether it was kept, how much of the body was sent, and the answer's status and id; answers without an id are counted.

--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -135,6 +135,23 @@
 	    r->instance[0] != '\0' && !incarnation_is_of(s->id, r->instance));
 }
 
+/* Describes the connection that an attempt used and the answer that came on it,
+ * which may be that to another request or attempt. */
+static const char *
+describe_answer(const struct pending *p, char *text, size_t size)
+{
+	const struct transfer *t = &p->attempt->t;
+	curl_off_t sent = 0;
+
+	curl_easy_getinfo(t->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+	snprintf(text, size,
+	    "%s connection from port %d, %lld of %zu bytes of the body sent, "
+	    "answer %d with id '%.40s'",
+	    t->new_conn ? "new" : "kept", t->local_port, (long long)sent,
+	    p->call->body.n, t->reply.status, t->reply.id);
+	return (text);
+}
+
 /* Handles an attempt that the target did not run: retries it or refuses the
  * request. */
 static void
@@ -142,6 +159,7 @@
 {
 	const struct owners *o = d->owners == NULL ? NULL : d->owners->p;
 	struct target_state *s = p->attempt->target;
+	char text[160];
 
 	if (kind == REPLY_NOT_OWNER) {
 		count_add(C_NOT_OWNER, 1);
@@ -159,10 +177,11 @@
 		count_add(C_TARGET_FULL, 1);
 	log_request("router", p->call->id,
 	    "%s by target %s at %s, key %d, owners version %llu, "
-	    "attempt %d",
+	    "attempt %d, %s",
 	    kind == REPLY_NOT_OWNER ? "key not owned" : "refused", s->id,
 	    s->addr, p->call->key_number,
-	    o == NULL ? 0ull : (unsigned long long)o->number, p->tries);
+	    o == NULL ? 0ull : (unsigned long long)o->number, p->tries,
+	    describe_answer(p, text, sizeof(text)));
 	if (may_resend(p, 1, now))
 		retry(d, p, now);
 	else
@@ -177,6 +196,8 @@
 
 	if (res == CURLE_OK)
 		return ("not an answer to this request");
+	if (res == CURLE_ABORTED_BY_CALLBACK)
+		return ("kept connection closed without an answer");
 	if (f->too_large)
 		return ("body too large");
 	if (res == CURLE_WRITE_ERROR)
@@ -195,6 +216,7 @@
 	/* A body without a stated length may be without end, and another
 	 * target's answer be fit. */
 	int is_large = f->too_large && f->has_length;
+	char text[160];
 
 	count_add(res == CURLE_OK ? C_ANSWER_FOREIGN : C_TARGET_LOST, 1);
 	count_add(C_ANSWER_STOPPED, res == CURLE_WRITE_ERROR);
@@ -211,11 +233,11 @@
 	}
 	log_request("router", p->call->id,
 	    "no complete answer from target %s at %s after %lld ms: %s, "
-	    "content %016llx, try %d",
+	    "content %016llx, try %d, %s",
 	    p->attempt->target->id, p->attempt->target->addr,
 	    (long long)((now - p->attempt->sent) / 1000),
 	    describe_fault(p->attempt, res), (unsigned long long)p->digest,
-	    p->tries);
+	    p->tries, describe_answer(p, text, sizeof(text)));
 	if (!is_large && may_retry(p, now))
 		retry(d, p, now);
 	else
@@ -365,6 +387,9 @@
 
 	if (res == CURLE_OK)
 		kind = d->ops->kind(&a->t.reply, p->call);
+	count_add(C_ANSWER_NO_ID,
+	    res == CURLE_OK && p->call->id[0] != '\0' &&
+		a->t.reply.id[0] == '\0');
 	update_stats(d, p, attempt_dest_end(a, res, kind), now);
 	update_target(d, p, res, kind, now);
 	if (!a->t.maybe_sent)
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -143,6 +143,7 @@
 	t->maybe_sent = 1;
 	curl_easy_getinfo(t->easy, CURLINFO_NUM_CONNECTS, &new_conn);
 	t->new_conn = new_conn > 0;
+	t->local_port = local_port;
 	return (CURL_PREREQFUNC_OK);
 }
 
--- a/gspard/transfer.h
+++ b/gspard/transfer.h
@@ -18,6 +18,7 @@
 			 */
 	int maybe_sent; /* bytes may have been sent */
 	int new_conn;	/* ... on a connection opened for this transfer */
+	int local_port; /* ... of that connection; 0 if nothing was sent */
 };
 
 void transfers_wake(void *multi);
--- a/lib/count.h
+++ b/lib/count.h
@@ -50,6 +50,8 @@
 	    "Requests whose target gave no whole answer")                      \
 	X(C_ANSWER_FOREIGN, "foreign",                                         \
 	    "Answers that belong to no request here")                          \
+	X(C_ANSWER_NO_ID, "answers_without_id",                                \
+	    "Answers without the id of a request")                             \
 	X(C_ANSWER_STOPPED, "answers_stopped",                                 \
 	    "Answers read no further: not valid, or too large")                \
 	X(C_NOT_OWNER, "missent", "Requests that came to no owner of the key") \
