Failing test: a second answer is taken for a request's own

The stand-in's refusals bear the id of their request now, as targets' do, and it sends second answers: bare, of another target, failures, and copies of a refusal of the same request.

--- a/standin/server.c
+++ b/standin/server.c
@@ -29,6 +29,9 @@
 static int key_runs[KEY_COUNT];
 static int running, waiting;
 static unsigned long ran;
+/* The connection and id of the request that was refused last. */
+static const struct MHD_Connection *refused_on;
+static char refused_id[128];
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t run_ended = PTHREAD_COND_INITIALIZER;
 
@@ -52,15 +55,17 @@
 static int wrong_ids;	     /* answers with another request's id */
 static int grant_delay_ms;   /* applies grants late, without an answer */
 static int double_grants;    /* answers orders on used connections twice */
-static int fail_all;	     /* answers 500 */
-static int refusals_left;    /* number of requests refused as if full */
-static double rate_limit;    /* stated in answers, but not in failures; in
-				 requests per second, 0 if none; set in
-				 hundredths */
-static int reset_new;	     /* closes new connections without an answer */
-static int leaving;	     /* announced in all answers */
-static int retry_after_ms;   /* stated in refusals; 0 if none */
-static int keep_alive_s;     /* stated in answers; 0 if none */
+static char extra[8]; /* refusals sent before answers on used connections, see
+			 send_extra(); or "" */
+static int fail_all;  /* answers 500 */
+static int refusals_left;  /* number of requests refused as if full */
+static double rate_limit;  /* stated in answers, but not in failures; in
+			       requests per second, 0 if none; set in
+			       hundredths */
+static int reset_new;	   /* closes new connections without an answer */
+static int leaving;	   /* announced in all answers */
+static int retry_after_ms; /* stated in refusals; 0 if none */
+static int keep_alive_s;   /* stated in answers; 0 if none */
 
 static const struct argp_option options[] = {
     {"listen", 'l', "IP:PORT", 0, "Address to serve", 0},
@@ -124,21 +129,59 @@
 
 /* Answers that the request was not executed. */
 static void
-reply_not_run(struct web_answer *a, int status, const char *why)
+reply_not_run(const struct web_request *q, struct web_answer *a, int status,
+    const char *why)
 {
+	const char *id = web_header(q, "X-Request-Id");
+
 	a->status = status;
+	web_add_header(a, "X-Request-Id", id);
 	web_add_header(a, "X-Not-Executed", "1");
 	str_set(&a->body, why, strlen(why));
+	refused_on = q->conn;
+	snprintf(refused_id, sizeof(refused_id), "%s", id == NULL ? "" : id);
+}
+
+/*
+ * Sends a second answer where the one to this request is due: without an id,
+ * as a refusal ("bare"), one of another target ("moved") or a failure
+ * ("fail"), or a copy of the refusal that this connection has brought to an
+ * earlier attempt of this request ("copy").  The lock is held.
+ */
+static void
+send_extra(const struct web_request *q, const char *id)
+{
+	static const char format[] = "HTTP/1.1 %d X\r\n%s%s%s"
+				     "Content-Length: 0\r\n\r\n";
+	char text[400];
+
+	if (extra[0] == '\0' || q->request_number < 2)
+		return;
+	if (strcmp(extra, "copy") != 0)
+		snprintf(text, sizeof(text), format,
+		    strcmp(extra, "fail") == 0	      ? 500
+			: strcmp(extra, "moved") == 0 ? 421
+						      : 503,
+		    strcmp(extra, "fail") == 0 ? "" : "X-Not-Executed: 1\r\n",
+		    strcmp(extra, "moved") == 0 ? "X-Instance-Id: i-0\r\n" : "",
+		    "");
+	else if (refused_on == q->conn && id != NULL &&
+	    strcmp(refused_id, id) == 0)
+		snprintf(text, sizeof(text), format, 503,
+		    "X-Not-Executed: 1\r\nX-Request-Id: ", id, "\r\n");
+	else
+		return;
+	web_send_extra(q, text);
 }
 
 /* Refuses a request as if full; the lock is held. */
 static void
-refuse(struct web_answer *a)
+refuse(const struct web_request *q, struct web_answer *a)
 {
 	char seconds[32];
 
 	refusals_left--;
-	reply_not_run(a, 503, "full\n");
+	reply_not_run(q, a, 503, "full\n");
 	if (retry_after_ms > 0) {
 		snprintf(
 		    seconds, sizeof(seconds), "%.3f", retry_after_ms / 1000.0);
@@ -318,21 +361,24 @@
 
 	if (want != NULL && strcmp(want, name) != 0) {
 		web_add_header(a, "X-Instance-Id", name);
-		reply_not_run(a, 421, "another\n");
+		pthread_mutex_lock(&lock);
+		reply_not_run(q, a, 421, "another\n");
+		pthread_mutex_unlock(&lock);
 		return;
 	}
 	pthread_mutex_lock(&lock);
 	JOURNAL(
 	    "came %lld %s\n", (long long)clock_mono(), id == NULL ? "-" : id);
+	send_extra(q, id);
 	if (reset_new && q->request_number == 1)
 		a->drop = 1;
 	else if (refusals_left > 0)
-		refuse(a);
+		refuse(q, a);
 	else if (keyed &&
 	    (key < 0 || key >= KEY_COUNT || held_until[key] <= clock_mono()))
-		reply_not_run(a, 421, "not held\n");
+		reply_not_run(q, a, 421, "not held\n");
 	else if (acquire_slot() != 0)
-		reply_not_run(a, 503, "full\n");
+		reply_not_run(q, a, 503, "full\n");
 	else
 		run(q, a, key);
 	pthread_mutex_unlock(&lock);
@@ -368,6 +414,8 @@
 	    (int)web_parse_number(web_arg(q, "cut_head"), broken_heads);
 	broken_releases =
 	    (int)web_parse_number(web_arg(q, "cut_release"), broken_releases);
+	if (web_arg(q, "extra") != NULL)
+		snprintf(extra, sizeof(extra), "%s", web_arg(q, "extra"));
 	if (web_arg(q, "endless") != NULL)
 		snprintf(endless, sizeof(endless), "%s", web_arg(q, "endless"));
 	halt_ms = (int)web_parse_number(web_arg(q, "halt"), halt_ms);
