Hosts say how many lines about requests they have left out

A host writes at most 60 lines about requests a second. Nothing in the log told a missing line from a send that the host does not know of.

--- a/lib/log.c
+++ b/lib/log.c
@@ -68,16 +68,26 @@
 	write_line(level, part, NULL, text);
 }
 
-/* True if another line about a request may be written in this second. */
+/*
+ * True if another line about a request may be written in this second.  How many
+ * were not is logged with the next one that is: a request without a line may
+ * have had one.
+ */
 static int
 request_line_allowed(void)
 {
 	static _Atomic long long second;
 	static _Atomic int lines;
 	long long now = clock_mono() / US_PER_SEC;
+	int n;
 
-	if (atomic_exchange(&second, now) != now)
-		atomic_store(&lines, 0);
+	if (atomic_exchange(&second, now) != now) {
+		n = atomic_exchange(&lines, 0);
+		if (n > REQUEST_LINES_MAX)
+			log_line(LOG_INFO, "log",
+			    "%d lines about requests were not written.",
+			    n - REQUEST_LINES_MAX);
+	}
 	return (atomic_fetch_add(&lines, 1) < REQUEST_LINES_MAX);
 }
 
