A second refusal of one attempt is not taken for that of the next

Callers had a request that may run once run twice, or refused though it ran. A target refuses an attempt, and sends the refusal a second time where the answer to the next attempt is due. Hosts keep the connection after a refusal and retry on it, and the id names the request, not the attempt: the copy said that the second attempt had not run, so the request was sent a third time.

decide/answers now says whose answer came: from the id, from whether an earlier attempt of the request was sent on the connection, which is known by the target and the local port, and from whether the request may run again. A refusal on a connection that has borne an earlier attempt is no promise; the outcome is unknown, and the connection is closed.

--- /dev/null
+++ b/decide/answers.c
@@ -0,0 +1,41 @@
+#include "answers.h"
+
+/* Records that an attempt was sent to a target from a port. */
+void
+sends_add(struct sends *s, uint64_t target, int port)
+{
+	if (s->n < SENDS_MAX) {
+		s->list[s->n].target = target;
+		s->list[s->n].port = port;
+	}
+	s->n++;
+}
+
+/* True if an attempt may have been sent to the target from the port. */
+int
+sends_include(const struct sends *s, uint64_t target, int port)
+{
+	int i;
+
+	for (i = 0; i < s->n && i < SENDS_MAX; i++) {
+		if (s->list[i].target == target && s->list[i].port == port)
+			return (1);
+	}
+	return (s->n > SENDS_MAX);
+}
+
+/*
+ * True if the answer that came where one is due is certain to be that to the
+ * attempt sent last on its connection.
+ */
+int
+answer_is_own(const struct answer_facts *f)
+{
+	if (f->id == ANSWER_ID_OTHER)
+		return (0);
+	if (f->id == ANSWER_ID_NONE)
+		return (!f->is_signed);
+	/* An attempt that is followed by another on the same connection did not
+	 * run, so only a refusal can be a second one to it. */
+	return (!f->not_run || !f->resent || f->idempotent);
+}
--- /dev/null
+++ b/decide/answers.h
@@ -0,0 +1,40 @@
+/*
+ * Whose answer came on a connection.  Targets may send an answer a second time,
+ * where the one to the next request is due.  The id in an answer names the
+ * request, which a retry shares with the attempts before it.
+ */
+#ifndef ANSWERS_H
+#define ANSWERS_H
+
+#include <stdint.h>
+
+/* Sends that are remembered of one request; further ones count as sent on any
+ * connection. */
+#define SENDS_MAX 8
+
+/* The connections on which the attempts of a request were sent: a target by
+ * its digest, and this host's port. */
+struct sends {
+	struct {
+		uint64_t target;
+		int port;
+	} list[SENDS_MAX];
+	int n;
+};
+
+/* Which request an answer names. */
+enum answer_id { ANSWER_ID_NONE, ANSWER_ID_OWN, ANSWER_ID_OTHER };
+
+struct answer_facts {
+	enum answer_id id;
+	int is_signed;	/* it is that of a run */
+	int not_run;	/* it states that its request did not run */
+	int resent;	/* an earlier attempt of the request was */
+	int idempotent; /* the request may run more than once */
+};
+
+void sends_add(struct sends *, uint64_t target, int port);
+int sends_include(const struct sends *, uint64_t target, int port);
+int answer_is_own(const struct answer_facts *);
+
+#endif
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -122,6 +122,10 @@
 void
 retry(struct direct *d, struct pending *p, usec now)
 {
+	const struct transfer *t = &p->attempt->t;
+
+	if (t->maybe_sent)
+		sends_add(&p->sends, t->target, t->local_port);
 	attempt_drop(d, p);
 	count_add(C_RETRIES, 1);
 	flow_route(d, p, now);
@@ -386,7 +390,7 @@
 	enum reply_kind kind = REPLY_FOREIGN;
 
 	if (res == CURLE_OK)
-		kind = d->ops->kind(&a->t.reply, p->call);
+		kind = transfer_kind(&a->t);
 	count_add(C_ANSWER_NO_ID,
 	    res == CURLE_OK && p->call->id[0] != '\0' &&
 		a->t.reply.id[0] == '\0');
--- a/gspard/direct_send.c
+++ b/gspard/direct_send.c
@@ -160,6 +160,9 @@
 	    strcmp(p->call->method, "HEAD") == 0);
 	a->t.call = p->call;
 	a->t.held = &d->answer_bytes;
+	a->t.idempotent = p->rule->idempotent;
+	a->t.target = target->digest;
+	a->t.sends = &p->sends;
 	a->t.headers = d->ops->request(
 	    p->call, target->id, (int)(left / 1000) - RETURN_MS);
 	set_transfer(d, a, p, now);
--- a/gspard/target_ops.h
+++ b/gspard/target_ops.h
@@ -49,8 +49,8 @@
 	    const struct call *, const char *target, int left_ms);
 	/* Parses one header line of an answer. */
 	void (*head)(struct reply *, const char *line, size_t n);
-	/* Classifies the answer to a request. */
-	enum reply_kind (*kind)(const struct reply *, const struct call *);
+	/* Classifies an answer to a request by what it states. */
+	enum reply_kind (*kind)(const struct reply *);
 	/* Formats the header that names the target for which a call is meant.
 	 */
 	void (*expect)(const char *target, char *line, size_t size);
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -69,6 +69,25 @@
 	return (str_add(&t->reply.body, p, size * n) == 0 ? size * n : 0);
 }
 
+/* Classifies the answer to a request, which may be another one's. */
+enum reply_kind
+transfer_kind(const struct transfer *t)
+{
+	const struct reply *r = &t->reply;
+	enum reply_kind kind = t->ops->kind(r);
+	struct answer_facts f = {
+	    .id = r->id[0] == '\0'		  ? ANSWER_ID_NONE
+		: strcmp(r->id, t->call->id) == 0 ? ANSWER_ID_OWN
+						  : ANSWER_ID_OTHER,
+	    .is_signed = r->is_signed && t->call->id[0] != '\0',
+	    .not_run = kind == REPLY_REFUSED || kind == REPLY_NOT_OWNER,
+	    .resent = t->resent,
+	    .idempotent = t->idempotent,
+	};
+
+	return (answer_is_own(&f) ? kind : REPLY_FOREIGN);
+}
+
 /* Passes the headers of the answer's own head to the operations for this kind
  * of target. */
 static size_t
@@ -82,8 +101,8 @@
 		break;
 	case FRAMING_HEAD_END:
 		t->reply.status = t->framing.status;
-		t->is_foreign = t->call != NULL &&
-		    t->ops->kind(&t->reply, t->call) == REPLY_FOREIGN;
+		t->is_foreign =
+		    t->call != NULL && transfer_kind(t) == REPLY_FOREIGN;
 		if (t->is_foreign)
 			return (0);
 		break;
@@ -144,6 +163,8 @@
 	curl_easy_getinfo(t->easy, CURLINFO_NUM_CONNECTS, &new_conn);
 	t->new_conn = new_conn > 0;
 	t->local_port = local_port;
+	t->resent = !t->new_conn && t->sends != NULL &&
+	    sends_include(t->sends, t->target, local_port);
 	return (CURL_PREREQFUNC_OK);
 }
 
--- a/gspard/transfer.h
+++ b/gspard/transfer.h
@@ -2,6 +2,7 @@
 #ifndef TRANSFER_H
 #define TRANSFER_H
 
+#include "answers.h"
 #include "framing.h"
 #include "target_ops.h"
 
@@ -19,6 +20,11 @@
 	int maybe_sent; /* bytes may have been sent */
 	int new_conn;	/* ... on a connection opened for this transfer */
 	int local_port; /* ... of that connection; 0 if nothing was sent */
+	int resent;	/* an earlier attempt of the request was sent on it */
+	int idempotent; /* the request may run more than once */
+	uint64_t target;	   /* digest of the target */
+	const struct sends *sends; /* earlier attempts of the request, or NULL
+				    */
 };
 
 void transfers_wake(void *multi);
@@ -28,6 +34,7 @@
 void transfer_set_options(struct transfer *, const char *url,
     long connect_timeout_ms, const char *source);
 void transfer_set_tunnel(struct transfer *, const char *host);
+enum reply_kind transfer_kind(const struct transfer *);
 CURLcode transfer_result(const struct framing *, CURLcode);
 CURLcode transfer_end(const struct transfer *, CURLcode);
 int transfer_broke_off(const struct transfer *, CURLcode);
--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -122,6 +122,10 @@
 without later-incarnation-only incarnation incarnation.c \
     's/started_at(later) > started_at(earlier)/started_at(later) != started_at(earlier)/'
 
+# Requests that may run once run once.
+without second-answers-to-attempts answers answers.c \
+    's/return (!f->not_run || !f->resent || f->idempotent);/return (1);/'
+
 # No new requests to a leaving target.
 without announced-leave-stays membership membership.c \
     's/e->t.leaving |= e->leave_announced;/;/'
--- /dev/null
+++ b/regress/unit/t_answers.c
@@ -0,0 +1,182 @@
+/*
+ * Whose answer came: a target that answers requests, and answers some a second
+ * time, where the next answer on the connection is due.  Every order of its
+ * answers is played, and what the sender concludes is compared with what ran.
+ */
+#include <string.h>
+
+#include "answers.h"
+#include "unit.h"
+
+#define REQUESTS 2
+#define ATTEMPTS_MAX 3
+#define CONNS 2
+#define QUEUE_MAX 16
+#define TARGET 7
+/* Orders of answers: for each attempt a connection, what the target does, and
+ * whether it sends an earlier answer again. */
+#define ORDERS (8 * 8 * 8 * 8 * 8 * 8)
+
+struct answer {
+	int id; /* 0 if it names no request */
+	int request;
+	int not_run;
+};
+
+/* A connection: the answers that are due on it, and the last one sent. */
+struct conn {
+	int port; /* 0 if it is closed */
+	int used;
+	struct answer due[QUEUE_MAX];
+	int ndue;
+	struct answer last;
+};
+
+struct play {
+	long choices;
+	int idempotent;
+	struct conn conns[CONNS];
+	int last_port;
+	int ran[REQUESTS];
+	int delivered; /* answers of runs */
+	int wrong;     /* conclusions that do not hold */
+};
+
+/* Takes the next choice of n. */
+static int
+choose(struct play *p, int n)
+{
+	int v = (int)(p->choices % n);
+
+	p->choices /= n;
+	return (v);
+}
+
+/* The target gets a request: it may send its last answer on the connection a
+ * second time, then it runs or refuses. */
+static void
+serve(struct play *p, struct conn *c, int request)
+{
+	struct answer own = {request + 1, request, choose(p, 2)};
+	int again = choose(p, 2);
+
+	if (c->last.id != 0 && again > 0) {
+		c->due[c->ndue] = c->last;
+		c->ndue++;
+	}
+	p->ran[request] += !own.not_run;
+	c->due[c->ndue++] = own;
+	c->last = own;
+}
+
+/* Returns what the sender knows of an answer. */
+static struct answer_facts
+facts(const struct play *p, const struct conn *c, const struct answer *a,
+    const struct sends *s, int request)
+{
+	struct answer_facts f = {
+	    .id = a->id == 0	       ? ANSWER_ID_NONE
+		: a->id == request + 1 ? ANSWER_ID_OWN
+				       : ANSWER_ID_OTHER,
+	    .not_run = a->not_run,
+	    .resent = c->used && sends_include(s, TARGET, c->port),
+	    .idempotent = p->idempotent,
+	};
+
+	return (f);
+}
+
+/* Makes one attempt on one of the connections; returns true if the request was
+ * refused. */
+static int
+attempt(struct play *p, int request, struct sends *s)
+{
+	struct conn *c = &p->conns[choose(p, CONNS)];
+	struct answer_facts f;
+	struct answer a;
+
+	if (c->port == 0)
+		c->port = ++p->last_port;
+	serve(p, c, request);
+	a = c->due[0];
+	memmove(c->due, c->due + 1, sizeof(a) * (size_t)--c->ndue);
+	f = facts(p, c, &a, s, request);
+	if (!answer_is_own(&f)) {
+		memset(c, 0, sizeof(*c));
+		return (0);
+	}
+	c->used = 1;
+	sends_add(s, TARGET, c->port);
+	p->delivered += !a.not_run;
+	p->wrong += a.request != request;
+	return (a.not_run);
+}
+
+/* Plays one order of answers: each request is sent again while it is refused.
+ */
+static void
+play(struct play *p)
+{
+	struct sends s;
+	int i, n, refused;
+
+	for (i = 0; i < REQUESTS; i++) {
+		memset(&s, 0, sizeof(s));
+		refused = 1;
+		for (n = 0; n < ATTEMPTS_MAX && refused; n++)
+			refused = attempt(p, i, &s);
+		if (!p->idempotent)
+			p->wrong += p->ran[i] > 1 || (refused && p->ran[i] > 0);
+	}
+}
+
+/* Plays every order; returns how many answers of runs were delivered. */
+static long
+play_all(int idempotent)
+{
+	struct play p;
+	long i, delivered = 0, wrong = 0;
+
+	for (i = 0; i < ORDERS; i++) {
+		memset(&p, 0, sizeof(p));
+		p.choices = i;
+		p.idempotent = idempotent;
+		play(&p);
+		delivered += p.delivered;
+		wrong += p.wrong > 0;
+	}
+	CU_ASSERT_EQUAL(wrong, 0);
+	return (delivered);
+}
+
+/* A second answer is taken for a request's own: it runs twice, is refused
+ * though it ran, or gets another's answer. */
+static void
+every_order(void)
+{
+	long once = play_all(0), repeated = play_all(1);
+
+	CU_ASSERT_TRUE(once > ORDERS);
+	CU_ASSERT_TRUE(repeated > once);
+}
+
+/* More sends than are remembered count as none. */
+static void
+many_sends(void)
+{
+	struct sends s = {0};
+	int i;
+
+	for (i = 0; i < SENDS_MAX; i++)
+		sends_add(&s, TARGET, i);
+	CU_ASSERT_TRUE(sends_include(&s, TARGET, 0));
+	CU_ASSERT_FALSE(sends_include(&s, TARGET, SENDS_MAX));
+	CU_ASSERT_FALSE(sends_include(&s, TARGET + 1, 0));
+	sends_add(&s, TARGET, SENDS_MAX);
+	CU_ASSERT_TRUE(sends_include(&s, TARGET, SENDS_MAX));
+}
+
+static const struct unit_test tests[] = {
+    {"every order", every_order}, {"many sends", many_sends}};
+
+UNIT_MAIN("answers", tests)
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -7,6 +7,7 @@
 #include "decode.h"
 #include "objects.h"
 #include "target.h"
+#include "transfer.h"
 #include "unit.h"
 #include "version.h"
 
@@ -425,17 +426,30 @@
 		objects_target.head(r, *lines, strlen(*lines));
 }
 
+/* Classifies an answer to a request; kept is true if another one was sent on
+ * its connection before. */
 static enum reply_kind
-classify_lines(int status, const char *const *lines)
+classify(int status, const char *const *lines, int kept)
 {
-	struct call c = {.id = "me"};
-	struct reply r;
+	const struct call c = {.id = "me"};
+	struct transfer t = {
+	    .ops = &objects_target, .call = &c, .new_conn = !kept};
 	enum reply_kind k;
 
-	parse_lines(&r, lines);
-	r.status = status;
-	k = objects_target.kind(&r, &c);
-	str_free(&r.headers);
+	parse_lines(&t.reply, lines);
+	t.reply.status = status;
+	k = transfer_kind(&t);
+	str_free(&t.reply.headers);
+	return (k);
+}
+
+/* The same, where the kind does not depend on the connection. */
+static enum reply_kind
+classify_lines(int status, const char *const *lines)
+{
+	enum reply_kind k = classify(status, lines, 0);
+
+	CU_ASSERT_EQUAL(classify(status, lines, 1), k);
 	return (k);
 }
 
@@ -453,7 +467,8 @@
 	    "X-Request-Id: you\r\n", "X-Response-Signature: s\r\n", NULL};
 	static const char *const no_id[] = {
 	    "X-Response-Signature: s\r\n", NULL};
-	static const char *const refused[] = {"X-Not-Executed: 1\r\n", NULL};
+	static const char *const refused[] = {
+	    "X-Request-Id: me\r\n", "X-Not-Executed: 1\r\n", NULL};
 	static const char *const not_signed[] = {"X-Request-Id: me\r\n", NULL};
 
 	CU_ASSERT_EQUAL(classify_lines(200, complete), REPLY_ANSWER);
