An answer that names no request counts only as the first on its connection

Callers had a request that may run once run twice, or got 503 though it ran; others got another request's failure. A target sends an answer a second time where the one to the next request is due. Second answers are told by their id, but a refusal or a failure without one was taken for that of the request in flight, on the belief that refusals lack the id.

Such an answer is the request's own only if nothing was sent on its connection before. A request without an id opens a connection.

Unit answers sends second answers without their id too, and fails without the rule.

--- a/decide/answers.c
+++ b/decide/answers.c
@@ -33,8 +33,10 @@
 {
 	if (f->id == ANSWER_ID_OTHER)
 		return (0);
+	/* Targets name the request in all answers, and leave that out only if
+	 * they could not read it. */
 	if (f->id == ANSWER_ID_NONE)
-		return (!f->is_signed);
+		return (f->new_conn && !f->is_signed);
 	/* An attempt that is followed by another on the same connection did not
 	 * run, so only a refusal can be a second one to it. */
 	return (!f->not_run || !f->resent || f->idempotent);
--- a/decide/answers.h
+++ b/decide/answers.h
@@ -29,6 +29,7 @@
 	enum answer_id id;
 	int is_signed;	/* it is that of a run */
 	int not_run;	/* it states that its request did not run */
+	int new_conn;	/* nothing was sent on the connection before */
 	int resent;	/* an earlier attempt of the request was */
 	int idempotent; /* the request may run more than once */
 };
--- a/gspard/direct_send.c
+++ b/gspard/direct_send.c
@@ -135,9 +135,12 @@
 	 * under heavy load this rule avoids about one failure in twenty; with
 	 * 12 hosts and 35 targets it makes no difference.  While the way to the
 	 * targets is doubted, a request that must not run twice uses a new one
-	 * too: if it cannot be connected, it is known not to have run.
+	 * too: if it cannot be connected, it is known not to have run.  So does
+	 * one without an id: only the first answer on a connection is known to
+	 * be its own.
 	 */
-	if (p->ran > 0 || (!p->rule->idempotent && d->doubted_at != 0))
+	if (p->ran > 0 || (!p->rule->idempotent && d->doubted_at != 0) ||
+	    p->call->id[0] == '\0')
 		curl_easy_setopt(a->t.easy, CURLOPT_FRESH_CONNECT, 1L);
 }
 
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -81,6 +81,7 @@
 						  : ANSWER_ID_OTHER,
 	    .is_signed = r->is_signed && t->call->id[0] != '\0',
 	    .not_run = kind == REPLY_REFUSED || kind == REPLY_NOT_OWNER,
+	    .new_conn = t->new_conn,
 	    .resent = t->resent,
 	    .idempotent = t->idempotent,
 	};
--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -125,6 +125,8 @@
 # Requests that may run once run once.
 without second-answers-to-attempts answers answers.c \
     's/return (!f->not_run || !f->resent || f->idempotent);/return (1);/'
+without answers-name-their-request answers answers.c \
+    's/return (f->new_conn \&\& !f->is_signed);/return (!f->is_signed);/'
 
 # No new requests to a leaving target.
 without announced-leave-stays membership membership.c \
--- a/regress/unit/t_answers.c
+++ b/regress/unit/t_answers.c
@@ -15,7 +15,7 @@
 #define TARGET 7
 /* Orders of answers: for each attempt a connection, what the target does, and
  * whether it sends an earlier answer again. */
-#define ORDERS (8 * 8 * 8 * 8 * 8 * 8)
+#define ORDERS (12 * 12 * 12 * 12 * 12 * 12)
 
 struct answer {
 	int id; /* 0 if it names no request */
@@ -53,15 +53,17 @@
 }
 
 /* The target gets a request: it may send its last answer on the connection a
- * second time, then it runs or refuses. */
+ * second time, with its id or without, then it runs or refuses. */
 static void
 serve(struct play *p, struct conn *c, int request)
 {
 	struct answer own = {request + 1, request, choose(p, 2)};
-	int again = choose(p, 2);
+	int again = choose(p, 3);
 
 	if (c->last.id != 0 && again > 0) {
 		c->due[c->ndue] = c->last;
+		if (again == 2)
+			c->due[c->ndue].id = 0;
 		c->ndue++;
 	}
 	p->ran[request] += !own.not_run;
@@ -79,6 +81,7 @@
 		: a->id == request + 1 ? ANSWER_ID_OWN
 				       : ANSWER_ID_OTHER,
 	    .not_run = a->not_run,
+	    .new_conn = !c->used,
 	    .resent = c->used && sends_include(s, TARGET, c->port),
 	    .idempotent = p->idempotent,
 	};
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -469,6 +469,8 @@
 	    "X-Response-Signature: s\r\n", NULL};
 	static const char *const refused[] = {
 	    "X-Request-Id: me\r\n", "X-Not-Executed: 1\r\n", NULL};
+	static const char *const bare[] = {"X-Not-Executed: 1\r\n", NULL};
+	static const char *const nothing[] = {NULL};
 	static const char *const not_signed[] = {"X-Request-Id: me\r\n", NULL};
 
 	CU_ASSERT_EQUAL(classify_lines(200, complete), REPLY_ANSWER);
@@ -481,6 +483,13 @@
 	CU_ASSERT_EQUAL(classify_lines(200, not_signed), REPLY_FOREIGN);
 	CU_ASSERT_EQUAL(classify_lines(503, refused), REPLY_REFUSED);
 	CU_ASSERT_EQUAL(classify_lines(421, not_signed), REPLY_NOT_OWNER);
+	/* An answer that names no request may be a second one to another. */
+	CU_ASSERT_EQUAL(classify(503, bare, 0), REPLY_REFUSED);
+	CU_ASSERT_EQUAL(classify(503, bare, 1), REPLY_FOREIGN);
+	CU_ASSERT_EQUAL(classify(421, bare, 1), REPLY_FOREIGN);
+	CU_ASSERT_EQUAL(classify(500, nothing, 0), REPLY_FAILURE);
+	CU_ASSERT_EQUAL(classify(500, nothing, 1), REPLY_FOREIGN);
+	CU_ASSERT_EQUAL(classify(404, nothing, 1), REPLY_FOREIGN);
 	/* A status that means "not run" is not forwarded without the
 	 * target's header. */
 	CU_ASSERT_EQUAL(classify_lines(503, complete), REPLY_FOREIGN);
