--- a/regress/unit/t_transfer.c
+++ b/regress/unit/t_transfer.c
@@ -14,6 +14,8 @@
 #define BODY_MAX 100000
 #define OPEN_MAX 50000
 #define TIMEOUT_MS 5000L
+/* Size of a body that is not sent at once. */
+#define LONG_BODY 8000000
 #define HEADERS "X-Request-Id: me\r\nX-Response-Signature: s\r\n"
 #define STATUS "HTTP/1.1 200 OK\r\n"
 
@@ -325,10 +327,122 @@
 	close(s.listener);
 }
 
+/* A server that answers the first request of a connection, and does something
+ * else with the second. */
+struct talk {
+	struct server server;
+	const char *answers[2]; /* none: the connection is closed instead */
+	int conns;
+	int heads; /* of requests, on all connections */
+};
+
+/* Reads on a connection until the head of a request has come; returns 0 if the
+ * connection has ended before. */
+static int
+read_head(int fd)
+{
+	char last[4] = "";
+	char c;
+
+	while (recv(fd, &c, 1, 0) == 1) {
+		memmove(last, last + 1, 3);
+		last[3] = c;
+		if (memcmp(last, "\r\n\r\n", 4) == 0)
+			return (1);
+	}
+	return (0);
+}
+
+/* Serves connections, one after the other, until the listener is shut down. */
+static void *
+serve_talk(void *arg)
+{
+	struct talk *t = arg;
+	const char *text;
+	int fd, n;
+
+	while ((fd = accept(t->server.listener, NULL, NULL)) >= 0) {
+		t->conns++;
+		for (n = 0; read_head(fd); n++) {
+			t->heads++;
+			text = t->answers[n > 0];
+			if (text == NULL)
+				break;
+			send(fd, text, strlen(text), MSG_NOSIGNAL);
+		}
+		close(fd);
+	}
+	return (NULL);
+}
+
+/* Makes two requests, one after the other, the first with a body of n bytes;
+ * returns how the second ended. */
+static CURLcode
+request_twice(struct talk *talk, size_t n)
+{
+	CURL *easy = curl_easy_init();
+	struct transfer t;
+	char *body = calloc(1, n + 1);
+	pthread_t thread;
+	CURLcode res;
+	int i;
+
+	server_open(&talk->server);
+	pthread_create(&thread, NULL, serve_talk, talk);
+	for (i = 0; i < 2; i++) {
+		memset(&t, 0, sizeof(t));
+		curl_easy_reset(easy);
+		t.easy = easy;
+		transfer_init(&t, &objects_target, BODY_MAX, OPEN_MAX, 0);
+		t.headers = curl_slist_append(NULL, "Expect:");
+		transfer_set_options(&t, talk->server.url, 1000, "");
+		curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, TIMEOUT_MS);
+		if (i == 0 && n > 0) {
+			curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)n);
+			curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+		}
+		res = transfer_end(&t, curl_easy_perform(easy));
+		transfer_free(&t);
+	}
+	curl_easy_cleanup(easy);
+	shutdown(talk->server.listener, SHUT_RDWR);
+	pthread_join(thread, NULL);
+	close(talk->server.listener);
+	free(body);
+	return (res);
+}
+
+/* A request is sent again as its kept connection ended without an answer,
+ * though it may have run. */
+static void
+sent_once(void)
+{
+	struct talk t = {.answers = {forms[0].text, NULL}};
+
+	CU_ASSERT_NOT_EQUAL(request_twice(&t, 0), CURLE_OK);
+	CU_ASSERT_EQUAL(t.heads, 2);
+}
+
+/* A request is sent where the rest of a body is due that was refused before it
+ * had been read. */
+static void
+refused_early(void)
+{
+	static const char refusal[] = "HTTP/1.1 503 X\r\nX-Request-Id: me\r\n"
+				      "X-Not-Executed: 1\r\n"
+				      "Content-Length: 0\r\n\r\n";
+	struct talk t = {.answers = {refusal, forms[0].text}};
+
+	CU_ASSERT_EQUAL(request_twice(&t, LONG_BODY), CURLE_OK);
+	CU_ASSERT_EQUAL(t.conns, 2);
+	CU_ASSERT_EQUAL(t.heads, 2);
+}
+
 static const struct unit_test tests[] = {
     {"ends at each byte", ends_at_each_byte}, {"resets", resets},
     {"interim headers", interim_headers}, {"trailers", trailers},
     {"without end", without_end}, {"foreign", foreign},
-    {"held bytes", held_bytes}};
+    {"held bytes", held_bytes}, {"sent once", sent_once},
+    {"refused early", refused_early}};
 
 UNIT_MAIN("transfer", tests)
