A release is answered by its own answer alone

A target sends its answer to a grant a second time where that to a release is due, and any 200 counted: orders had no id, and the token that a release's answer bears was not asked for.

decide/order_conns says whose answer came. Orders bear an id; where targets do not echo it, a release is answered by a hand-over token that has not come on the connection before, or by the first answer on one. Else the order counts as not answered, the connection is closed, and the release is sent again. Releases stay on kept connections: one of their own was tried before and lost them where only new connections fail.

The stand-in's tokens differ now, as those of the platform's targets do.

--- a/gspard/sitectl.c
+++ b/gspard/sitectl.c
@@ -484,6 +484,7 @@
 
 	ring_set_wake(s->in, NULL, NULL);
 	orders_cancel(k);
+	order_conns_free(&k->order_conns);
 	sitectl_drop_keys(k);
 	if (k->pending_report != NULL)
 		router_report_free(k->pending_report);
--- a/gspard/sitectl.h
+++ b/gspard/sitectl.h
@@ -16,6 +16,7 @@
 #include "hosts.h"
 #include "join.h"
 #include "keys.h"
+#include "order_conns.h"
 #include "superseded.h"
 #include "stop_plan.h"
 #include "owners.h"
@@ -152,6 +153,8 @@
 
 	CURLM *multi;
 	struct order_call *calls;
+	struct order_conns order_conns;
+	uint64_t order_id;	/* of the last order sent */
 	struct reach_path path; /* the way to the targets */
 	/* Targets that refused a connection since the path was doubted. */
 	char refused[SITECTL_REFUSED_MAX][NAME_MAX_GS];
--- a/gspard/sitectl_order.c
+++ b/gspard/sitectl_order.c
@@ -1,4 +1,5 @@
 /* Orders (grants and releases), each an HTTP call to a target. */
+#include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -30,6 +31,8 @@
 	struct order_call *next;
 	struct order_call **link;
 	struct transfer t;
+	struct sitectl *control;
+	char id[40]; /* that the answer echoes, if the target does */
 	char service[NAME_MAX_GS];
 	struct key_order order;
 	char body[256];
@@ -51,6 +54,27 @@
 	return (transfer_set_keepalive(arg, fd, purpose));
 }
 
+/* Returns whether an answer is that to its order. */
+static int
+is_own(struct transfer *t)
+{
+	const struct order_call *c =
+	    (void *)((char *)t - offsetof(struct order_call, t));
+	const struct reply *r = &t->reply;
+	struct order_answer a = {
+	    .target = t->target,
+	    .port = t->local_port,
+	    .new_conn = t->new_conn,
+	    .id = r->id[0] == '\0'	    ? ANSWER_ID_NONE
+		: strcmp(r->id, c->id) == 0 ? ANSWER_ID_OWN
+					    : ANSWER_ID_OTHER,
+	    .release = c->order.release,
+	    .token = r->handover[0] == '\0' ? 0 : hash_name(r->handover),
+	};
+
+	return (order_answer_is_own(&c->control->order_conns, &a));
+}
+
 /* Frees a call; aborts one in progress. */
 static void
 order_call_free(struct sitectl *k, struct order_call *c)
@@ -78,6 +102,8 @@
 	c->t.headers = curl_slist_append(c->t.headers, "Accept:");
 	c->t.ops->expect(c->order.target, line, sizeof(line));
 	c->t.headers = curl_slist_append(c->t.headers, line);
+	c->t.ops->id(c->id, line, sizeof(line));
+	c->t.headers = curl_slist_append(c->t.headers, line);
 	transfer_set_options(&c->t, url, CONNECT_TIMEOUT_MS, source);
 	curl_easy_setopt(c->t.easy, CURLOPT_PRIVATE, c);
 	curl_easy_setopt(c->t.easy, CURLOPT_TIMEOUT_MS, wait_ms);
@@ -103,6 +129,12 @@
 	}
 	transfer_init(&c->t, k->ops, ANSWER_MAX, ANSWER_MAX, 0);
 	c->t.discards_body = 1;
+	c->t.is_own = is_own;
+	c->t.target = hash_name(o->target);
+	c->control = k;
+	snprintf(c->id, sizeof(c->id), "%016llx.%llx",
+	    (unsigned long long)kernel_boot(k->s->kernel),
+	    (unsigned long long)++k->order_id);
 	c->order = *o;
 	c->sent = clock_mono();
 	name_copy(c->service, sizeof(c->service), service);
@@ -165,11 +197,14 @@
 	if (res != CURLE_OK && res != CURLE_ABORTED_BY_CALLBACK &&
 	    !transfer_broke_off(&c->t, res))
 		check_path(k, c, res, now);
+	if (c->t.is_foreign)
+		count_add(C_ANSWER_FOREIGN, 1);
 	if (res == CURLE_OK && status != 421 && c->t.reply.leaving)
 		fleet_leave_announced(k, c->order.target);
 	if (!c->t.maybe_sent)
 		status = ORDER_NOT_SENT;
-	else if (res != CURLE_OK || status == 421 || status >= 500)
+	else if (res != CURLE_OK || c->t.is_foreign || status == 421 ||
+	    status >= 500)
 		status = c->t.new_conn || c->via ? ORDER_NO_REPLY_NEW_CONN
 						 : ORDER_NO_REPLY;
 	if (status != 200) {
@@ -180,7 +215,9 @@
 		    c->order.release ? "Release" : "Grant", c->service,
 		    c->order.from, c->order.to,
 		    (unsigned long long)c->order.fence, c->order.target,
-		    res == CURLE_OK ? "answered" : curl_easy_strerror(res),
+		    c->t.is_foreign	  ? "answer to another order"
+			: res == CURLE_OK ? "answered"
+					  : curl_easy_strerror(res),
 		    status, (long long)((now - c->sent) / 1000));
 	} else
 		hist_add(H_ORDER, now - c->sent);
--- a/gspard/target_ops.h
+++ b/gspard/target_ops.h
@@ -54,6 +54,8 @@
 	/* Formats the header that names the target for which a call is meant.
 	 */
 	void (*expect)(const char *target, char *line, size_t size);
+	/* Formats the header that bears an id, which the answer echoes. */
+	void (*id)(const char *id, char *line, size_t size);
 	/* Returns the path of an order and formats its body. */
 	const char *(*order)(const struct key_order *, char *body, size_t size);
 };
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -89,6 +89,15 @@
 	return (answer_is_own(&f) ? kind : REPLY_FOREIGN);
 }
 
+/* True if an answer whose head was read is not that to this transfer. */
+static int
+is_foreign(struct transfer *t)
+{
+	if (t->is_own != NULL)
+		return (!t->is_own(t));
+	return (t->call != NULL && transfer_kind(t) == REPLY_FOREIGN);
+}
+
 /* Passes the headers of the answer's own head to the operations for this kind
  * of target. */
 static size_t
@@ -102,8 +111,7 @@
 		break;
 	case FRAMING_HEAD_END:
 		t->reply.status = t->framing.status;
-		t->is_foreign =
-		    t->call != NULL && transfer_kind(t) == REPLY_FOREIGN;
+		t->is_foreign = is_foreign(t);
 		if (t->is_foreign)
 			return (0);
 		break;
--- a/gspard/transfer.h
+++ b/gspard/transfer.h
@@ -11,7 +11,10 @@
 	CURL *easy;
 	struct curl_slist *headers;
 	const struct call *call; /* the request; NULL for an order */
-	struct framing framing;	 /* of the answer */
+	/* Returns whether the answer, whose head was read, is that to this
+	 * transfer; NULL for a request. */
+	int (*is_own)(struct transfer *);
+	struct framing framing; /* of the answer */
 	struct reply reply;
 	size_t *held; /* bytes of all bodies that are being received, or NULL */
 	int discards_body;
--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -128,6 +128,14 @@
 without answers-name-their-request answers answers.c \
     's/return (f->new_conn \&\& !f->is_signed);/return (!f->is_signed);/'
 
+# A release is answered by its own answer.
+without tokens-that-came-before order_conns order_conns.c \
+    's/if (c->tokens\[i\] == token)/if (0)/'
+without answers-of-unknown-connections order_conns order_conns.c \
+    's/if (c == NULL || c->ntokens > ORDER_TOKENS_MAX)/if (c == NULL)\n\t\treturn (0);\n\tif (0)/'
+without releases-are-answered-by-tokens order_conns order_conns.c \
+    's/a->release ? a->token == 0 ||/a->release ? a->token != 0 \&\&/'
+
 # No new requests to a leaving target.
 without announced-leave-stays membership membership.c \
     's/e->t.leaving |= e->leave_announced;/;/'
--- a/standin/server.c
+++ b/standin/server.c
@@ -29,6 +29,7 @@
 static int key_runs[KEY_COUNT];
 static int running, waiting;
 static unsigned long ran;
+static unsigned releases; /* answered, each with a token of its own */
 /* The connection and id of the request that was refused last. */
 static const struct MHD_Connection *refused_on;
 static char refused_id[128];
@@ -237,6 +238,7 @@
 	long long f = json_integer_value(json_object_get(o, "fence"));
 	usec end = arrival_time(q) + MS(hold == NULL ? 0 : atoi(hold));
 	int delay_ms, is_doubled;
+	char token[16];
 
 	json_decref(o);
 	if (o == NULL || from < 0 || to >= KEY_COUNT ||
@@ -267,7 +269,8 @@
 			while (key_runs[k] > 0)
 				pthread_cond_wait(&run_ended, &lock);
 		}
-		web_add_header(a, "X-Handover", "token");
+		snprintf(token, sizeof(token), "t%u", ++releases);
+		web_add_header(a, "X-Handover", token);
 		if (broken_releases > 0) {
 			broken_releases--;
 			web_break_head(a);
