Soak: second answers where others are due

With second=1 the faults of targets are second answers: refusals and failures without an id, copies of refusals of the same request, second answers to grants.

--- a/regress/soak/faults.lua
+++ b/regress/soak/faults.lua
@@ -105,6 +105,13 @@
     { "foreign=1", "foreign=0" }, { "fail=1", "fail=0" },
     { "late=1800", "late=0" }, { "work=120", "work=8" } }
 
+-- Those drawn with second=1 in their place: second answers, where others are due.
+if ARG:match("second=1") then
+	SERVER_FAULTS = { { "extra=bare", "extra=" }, { "extra=moved", "extra=" },
+	    { "extra=fail", "extra=" }, { "double=1", "double=0" },
+	    { "refuse=80&extra=copy", "refuse=0&extra=" } }
+end
+
 local target_kills = 0
 -- Kinds of faults: { weight, name, function }.  The function begins the fault
 -- and returns what it broke, or nil if there was nothing to break.
--- a/regress/soak/soak.lua
+++ b/regress/soak/soak.lua
@@ -4,7 +4,7 @@
 -- targets recorded is then checked against the guarantees of the router.
 -- ARG: seed=N secs=N hosts=N servers=N callers=N ports=N centres=N;
 -- routes=N, that many more routes in each configuration;
--- more=1, evac=1, calm=1, again=1 and cut=1, see faults.lua;
+-- more=1, evac=1, calm=1, again=1, cut=1 and second=1, see faults.lua;
 -- admit=1, requests wait for permits of admission hosts.
 dofile("regress/scenario/lib_site.lua")
 dofile("regress/soak/faults.lua")
