Readers of answers share the collecting of the body

Four readers counted a piece of the body against its limit and appended it, each in the same two steps; framing_collect does both. Transfers to targets keep their own, as they may discard the body. No change of behaviour.

--- a/decide/framing.c
+++ b/decide/framing.c
@@ -3,7 +3,6 @@
 #include <strings.h>
 
 #include "framing.h"
-#include "str.h"
 
 /* Prepares for an answer with a body of at most body_max bytes, or open_max if
  * its length is not stated; to_head is true for the answer to a HEAD request.
@@ -183,6 +182,14 @@
 	return (0);
 }
 
+/* Appends n bytes of the body; returns n, or 0 if the answer is to be read no
+ * further or memory runs out. */
+size_t
+framing_collect(struct framing *f, struct str *body, const char *p, size_t n)
+{
+	return (framing_body(f, n) == 0 && str_add(body, p, n) == 0 ? n : 0);
+}
+
 /*
  * Returns true if the answer is whole.  ended is true if its reader got an end
  * without an error: the last chunk, the stated length, or the orderly end of
--- a/decide/framing.h
+++ b/decide/framing.h
@@ -9,6 +9,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "str.h"
+
 /* Limit on all header lines of an answer in bytes: those of interim answers, of
  * its own head, and those that follow its body. */
 #define FRAMING_HEAD_MAX 65536
@@ -46,6 +48,8 @@
     struct framing *, size_t body_max, size_t open_max, int to_head);
 enum framing_line framing_line(struct framing *, const char *line, size_t n);
 int framing_body(struct framing *, size_t n);
+size_t framing_collect(
+    struct framing *, struct str *body, const char *p, size_t n);
 int framing_is_whole(const struct framing *, int ended);
 
 #endif
--- a/gsparctl/web.c
+++ b/gsparctl/web.c
@@ -17,9 +17,7 @@
 {
 	struct reply *r = arg;
 
-	if (framing_body(&r->framing, n * m) != 0)
-		return (0);
-	return (str_add(&r->body, p, n * m) == 0 ? n * m : 0);
+	return (framing_collect(&r->framing, &r->body, p, n * m));
 }
 
 /* Takes the object's version from its header. */
--- a/gspard/platform.c
+++ b/gspard/platform.c
@@ -61,9 +61,7 @@
 	struct store_call *c = arg;
 
 	c->received_at = clock_mono();
-	if (framing_body(&c->framing, size * n) != 0)
-		return (0);
-	return (str_add(&c->body, p, size * n) == 0 ? size * n : 0);
+	return (framing_collect(&c->framing, &c->body, p, size * n));
 }
 
 /* Passes the headers of the answer's own head to the kind of store. */
--- a/gspard/send.c
+++ b/gspard/send.c
@@ -17,9 +17,7 @@
 {
 	struct run *r = arg;
 
-	if (framing_body(&r->framing, size * n) != 0)
-		return (0);
-	return (str_add(&r->body, p, size * n) == 0 ? size * n : 0);
+	return (framing_collect(&r->framing, &r->body, p, size * n));
 }
 
 /* Reads the content type or the outcome from a header. */
--- a/gspard/target.c
+++ b/gspard/target.c
@@ -229,9 +229,8 @@
 {
 	struct target_call *target_call = arg;
 
-	if (framing_body(&target_call->framing, size * n) != 0)
-		return (0);
-	return (str_add(&target_call->in, p, size * n) == 0 ? size * n : 0);
+	return (framing_collect(
+	    &target_call->framing, &target_call->in, p, size * n));
 }
 
 /* Follows the head of the answer to a short call. */
