Readers of answers share the comparison of ids

Requests and orders each spelled out whether an answer names their id, another's or none; answer_id_of says it for both. The order of a transfer is found by the handle's private pointer, as where orders are reaped, in place of an offset. No change of behaviour.

--- a/decide/answers.c
+++ b/decide/answers.c
@@ -1,5 +1,16 @@
+#include <string.h>
+
 #include "answers.h"
 
+/* Compares the id in an answer, "" if it has none, with that of the request. */
+enum answer_id
+answer_id_of(const char *received, const char *sent)
+{
+	if (received[0] == '\0')
+		return (ANSWER_ID_NONE);
+	return (strcmp(received, sent) == 0 ? ANSWER_ID_OWN : ANSWER_ID_OTHER);
+}
+
 /* Records that an attempt was sent to a target from a port. */
 void
 sends_add(struct sends *s, uint64_t target, int port)
--- a/decide/answers.h
+++ b/decide/answers.h
@@ -34,6 +34,7 @@
 	int idempotent; /* the request may run more than once */
 };
 
+enum answer_id answer_id_of(const char *received, const char *sent);
 void sends_add(struct sends *, uint64_t target, int port);
 int sends_include(const struct sends *, uint64_t target, int port);
 int answer_is_own(const struct answer_facts *);
--- a/gspard/sitectl_order.c
+++ b/gspard/sitectl_order.c
@@ -1,5 +1,4 @@
 /* Orders (grants and releases), each an HTTP call to a target. */
-#include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -58,16 +57,16 @@
 static int
 is_own(struct transfer *t)
 {
-	const struct order_call *c =
-	    (void *)((char *)t - offsetof(struct order_call, t));
 	const struct reply *r = &t->reply;
-	struct order_answer a = {
+	const struct order_call *c;
+	struct order_answer a;
+
+	curl_easy_getinfo(t->easy, CURLINFO_PRIVATE, &c);
+	a = (struct order_answer){
 	    .target = t->target,
 	    .port = t->local_port,
 	    .new_conn = t->new_conn,
-	    .id = r->id[0] == '\0'	    ? ANSWER_ID_NONE
-		: strcmp(r->id, c->id) == 0 ? ANSWER_ID_OWN
-					    : ANSWER_ID_OTHER,
+	    .id = answer_id_of(r->id, c->id),
 	    .release = c->order.release,
 	    .token = r->handover[0] == '\0' ? 0 : hash_name(r->handover),
 	};
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -76,9 +76,7 @@
 	const struct reply *r = &t->reply;
 	enum reply_kind kind = t->ops->kind(r);
 	struct answer_facts f = {
-	    .id = r->id[0] == '\0'		  ? ANSWER_ID_NONE
-		: strcmp(r->id, t->call->id) == 0 ? ANSWER_ID_OWN
-						  : ANSWER_ID_OTHER,
+	    .id = answer_id_of(r->id, t->call->id),
 	    .is_signed = r->is_signed && t->call->id[0] != '\0',
 	    .not_run = kind == REPLY_REFUSED || kind == REPLY_NOT_OWNER,
 	    .new_conn = t->new_conn,
