Indexed tables grow by one function

Hosts, targets and connections for orders each grew a list and its index in the same steps; hash_index_grow does it for all three. The digest of a connection is made by the hash that the rest uses. No change of behaviour.

--- a/decide/hosts.c
+++ b/decide/hosts.c
@@ -6,7 +6,6 @@
 #include "hearing.h"
 #include "hosts.h"
 
-#define INITIAL_CAPACITY 16
 /* Interval at which changes of the list are sent. */
 #define LIST_INTERVAL MS(300)
 
@@ -29,18 +28,12 @@
 static int
 grow(struct hosts *t)
 {
-	int capacity = t->capacity == 0 ? INITIAL_CAPACITY : t->capacity * 2;
-	struct host_entry *list;
+	struct host_entry *list = hash_index_grow(
+	    &t->by_name, t->list, sizeof(*list), t->n, &t->capacity);
 
-	if (t->n < t->capacity)
-		return (0);
-	list = realloc(t->list, sizeof(*list) * (size_t)capacity);
 	if (list == NULL)
 		return (-1);
 	t->list = list;
-	if (hash_index_reserve(&t->by_name, capacity) != 0)
-		return (-1);
-	t->capacity = capacity;
 	return (0);
 }
 
--- a/decide/membership.c
+++ b/decide/membership.c
@@ -12,9 +12,6 @@
 /* Fewer entries removed at once are planned work, not a lapse. */
 #define MASS_REMOVAL_MIN 4
 
-/* Number of targets to allocate space for at first. */
-#define INITIAL_CAPACITY 16
-
 /* Frees the list and resets all of it. */
 void
 membership_free(struct membership *k)
@@ -56,18 +53,12 @@
 static int
 grow(struct membership *k)
 {
-	int capacity = k->capacity == 0 ? INITIAL_CAPACITY : k->capacity * 2;
-	struct membership_target *list;
+	struct membership_target *list = hash_index_grow(
+	    &k->by_target, k->list, sizeof(*list), k->n, &k->capacity);
 
-	if (k->n < k->capacity)
-		return (0);
-	list = realloc(k->list, sizeof(*list) * (size_t)capacity);
 	if (list == NULL)
 		return (-1);
 	k->list = list;
-	if (hash_index_reserve(&k->by_target, capacity) != 0)
-		return (-1);
-	k->capacity = capacity;
 	return (0);
 }
 
--- a/decide/order_conns.c
+++ b/decide/order_conns.c
@@ -1,6 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "order_conns.h"
 
 /* Frees what is remembered of connections. */
@@ -16,7 +18,7 @@
 static uint64_t
 conn_digest(const struct order_answer *a)
 {
-	return (a->target + (uint64_t)a->port * 0x9e3779b97f4a7c15u);
+	return (XXH3_64bits_withSeed(&a->port, sizeof(a->port), a->target));
 }
 
 /* Returns what is remembered of a connection, or NULL. */
@@ -33,21 +35,16 @@
 reserve(struct order_conns *l)
 {
 	struct order_conn *list;
-	int size = l->size == 0 ? 64 : 2 * l->size;
 
 	if (l->n == ORDER_CONNS_MAX) {
 		l->n = 0;
 		hash_index_clear(&l->index);
 	}
-	if (l->n < l->size)
-		return (0);
-	list = realloc(l->list, sizeof(*list) * (size_t)size);
+	list = hash_index_grow(
+	    &l->index, l->list, sizeof(*list), l->n, &l->capacity);
 	if (list == NULL)
 		return (-1);
 	l->list = list;
-	if (hash_index_reserve(&l->index, size) != 0)
-		return (-1);
-	l->size = size;
 	return (0);
 }
 
--- a/decide/order_conns.h
+++ b/decide/order_conns.h
@@ -28,7 +28,7 @@
 struct order_conns {
 	struct order_conn *list;
 	int n;
-	int size;
+	int capacity;
 	struct hash_index index; /* by target and port */
 };
 
--- a/lib/hash_index.c
+++ b/lib/hash_index.c
@@ -80,6 +80,27 @@
 	return (0);
 }
 
+/*
+ * Makes room for one more than n entries of so many bytes in a list and its
+ * index.  Returns the list, which may have moved; NULL if memory runs out, with
+ * the list as it was.
+ */
+void *
+hash_index_grow(
+    struct hash_index *x, void *list, size_t entry, int n, int *capacity)
+{
+	int size = *capacity == 0 ? INITIAL_SIZE : 2 * *capacity;
+	void *grown;
+
+	if (n < *capacity)
+		return (list);
+	if (hash_index_reserve(x, size) != 0 ||
+	    (grown = realloc(list, entry * (size_t)size)) == NULL)
+		return (NULL);
+	*capacity = size;
+	return (grown);
+}
+
 /* Adds a position, for which there is room and which is not in the index. */
 void
 hash_index_add(struct hash_index *x, int i, uint64_t hash)
--- a/lib/hash_index.h
+++ b/lib/hash_index.h
@@ -5,6 +5,7 @@
 #ifndef HASH_INDEX_H
 #define HASH_INDEX_H
 
+#include <stddef.h>
 #include <stdint.h>
 
 struct hash_index {
@@ -16,6 +17,8 @@
 
 uint64_t hash_name(const char *name);
 int hash_index_reserve(struct hash_index *, int n);
+void *hash_index_grow(
+    struct hash_index *, void *list, size_t entry, int n, int *capacity);
 void hash_index_add(struct hash_index *, int i, uint64_t hash);
 void hash_index_remove(struct hash_index *, int i);
 void hash_index_clear(struct hash_index *);
