Lines about attempts at their deadline name the connection too; stand-in's second answers as a table

An attempt without an answer by its deadline said only whether its connection was kept; it is now told by the same function as refused and broken ones, with the port, so that the lines of one connection can be found. The stand-in's second answers without an id are a table in place of nested conditions.

--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -139,20 +139,32 @@
 	    r->instance[0] != '\0' && !incarnation_is_of(s->id, r->instance));
 }
 
-/* Describes the connection that an attempt used and the answer that came on it,
- * which may be that to another request or attempt. */
-static const char *
-describe_answer(const struct pending *p, char *text, size_t size)
+/* Describes the connection that an attempt was sent on; returns the length. */
+static int
+describe_conn(const struct pending *p, char *text, size_t size)
 {
 	const struct transfer *t = &p->attempt->t;
 	curl_off_t sent = 0;
 
+	if (!t->maybe_sent)
+		return (snprintf(text, size, "not connected"));
 	curl_easy_getinfo(t->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
-	snprintf(text, size,
-	    "%s connection from port %d, %lld of %zu bytes of the body sent, "
-	    "answer %d with id '%.40s'",
+	return (snprintf(text, size,
+	    "%s connection from port %d, %lld of %zu bytes of the body sent",
 	    t->new_conn ? "new" : "kept", t->local_port, (long long)sent,
-	    p->call->body.n, t->reply.status, t->reply.id);
+	    p->call->body.n));
+}
+
+/* The same with the answer that came on it, which may be that to another
+ * request or attempt. */
+static const char *
+describe_answer(const struct pending *p, char *text, size_t size)
+{
+	const struct reply *r = &p->attempt->t.reply;
+	int n = describe_conn(p, text, size);
+
+	snprintf(text + n, size - (size_t)n, ", answer %d with id '%.40s'",
+	    r->status, r->id);
 	return (text);
 }
 
@@ -419,14 +431,14 @@
 log_unfinished(const struct direct *d, const struct pending *p, usec now)
 {
 	const struct attempt *a = p->attempt;
+	char text[160];
 
+	describe_conn(p, text, sizeof(text));
 	log_request("router", p->call->id,
 	    "no answer from target %s at %s within %lld ms, %s, "
 	    "last answer of any target %lld ms ago",
 	    a->target->id, a->target->addr, (long long)((now - a->sent) / 1000),
-	    !a->t.maybe_sent	? "not connected"
-		: a->t.new_conn ? "sent on a new connection"
-				: "sent on a reused connection",
+	    text,
 	    d->last_answer == 0 ? -1ll
 				: (long long)((now - d->last_answer) / 1000));
 }
--- a/standin/server.c
+++ b/standin/server.c
@@ -56,17 +56,17 @@
 static int wrong_ids;	     /* answers with another request's id */
 static int grant_delay_ms;   /* applies grants late, without an answer */
 static int double_grants;    /* answers orders on used connections twice */
-static char extra[8]; /* refusals sent before answers on used connections, see
-			 send_extra(); or "" */
-static int fail_all;  /* answers 500 */
-static int refusals_left;  /* number of requests refused as if full */
-static double rate_limit;  /* stated in answers, but not in failures; in
-			       requests per second, 0 if none; set in
-			       hundredths */
-static int reset_new;	   /* closes new connections without an answer */
-static int leaving;	   /* announced in all answers */
-static int retry_after_ms; /* stated in refusals; 0 if none */
-static int keep_alive_s;   /* stated in answers; 0 if none */
+static char extra[8];	     /* sent before answers on used connections, see
+				send_extra(); or "" */
+static int fail_all;	     /* answers 500 */
+static int refusals_left;    /* number of requests refused as if full */
+static double rate_limit;    /* stated in answers, but not in failures; in
+				 requests per second, 0 if none; set in
+				 hundredths */
+static int reset_new;	     /* closes new connections without an answer */
+static int leaving;	     /* announced in all answers */
+static int retry_after_ms;   /* stated in refusals; 0 if none */
+static int keep_alive_s;     /* stated in answers; 0 if none */
 
 static const struct argp_option options[] = {
     {"listen", 'l', "IP:PORT", 0, "Address to serve", 0},
@@ -143,38 +143,52 @@
 	snprintf(refused_id, sizeof(refused_id), "%s", id == NULL ? "" : id);
 }
 
-/*
- * Sends a second answer where the one to this request is due: without an id,
- * as a refusal ("bare"), one of another target ("moved") or a failure
- * ("fail"), or a copy of the refusal that this connection has brought to an
- * earlier attempt of this request ("copy").  The lock is held.
- */
+/* Second answers without an id, by the name of the fault. */
+static const struct {
+	const char *name;
+	const char *text;
+} extras[] = {{"bare",
+		  "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\n"
+		  "Content-Length: 0\r\n\r\n"},
+    {"moved",
+	"HTTP/1.1 421 X\r\nX-Not-Executed: 1\r\nX-Instance-Id: i-0\r\n"
+	"Content-Length: 0\r\n\r\n"},
+    {"fail", "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"}};
+#define NEXTRAS (sizeof(extras) / sizeof(extras[0]))
+
+/* Sends the refusal that the connection has brought to an earlier attempt of
+ * this request once more, if it has. */
 static void
-send_extra(const struct web_request *q, const char *id)
+send_copy(const struct web_request *q, const char *id)
 {
-	static const char format[] = "HTTP/1.1 %d X\r\n%s%s%s"
-				     "Content-Length: 0\r\n\r\n";
-	char text[400];
+	char text[300];
 
-	if (extra[0] == '\0' || q->request_number < 2)
-		return;
-	if (strcmp(extra, "copy") != 0)
-		snprintf(text, sizeof(text), format,
-		    strcmp(extra, "fail") == 0	      ? 500
-			: strcmp(extra, "moved") == 0 ? 421
-						      : 503,
-		    strcmp(extra, "fail") == 0 ? "" : "X-Not-Executed: 1\r\n",
-		    strcmp(extra, "moved") == 0 ? "X-Instance-Id: i-0\r\n" : "",
-		    "");
-	else if (refused_on == q->conn && id != NULL &&
-	    strcmp(refused_id, id) == 0)
-		snprintf(text, sizeof(text), format, 503,
-		    "X-Not-Executed: 1\r\nX-Request-Id: ", id, "\r\n");
-	else
+	if (refused_on != q->conn || id == NULL || strcmp(refused_id, id) != 0)
 		return;
+	snprintf(text, sizeof(text),
+	    "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX-Request-Id: %s\r\n"
+	    "Content-Length: 0\r\n\r\n",
+	    id);
 	web_send_extra(q, text);
 }
 
+/* Sends a second answer where the one to this request is due: one of extras, or
+ * a "copy".  The lock is held. */
+static void
+send_extra(const struct web_request *q, const char *id)
+{
+	size_t i;
+
+	if (q->request_number < 2)
+		return;
+	if (strcmp(extra, "copy") == 0)
+		send_copy(q, id);
+	for (i = 0; i < NEXTRAS; i++) {
+		if (strcmp(extra, extras[i].name) == 0)
+			web_send_extra(q, extras[i].text);
+	}
+}
+
 /* Refuses a request as if full; the lock is held. */
 static void
 refuse(const struct web_request *q, struct web_answer *a)
