Many releases on one connection are told apart

Eight hand-over tokens were remembered of a connection, and a release beyond them counted as not answered: it was sent again 150 ms later and its connection closed. Room for tokens grows with need, to 256.

Unit order_conns "many releases", 200 on one connection: 191 checks failed before.

--- a/decide/order_conns.c
+++ b/decide/order_conns.c
@@ -5,10 +5,23 @@
 
 #include "order_conns.h"
 
+/* Tokens for which a connection has room at first; a power of two. */
+#define INITIAL_TOKENS 8
+
+/* Forgets all connections. */
+static void
+forget(struct order_conns *l)
+{
+	while (l->n > 0)
+		free(l->list[--l->n].tokens);
+	hash_index_clear(&l->index);
+}
+
 /* Frees what is remembered of connections. */
 void
 order_conns_free(struct order_conns *l)
 {
+	forget(l);
 	free(l->list);
 	hash_index_free(&l->index);
 	memset(l, 0, sizeof(*l));
@@ -36,10 +49,8 @@
 {
 	struct order_conn *list;
 
-	if (l->n == ORDER_CONNS_MAX) {
-		l->n = 0;
-		hash_index_clear(&l->index);
-	}
+	if (l->n == ORDER_CONNS_MAX)
+		forget(l);
 	list = hash_index_grow(
 	    &l->index, l->list, sizeof(*list), l->n, &l->capacity);
 	if (list == NULL)
@@ -59,6 +70,7 @@
 		if (reserve(l) != 0)
 			return (NULL);
 		c = &l->list[l->n];
+		memset(c, 0, sizeof(*c));
 		hash_index_add(&l->index, l->n++, digest);
 	}
 	c->ntokens = 0;
@@ -80,14 +92,34 @@
 	return (0);
 }
 
+/* Makes room for another token; 0, or -1 if there are too many or memory runs
+ * out. */
+static int
+grow_tokens(struct order_conn *c)
+{
+	int capacity = c->capacity == 0 ? INITIAL_TOKENS : 2 * c->capacity;
+	uint64_t *tokens;
+
+	if (c->ntokens < c->capacity)
+		return (0);
+	if (capacity > ORDER_TOKENS_MAX)
+		return (-1);
+	tokens = realloc(c->tokens, sizeof(*tokens) * (size_t)capacity);
+	if (tokens == NULL)
+		return (-1);
+	c->tokens = tokens;
+	c->capacity = capacity;
+	return (0);
+}
+
 /* Remembers that a token has come. */
 static void
 add_token(struct order_conn *c, uint64_t token)
 {
-	if (c->ntokens < ORDER_TOKENS_MAX)
-		c->tokens[c->ntokens] = token;
-	if (c->ntokens <= ORDER_TOKENS_MAX)
-		c->ntokens++;
+	if (c->ntokens > ORDER_TOKENS_MAX || grow_tokens(c) != 0)
+		c->ntokens = ORDER_TOKENS_MAX + 1;
+	else
+		c->tokens[c->ntokens++] = token;
 }
 
 /*
--- a/decide/order_conns.h
+++ b/decide/order_conns.h
@@ -13,7 +13,7 @@
 
 /* Tokens that are remembered of one connection.  With more, it is no longer
  * known which have come. */
-#define ORDER_TOKENS_MAX 8
+#define ORDER_TOKENS_MAX 256
 /* Connections that are remembered, open ones and others.  With more, all are
  * forgotten. */
 #define ORDER_CONNS_MAX 8192
@@ -21,8 +21,9 @@
 /* A connection for orders, and the digests of all tokens that have come on it.
  */
 struct order_conn {
+	uint64_t *tokens;
 	int ntokens;
-	uint64_t tokens[ORDER_TOKENS_MAX];
+	int capacity;
 };
 
 struct order_conns {
--- a/regress/unit/t_order_conns.c
+++ b/regress/unit/t_order_conns.c
@@ -11,6 +11,7 @@
 #define QUEUE_MAX 16
 #define TARGET 7
 #define CONNS_FOREIGN 70
+#define MANY_RELEASES 200
 
 struct answer {
 	int order; /* that it answers */
@@ -179,6 +180,21 @@
 	order_conns_free(&l);
 }
 
+/* Releases that are many on one connection are taken for not answered. */
+static void
+many_releases(void)
+{
+	struct order_conns l = {0};
+	int i;
+
+	granted(&l, TARGET, 1);
+	for (i = 0; i < MANY_RELEASES; i++)
+		CU_ASSERT_TRUE(released(&l, TARGET, 1, 1 + (uint64_t)i));
+	for (i = 0; i < MANY_RELEASES; i++)
+		CU_ASSERT_FALSE(released(&l, TARGET, 1, 1 + (uint64_t)i));
+	order_conns_free(&l);
+}
+
 /* What is no longer remembered is taken for certain. */
 static void
 forgotten(void)
@@ -200,6 +216,7 @@
 }
 
 static const struct unit_test tests[] = {{"every order", every_order},
-    {"several connections", several_conns}, {"forgotten", forgotten}};
+    {"several connections", several_conns}, {"many releases", many_releases},
+    {"forgotten", forgotten}};
 
 UNIT_MAIN("order_conns", tests)
