Lines about requests that may run once have a limit of their own

Users saw requests that may run once run twice, or after a promise that they would not, and no line of the hosts' logs named any of them. A host writes at most 60 lines about requests in a second.

Lines about requests that may run once and were sent are now limited apart, at 300 a second, so that others never displace them. Writing still never waits. A host says how many lines of each kind it left out, and how many its reader did not take: that was a counter alone. Lines about answers say whether the answer states that the request did not run, and whether it is signed.

--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -246,6 +246,7 @@
 void flow_wait(struct pending *, struct wait_queue *);
 void flow_route(struct direct *, struct pending *, usec now);
 void flow_pump(struct direct *, usec now);
+enum log_limit log_limit_of(const struct pending *);
 void flow_fail(
     struct direct *, struct pending *, int code, usec wait, usec now);
 void flow_finish(struct direct *, struct pending *, usec now);
--- a/gspard/direct_flow.c
+++ b/gspard/direct_flow.c
@@ -62,6 +62,14 @@
 		d->last = p->prev;
 }
 
+/* Returns the limit on lines about a request. */
+enum log_limit
+log_limit_of(const struct pending *p)
+{
+	return (p->rule->idempotent || p->tries == 0 ? LOG_LIMIT_COMMON
+						     : LOG_LIMIT_ONCE);
+}
+
 /* Ends a request whose answer is filled in, and frees it. */
 void
 flow_finish(struct direct *d, struct pending *p, usec now)
@@ -97,7 +105,7 @@
 	/* A quarantined request must not be retried before its time. */
 	a->retry_ms = code == GS_QUARANTINED ? (uint32_t)(wait / 1000)
 					     : retry_after(p, wait, now);
-	log_request("router", p->call->id,
+	log_request(log_limit_of(p), "router", p->call->id,
 	    "%s: service %s, target %s, key %d, content %016llx, tries %d, "
 	    "after %lld ms of %lld, load there %.1f, waiting %d, "
 	    "retry in %u ms",
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -163,8 +163,9 @@
 	const struct reply *r = &p->attempt->t.reply;
 	int n = describe_conn(p, text, size);
 
-	snprintf(text + n, size - (size_t)n, ", answer %d with id '%.40s'",
-	    r->status, r->id);
+	snprintf(text + n, size - (size_t)n, ", answer %d%s%s with id '%.40s'",
+	    r->status, r->not_run ? ", not run," : "",
+	    r->is_signed ? ", signed," : "", r->id);
 	return (text);
 }
 
@@ -175,7 +176,7 @@
 {
 	const struct owners *o = d->owners == NULL ? NULL : d->owners->p;
 	struct target_state *s = p->attempt->target;
-	char text[160];
+	char text[192];
 
 	if (kind == REPLY_NOT_OWNER) {
 		count_add(C_NOT_OWNER, 1);
@@ -191,7 +192,7 @@
 		p->not_before = now + NOT_OWNER_RETRY_DELAY;
 	} else
 		count_add(C_TARGET_FULL, 1);
-	log_request("router", p->call->id,
+	log_request(log_limit_of(p), "router", p->call->id,
 	    "%s by target %s at %s, key %d, owners version %llu, "
 	    "attempt %d, %s",
 	    kind == REPLY_NOT_OWNER ? "key not owned" : "refused", s->id,
@@ -232,7 +233,7 @@
 	/* A body without a stated length may be without end, and another
 	 * target's answer be fit. */
 	int is_large = f->too_large && f->has_length;
-	char text[160];
+	char text[192];
 
 	count_add(res == CURLE_OK ? C_ANSWER_FOREIGN : C_TARGET_LOST, 1);
 	count_add(C_ANSWER_STOPPED, res == CURLE_WRITE_ERROR);
@@ -247,7 +248,7 @@
 		path_attempt_failed(d, p->attempt, 0, now);
 		p->awaits_path = path_is_doubted(d, now);
 	}
-	log_request("router", p->call->id,
+	log_request(log_limit_of(p), "router", p->call->id,
 	    "no complete answer from target %s at %s after %lld ms: %s, "
 	    "content %016llx, try %d, %s",
 	    p->attempt->target->id, p->attempt->target->addr,
@@ -268,7 +269,7 @@
 	struct attempt *a = p->attempt;
 
 	count_add(C_UNREACHED, 1);
-	log_request("router", p->call->id,
+	log_request(log_limit_of(p), "router", p->call->id,
 	    "target %s at %s not reached%s%s, status %ld: %s", a->target->id,
 	    a->target->addr, a->via ? " through host " : "",
 	    a->via ? d->path.via : "", a->tunnel_status,
@@ -434,7 +435,7 @@
 	char text[160];
 
 	describe_conn(p, text, sizeof(text));
-	log_request("router", p->call->id,
+	log_request(log_limit_of(p), "router", p->call->id,
 	    "no answer from target %s at %s within %lld ms, %s, "
 	    "last answer of any target %lld ms ago",
 	    a->target->id, a->target->addr, (long long)((now - a->sent) / 1000),
--- a/gspard/direct_path.c
+++ b/gspard/direct_path.c
@@ -169,7 +169,7 @@
 	} else
 		p->tries--;
 	flow_attempt_ended(d, p, &ans, now);
-	log_request("router", p->call->id,
+	log_request(log_limit_of(p), "router", p->call->id,
 	    "attempt at target %s is moved to host '%s'",
 	    p->attempt->target->id, d->path.via);
 	retry(d, p, now);
--- a/lib/log.c
+++ b/lib/log.c
@@ -10,15 +10,25 @@
 #include "count.h"
 #include "log.h"
 
-/* Maximum log lines about single requests per second; others are counted as
- * dropped.  About as many as a small host writes in a second with failures. */
-#define REQUEST_LINES_MAX 60
+/* Limits on the log lines about single requests in a second; others are
+ * counted as dropped.  The common one is about as many as a small host writes
+ * in a second with failures.  What became of a request that must not run again
+ * is limited apart, so that lines about others never displace it. */
+static const struct {
+	int max;
+	const char *about;
+} limits[LOG_LIMITS] = {
+    [LOG_LIMIT_COMMON] = {60, "requests"},
+    [LOG_LIMIT_ONCE] = {300, "requests that may run once"},
+};
 
 static const char *const levels[] = {
     "emerg", "alert", "crit", "err", "warning", "notice", "info", "debug"};
 
 static const char *log_host = "-";
 static int log_max = LOG_INFO;
+/* Lines that the reader has not taken since that was last logged. */
+static _Atomic int untaken;
 
 /* Sets the host name in each line, and whether debug lines are written. */
 void
@@ -49,8 +59,10 @@
 	if (n >= (int)sizeof(line))
 		n = sizeof(line) - 1;
 	if (poll(&fd, 1, 0) != 1 || !(fd.revents & POLLOUT) ||
-	    write(STDOUT_FILENO, line, (size_t)n) != n)
+	    write(STDOUT_FILENO, line, (size_t)n) != n) {
 		count_add(C_LOG_DROPPED, 1);
+		atomic_fetch_add(&untaken, 1);
+	}
 }
 
 /* Writes a log line. */
@@ -68,37 +80,47 @@
 	write_line(level, part, NULL, text);
 }
 
+/* Logs how many lines are missing: those over the limit, and those that the
+ * reader did not take. */
+static void
+log_missing(enum log_limit limit, int n)
+{
+	int lost = atomic_exchange(&untaken, 0);
+
+	if (n > limits[limit].max)
+		log_line(LOG_INFO, "log", "%d lines about %s were not written.",
+		    n - limits[limit].max, limits[limit].about);
+	if (lost > 0)
+		log_line(LOG_INFO, "log",
+		    "%d lines were not taken by their reader in time.", lost);
+}
+
 /*
  * True if another line about a request may be written in this second.  How many
  * were not is logged with the next one that is: a request without a line may
  * have had one.
  */
 static int
-request_line_allowed(void)
+request_line_allowed(enum log_limit limit)
 {
-	static _Atomic long long second;
-	static _Atomic int lines;
+	static _Atomic long long second[LOG_LIMITS];
+	static _Atomic int lines[LOG_LIMITS];
 	long long now = clock_mono() / US_PER_SEC;
-	int n;
 
-	if (atomic_exchange(&second, now) != now) {
-		n = atomic_exchange(&lines, 0);
-		if (n > REQUEST_LINES_MAX)
-			log_line(LOG_INFO, "log",
-			    "%d lines about requests were not written.",
-			    n - REQUEST_LINES_MAX);
-	}
-	return (atomic_fetch_add(&lines, 1) < REQUEST_LINES_MAX);
+	if (atomic_exchange(&second[limit], now) != now)
+		log_missing(limit, atomic_exchange(&lines[limit], 0));
+	return (atomic_fetch_add(&lines[limit], 1) < limits[limit].max);
 }
 
 /* Writes a log line about the request with this id; rate-limited. */
 void
-log_request(const char *part, const char *id, const char *fmt, ...)
+log_request(enum log_limit limit, const char *part, const char *id,
+    const char *fmt, ...)
 {
 	char text[512];
 	va_list ap;
 
-	if (!request_line_allowed()) {
+	if (!request_line_allowed(limit)) {
 		count_add(C_LOG_DROPPED, 1);
 		return;
 	}
