Failing tests: what a target ran is taken for refused

Callers would see a request that may run once run twice, or be told that it did not run though it did. A target's answer is believed to say that a request did not run if it is the first on a connection though it names no request, if its earlier attempt went out on that connection under another name of the target, if it is signed as that of a run, and if its status is 421 alone.

--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -149,8 +149,14 @@
 	t.died = nil
 	t.addr = addr or t.addr
 	t.at = addr or t.at
-	t.born = (t.born or 1796262953676) + 1000
 	self:start_server(t)
+	self:renew_entry(id)
+end
+
+-- Writes a target's entry anew, with another time of its start.
+function Site:renew_entry(id)
+	local t = self.servers[id]
+	t.born = (t.born or 1796262953676) + 1000
 	self:write_entry(id, "ready", 1)
 end
 
--- /dev/null
+++ b/regress/scenario/site_false_refusal.lua
@@ -0,0 +1,84 @@
+-- A target runs a request, and what comes as its answer says that it did not:
+-- the request ran again, or its caller was told that it never would.
+dofile("regress/scenario/lib_site.lua")
+local REQUESTS = 10
+local s = standard_site { hosts = 1, plain = 1, keyed = 1 }
+local forms = {}
+
+-- Returns how often each request ran at the target.
+local function runs()
+	local n = {}
+	for l in read_file("i-1.journal"):gmatch("[^\n]+") do
+		local rid = l:match("^run %S+ %S+ (%S+) POST")
+		if rid then
+			n[rid] = (n[rid] or 0) + 1
+		end
+	end
+	return n
+end
+
+-- Sends a request that may run once; returns its status and id.
+local function send_once(p)
+	local st, _, _, rid = s:request("h1", p, nil, "POST", "b")
+	return tonumber(st), rid
+end
+
+-- The same, and the target's entry is written anew after its first arrival.
+local function send_renewed(p)
+	local c, seen = dial(s.hosts.h1.callers), #s:arrivals("i-1")
+	s.request_count = s.request_count + 1
+	send(c, string.format("POST %s HTTP/1.1\r\nHost: a.example\r\n" ..
+	    "X-Request-Id: q%d\r\nX-Deadline-Ms: 1400\r\n" ..
+	    "Content-Length: 1\r\nConnection: close\r\n\r\nb", p,
+	    s.request_count))
+	await("an arrival", 1000, function()
+		return #s:arrivals("i-1") > seen
+	end)
+	s:renew_entry("i-1")
+	local st = (read_all(c) or ""):match("^HTTP/1.1 (%d+)")
+	hang_up(c)
+	return tonumber(st), "q" .. s.request_count
+end
+
+-- Sends requests while the target has a fault, set anew for each; with `used`
+-- on a connection that has brought an answer.
+local function send_all(name, faults, used, send_one)
+	local f = { name = name, refused = {}, ids = {} }
+	for i = 1, REQUESTS do
+		await("a request served", 5000, function()
+			return not used or s:request("h1", "/any/" .. name ..
+			    i) == 200
+		end)
+		s:server_fault("i-1", faults)
+		local st, rid = (send_one or send_once)("/once/" .. name .. i)
+		f.ids[rid] = true
+		f.refused[rid] = st == 503 or st == 429 or st == 408 or
+		    st == 421
+		s:server_fault("i-1",
+		    "refuse=0&extra=&from=2&deny=&retry_after=0")
+	end
+	table.insert(forms, f)
+end
+
+s:load(7000)
+send_all("first", "from=1&extra=bare", false)
+send_all("renewed", "refuse=1&retry_after=400&extra=copy", true,
+    send_renewed)
+send_all("signed", "deny=signed", true)
+send_all("done", "deny=done", true)
+send_all("moved", "deny=moved", true)
+s:stop_all()
+local n, wrong = runs(), ""
+for _, f in ipairs(forms) do
+	local twice, told = 0, 0
+	for rid in pairs(f.ids) do
+		twice = twice + (n[rid] and n[rid] > 1 and 1 or 0)
+		told = told + (n[rid] and f.refused[rid] and 1 or 0)
+	end
+	if twice + told > 0 then
+		wrong = wrong .. string.format(" %s: %d ran twice, %d though " ..
+		    "refused;", f.name, twice, told)
+	end
+end
+check(wrong == "", "of %d each%s", REQUESTS, wrong)
+say("no run was taken for a refusal")
--- a/standin/server.c
+++ b/standin/server.c
@@ -56,17 +56,19 @@
 static int wrong_ids;	     /* answers with another request's id */
 static int grant_delay_ms;   /* applies grants late, without an answer */
 static int double_grants;    /* answers orders on used connections twice */
-static char extra[8];	     /* sent before answers on used connections, see
-				send_extra(); or "" */
-static int fail_all;	     /* answers 500 */
-static int refusals_left;    /* number of requests refused as if full */
-static double rate_limit;    /* stated in answers, but not in failures; in
-				 requests per second, 0 if none; set in
-				 hundredths */
-static int reset_new;	     /* closes new connections without an answer */
-static int leaving;	     /* announced in all answers */
-static int retry_after_ms;   /* stated in refusals; 0 if none */
-static int keep_alive_s;     /* stated in answers; 0 if none */
+static char extra[8];	     /* sent before answers, see send_extra(); or "" */
+static int extra_from = 2;   /* ... to this request on each connection, and to
+				later ones */
+static char denial[8];	   /* how answers deny their runs, see deny(); or "" */
+static int fail_all;	   /* answers 500 */
+static int refusals_left;  /* number of requests refused as if full */
+static double rate_limit;  /* stated in answers, but not in failures; in
+			       requests per second, 0 if none; set in
+			       hundredths */
+static int reset_new;	   /* closes new connections without an answer */
+static int leaving;	   /* announced in all answers */
+static int retry_after_ms; /* stated in refusals; 0 if none */
+static int keep_alive_s;   /* stated in answers; 0 if none */
 
 static const struct argp_option options[] = {
     {"listen", 'l', "IP:PORT", 0, "Address to serve", 0},
@@ -179,7 +181,7 @@
 {
 	size_t i;
 
-	if (q->request_number < 2)
+	if (q->request_number < extra_from)
 		return;
 	if (strcmp(extra, "copy") == 0)
 		send_copy(q, id);
@@ -308,6 +310,20 @@
 	return (0);
 }
 
+/* Has the answer of a run state that the request did not run: "signed", with a
+ * signature; "done", besides with the status of a success; or "moved", by its
+ * status alone.  The lock is held. */
+static void
+deny(struct web_answer *a)
+{
+	if (denial[0] == '\0')
+		return;
+	if (strcmp(denial, "moved") != 0)
+		web_add_header(a, "X-Not-Executed", "1");
+	if (strcmp(denial, "done") != 0)
+		a->status = strcmp(denial, "moved") == 0 ? 421 : 503;
+}
+
 /* Runs an accepted request; the lock is held. */
 static void
 run(const struct web_request *q, struct web_answer *a, long key)
@@ -340,8 +356,10 @@
 	str_set(&a->body, text, (size_t)n);
 	a->status = fail_all ? 500 : 200;
 	web_add_header(a, "X-Request-Id", to);
-	web_add_header(a, "X-Response-Signature", name);
+	if (strcmp(denial, "moved") != 0)
+		web_add_header(a, "X-Response-Signature", name);
 	web_add_header(a, "X-Server-Load", load);
+	deny(a);
 	if (keep_alive_s > 0) {
 		snprintf(idle, sizeof(idle), "timeout=%d", keep_alive_s);
 		web_add_header(a, "Keep-Alive", idle);
@@ -433,6 +451,9 @@
 	    (int)web_parse_number(web_arg(q, "cut_release"), broken_releases);
 	if (web_arg(q, "extra") != NULL)
 		snprintf(extra, sizeof(extra), "%s", web_arg(q, "extra"));
+	extra_from = (int)web_parse_number(web_arg(q, "from"), extra_from);
+	if (web_arg(q, "deny") != NULL)
+		snprintf(denial, sizeof(denial), "%s", web_arg(q, "deny"));
 	if (web_arg(q, "endless") != NULL)
 		snprintf(endless, sizeof(endless), "%s", web_arg(q, "endless"));
 	halt_ms = (int)web_parse_number(web_arg(q, "halt"), halt_ms);
