Connections are told by the target's address, not by its name

A request that may run once ran twice: the copy of the refusal of its first attempt came where the answer to the second was due, and counted as that. The two attempts went out on one connection, but the target's entry had been written anew between them, so that its digest was another and the connection was taken for another too. Connections are kept by address; so are they told now.

The same for orders: a connection that had been opened for a target that ended was not known to the next one at its address, and releases on it counted as not answered though they were.

--- a/decide/answers.c
+++ b/decide/answers.c
@@ -11,25 +11,25 @@
 	return (strcmp(received, sent) == 0 ? ANSWER_ID_OWN : ANSWER_ID_OTHER);
 }
 
-/* Records that an attempt was sent to a target from a port. */
+/* Records that an attempt was sent to an address from a port. */
 void
-sends_add(struct sends *s, uint64_t target, int port)
+sends_add(struct sends *s, uint64_t addr, int port)
 {
 	if (s->n < SENDS_MAX) {
-		s->list[s->n].target = target;
+		s->list[s->n].addr = addr;
 		s->list[s->n].port = port;
 	}
 	s->n++;
 }
 
-/* True if an attempt may have been sent to the target from the port. */
+/* True if an attempt may have been sent to the address from the port. */
 int
-sends_include(const struct sends *s, uint64_t target, int port)
+sends_include(const struct sends *s, uint64_t addr, int port)
 {
 	int i;
 
 	for (i = 0; i < s->n && i < SENDS_MAX; i++) {
-		if (s->list[i].target == target && s->list[i].port == port)
+		if (s->list[i].addr == addr && s->list[i].port == port)
 			return (1);
 	}
 	return (s->n > SENDS_MAX);
--- a/decide/answers.h
+++ b/decide/answers.h
@@ -12,11 +12,11 @@
  * connection. */
 #define SENDS_MAX 8
 
-/* The connections on which the attempts of a request were sent: a target by
- * its digest, and this host's port. */
+/* The connections on which the attempts of a request were sent: the digest of
+ * a target's address, and this host's port. */
 struct sends {
 	struct {
-		uint64_t target;
+		uint64_t addr;
 		int port;
 	} list[SENDS_MAX];
 	int n;
@@ -35,8 +35,8 @@
 };
 
 enum answer_id answer_id_of(const char *received, const char *sent);
-void sends_add(struct sends *, uint64_t target, int port);
-int sends_include(const struct sends *, uint64_t target, int port);
+void sends_add(struct sends *, uint64_t addr, int port);
+int sends_include(const struct sends *, uint64_t addr, int port);
 int answer_is_own(const struct answer_facts *);
 
 #endif
--- a/decide/order_conns.c
+++ b/decide/order_conns.c
@@ -31,7 +31,7 @@
 static uint64_t
 conn_digest(const struct order_answer *a)
 {
-	return (XXH3_64bits_withSeed(&a->port, sizeof(a->port), a->target));
+	return (XXH3_64bits_withSeed(&a->port, sizeof(a->port), a->addr));
 }
 
 /* Returns what is remembered of a connection, or NULL. */
--- a/decide/order_conns.h
+++ b/decide/order_conns.h
@@ -30,13 +30,13 @@
 	struct order_conn *list;
 	int n;
 	int capacity;
-	struct hash_index index; /* by target and port */
+	struct hash_index index; /* by address and port */
 };
 
 struct order_answer {
-	uint64_t target; /* digest */
-	int port;	 /* of this host */
-	int new_conn;	 /* nothing was sent on the connection before */
+	uint64_t addr; /* digest of the target's address */
+	int port;      /* of this host */
+	int new_conn;  /* nothing was sent on the connection before */
 	enum answer_id id;
 	int release;	/* the order is one, not a grant */
 	uint64_t token; /* digest; 0 if the answer has none */
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -125,7 +125,7 @@
 	const struct transfer *t = &p->attempt->t;
 
 	if (t->maybe_sent)
-		sends_add(&p->sends, t->target, t->local_port);
+		sends_add(&p->sends, t->addr, t->local_port);
 	attempt_drop(d, p);
 	count_add(C_RETRIES, 1);
 	flow_route(d, p, now);
--- a/gspard/direct_send.c
+++ b/gspard/direct_send.c
@@ -164,7 +164,7 @@
 	a->t.call = p->call;
 	a->t.held = &d->answer_bytes;
 	a->t.idempotent = p->rule->idempotent;
-	a->t.target = target->digest;
+	a->t.addr = hash_name(target->addr);
 	a->t.sends = &p->sends;
 	a->t.headers = d->ops->request(
 	    p->call, target->id, (int)(left / 1000) - RETURN_MS);
--- a/gspard/sitectl_order.c
+++ b/gspard/sitectl_order.c
@@ -63,7 +63,7 @@
 
 	curl_easy_getinfo(t->easy, CURLINFO_PRIVATE, &c);
 	a = (struct order_answer){
-	    .target = t->target,
+	    .addr = t->addr,
 	    .port = t->local_port,
 	    .new_conn = t->new_conn,
 	    .id = answer_id_of(r->id, c->id),
@@ -129,7 +129,7 @@
 	transfer_init(&c->t, k->ops, ANSWER_MAX, ANSWER_MAX, 0);
 	c->t.discards_body = 1;
 	c->t.is_own = is_own;
-	c->t.target = hash_name(o->target);
+	c->t.addr = hash_name(o->addr);
 	c->control = k;
 	snprintf(c->id, sizeof(c->id), "%016llx.%llx",
 	    (unsigned long long)kernel_boot(k->s->kernel),
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -171,7 +171,7 @@
 	t->new_conn = new_conn > 0;
 	t->local_port = local_port;
 	t->resent = !t->new_conn && t->sends != NULL &&
-	    sends_include(t->sends, t->target, local_port);
+	    sends_include(t->sends, t->addr, local_port);
 	return (CURL_PREREQFUNC_OK);
 }
 
--- a/gspard/transfer.h
+++ b/gspard/transfer.h
@@ -25,7 +25,7 @@
 	int local_port; /* ... of that connection; 0 if nothing was sent */
 	int resent;	/* an earlier attempt of the request was sent on it */
 	int idempotent; /* the request may run more than once */
-	uint64_t target;	   /* digest of the target */
+	uint64_t addr;	/* digest of the target's address */
 	const struct sends *sends; /* earlier attempts of the request, or NULL
 				    */
 };
--- a/regress/unit/t_answers.c
+++ b/regress/unit/t_answers.c
@@ -12,7 +12,7 @@
 #define ATTEMPTS_MAX 3
 #define CONNS 2
 #define QUEUE_MAX 16
-#define TARGET 7
+#define ADDR 7
 /* Orders of answers: for each attempt a connection, what the target does, and
  * whether it sends an earlier answer again. */
 #define ORDERS (12 * 12 * 12 * 12 * 12 * 12)
@@ -82,7 +82,7 @@
 				       : ANSWER_ID_OTHER,
 	    .not_run = a->not_run,
 	    .new_conn = !c->used,
-	    .resent = c->used && sends_include(s, TARGET, c->port),
+	    .resent = c->used && sends_include(s, ADDR, c->port),
 	    .idempotent = p->idempotent,
 	};
 
@@ -109,7 +109,7 @@
 		return (0);
 	}
 	c->used = 1;
-	sends_add(s, TARGET, c->port);
+	sends_add(s, ADDR, c->port);
 	p->delivered += !a.not_run;
 	p->wrong += a.request != request;
 	return (a.not_run);
@@ -171,12 +171,12 @@
 	int i;
 
 	for (i = 0; i < SENDS_MAX; i++)
-		sends_add(&s, TARGET, i);
-	CU_ASSERT_TRUE(sends_include(&s, TARGET, 0));
-	CU_ASSERT_FALSE(sends_include(&s, TARGET, SENDS_MAX));
-	CU_ASSERT_FALSE(sends_include(&s, TARGET + 1, 0));
-	sends_add(&s, TARGET, SENDS_MAX);
-	CU_ASSERT_TRUE(sends_include(&s, TARGET, SENDS_MAX));
+		sends_add(&s, ADDR, i);
+	CU_ASSERT_TRUE(sends_include(&s, ADDR, 0));
+	CU_ASSERT_FALSE(sends_include(&s, ADDR, SENDS_MAX));
+	CU_ASSERT_FALSE(sends_include(&s, ADDR + 1, 0));
+	sends_add(&s, ADDR, SENDS_MAX);
+	CU_ASSERT_TRUE(sends_include(&s, ADDR, SENDS_MAX));
 }
 
 static const struct unit_test tests[] = {
--- a/regress/unit/t_order_conns.c
+++ b/regress/unit/t_order_conns.c
@@ -9,7 +9,7 @@
 
 #define ORDERS 5
 #define QUEUE_MAX 16
-#define TARGET 7
+#define ADDR 7
 #define CONNS_FOREIGN 70
 #define MANY_RELEASES 200
 
@@ -74,7 +74,7 @@
 	got = p->due[0];
 	memmove(p->due, p->due + 1, sizeof(got) * (size_t)--p->ndue);
 	memset(&a, 0, sizeof(a));
-	a.target = TARGET;
+	a.addr = ADDR;
 	a.port = p->port;
 	a.new_conn = !p->used;
 	a.id = !p->habit->echoes  ? ANSWER_ID_NONE
@@ -141,19 +141,19 @@
 
 /* Answers a release on a kept connection with a token. */
 static int
-released(struct order_conns *l, uint64_t target, int port, uint64_t token)
+released(struct order_conns *l, uint64_t addr, int port, uint64_t token)
 {
 	struct order_answer a = {
-	    .target = target, .port = port, .release = 1, .token = token};
+	    .addr = addr, .port = port, .release = 1, .token = token};
 
 	return (order_answer_is_own(l, &a));
 }
 
 /* Opens a connection by a grant. */
 static void
-granted(struct order_conns *l, uint64_t target, int port)
+granted(struct order_conns *l, uint64_t addr, int port)
 {
-	struct order_answer a = {.target = target, .port = port, .new_conn = 1};
+	struct order_answer a = {.addr = addr, .port = port, .new_conn = 1};
 
 	CU_ASSERT_TRUE(order_answer_is_own(l, &a));
 }
@@ -166,17 +166,17 @@
 	struct order_conns l = {0};
 	int i;
 
-	granted(&l, TARGET, 1);
-	granted(&l, TARGET, 2);
+	granted(&l, ADDR, 1);
+	granted(&l, ADDR, 2);
 	for (i = 0; i < CONNS_FOREIGN; i++)
-		granted(&l, TARGET + 1 + (uint64_t)i, 1);
-	CU_ASSERT_TRUE(released(&l, TARGET, 1, 5));
-	CU_ASSERT_FALSE(released(&l, TARGET, 1, 5));
-	CU_ASSERT_TRUE(released(&l, TARGET, 2, 5));
-	CU_ASSERT_TRUE(released(&l, TARGET + CONNS_FOREIGN, 1, 5));
+		granted(&l, ADDR + 1 + (uint64_t)i, 1);
+	CU_ASSERT_TRUE(released(&l, ADDR, 1, 5));
+	CU_ASSERT_FALSE(released(&l, ADDR, 1, 5));
+	CU_ASSERT_TRUE(released(&l, ADDR, 2, 5));
+	CU_ASSERT_TRUE(released(&l, ADDR + CONNS_FOREIGN, 1, 5));
 	/* Another connection from the same port. */
-	granted(&l, TARGET, 1);
-	CU_ASSERT_TRUE(released(&l, TARGET, 1, 5));
+	granted(&l, ADDR, 1);
+	CU_ASSERT_TRUE(released(&l, ADDR, 1, 5));
 	order_conns_free(&l);
 }
 
@@ -187,11 +187,11 @@
 	struct order_conns l = {0};
 	int i;
 
-	granted(&l, TARGET, 1);
+	granted(&l, ADDR, 1);
 	for (i = 0; i < MANY_RELEASES; i++)
-		CU_ASSERT_TRUE(released(&l, TARGET, 1, 1 + (uint64_t)i));
+		CU_ASSERT_TRUE(released(&l, ADDR, 1, 1 + (uint64_t)i));
 	for (i = 0; i < MANY_RELEASES; i++)
-		CU_ASSERT_FALSE(released(&l, TARGET, 1, 1 + (uint64_t)i));
+		CU_ASSERT_FALSE(released(&l, ADDR, 1, 1 + (uint64_t)i));
 	order_conns_free(&l);
 }
 
@@ -202,16 +202,16 @@
 	struct order_conns l = {0};
 	int i;
 
-	CU_ASSERT_FALSE(released(&l, TARGET, 1, 5));
-	granted(&l, TARGET, 1);
+	CU_ASSERT_FALSE(released(&l, ADDR, 1, 5));
+	granted(&l, ADDR, 1);
 	for (i = 0; i < ORDER_TOKENS_MAX; i++)
-		CU_ASSERT_TRUE(released(&l, TARGET, 1, 10 + (uint64_t)i));
-	CU_ASSERT_TRUE(released(&l, TARGET, 1, 5));
-	CU_ASSERT_FALSE(released(&l, TARGET, 1, 6));
-	granted(&l, TARGET, 2);
+		CU_ASSERT_TRUE(released(&l, ADDR, 1, 10 + (uint64_t)i));
+	CU_ASSERT_TRUE(released(&l, ADDR, 1, 5));
+	CU_ASSERT_FALSE(released(&l, ADDR, 1, 6));
+	granted(&l, ADDR, 2);
 	for (i = 0; i < ORDER_CONNS_MAX; i++)
 		granted(&l, 1000 + (uint64_t)i, 1);
-	CU_ASSERT_FALSE(released(&l, TARGET, 2, 5));
+	CU_ASSERT_FALSE(released(&l, ADDR, 2, 5));
 	order_conns_free(&l);
 }
 
