A refusal counts only if it certainly says that this request did not run

Callers saw a request that may run once run twice, or were told that it did not run though it did, where a target that ran it sent bytes that mean otherwise.

What a refusal must have was spread over the classification of answers and the check of whose they are. It is one rule now, in decide/answers, where the request must not run again: said by the header, with the request's id, not signed, and not on a connection that bore an earlier attempt. A request without an id opens a connection, as before. Requests that may repeat are sent again as before, but for signed refusals.

Unit platform "reply kinds" held that a bare refusal and a 421 alone count for any request; it holds that for those that may repeat, and the contrary for the others.

--- a/decide/answers.c
+++ b/decide/answers.c
@@ -35,6 +35,20 @@
 	return (s->n > SENDS_MAX);
 }
 
+/*
+ * True if a refusal can be relied on where the request must not run again.  The
+ * target has to say that it did not run, not only by its status, and to name
+ * the request if that has an id: bytes that were sent before it was read do
+ * not. An attempt that is followed by another on the same connection did not
+ * run, so that only a refusal can be a second answer to it.
+ */
+static int
+refusal_is_certain(const struct answer_facts *f)
+{
+	return (f->is_stated && (f->id == ANSWER_ID_OWN || !f->has_id) &&
+	    !f->resent);
+}
+
 /*
  * True if the answer that came where one is due is certain to be that to the
  * attempt sent last on its connection.
@@ -46,9 +60,11 @@
 		return (0);
 	/* Targets name the request in all answers, and leave that out only if
 	 * they could not read it. */
-	if (f->id == ANSWER_ID_NONE)
-		return (f->new_conn && !f->is_signed);
-	/* An attempt that is followed by another on the same connection did not
-	 * run, so only a refusal can be a second one to it. */
-	return (!f->not_run || !f->resent || f->idempotent);
+	if (f->id == ANSWER_ID_NONE &&
+	    (!f->new_conn || (f->is_signed && f->has_id)))
+		return (0);
+	/* What did not run is not signed. */
+	if (f->not_run && f->is_signed)
+		return (0);
+	return (!f->not_run || f->idempotent || refusal_is_certain(f));
 }
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -77,10 +77,12 @@
 	enum reply_kind kind = t->ops->kind(r);
 	struct answer_facts f = {
 	    .id = answer_id_of(r->id, t->call->id),
-	    .is_signed = r->is_signed && t->call->id[0] != '\0',
+	    .is_signed = r->is_signed,
 	    .not_run = kind == REPLY_REFUSED || kind == REPLY_NOT_OWNER,
+	    .is_stated = r->not_run,
 	    .new_conn = t->new_conn,
 	    .resent = t->resent,
+	    .has_id = t->call->id[0] != '\0',
 	    .idempotent = t->idempotent,
 	};
 
--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -124,9 +124,14 @@
 
 # Requests that may run once run once.
 without second-answers-to-attempts answers answers.c \
-    's/return (!f->not_run || !f->resent || f->idempotent);/return (1);/'
+    's/^\t    !f->resent);/\t    1);/'
 without answers-name-their-request answers answers.c \
-    's/return (f->new_conn \&\& !f->is_signed);/return (!f->is_signed);/'
+    's/(!f->new_conn || (f->is_signed \&\& f->has_id))/f->is_signed \&\& f->has_id/'
+without refusals-name-their-request answers answers.c \
+    's/(f->id == ANSWER_ID_OWN || !f->has_id)/1/'
+without refusals-are-stated answers answers.c 's/(f->is_stated \&\& /(/'
+without refusals-are-not-signed answers answers.c \
+    's/if (f->not_run \&\& f->is_signed)/if (0)/'
 
 # A release is answered by its own answer.
 without tokens-that-came-before order_conns order_conns.c \
--- a/regress/unit/t_answers.c
+++ b/regress/unit/t_answers.c
@@ -81,8 +81,10 @@
 		: a->id == request + 1 ? ANSWER_ID_OWN
 				       : ANSWER_ID_OTHER,
 	    .not_run = a->not_run,
+	    .is_stated = a->not_run,
 	    .new_conn = !c->used,
 	    .resent = c->used && sends_include(s, ADDR, c->port),
+	    .has_id = 1,
 	    .idempotent = p->idempotent,
 	};
 
@@ -179,7 +181,55 @@
 	CU_ASSERT_TRUE(sends_include(&s, ADDR, SENDS_MAX));
 }
 
-static const struct unit_test tests[] = {
-    {"every order", every_order}, {"many sends", many_sends}};
+/* A run is taken for refused: its answer is signed, says so by its status
+ * alone, or bytes without an id came before it on a new connection. */
+static void
+uncertain_refusals(void)
+{
+	const struct answer_facts certain = {.id = ANSWER_ID_OWN,
+	    .not_run = 1,
+	    .is_stated = 1,
+	    .new_conn = 1,
+	    .has_id = 1};
+	struct answer_facts f = certain;
+
+	CU_ASSERT_TRUE(answer_is_own(&f));
+	f.is_signed = 1;
+	CU_ASSERT_FALSE(answer_is_own(&f));
+	f.idempotent = 1;
+	CU_ASSERT_FALSE(answer_is_own(&f));
+	f = certain;
+	f.is_stated = 0;
+	CU_ASSERT_FALSE(answer_is_own(&f));
+	f.idempotent = 1;
+	CU_ASSERT_TRUE(answer_is_own(&f));
+	f = certain;
+	f.id = ANSWER_ID_NONE;
+	CU_ASSERT_FALSE(answer_is_own(&f));
+	f.idempotent = 1;
+	CU_ASSERT_TRUE(answer_is_own(&f));
+	f.new_conn = 0;
+	CU_ASSERT_FALSE(answer_is_own(&f));
+}
+
+/* A request without an id gets no answer, though nothing was sent before it on
+ * its connection. */
+static void
+without_id(void)
+{
+	struct answer_facts f = {.id = ANSWER_ID_NONE, .new_conn = 1};
+
+	f.is_signed = 1;
+	CU_ASSERT_TRUE(answer_is_own(&f));
+	f.is_signed = 0;
+	f.not_run = f.is_stated = 1;
+	CU_ASSERT_TRUE(answer_is_own(&f));
+	f.new_conn = 0;
+	CU_ASSERT_FALSE(answer_is_own(&f));
+}
+
+static const struct unit_test tests[] = {{"every order", every_order},
+    {"many sends", many_sends}, {"uncertain refusals", uncertain_refusals},
+    {"without id", without_id}};
 
 UNIT_MAIN("answers", tests)
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -427,13 +427,15 @@
 }
 
 /* Classifies an answer to a request; kept is true if another one was sent on
- * its connection before. */
+ * its connection before, repeats if it may run more than once. */
 static enum reply_kind
-classify(int status, const char *const *lines, int kept)
+classify_for(int status, const char *const *lines, int kept, int repeats)
 {
 	const struct call c = {.id = "me"};
-	struct transfer t = {
-	    .ops = &objects_target, .call = &c, .new_conn = !kept};
+	struct transfer t = {.ops = &objects_target,
+	    .call = &c,
+	    .new_conn = !kept,
+	    .idempotent = repeats};
 	enum reply_kind k;
 
 	parse_lines(&t.reply, lines);
@@ -443,7 +445,17 @@
 	return (k);
 }
 
-/* The same, where the kind does not depend on the connection. */
+/* The same, where the kind does not depend on whether the request repeats. */
+static enum reply_kind
+classify(int status, const char *const *lines, int kept)
+{
+	enum reply_kind k = classify_for(status, lines, kept, 0);
+
+	CU_ASSERT_EQUAL(classify_for(status, lines, kept, 1), k);
+	return (k);
+}
+
+/* The same, where it does not depend on the connection either. */
 static enum reply_kind
 classify_lines(int status, const char *const *lines)
 {
@@ -455,8 +467,10 @@
 
 /*
  * The kind of an answer decides whether a caller may be told that its request
- * has not run.  Only two answers say so: one with the target's X-Not-Executed
- * header, and one saying that the target is not the one named in the request.
+ * has not run.  Where that must not run again, only an answer with the target's
+ * X-Not-Executed header and the request's id says so; else also one without the
+ * id, first on its connection, and one whose status alone says that the target
+ * is not the one named in the request.
  */
 static void
 reply_kinds(void)
@@ -469,6 +483,8 @@
 	    "X-Response-Signature: s\r\n", NULL};
 	static const char *const refused[] = {
 	    "X-Request-Id: me\r\n", "X-Not-Executed: 1\r\n", NULL};
+	static const char *const denied[] = {"X-Request-Id: me\r\n",
+	    "X-Response-Signature: s\r\n", "X-Not-Executed: 1\r\n", NULL};
 	static const char *const bare[] = {"X-Not-Executed: 1\r\n", NULL};
 	static const char *const nothing[] = {NULL};
 	static const char *const not_signed[] = {"X-Request-Id: me\r\n", NULL};
@@ -482,9 +498,18 @@
 	CU_ASSERT_EQUAL(classify_lines(200, other_id), REPLY_FOREIGN);
 	CU_ASSERT_EQUAL(classify_lines(200, not_signed), REPLY_FOREIGN);
 	CU_ASSERT_EQUAL(classify_lines(503, refused), REPLY_REFUSED);
-	CU_ASSERT_EQUAL(classify_lines(421, not_signed), REPLY_NOT_OWNER);
+	CU_ASSERT_EQUAL(classify_lines(421, refused), REPLY_NOT_OWNER);
+	CU_ASSERT_EQUAL(classify_for(421, not_signed, 0, 1), REPLY_NOT_OWNER);
+	CU_ASSERT_EQUAL(classify_for(421, not_signed, 1, 1), REPLY_NOT_OWNER);
+	CU_ASSERT_EQUAL(classify_for(421, not_signed, 0, 0), REPLY_FOREIGN);
+	CU_ASSERT_EQUAL(classify_for(421, not_signed, 1, 0), REPLY_FOREIGN);
+	/* Signed, and said not to be of a run. */
+	CU_ASSERT_EQUAL(classify_lines(503, denied), REPLY_FOREIGN);
+	CU_ASSERT_EQUAL(classify_lines(200, denied), REPLY_FOREIGN);
+	CU_ASSERT_EQUAL(classify_lines(421, complete), REPLY_FOREIGN);
 	/* An answer that names no request may be a second one to another. */
-	CU_ASSERT_EQUAL(classify(503, bare, 0), REPLY_REFUSED);
+	CU_ASSERT_EQUAL(classify_for(503, bare, 0, 1), REPLY_REFUSED);
+	CU_ASSERT_EQUAL(classify_for(503, bare, 0, 0), REPLY_FOREIGN);
 	CU_ASSERT_EQUAL(classify(503, bare, 1), REPLY_FOREIGN);
 	CU_ASSERT_EQUAL(classify(421, bare, 1), REPLY_FOREIGN);
 	CU_ASSERT_EQUAL(classify(500, nothing, 0), REPLY_FAILURE);
