A promise that a request did not run is derived from its attempts

A request may be ended with "not run" by any of a dozen paths: a refusal, its key without an owner, a way that is lost, a stop of its host. Each relied on a count of attempts that had ended without an answer, which does not include the one in flight; that none is in flight there was left to each path, for a host that stops to the plan of the stop.

Sends are recorded now as they happen, and refusals of them as they are believed. If one is left, no path says "not run".

--- a/decide/answers.c
+++ b/decide/answers.c
@@ -35,6 +35,21 @@
 	return (s->n > SENDS_MAX);
 }
 
+/* Records that an attempt was certainly refused. */
+void
+sends_refused(struct sends *s)
+{
+	s->nrefused++;
+}
+
+/* True if an attempt may have run, or may yet: its caller must not be told that
+ * the request did not run. */
+int
+sends_may_have_run(const struct sends *s)
+{
+	return (s->n > s->nrefused);
+}
+
 /*
  * True if a refusal can be relied on where the request must not run again.  The
  * target has to say that it did not run, not only by its status, and to name
--- a/decide/answers.h
+++ b/decide/answers.h
@@ -12,14 +12,16 @@
  * connection. */
 #define SENDS_MAX 8
 
-/* The connections on which the attempts of a request were sent: the digest of
- * a target's address, and this host's port. */
+/* The attempts of a request that were sent: their connections, by the digest of
+ * the target's address and this host's port, and how many of them certainly did
+ * not run. */
 struct sends {
 	struct {
 		uint64_t addr;
 		int port;
 	} list[SENDS_MAX];
 	int n;
+	int nrefused;
 };
 
 /* Which request an answer names. */
@@ -39,6 +41,8 @@
 enum answer_id answer_id_of(const char *received, const char *sent);
 void sends_add(struct sends *, uint64_t addr, int port);
 int sends_include(const struct sends *, uint64_t addr, int port);
+void sends_refused(struct sends *);
+int sends_may_have_run(const struct sends *);
 int answer_is_own(const struct answer_facts *);
 
 #endif
--- a/gspard/direct.h
+++ b/gspard/direct.h
@@ -169,7 +169,7 @@
 	int waiting;	 /* in its queue */
 	int ran;	 /* attempts that may have run */
 	int tries;
-	struct sends sends;		  /* of its earlier attempts */
+	struct sends sends;		  /* of its attempts */
 	struct target_state *last_target; /* that it was sent to */
 	struct wait_queue *queue; /* that it waits in, or waited in last */
 	struct attempt *attempt;  /* in flight; else NULL */
--- a/gspard/direct_flow.c
+++ b/gspard/direct_flow.c
@@ -94,11 +94,9 @@
 	struct answer *a = &p->call->answer;
 	const char *target = p->last_target == NULL ? "-" : p->last_target->id;
 
-	/*
-	 * An earlier attempt may have run.  The outcome of a later one says
-	 * nothing about it, and callers rely on "not run".
-	 */
-	if (p->ran > 0 && result_outcome(code) == OUT_NOT_RUN)
+	/* Callers rely on "not run", whatever ends the request. */
+	if (sends_may_have_run(&p->sends) &&
+	    result_outcome(code) == OUT_NOT_RUN)
 		code = GS_TARGET_LOST;
 	a->code = code;
 	a->outcome = (int)result_outcome(code);
--- a/gspard/direct_outcome.c
+++ b/gspard/direct_outcome.c
@@ -122,10 +122,6 @@
 void
 retry(struct direct *d, struct pending *p, usec now)
 {
-	const struct transfer *t = &p->attempt->t;
-
-	if (t->maybe_sent)
-		sends_add(&p->sends, t->addr, t->local_port);
 	attempt_drop(d, p);
 	count_add(C_RETRIES, 1);
 	flow_route(d, p, now);
@@ -178,6 +174,7 @@
 	struct target_state *s = p->attempt->target;
 	char text[192];
 
+	sends_refused(&p->sends);
 	if (kind == REPLY_NOT_OWNER) {
 		count_add(C_NOT_OWNER, 1);
 		if (is_from_another(s, &p->attempt->t.reply)) {
@@ -470,6 +467,6 @@
 		flow_attempt_ended(d, p, &ans, now);
 	p->call->answer.code = GS_CANCELLED;
 	p->call->answer.outcome =
-	    p->ran > 0 || p->attempt != NULL ? OUT_UNKNOWN : OUT_NOT_RUN;
+	    sends_may_have_run(&p->sends) ? OUT_UNKNOWN : OUT_NOT_RUN;
 	flow_finish(d, p, now);
 }
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -172,8 +172,11 @@
 	curl_easy_getinfo(t->easy, CURLINFO_NUM_CONNECTS, &new_conn);
 	t->new_conn = new_conn > 0;
 	t->local_port = local_port;
-	t->resent = !t->new_conn && t->sends != NULL &&
-	    sends_include(t->sends, t->addr, local_port);
+	if (t->sends == NULL)
+		return (CURL_PREREQFUNC_OK);
+	t->resent =
+	    !t->new_conn && sends_include(t->sends, t->addr, local_port);
+	sends_add(t->sends, t->addr, local_port);
 	return (CURL_PREREQFUNC_OK);
 }
 
--- a/gspard/transfer.h
+++ b/gspard/transfer.h
@@ -26,8 +26,7 @@
 	int resent;	/* an earlier attempt of the request was sent on it */
 	int idempotent; /* the request may run more than once */
 	uint64_t addr;	/* digest of the target's address */
-	const struct sends *sends; /* earlier attempts of the request, or NULL
-				    */
+	struct sends *sends; /* attempts of the request, or NULL */
 };
 
 void transfers_wake(void *multi);
--- a/regress/unit/t_answers.c
+++ b/regress/unit/t_answers.c
@@ -181,6 +181,27 @@
 	CU_ASSERT_TRUE(sends_include(&s, ADDR, SENDS_MAX));
 }
 
+/* A caller is told that its request did not run while an attempt is in flight,
+ * after one that was refused. */
+static void
+in_flight(void)
+{
+	struct sends s = {0};
+	int i;
+
+	CU_ASSERT_FALSE(sends_may_have_run(&s));
+	for (i = 0; i < 2 * SENDS_MAX; i++) {
+		sends_add(&s, ADDR, i);
+		CU_ASSERT_TRUE(sends_may_have_run(&s));
+		sends_refused(&s);
+		CU_ASSERT_FALSE(sends_may_have_run(&s));
+	}
+	sends_add(&s, ADDR, 0);
+	sends_add(&s, ADDR, 1);
+	sends_refused(&s);
+	CU_ASSERT_TRUE(sends_may_have_run(&s));
+}
+
 /* A run is taken for refused: its answer is signed, says so by its status
  * alone, or bytes without an id came before it on a new connection. */
 static void
@@ -229,7 +250,7 @@
 }
 
 static const struct unit_test tests[] = {{"every order", every_order},
-    {"many sends", many_sends}, {"uncertain refusals", uncertain_refusals},
-    {"without id", without_id}};
+    {"many sends", many_sends}, {"in flight", in_flight},
+    {"uncertain refusals", uncertain_refusals}, {"without id", without_id}};
 
 UNIT_MAIN("answers", tests)
