--- a/regress/scenario/site_false_refusal.lua
+++ b/regress/scenario/site_false_refusal.lua
@@ -76,6 +76,10 @@
 send_all("moved", "deny=moved", true)
 s:stop_all()
 local n, wrong = runs(), ""
+local log, arrivals = read_file("h1.log"), {}
+for _, a in ipairs(s:arrivals("i-1")) do
+	arrivals[a.rid] = (arrivals[a.rid] or 0) + 1
+end
 for _, f in ipairs(forms) do
 	local often, told = 0, 0
 	for rid, most in pairs(f.most) do
@@ -88,4 +92,8 @@
 	end
 end
 check(wrong == "", "of %d each%s", 2 * REQUESTS, wrong)
+for rid, a in pairs(arrivals) do
+	check(a == 1 or log:find("request=" .. rid .. " ", 1, true),
+	    "%s arrived %d times, no line names it", rid, a)
+end
 say("no run was taken for a refusal")
