--- a/regress/run.sh
+++ b/regress/run.sh
@@ -115,6 +115,8 @@
 run soak-evacuation bash regress/soak/run.sh 801 802 14 evac=1 centres=3 calm=1
 run soak-cut bash regress/soak/run.sh 901 902 12 cut=1 centres=3
 run soak-second bash regress/soak/run.sh 1001 1002 12 second=1 calm=1
+run soak-denied bash regress/soak/run.sh 1103 1105 12 second=1 calm=1 hosts=12 \
+    centres=3
 run soak-admit bash regress/soak/run.sh 951 952 12 admit=1 centres=2
 for s in $(grep -v '^#' regress/soak/seeds.txt | cut -d: -f1); do
 	run "soak-seed-$s" bash regress/soak/run.sh "$s" "$s" 20
