--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -370,6 +370,19 @@
 	return st, text, header, "q" .. self.request_count
 end
 
+-- Returns how often each text that the pattern captures stands in the journal
+-- of a target, a line at a time.
+function Site:journal_counts(id, pattern)
+	local n = {}
+	for l in read_file(id .. ".journal"):gmatch("[^\n]+") do
+		local text = l:match(pattern)
+		if text then
+			n[text] = (n[text] or 0) + 1
+		end
+	end
+	return n
+end
+
 -- Returns the arrivals of requests at a target: a list of times in ms and
 -- request ids.
 function Site:arrivals(id)
--- a/regress/scenario/site_false_refusal.lua
+++ b/regress/scenario/site_false_refusal.lua
@@ -7,18 +7,6 @@
 local s = standard_site { hosts = 1, plain = 1, keyed = 1 }
 local forms = {}
 
--- Returns how often each request ran at the target.
-local function runs()
-	local n = {}
-	for l in read_file("i-1.journal"):gmatch("[^\n]+") do
-		local rid = l:match("^run %S+ %S+ (%S+)")
-		if rid then
-			n[rid] = (n[rid] or 0) + 1
-		end
-	end
-	return n
-end
-
 -- Sends a request that may run once; returns its status and id.
 local function send_once(p)
 	local st, _, _, rid = s:request("h1", p, nil, "POST", "b")
@@ -75,11 +63,7 @@
 send_all("done", "deny=done", true)
 send_all("moved", "deny=moved", true)
 s:stop_all()
-local n, wrong = runs(), ""
-local log, arrivals = read_file("h1.log"), {}
-for _, a in ipairs(s:arrivals("i-1")) do
-	arrivals[a.rid] = (arrivals[a.rid] or 0) + 1
-end
+local n, wrong = s:journal_counts("i-1", "^run %S+ %S+ (%S+)"), ""
 for _, f in ipairs(forms) do
 	local often, told = 0, 0
 	for rid, most in pairs(f.most) do
@@ -92,7 +76,8 @@
 	end
 end
 check(wrong == "", "of %d each%s", 2 * REQUESTS, wrong)
-for rid, a in pairs(arrivals) do
+local log = read_file("h1.log")
+for rid, a in pairs(s:journal_counts("i-1", "^came %d+ (%S+)")) do
 	check(a == 1 or log:find("request=" .. rid .. " ", 1, true),
 	    "%s arrived %d times, no line names it", rid, a)
 end
--- a/regress/scenario/site_release_cut.lua
+++ b/regress/scenario/site_release_cut.lua
@@ -5,14 +5,7 @@
 s:server_fault("i-2", "cut_release=1")
 s:drain("i-2")
 local function releases()
-	local n = {}
-	for l in read_file("i-2.journal"):gmatch("[^\n]+") do
-		local range = l:match("^release (%d+ %d+)")
-		if range then
-			n[range] = (n[range] or 0) + 1
-		end
-	end
-	return n
+	return s:journal_counts("i-2", "^release (%d+ %d+)")
 end
 await("a release sent again", 6000, function()
 	for _, n in pairs(releases()) do
--- a/regress/scenario/site_replaced_release.lua
+++ b/regress/scenario/site_replaced_release.lua
@@ -10,14 +10,7 @@
 table.insert(s.sorder, "i-9")
 s:start_server(new)
 local function journal(what)
-	local n = {}
-	for l in read_file("i-9.journal"):gmatch("[^\n]+") do
-		local range = l:match("^" .. what .. " (%d+ %d+)")
-		if range then
-			n[range] = (n[range] or 0) + 1
-		end
-	end
-	return n
+	return s:journal_counts("i-9", "^" .. what .. " (%d+ %d+)")
 end
 await("an order to i-2 at its address", 5000, function()
 	return next(journal("grant"))
