--- a/lib/log.c
+++ b/lib/log.c
@@ -11,9 +11,8 @@
 #include "log.h"
 
 /* Limits on the log lines about single requests in a second; others are
- * counted as dropped.  The common one is about as many as a small host writes
- * in a second with failures.  What became of a request that must not run again
- * is limited apart, so that lines about others never displace it. */
+ * counted as dropped.  What became of a request that must not run again is
+ * limited apart, so that lines about others never displace it. */
 static const struct {
 	int max;
 	const char *about;
