--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -874,6 +874,37 @@
 	    "%d crashes in all", late, #ends)
 end
 
+-- Creates an object in the store as another writer would; spec and status are
+-- JSON.  Creates none if the store refuses it.
+function Site:write_object(kind, name, spec, status)
+	local st = http("POST", "http://" .. self.store .. "/objects/" .. kind,
+	    string.format('{"metadata":{"name":"%s"},"spec":%s,"status":%s}',
+	    name, spec, status or "null"))
+	check(st == 200, "%s %s not written: %d", kind, name, st)
+end
+
+-- Checks that a target of the service without keys that registers now gets its
+-- first request within `ms`, and that all requests until then are served.
+function Site:check_new_target(ms)
+	local t = self:add_server("plain", "south")
+	local from = now_ms()
+	self.answers = {}
+	repeat
+		for i = 1, 12 do
+			self:send_async(self.order[i % #self.order + 1], "new",
+			    "/any/" .. i)
+		end
+		while #self.pending > 0 do
+			self:read_oldest()
+		end
+		check(now_ms() - from < ms, "%s not used within %d ms", t.id,
+		    ms)
+	until #self:arrivals(t.id) > 0
+	for k in pairs(self.answers) do
+		check(k == "new 200", "answer beside a new target: %s", k)
+	end
+end
+
 function Site:stop_all()
 	for _, n in ipairs(self.order) do
 		if not self.hosts[n].dead then
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -416,6 +416,110 @@
 	free_call(st);
 }
 
+/* Returns arrays nested to a depth; the caller frees the text. */
+static char *
+nested_arrays(size_t depth)
+{
+	char *text = malloc(2 * depth + 1);
+
+	memset(text, '[', depth);
+	memset(text + depth, ']', depth);
+	text[2 * depth] = '\0';
+	return (text);
+}
+
+/* Decodes an answer into which a value nested to a depth is formatted. */
+static struct store *
+decode_nested(enum store_op op, const char *fmt, size_t depth)
+{
+	char *value = nested_arrays(depth), *text;
+	struct store *st;
+
+	if (asprintf(&text, fmt, value) < 0)
+		abort();
+	st = decode_answer(op, 200, text);
+	free(text);
+	free(value);
+	return (st);
+}
+
+/* Depths up to some that the JSON library does not read. */
+static const size_t depths[] = {100, 257, 5000, 200000};
+#define NDEPTHS (sizeof(depths) / sizeof(depths[0]))
+
+/* One deeply nested value hides all objects of a list, or all changes. */
+static void
+nested_list_items(void)
+{
+	struct store *st;
+	size_t i;
+
+	for (i = 0; i < NDEPTHS; i++) {
+		st = decode_nested(STORE_LIST,
+		    "{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":1}},"
+		    "{\"metadata\":{\"name\":\"b\",\"revision\":2},"
+		    "\"spec\":%s},{\"metadata\":{\"name\":\"c\"}}],"
+		    "\"has_more\":true,\"current_rev\":44}",
+		    depths[i]);
+		CU_ASSERT_EQUAL(st->result, STORE_DONE);
+		CU_ASSERT_EQUAL(st->nitems, 3);
+		CU_ASSERT(st->nitems == 3 && st->items[1].version == 2);
+		CU_ASSERT(st->more);
+		CU_ASSERT_EQUAL(st->version, 44);
+		free_call(st);
+		st = decode_nested(STORE_WATCH,
+		    "{\"events\":[{\"object\":{\"metadata\":{\"name\":\"a\","
+		    "\"finalizers\":%s}},\"deleted\":true},{\"object\":{"
+		    "\"metadata\":{\"name\":\"b\"}}}],\"current_rev\":51}",
+		    depths[i]);
+		CU_ASSERT_EQUAL(st->result, STORE_DONE);
+		CU_ASSERT_EQUAL(st->nitems, 2);
+		CU_ASSERT(st->nitems == 2 && st->items[0].deleted);
+		CU_ASSERT_EQUAL(st->version, 51);
+		free_call(st);
+	}
+}
+
+/* A deeply nested member hides the others of an object. */
+static void
+nested_members(void)
+{
+	static const char item[] =
+	    "{\"items\":[{\"metadata\":{\"name\":\"main\"},"
+	    "\"status\":%s,\"spec\":{\"version\":\"1f\","
+	    "\"routes\":{}}}],\"current_rev\":44}";
+	struct store *st;
+	struct site *site;
+	const char *why;
+	size_t i;
+
+	for (i = 0; i < NDEPTHS; i++) {
+		st = decode_nested(STORE_GET,
+		    "{\"status\":%s,\"metadata\":{\"name\":\"main\","
+		    "\"revision\":7},\"spec\":{\"a\":1}}",
+		    depths[i]);
+		CU_ASSERT_EQUAL(st->result, STORE_DONE);
+		CU_ASSERT_EQUAL(st->version, 7);
+		CU_ASSERT(
+		    st->body.n == 7 && memcmp(st->body.p, "{\"a\":1}", 7) == 0);
+		free_call(st);
+		/* The value itself may be one. */
+		st = decode_nested(STORE_GET,
+		    "{\"metadata\":{\"finalizers\":[],\"revision\":7},"
+		    "\"spec\":{\"a\":%s}}",
+		    depths[i]);
+		CU_ASSERT_EQUAL(st->result, STORE_DONE);
+		CU_ASSERT_EQUAL(st->version, 7);
+		free_call(st);
+		st = decode_nested(STORE_LIST, item, depths[i]);
+		CU_ASSERT_EQUAL_FATAL(st->nitems, 1);
+		site = decode_site_object(st->items[0].raw, &why);
+		CU_ASSERT_PTR_NOT_NULL(site);
+		site_free(site);
+		free_call(st);
+	}
+}
+
 /* Parses the headers of an answer, line by line. */
 static void
 parse_lines(struct reply *r, const char *const *lines)
@@ -696,6 +800,8 @@
     {"restarted target", restarted_target},
     {"invalid entries", invalid_entries},
     {"unreadable list items", unreadable_list_items},
+    {"nested list items", nested_list_items},
+    {"nested members", nested_members},
     {"unreadable object", unreadable_object},
     {"store writes", store_writes},
     {"store results", store_results},
--- a/standin/store.c
+++ b/standin/store.c
@@ -69,13 +69,34 @@
 	return (NULL);
 }
 
-/* Answers with JSON. */
+/* Appends arrays nested to a depth. */
 static void
-reply_json(struct web_answer *a, json_t *o)
+add_arrays(struct str *out, size_t depth)
 {
-	char *text = json_dumps(o, JSON_COMPACT);
+	char *text = malloc(2 * depth + 1);
+
+	memset(text, '[', depth);
+	memset(text + depth, ']', depth);
+	str_add(out, text, 2 * depth);
+	free(text);
+}
 
-	str_set(&a->body, text, strlen(text));
+/* Answers with JSON, in which the string "@nested N" stands for arrays nested N
+ * deep: the JSON library cannot hold these. */
+static void
+reply_json(struct web_answer *a, json_t *o)
+{
+	static const char nested[] = "\"@nested ";
+	char *text = json_dumps(o, JSON_COMPACT), *from = text, *at;
+
+	str_set(&a->body, "", 0);
+	while ((at = strstr(from, nested)) != NULL) {
+		str_add(&a->body, from, (size_t)(at - from));
+		add_arrays(
+		    &a->body, strtoul(at + sizeof(nested) - 1, &from, 10));
+		from++;
+	}
+	str_add(&a->body, from, strlen(from));
 	free(text);
 }
 
