Names of objects are escaped in URLs and in JSON

Callers saw nothing served while another writer's entry, whose name held a blank, a #, a + or the like, ended a page of a list: all hosts that had been restarted asked for the same page again and again, or for one that does not exist, and knew no target.

Cause: a list is continued after the last name of a page, which was put into the URL as it is. A & or # cut it off, a blank made the URL invalid, %41 and + named something else. The names that the product writes, those of services among them, went into paths and into the JSON of an object's metadata in the same way.

One function now escapes all but unreserved characters, for the query and for paths, and the JSON library writes the metadata. The URL has no limit on its length any more, as an escape takes three bytes.

Ruled out: the value of the entry. With null in place of a deep value the daemon as it was failed in the same way.

Unit platform "odd names" tests each call; by its text the former requests had the names as they are.

--- a/gspard/platform.c
+++ b/gspard/platform.c
@@ -133,7 +133,7 @@
 	c->form = store_form_of(kernel_conf(s->kernel));
 	c->form->request(
 	    st, kernel_conf(s->kernel)->platform[p->addr_index], &h);
-	curl_easy_setopt(c->easy, CURLOPT_URL, h.url);
+	curl_easy_setopt(c->easy, CURLOPT_URL, h.url.p);
 	curl_easy_setopt(c->easy, CURLOPT_PRIVATE, c);
 	curl_easy_setopt(c->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS,
@@ -163,6 +163,7 @@
 		curl_easy_setopt(c->easy, CURLOPT_FRESH_CONNECT, 1L);
 	}
 	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->headers);
+	str_free(&h.url);
 	str_free(&h.body);
 	count_add(st->op == STORE_PUT ? C_STORE_PUT : C_STORE_GET, 1);
 	count_add(C_STORE_LIST, st->op == STORE_LIST);
--- a/gspard/store.h
+++ b/gspard/store.h
@@ -12,9 +12,9 @@
 /* A call as the HTTP client needs it. */
 struct store_http {
 	const char *method;
-	char url[CELL_NAME_MAX + 400];
+	struct str url;	 /* freed by the client, as is the body */
 	char header[64]; /* an additional header line, or "" */
-	struct str body; /* freed by the client */
+	struct str body;
 };
 
 /* Functions for one kind of store. */
--- a/gspard/store_native.c
+++ b/gspard/store_native.c
@@ -19,7 +19,11 @@
 	    [STORE_DELETE] = "http://%s/v1/objects/%s",
 	};
 
-	snprintf(h->url, sizeof(h->url), url_formats[st->op], addr, st->path);
+	char url[sizeof(st->path) + ADDR_MAX_GS + 32];
+	int n;
+
+	n = snprintf(url, sizeof(url), url_formats[st->op], addr, st->path);
+	str_set(&h->url, url, (size_t)n);
 	h->method = st->op == STORE_PUT ? "PUT" : "GET";
 	if (st->op != STORE_PUT)
 		return;
--- a/lib/str.c
+++ b/lib/str.c
@@ -1,5 +1,6 @@
 #include <ctype.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -36,6 +37,36 @@
 	return (0);
 }
 
+/* True for a character that stands for itself in each part of a URL. */
+static int
+is_unreserved(char c)
+{
+	return (isalnum((unsigned char)c) ||
+	    (c != '\0' && strchr("-._~", c) != NULL));
+}
+
+/* Appends n bytes as one segment of a URL's path or one value in its query (RFC
+ * 3986, 2.1).  Returns 0, or -1 without memory. */
+int
+str_add_escaped(struct str *s, const char *p, size_t n)
+{
+	char escape[4];
+	size_t i, plain = 0; /* length of what needs no escape */
+
+	for (i = 0; i < n; i++) {
+		if (is_unreserved(p[i])) {
+			plain++;
+			continue;
+		}
+		snprintf(escape, sizeof(escape), "%%%02X", (unsigned char)p[i]);
+		if (str_add(s, p + i - plain, plain) != 0 ||
+		    str_add(s, escape, 3) != 0)
+			return (-1);
+		plain = 0;
+	}
+	return (str_add(s, p + n - plain, plain));
+}
+
 /* Frees the contents; s is empty and may be reused. */
 void
 str_free(struct str *s)
--- a/lib/str.h
+++ b/lib/str.h
@@ -15,6 +15,7 @@
 
 int str_set(struct str *, const void *, size_t);
 int str_add(struct str *, const void *, size_t);
+int str_add_escaped(struct str *, const char *, size_t);
 void str_free(struct str *);
 int name_ok(const char *, size_t);
 int name_copy(char *, size_t, const char *);
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -241,6 +241,13 @@
 	free_call(st);
 }
 
+static void
+free_request(struct store_http *h)
+{
+	str_free(&h->url);
+	str_free(&h->body);
+}
+
 static void
 store_writes(void)
 {
@@ -249,19 +256,76 @@
 	memset(&h, 0, sizeof(h));
 	make_put(0, &h);
 	CU_ASSERT_STRING_EQUAL(h.method, "POST");
-	CU_ASSERT_STRING_EQUAL(h.url, "http://h:1/objects/kind");
+	CU_ASSERT_STRING_EQUAL(h.url.p, "http://h:1/objects/kind");
 	CU_ASSERT_STRING_EQUAL(
 	    h.body.p, "{\"metadata\":{\"name\":\"name\"},\"spec\":{\"a\":1}}");
-	str_free(&h.body);
+	free_request(&h);
 	make_put(7, &h);
 	CU_ASSERT_STRING_EQUAL(h.method, "PUT");
-	CU_ASSERT_STRING_EQUAL(h.url, "http://h:1/objects/kind/name");
+	CU_ASSERT_STRING_EQUAL(h.url.p, "http://h:1/objects/kind/name");
 	CU_ASSERT_PTR_NOT_NULL(strstr(h.body.p, "\"revision\":7"));
-	str_free(&h.body);
+	free_request(&h);
 	/* The store knows revisions, not eras. */
 	make_put(version_make(3, 8), &h);
 	CU_ASSERT_PTR_NOT_NULL(strstr(h.body.p, "\"revision\":8}"));
+	free_request(&h);
+}
+
+/* Returns the URL of a call for an object; the caller frees it. */
+static char *
+url_of(enum store_op op, const char *path, uint64_t base)
+{
+	struct store *st = new_call(op, path);
+	struct store_http h;
+
+	memset(&h, 0, sizeof(h));
+	st->base = base;
+	str_set(&st->body, "1", 1);
+	objects_form.request(st, "h:1", &h);
+	free_call(st);
 	str_free(&h.body);
+	return (h.url.p);
+}
+
+/* A name with a character that a URL or JSON gives a meaning leads to another
+ * object, or to none. */
+static void
+odd_names(void)
+{
+	static const char path[] = "kind/a&b+#%/ ?\"\\\xc3\xa9";
+	static const char want[] = "http://h:1/objects/kind/"
+				   "a%26b%2B%23%25%2F%20%3F%22%5C%C3%A9";
+	static const enum store_op ops[] = {STORE_GET, STORE_PUT, STORE_DELETE};
+	struct store *st = new_call(STORE_LIST, "kind");
+	struct store_http h;
+	json_t *o;
+	char *url;
+	size_t i;
+
+	for (i = 0; i < sizeof(ops) / sizeof(ops[0]); i++) {
+		url = url_of(ops[i], path, 7);
+		CU_ASSERT_STRING_EQUAL(url, want);
+		free(url);
+	}
+	memset(&h, 0, sizeof(h));
+	name_copy(st->after, sizeof(st->after), "a&b #1+%41");
+	objects_form.request(st, "h:1", &h);
+	CU_ASSERT_STRING_EQUAL(
+	    h.url.p, "http://h:1/objects/kind?after=a%26b%20%231%2B%2541");
+	free_request(&h);
+	free_call(st);
+	st = new_call(STORE_PUT, path);
+	str_set(&st->body, "1", 1);
+	objects_form.request(st, "h:1", &h);
+	o = json_loadb(h.body.p, h.body.n, 0, NULL);
+	CU_ASSERT_STRING_EQUAL(h.url.p, "http://h:1/objects/kind");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(o);
+	CU_ASSERT_STRING_EQUAL(json_string_value(json_object_get(
+				   json_object_get(o, "metadata"), "name")),
+	    strchr(path, '/') + 1);
+	json_decref(o);
+	free_request(&h);
+	free_call(st);
 }
 
 static struct store *
@@ -804,6 +868,7 @@
     {"nested members", nested_members},
     {"unreadable object", unreadable_object},
     {"store writes", store_writes},
+    {"odd names", odd_names},
     {"store results", store_results},
     {"lists and watches", lists_and_watches},
     {"reply kinds", reply_kinds},
