A list does not end, nor repeat at once, at a page without a usable name

Callers saw most requests refused while names longer than any target's filled a page of the list of targets: what followed the page counted as gone. A page that does not lead on, as that of a store which ignores where to continue, was read again without a pause.

Cause: the list was continued after the last usable name of a page, and was taken for complete if there was none. Nothing looked whether the next page began elsewhere.

A list now continues after the last name of the page as it stands, of any length, and is complete only when the store says so. A page that names nothing to continue after, or the name that was asked for, is a failed call: it is repeated with the delay of these, and the line in the log names where the list stands.

Unit platform "last names" is new, as is the name it reads.

A name that is no valid JSON string cannot be continued after; the one before it is, and its entry is read again with the next page.

--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -116,13 +116,14 @@
 	 * comes back from an old copy. */
 	uint64_t era;
 	enum store_result result;
-	int wait_ms;	 /* watch: how long to wait for a change */
-	int allow_stale; /* read: a value that is seconds old is accepted */
-	char after[NAME_MAX_GS]; /* list: continue after this name */
+	int wait_ms;	  /* watch: how long to wait for a change */
+	int allow_stale;  /* read: a value that is seconds old is accepted */
+	struct str after; /* list: continue after this name, of any length */
 	struct json_t *parsed;
 	struct store_item *items;
 	int nitems;
-	int more; /* the list is not complete */
+	int more;	 /* the list is not complete ... */
+	struct str last; /* ... and this is the last name in it, or "" */
 };
 
 /* A reference-counted object that several threads read; never changed. */
--- a/gspard/msg.c
+++ b/gspard/msg.c
@@ -202,6 +202,8 @@
 	struct store *s = arg;
 
 	str_free(&s->body);
+	str_free(&s->after);
+	str_free(&s->last);
 	json_decref(s->parsed);
 	free(s->items);
 	free(s);
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -148,14 +148,13 @@
 	 * The watch starts at the first page's revision: it repeats changes
 	 * that were made while the other pages were read, and misses none.
 	 */
-	if (f->after[0] == '\0')
+	if (f->after.n == 0)
 		f->list_base = st->version;
-	if (st->more && st->nitems > 0) {
-		name_copy(
-		    f->after, sizeof(f->after), st->items[st->nitems - 1].name);
+	if (st->more) {
+		str_set(&f->after, st->last.p, st->last.n);
 		return;
 	}
-	f->after[0] = '\0';
+	f->after.n = 0;
 	f->listing = 0;
 	f->listed = 1;
 	f->base = f->list_base;
@@ -288,18 +287,30 @@
 	f->next = now + (st->nitems > 0 ? WATCH_PAUSE : 0);
 }
 
-/* Handles a failed call: schedules a retry, with a longer delay each time. */
+/* Logs a failed call. */
 static void
-call_failed(struct service *s, struct feed *f, const struct store *st, usec now)
+log_failed(const struct feed *f, const struct store *st)
 {
-	struct watch *w = s->state;
-
-	if (f->backoff == 0)
+	if (st->result == STORE_DONE)
+		log_line(LOG_WARNING, "watch",
+		    "Listing %s does not get beyond '%.*s'.", f->kind,
+		    (int)f->after.n, f->after.p == NULL ? "" : f->after.p);
+	else
 		log_line(LOG_WARNING, "watch",
 		    "Reading %s from the store failed: result %d, status %d, "
 		    "%zu bytes in %lld ms.",
 		    f->kind, st->result, st->status, st->body.n,
 		    (long long)(st->duration / 1000));
+}
+
+/* Handles a failed call: schedules a retry, with a longer delay each time. */
+static void
+call_failed(struct service *s, struct feed *f, const struct store *st, usec now)
+{
+	struct watch *w = s->state;
+
+	if (f->backoff == 0)
+		log_failed(f, st);
 	f->backoff = f->backoff == 0 ? RETRY_MIN : f->backoff * 2;
 	if (f->backoff > RETRY_MAX)
 		f->backoff = RETRY_MAX;
@@ -322,10 +333,10 @@
 static void
 feed_list(struct feed *f, usec now)
 {
-	if (f->listing && (f->pending || f->after[0] != '\0'))
+	if (f->listing && (f->pending || f->after.n > 0))
 		return;
 	f->listing = 1;
-	f->after[0] = '\0';
+	f->after.n = 0;
 	f->next = now;
 	f->pending = 0;
 	f->call_id++;
@@ -336,7 +347,7 @@
 watch_cancel_list(struct feed *f)
 {
 	f->listing = 0;
-	f->after[0] = '\0';
+	f->after.n = 0;
 	f->pending = 0;
 	f->call_id++;
 }
@@ -417,6 +428,20 @@
 	w->feeds[FEED_EVACUATIONS].next = now + LAPSE_GRACE;
 }
 
+/*
+ * True if a page of a list neither ends it nor leads on.  To take the list for
+ * complete would be to take all that follows for gone, and to ask for the same
+ * page at once would repeat it without a pause.
+ */
+static int
+is_stuck(const struct feed *f, const struct store *st)
+{
+	return (st->op == STORE_LIST && st->more &&
+	    (st->last.n == 0 ||
+		(st->last.n == f->after.n &&
+		    memcmp(st->last.p, f->after.p, f->after.n) == 0)));
+}
+
 /* Handles the outcome of a call. */
 static void
 call_done(struct service *s, const struct store *st, usec now)
@@ -437,7 +462,7 @@
 		feed_list_all(s, now);
 		return;
 	}
-	if (st->result != STORE_DONE) {
+	if (st->result != STORE_DONE || is_stuck(f, st)) {
 		call_failed(s, f, st, now);
 		return;
 	}
@@ -476,10 +501,10 @@
 		return;
 	name_copy(st->tag, sizeof(st->tag), f->kind);
 	if (f->listing) {
-		name_copy(st->after, sizeof(st->after), f->after);
-		if (f->after[0] == '\0' && f == &w->feeds[FEED_TARGETS])
+		str_set(&st->after, f->after.p, f->after.n);
+		if (f->after.n == 0 && f == &w->feeds[FEED_TARGETS])
 			membership_list_begin(&w->membership);
-		if (f->after[0] == '\0' && f == &w->feeds[FEED_EVACUATIONS])
+		if (f->after.n == 0 && f == &w->feeds[FEED_EVACUATIONS])
 			memset(&w->listed, 0, sizeof(w->listed));
 	} else {
 		st->base = f->base;
@@ -636,6 +661,10 @@
 {
 	struct watch *w = s->state;
 
+	int i;
+
+	for (i = 0; i < FEEDS; i++)
+		str_free(&w->feeds[i].after);
 	membership_free(&w->membership);
 	shared_unref(w->site);
 	free(w);
--- a/gspard/watch.h
+++ b/gspard/watch.h
@@ -21,11 +21,11 @@
 	uint64_t call_id; /* id of the current call; the outcomes of others are
 			  ignored */
 	uint64_t base;	  /* revision after which the next watch starts */
-	uint64_t list_base;	 /* revision of the list's first page */
-	int prompt;		 /* the next watch does not wait for a change */
-	char after[NAME_MAX_GS]; /* last name of the page before, or "" */
-	usec next;		 /* earliest time of the next call */
-	usec backoff;		 /* retry delay; 0 while the store answers */
+	uint64_t list_base; /* revision of the list's first page */
+	int prompt;	    /* the next watch does not wait for a change */
+	struct str after;   /* last name of the page before, or "" */
+	usec next;	    /* earliest time of the next call */
+	usec backoff;	    /* retry delay; 0 while the store answers */
 };
 
 /* The watch service. */
--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -883,28 +883,41 @@
 	check(st == 200, "%s %s not written: %d", kind, name, st)
 end
 
--- Checks that a target of the service without keys that registers now gets its
--- first request within `ms`, and that all requests until then are served.
-function Site:check_new_target(ms)
-	local t = self:add_server("plain", "south")
-	local from = now_ms()
+-- Checks that each target of the service without keys gets a request within
+-- `ms`, and that all requests until then are served.
+function Site:check_all_used(ms)
+	local unused, from = {}, now_ms()
+	for _, id in ipairs(self.sorder) do
+		if self.servers[id].service == "plain" then
+			unused[id] = #self:arrivals(id)
+		end
+	end
 	self.answers = {}
 	repeat
 		for i = 1, 12 do
-			self:send_async(self.order[i % #self.order + 1], "new",
+			self:send_async(self.order[i % #self.order + 1], "all",
 			    "/any/" .. i)
 		end
 		while #self.pending > 0 do
 			self:read_oldest()
 		end
-		check(now_ms() - from < ms, "%s not used within %d ms", t.id,
-		    ms)
-	until #self:arrivals(t.id) > 0
+		for id, n in pairs(unused) do
+			unused[id] = #self:arrivals(id) == n and n or nil
+		end
+		check(now_ms() - from < ms or not next(unused),
+		    "%s not used within %d ms", next(unused), ms)
+	until not next(unused)
 	for k in pairs(self.answers) do
-		check(k == "new 200", "answer beside a new target: %s", k)
+		check(k == "all 200", "answer: %s", k)
 	end
 end
 
+-- Checks the same with a target that registers now.
+function Site:check_new_target(ms)
+	self:add_server("plain", "south")
+	self:check_all_used(ms)
+end
+
 function Site:stop_all()
 	for _, n in ipairs(self.order) do
 		if not self.hosts[n].dead then
--- a/regress/unit/readers.c
+++ b/regress/unit/readers.c
@@ -92,6 +92,7 @@
 	json_decref(st->parsed);
 	free(st->items);
 	str_free(&st->body);
+	str_free(&st->last);
 	free(st);
 }
 
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -227,6 +227,8 @@
 	json_decref(st->parsed);
 	free(st->items);
 	str_free(&st->body);
+	str_free(&st->after);
+	str_free(&st->last);
 	free(st);
 }
 
@@ -308,7 +310,7 @@
 		free(url);
 	}
 	memset(&h, 0, sizeof(h));
-	name_copy(st->after, sizeof(st->after), "a&b #1+%41");
+	str_set(&st->after, "a&b #1+%41", 10);
 	objects_form.request(st, "h:1", &h);
 	CU_ASSERT_STRING_EQUAL(
 	    h.url.p, "http://h:1/objects/kind?after=a%26b%20%231%2B%2541");
@@ -391,6 +393,37 @@
 	free_call(st);
 }
 
+/* A name that is no target's hides where a list goes on. */
+static void
+last_names(void)
+{
+	static const struct {
+		const char *last; /* the last item */
+		size_t n;	  /* of the name to continue after */
+	} cases[] = {
+	    {"{\"metadata\":{\"name\":\"0123456789012345678901234567890123456789"
+	     "0123456789012345678901234567890123456789\"}}",
+		80},
+	    {"{\"metadata\":{\"name\":\"b\\u0000c\"}}", 3},
+	    {"{\"metadata\":{\"name\":\"b c\"},\"spec\":\"\xff\"}", 3},
+	    {"{\"metadata\":{\"name\":7}}", 1},
+	    {"{\"metadata\":{\"name\":\"\xff\"}}", 1}, {"7", 1}};
+	char text[300];
+	struct store *st;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		snprintf(text, sizeof(text),
+		    "{\"items\":[{\"metadata\":{\"name\":\"a\"}},%s],"
+		    "\"has_more\":true,\"current_rev\":44}",
+		    cases[i].last);
+		st = decode_answer(STORE_LIST, 200, text);
+		CU_ASSERT(st->more);
+		CU_ASSERT_EQUAL(st->last.n, cases[i].n);
+		free_call(st);
+	}
+}
+
 /*
  * One object of a page is not valid JSON.  If the whole page were refused, a
  * host would be without any target, and a watch would be repeated for ever.
@@ -863,6 +896,7 @@
     {"target", target},
     {"restarted target", restarted_target},
     {"invalid entries", invalid_entries},
+    {"last names", last_names},
     {"unreadable list items", unreadable_list_items},
     {"nested list items", nested_list_items},
     {"nested members", nested_members},
--- a/standin/store.c
+++ b/standin/store.c
@@ -52,6 +52,7 @@
 static int lose_answers;    /* number of writes to apply without an answer */
 static int cut_status;	    /* in heads that break off; 0 if none */
 static int page_size = 500; /* objects per page of a list */
+static int first_only;	    /* each page is the first one */
 static unsigned long reads, writes, watches;
 
 /* Finds an existing object, or returns NULL; the lock is held. */
@@ -212,7 +213,7 @@
 list_objects(struct web_answer *a, const char *kind, const char *after)
 {
 	json_t *items = json_array(), *o;
-	const char *next, *last = after == NULL ? "" : after;
+	const char *next, *last = after == NULL || first_only ? "" : after;
 	int i, n, more = 0;
 
 	for (n = 0;; n++) {
@@ -452,6 +453,8 @@
 		    (int)web_parse_number(web_arg(q, "cut_head"), cut_status);
 		page_size =
 		    (int)web_parse_number(web_arg(q, "page"), page_size);
+		first_only =
+		    (int)web_parse_number(web_arg(q, "first_only"), first_only);
 		if (web_parse_number(web_arg(q, "compact"), 0))
 			compact();
 		if (web_parse_number(web_arg(q, "save"), 0))
