Numbers of the store's objects are kept within what holds them

A configuration or a target's entry with a number too large or negative, such as a cold_left of 1e300s, was taken, and the number became any other: the conversion of a double out of range is undefined, and differs between x86-64 and arm64. An entry counted as that of a valid target then, and sums of times could overflow.

The sanitizer of such conversions is on in the build with sanitizers.

Handled before, tests kept: ports out of range, slots and start times too large, sequences that are no integers.

--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -1,4 +1,5 @@
 /* Tests decoding and encoding of the platform's names, formats and calls. */
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -98,6 +99,66 @@
 	CU_ASSERT(!repeatable("other"));
 }
 
+/* Decodes a configuration with a number in each place that takes one; text is
+ * the number, and weight that of one part of a split. */
+static struct site *
+decode_numbers(const char *text, const char *weight)
+{
+	static const char *const format =
+	    "{\"spec\":{\"version\":\"01\",\"routes\":{\"r\":{\"host\":\"h\","
+	    "\"path_prefix\":\"/\",\"kind\":\"safe\",\"timeout\":\"%ss\","
+	    "\"target_latency\":\"%sms\",\"max_attempts\":%s,"
+	    "\"priority\":%s,\"traffic_split\":[{\"service\":\"s\","
+	    "\"weight\":%s},{\"service\":\"s\",\"weight\":1}]}},"
+	    "\"services\":{\"s\":{\"max_conns\":%s,\"warmup\":\"%ss\","
+	    "\"cold_start\":\"%ss\",\"cold_per_s\":%s}},"
+	    "\"limits\":{\"max_header_bytes\":%s,\"max_body_bytes\":%s,"
+	    "\"header_timeout\":\"%ss\",\"idle_timeout\":\"%ss\"}}}";
+	char config_text[2048];
+
+	snprintf(config_text, sizeof(config_text), format, text, text, text,
+	    text, weight, text, text, text, text, text, text, text, text);
+	return (decode_config(config_text));
+}
+
+/* A number too large for where it is kept becomes any other. */
+static void
+large_numbers(void)
+{
+	struct site *site = decode_numbers("1e300", "1");
+	const struct rule *r;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(site);
+	r = &site->rules[0];
+	CU_ASSERT_EQUAL(r->timeout, MS(86400000));
+	CU_ASSERT_EQUAL(r->aim, MS(86400000));
+	CU_ASSERT_EQUAL(r->attempts, INT_MAX);
+	CU_ASSERT_EQUAL(r->priority, INT_MAX);
+	CU_ASSERT_EQUAL(site->services[0].max_conns, INT_MAX);
+	CU_ASSERT_EQUAL(site->services[0].warmup, MS(86400000));
+	CU_ASSERT_EQUAL(site->head_max, INT_MAX);
+	CU_ASSERT_EQUAL(site->body_max, INT_MAX);
+	CU_ASSERT_EQUAL(site->idle_time, MS(86400000));
+	site_free(site);
+	/* Negative times are none: what holds without one holds. */
+	site = decode_numbers("-1e300", "1");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(site);
+	CU_ASSERT_EQUAL(site->rules[0].priority, INT_MIN);
+	CU_ASSERT_EQUAL(site->rules[0].timeout, 0);
+	CU_ASSERT_EQUAL(site->services[0].max_conns, 0);
+	CU_ASSERT_EQUAL(site->body_max, 0);
+	CU_ASSERT_EQUAL(site->idle_time, MS(15000));
+	site_free(site);
+	/* The weights of a split must add up. */
+	site = decode_numbers("1", "200000000");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(site);
+	CU_ASSERT_EQUAL(site->rules[0].total_weight, 200000001);
+	site_free(site);
+	CU_ASSERT_PTR_NULL(decode_numbers("1", "4294967295"));
+	CU_ASSERT_PTR_NULL(decode_numbers("1", "1e300"));
+	CU_ASSERT_PTR_NULL(decode_numbers("1", "-1"));
+}
+
 /* An invalid configuration is refused as a whole. */
 static void
 bad_site(void)
@@ -200,7 +261,15 @@
 	    {"\"slots\":4", "\"slots\":2.5"}, {"\"ready\"", "\"resting\""},
 	    {"\"ready\"", "true"}, {"\"state\":\"ready\",", ""},
 	    {"\"sequence\":3", "\"sequence\":\"3\""}, {"\"0ms\"", "\"soon\""},
-	    {"\"0ms\"", "0"},
+	    {"\"0ms\"", "0"}, {"\"0ms\"", "\"-1ms\""},
+	    {"\"0ms\"", "\"1e300ms\""}, {"\"0ms\"", "\"1e300s\""},
+	    {"\"0ms\"", "\"infs\""}, {"\"0ms\"", "\"nans\""},
+	    {"\"0ms\"", "\"86401s\""}, {"10.1.2.3:80", "10.1.2.3:65536"},
+	    {"10.1.2.3:80", "10.1.2.3:0"}, {"10.1.2.3:80", "10.1.2.3:-80"},
+	    {"10.1.2.3:80", "10.1.2.3:99999999999999999999"},
+	    {"1796262953676", "1e300"}, {"\"slots\":4", "\"slots\":1e300"},
+	    {"\"slots\":4", "\"slots\":-9223372036854775808"},
+	    {"\"sequence\":3", "\"sequence\":1e300"},
 	    {"{\"service\":\"s\",\"zone\":\"z\",\"slots\":4}", "[1]"}};
 	struct fleet_target t;
 	size_t i;
@@ -892,6 +961,7 @@
 static const struct unit_test tests[] = {
     {"site", site},
     {"kinds", kinds},
+    {"large numbers", large_numbers},
     {"bad site", bad_site},
     {"target", target},
     {"restarted target", restarted_target},
--- a/rules.mk
+++ b/rules.mk
@@ -4,7 +4,7 @@
 CC =		cc
 BUILD ?=	plain
 SAN_plain =
-SAN_asan =	-fsanitize=address,undefined -fno-omit-frame-pointer
+SAN_asan =	-fsanitize=address,undefined,float-cast-overflow -fno-omit-frame-pointer
 SAN_tsan =	-fsanitize=thread
 SAN_ablation =	-DABLATION
 TOP :=		$(dir $(lastword $(MAKEFILE_LIST)))
