--- a/decide/fields.c
+++ b/decide/fields.c
@@ -34,8 +34,8 @@
 
 /* True if a header's value has no control characters but tabs: some readers
  * take a single carriage return for the end of the line. */
-static int
-value_ok(const char *p, size_t n)
+int
+fields_value_ok(const char *p, size_t n)
 {
 	size_t i;
 
@@ -60,7 +60,7 @@
 		n--;
 	k = colon == NULL ? n : (size_t)(colon - line);
 	return (k < n && fields_token_ok(line, k) &&
-	    value_ok(line + k + 1, n - k - 1));
+	    fields_value_ok(line + k + 1, n - k - 1));
 }
 
 /* True if n bytes are the given name, in any case. */
@@ -100,7 +100,7 @@
 fields_add(struct fields *f, const char *name, size_t nname, const char *value,
     size_t nvalue)
 {
-	if (!fields_token_ok(name, nname) || !value_ok(value, nvalue) ||
+	if (!fields_token_ok(name, nname) || !fields_value_ok(value, nvalue) ||
 	    extends_name(name, nname, "Content-Length") ||
 	    extends_name(name, nname, "Transfer-Encoding"))
 		f->invalid = 1;
--- a/decide/fields.h
+++ b/decide/fields.h
@@ -17,6 +17,7 @@
 };
 
 int fields_token_ok(const char *, size_t n);
+int fields_value_ok(const char *, size_t n);
 int fields_line_ok(const char *, size_t n);
 int fields_target_ok(const char *, size_t n);
 void fields_add(struct fields *, const char *name, size_t nname,
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -197,17 +197,29 @@
 	json_decref(o);
 }
 
+static const char whole[] =
+    "{\"metadata\":{\"name\":\"i-1\"},\"spec\":{"
+    "\"address\":\"10.1.2.3:80\",\"born\":1796262953676,"
+    "\"info\":{\"service\":\"s\",\"zone\":\"z\",\"slots\":4},"
+    "\"status\":{\"state\":\"ready\",\"sequence\":3,"
+    "\"cold_left\":\"0ms\"}}}";
+
+/* Decodes a valid entry that is stored under a name. */
+static int
+decode_named_entry(const char *name, struct fleet_target *t)
+{
+	json_t *o = json_loads(whole, 0, NULL);
+	int res = decode_target(o, name, t);
+
+	json_decref(o);
+	return (res);
+}
+
 /* Decodes a valid entry in which one fragment is replaced. */
 static int
 decode_edited_entry(
     const char *old_text, const char *new_text, struct fleet_target *t)
 {
-	static const char whole[] =
-	    "{\"metadata\":{\"name\":\"i-1\"},\"spec\":{"
-	    "\"address\":\"10.1.2.3:80\",\"born\":1796262953676,"
-	    "\"info\":{\"service\":\"s\",\"zone\":\"z\",\"slots\":4},"
-	    "\"status\":{\"state\":\"ready\",\"sequence\":3,"
-	    "\"cold_left\":\"0ms\"}}}";
 	const char *match = strstr(whole, old_text);
 	char text[1024];
 	json_t *o;
@@ -958,6 +970,22 @@
 	CU_ASSERT_STRING_EQUAL(body, "{\"from\":5,\"target\":9,\"fence\":12}");
 }
 
+/* A name with a line end adds a header to each request to its target. */
+static void
+names_in_headers(void)
+{
+	static const char *const bad[] = {
+	    "a\r\nX: y", "a\nb", "a\x01", "a\x7f"};
+	static const char *const good[] = {"i-1", "a b", "a&+%?/", "\xc3\xa9"};
+	struct fleet_target t;
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		CU_ASSERT_EQUAL(decode_named_entry(bad[i], &t), -1);
+	for (i = 0; i < sizeof(good) / sizeof(good[0]); i++)
+		CU_ASSERT_EQUAL(decode_named_entry(good[i], &t), 0);
+}
+
 static const struct unit_test tests[] = {
     {"site", site},
     {"kinds", kinds},
@@ -984,5 +1012,6 @@
     {"retry after", retry_after},
     {"loads", loads},
     {"orders", orders},
+    {"names in headers", names_in_headers},
 };
 UNIT_MAIN("platform", tests)
