A handover of any characters is passed on in valid JSON

Callers would see keyed requests refused with 502 after a move of keys: the new owner refuses its grant with 400, again and again.

Cause: the token with which the last owner answers a release was put into the next grant's JSON as it came. One with a quote or a backslash made the order invalid.

A token that is no text is left out, and the keys are slow for their warm-up.

The stand-in keeps such tokens, so that every move of keys tests it.

--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -970,6 +970,27 @@
 	CU_ASSERT_STRING_EQUAL(body, "{\"from\":5,\"target\":9,\"fence\":12}");
 }
 
+/* A handover of any bytes makes the order that passes it on invalid JSON. */
+static void
+odd_handovers(void)
+{
+	struct key_order o = {.from = 5, .to = 9, .fence = 12, .hold_ms = 4000};
+	char body[256];
+	json_t *v;
+
+	memset(o.handover, '"', sizeof(o.handover) - 1);
+	objects_target.order(&o, body, sizeof(body));
+	v = json_loads(body, 0, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(v);
+	CU_ASSERT_STRING_EQUAL(
+	    json_string_value(json_object_get(v, "handover")), o.handover);
+	json_decref(v);
+	name_copy(o.handover, sizeof(o.handover), "a\xff");
+	objects_target.order(&o, body, sizeof(body));
+	CU_ASSERT_STRING_EQUAL(body,
+	    "{\"from\":5,\"target\":9,\"fence\":12,\"hold_time\":\"4000ms\"}");
+}
+
 /* A name with a line end adds a header to each request to its target. */
 static void
 names_in_headers(void)
@@ -1012,6 +1033,7 @@
     {"retry after", retry_after},
     {"loads", loads},
     {"orders", orders},
+    {"odd handovers", odd_handovers},
     {"names in headers", names_in_headers},
 };
 UNIT_MAIN("platform", tests)
--- a/standin/server.c
+++ b/standin/server.c
@@ -287,7 +287,7 @@
 			while (key_runs[k] > 0)
 				pthread_cond_wait(&run_ended, &lock);
 		}
-		snprintf(token, sizeof(token), "t%u", ++releases);
+		snprintf(token, sizeof(token), "t\"%u\\\\", ++releases);
 		web_add_header(a, "X-Handover", token);
 		if (broken_releases > 0) {
 			broken_releases--;
