Test: requests that come late in a planned stop

A report from another system: requests taken late in the grace of a stop were passed on and cut without an answer. Not so here: a host accepts after the load balancer has noticed only what can end before it does, refuses the rest with a promise, and answers what is in flight at its end.

site_stop_late sends requests that may run once each 20 ms, on new connections and on open ones, some with a body that comes late, until the process is gone, with targets that take 5 to 4,000 ms and stops of 6 s and of 3 s.

--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -301,14 +301,14 @@
 	    "[platform]\n" ..
 	    "form = objects\naddress = %s\n[leases]\ncontrol_ms = 1500\n" ..
 	    "renew_ms = 500\nhost_ms = 1500\ngrant_ms = 1500\n[bounds]\n" ..
-	    "heartbeat = 900ms\ndrain = 2s\ngrace = 6s\nconfig_apply = 2s\n" ..
+	    "heartbeat = 900ms\ndrain = 2s\ngrace = %s\nconfig_apply = 2s\n" ..
 	    "budget_window = 10s\nmax_hold = 10s\nretry_budget_ratio = 0.2\n" ..
 	    "%s\n", name, h.dc, h.source and "source = " .. h.source .. "\n" or
 	    "", (self.opt.size or {})[name] or
 	    "cores = 1\nlink_mbps = 1000", h.callers, h.ready, h.peers,
 	    h.reached, h.admin, h.tunnel,
-	    h.store or self.store, (self.opt.bounds or "") .. "\n" ..
-	    (more or "retry_budget_slack = 60")))
+	    h.store or self.store, self.opt.grace or "6s",
+	    (self.opt.bounds or "") .. "\n" .. (more or "retry_budget_slack = 60")))
 end
 
 function Site:start_host(name)
