Log lines hold no control characters

Found while looking for the cause of the odd entries elsewhere: a warning about an invalid entry names it, and a name with a line end began a line of its own, with any host, level and time that its writer chose.

Control characters are now replaced when a line is written, for whatever part of it comes from outside.

--- a/lib/log.c
+++ b/lib/log.c
@@ -37,6 +37,19 @@
 	log_max = verbose ? LOG_DEBUG : LOG_INFO;
 }
 
+/* Replaces control characters, as of a name from the store: a line end would
+ * begin a line that no host has written. */
+static void
+make_printable(char *text, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if ((unsigned char)text[i] < ' ' || text[i] == 0x7f)
+			text[i] = '?';
+	}
+}
+
 /*
  * Writes a line in a single call, so that lines of several threads do not mix.
  * If the reader does not keep up, the line is dropped and counted: blocking
@@ -57,6 +70,7 @@
 	    id == NULL ? "" : " request=", id == NULL ? "" : id, text);
 	if (n >= (int)sizeof(line))
 		n = sizeof(line) - 1;
+	make_printable(line, (size_t)n - 1);
 	if (poll(&fd, 1, 0) != 1 || !(fd.revents & POLLOUT) ||
 	    write(STDOUT_FILENO, line, (size_t)n) != n) {
 		count_add(C_LOG_DROPPED, 1);
--- a/regress/unit/t_log.c
+++ b/regress/unit/t_log.c
@@ -67,6 +67,18 @@
 		usleep(10000);
 }
 
+/* A name from outside begins a line that no host has written. */
+static void
+one_line(void)
+{
+	open_pipe();
+	log_line(LOG_INFO, "part", "a\r\nt=1 level=err\x7f\tb");
+	read_lines();
+	close_pipe();
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "msg=\"a??t=1 level=err??b\"\n"));
+	CU_ASSERT_EQUAL(count_of("\n"), 1);
+}
+
 /* Lines are left out and nothing says so. */
 static void
 left_out(void)
@@ -130,7 +142,7 @@
 	    strstr(text, "1 lines were not taken by their reader in time."));
 }
 
-static const struct unit_test tests[] = {
-    {"left out", left_out}, {"displaced", displaced}, {"not taken", not_taken}};
+static const struct unit_test tests[] = {{"left out", left_out},
+    {"displaced", displaced}, {"not taken", not_taken}, {"one line", one_line}};
 
 UNIT_MAIN("log", tests)
