Objects without a usable name are counted and logged

An operator could not see from a host's log or metrics that entries of the store are left out because their names are missing, longer than 63 bytes, or have a NUL byte: only an invalid entry under a usable name was reported.

One warning for each page or watch now tells how many and where they stand, and gspar_entries_foreign_total counts them.

Evidence: site_odd_page looks for the line; unit platform "unreadable list items" for the count.

--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -122,6 +122,7 @@
 	struct json_t *parsed;
 	struct store_item *items;
 	int nitems;
+	int nunnamed;	 /* others, without a usable name */
 	int more;	 /* the list is not complete ... */
 	struct str last; /* ... and this is the last name in it, or "" */
 };
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -123,6 +123,14 @@
 	struct watch *w = s->state;
 	int i, gone = 0;
 
+	if (st->nunnamed > 0) {
+		count_add(C_ENTRY_FOREIGN, (uint64_t)st->nunnamed);
+		log_line(LOG_WARNING, "watch",
+		    "%d objects of %s, after '%.*s', have no usable name and "
+		    "are ignored.",
+		    st->nunnamed, st->path, (int)st->after.n,
+		    st->after.n == 0 ? "" : st->after.p);
+	}
 	for (i = 0; i < st->nitems; i++)
 		gone += st->items[i].deleted;
 	if (kind == FEED_TARGETS)
--- a/regress/scenario/site_odd_page.lua
+++ b/regress/scenario/site_odd_page.lua
@@ -18,6 +18,12 @@
 	s:check_all_used(4000)
 	s:check_new_target(4000)
 end
+local logs = ""
+for _, n in ipairs(s.order) do
+	logs = logs .. read_file(n .. ".log")
+end
+check(logs:match("3 objects of servers, after '0+3', have no usable name"),
+    "names that are too long are not logged")
 say("names that are too long fill pages")
 
 local function reads()
--- a/regress/unit/t_platform.c
+++ b/regress/unit/t_platform.c
@@ -548,6 +548,7 @@
 	    "{\"items\":[{\"metadata\":{\"name\":\"a\\u0000b\"}}],"
 	    "\"has_more\":false,\"current_rev\":44}");
 	CU_ASSERT_EQUAL(st->nitems, 0);
+	CU_ASSERT_EQUAL(st->nunnamed, 1);
 	free_call(st);
 	/* A truncated list is refused: what is missing from it is not
 	 * deleted. */
