One limit for all answers of the store

A limit of 4 MB for objects and pages was as much as the native store's largest objects need, whose assignments of 65,536 shards may come near 4 MB. All answers are read up to 8 MB now, as watches were.

--- a/gspard/platform.c
+++ b/gspard/platform.c
@@ -26,8 +26,7 @@
 #define POLL_LARGE_MS 100
 /* Largest body of an answer, in bytes: an object and a page of a list have
  * about 1 MB at most, but a watch may bring many changes. */
-#define ANSWER_MAX (4u * 1024 * 1024)
-#define WATCH_ANSWER_MAX (8u * 1024 * 1024)
+#define ANSWER_MAX (8u * 1024 * 1024)
 
 struct store_call;
 
@@ -107,13 +106,6 @@
 	return (st->op == STORE_LIST || st->op == STORE_WATCH);
 }
 
-/* Returns the largest body of an answer to a call, in bytes. */
-static size_t
-answer_max(const struct store *st)
-{
-	return (st->op == STORE_WATCH ? WATCH_ANSWER_MAX : ANSWER_MAX);
-}
-
 /* Starts a call; the service owns st from here on. */
 static void
 call_start(struct service *s, struct store *st)
@@ -129,7 +121,7 @@
 		store_free(st);
 		return;
 	}
-	framing_init(&c->framing, answer_max(st), answer_max(st), 0);
+	framing_init(&c->framing, ANSWER_MAX, ANSWER_MAX, 0);
 	c->store = st;
 	c->addr_index = p->addr_index;
 	c->sent = c->received_at = clock_mono();
@@ -297,7 +289,7 @@
 {
 	log_line(LOG_WARNING, "platform",
 	    "Changes of %s since revision %llu are over %u bytes.", st->path,
-	    (unsigned long long)version_revision(st->base), WATCH_ANSWER_MAX);
+	    (unsigned long long)version_revision(st->base), ANSWER_MAX);
 	st->result = STORE_COMPACTED;
 	st->era = p->era.number;
 }
