Evacuations without a usable name are counted and logged, too

The warning about objects without a usable name stood where lists and changes of targets and configurations are handled; changes of evacuations take another way. It is now made where both ways begin.

Evidence: site_nested with such an evacuation failed before, "waited 3000 ms for: the object without a usable name logged", and passes now; site_odd_page holds, one run each.

--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -61,6 +61,20 @@
 	    f->name, (unsigned long long)version_revision(f->version));
 }
 
+/* Counts and logs the objects of a response that have no usable name. */
+static void
+log_unnamed(const struct store *st)
+{
+	if (st->nunnamed == 0)
+		return;
+	count_add(C_ENTRY_FOREIGN, (uint64_t)st->nunnamed);
+	log_line(LOG_WARNING, "watch",
+	    "%d objects of %s, after '%.*s', have no usable name and are "
+	    "ignored.",
+	    st->nunnamed, st->path, (int)st->after.n,
+	    st->after.n == 0 ? "" : st->after.p);
+}
+
 /* Handles a target's entry. */
 static void
 handle_target(struct service *s, const struct store_item *f, usec now)
@@ -123,14 +137,6 @@
 	struct watch *w = s->state;
 	int i, gone = 0;
 
-	if (st->nunnamed > 0) {
-		count_add(C_ENTRY_FOREIGN, (uint64_t)st->nunnamed);
-		log_line(LOG_WARNING, "watch",
-		    "%d objects of %s, after '%.*s', have no usable name and "
-		    "are ignored.",
-		    st->nunnamed, st->path, (int)st->after.n,
-		    st->after.n == 0 ? "" : st->after.p);
-	}
 	for (i = 0; i < st->nitems; i++)
 		gone += st->items[i].deleted;
 	if (kind == FEED_TARGETS)
@@ -479,6 +485,7 @@
 		    f->kind);
 	f->backoff = 0;
 	membership_store_answered(&w->membership, now);
+	log_unnamed(st);
 	if (kind == FEED_EVACUATIONS && st->op == STORE_WATCH)
 		handle_evacuations(w, st, since, now);
 	else
--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -883,7 +883,7 @@
 end
 
 -- Creates an object in the store as another writer would; spec and status are
--- JSON.  Creates none if the store refuses it.
+-- JSON.
 function Site:write_object(kind, name, spec, status)
 	local st = http("POST", "http://" .. self.store .. "/objects/" .. kind,
 	    string.format('{"metadata":{"name":"%s"},"spec":%s,"status":%s}',
--- a/regress/scenario/site_nested.lua
+++ b/regress/scenario/site_nested.lua
@@ -12,7 +12,7 @@
 	    r.any, r.once, r.key, r.last)
 end
 
--- Watches bring the first one, lists those of a restart.
+-- A watch brings each of them, then a list after a restart.
 for _, depth in ipairs({ 1000, 5000, 50000 }) do
 	local value = '"@nested ' .. depth .. '"'
 	s:write_object("servers", "x-spec-" .. depth, value)
@@ -28,6 +28,14 @@
 	return s:request("h1", "/new/1") == 200
 end)
 s:write_object("evacuations", "x-1", '"@nested 5000"')
+s:write_object("evacuations", ("x"):rep(90), "{}")
+await("the object without a usable name logged", 3000, function()
+	for _, n in ipairs(s.order) do
+		if read_file(n .. ".log"):match("1 objects of evacuations") then
+			return true
+		end
+	end
+end)
 s:evacuate("north", true)
 sleep_ms(2100)
 local from = now_ms()
