--- a/gspard/store_native.c
+++ b/gspard/store_native.c
@@ -18,7 +18,6 @@
 	    [STORE_WATCH] = "http://%s/v1/list/%s",
 	    [STORE_DELETE] = "http://%s/v1/objects/%s",
 	};
-
 	char url[sizeof(st->path) + ADDR_MAX_GS + 32];
 	int n;
 
--- a/gspard/watch.c
+++ b/gspard/watch.c
@@ -675,7 +675,6 @@
 watch_close(struct service *s)
 {
 	struct watch *w = s->state;
-
 	int i;
 
 	for (i = 0; i < FEEDS; i++)
