--- a/regress/run.sh
+++ b/regress/run.sh
@@ -101,8 +101,13 @@
 if [ -n "$SCENARIOS" ]; then
 	scenarios plain $SCENARIOS
 else
-	scenarios plain $(cd regress/scenario && ls *.lua | grep -v '^lib' |
+	all=$(cd regress/scenario && ls *.lua | grep -v '^lib' |
 	    sed 's/\.lua$//')
+	scenarios plain $(echo "$all" | grep -v '^crowd_')
+	# Crowds of clients take the machine for themselves.
+	for n in $(echo "$all" | grep '^crowd_'); do
+		scenarios plain "$n"
+	done
 	scenarios asan path door site_path site_door site_answers site_tunnel \
 	    site_relay_lost
 	scenarios tsan path site_path site_tunnel
--- a/regress/scenario/lib_site.lua
+++ b/regress/scenario/lib_site.lua
@@ -311,10 +311,15 @@
 	    (self.opt.bounds or "") .. "\n" .. (more or "retry_budget_slack = 60")))
 end
 
+-- Starts a host, with opt.descriptors as its limit on open descriptors.
 function Site:start_host(name)
 	local h = self.hosts[name]
-	h.pid = spawn(path(name .. ".log"), BUILD .. "/gspard/gspard", "-f",
-	    path(name .. ".conf"))
+	local args = { BUILD .. "/gspard/gspard", "-f", path(name .. ".conf") }
+	if self.opt.descriptors then
+		table.insert(args, 1, "/usr/bin/prlimit")
+		table.insert(args, 2, "--nofile=" .. self.opt.descriptors)
+	end
+	h.pid = spawn(path(name .. ".log"), table.unpack(args))
 	h.dead = nil
 end
 
--- a/regress/scenario/scen.c
+++ b/regress/scenario/scen.c
@@ -219,6 +219,7 @@
 	sin.sin_port = htons((uint16_t)port);
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
+	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &tv, sizeof(tv));
 	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0)
 		lua_pushinteger(l, fd);
 	else {
@@ -236,16 +237,32 @@
 	return (0);
 }
 
-/* send(connection, bytes): true if all bytes were sent. */
+/* send(connection, bytes): true if all bytes were sent; gives up after 2 s
+ * without progress. */
 static int
 l_send(lua_State *l)
 {
-	size_t n;
+	int fd = (int)luaL_checkinteger(l, 1);
+	size_t n, sent = 0;
 	const char *p = luaL_checklstring(l, 2, &n);
+	ssize_t k;
+
+	do {
+		k = send(fd, p + sent, n - sent, MSG_NOSIGNAL);
+		sent += k > 0 ? (size_t)k : 0;
+	} while (k > 0 && sent < n);
+	lua_pushboolean(l, sent == n);
+	return (1);
+}
+
+/* has_bytes(connection): true if it can be read without waiting, also if the
+ * peer has closed it. */
+static int
+l_has_bytes(lua_State *l)
+{
+	struct pollfd pfd = {(int)luaL_checkinteger(l, 1), POLLIN, 0};
 
-	lua_pushboolean(l,
-	    send((int)luaL_checkinteger(l, 1), p, n, MSG_NOSIGNAL) ==
-		(ssize_t)n);
+	lua_pushboolean(l, poll(&pfd, 1, 0) > 0);
 	return (1);
 }
 
@@ -358,6 +375,7 @@
     {"dial", l_dial},
     {"hang_up", l_hang_up},
     {"send", l_send},
+    {"has_bytes", l_has_bytes},
     {"read_all", l_read_all},
     {"answer", l_answer},
     {"ports_free", l_ports_free},
--- a/standin/server.c
+++ b/standin/server.c
@@ -53,6 +53,7 @@
 static int broken_releases;  /* the same, of releases */
 static char odd_status[8];   /* of all answers; or "" */
 static char odd_header[64];  /* a line in the heads of all answers; or "" */
+static long body_size;	     /* least length of answers' bodies, bytes */
 static int halt_ms;	     /* pause amid bodies, sent without a length */
 static char endless[8];	     /* answers without end, see web_repeat(); or "" */
 static char endless_orders[8]; /* the same, to orders */
@@ -329,6 +330,24 @@
 		a->status = strcmp(denial, "moved") == 0 ? 421 : 503;
 }
 
+/* Appends dots to an answer's body until it has body_size bytes. */
+static void
+pad_body(struct web_answer *a)
+{
+	size_t have = a->body.n, n;
+	char *dots;
+
+	if (body_size < 0 || (size_t)body_size <= have)
+		return;
+	n = (size_t)body_size - have;
+	dots = malloc(n);
+	if (dots == NULL)
+		return;
+	memset(dots, '.', n);
+	str_add(&a->body, dots, n);
+	free(dots);
+}
+
 /* Runs an accepted request; the lock is held. */
 static void
 run(const struct web_request *q, struct web_answer *a, long key)
@@ -359,6 +378,7 @@
 	    to == NULL ? "-" : to, (int)(q->body.n < 100 ? q->body.n : 100),
 	    q->body.p == NULL ? "" : q->body.p);
 	str_set(&a->body, text, (size_t)n);
+	pad_body(a);
 	a->status = fail_all ? 500 : 200;
 	web_add_header(a, "X-Request-Id", to);
 	if (strcmp(denial, "moved") != 0)
@@ -470,6 +490,7 @@
 		    web_arg(q, "endless_orders"));
 	if (web_arg(q, "endless") != NULL)
 		snprintf(endless, sizeof(endless), "%s", web_arg(q, "endless"));
+	body_size = web_parse_number(web_arg(q, "size"), body_size);
 	halt_ms = (int)web_parse_number(web_arg(q, "halt"), halt_ms);
 	wrong_ids = (int)web_parse_number(web_arg(q, "foreign"), wrong_ids);
 	grant_delay_ms =
