Requests and answers of callers share one limit on memory

Clients that sent large bodies, or all of them but their end, ended a process: it held whatever arrived, up to the limit of one request for each connection. Whole requests that waited for targets, and whole answers that their callers did not read, were not counted either.

What is held is now counted in one account: bodies and heads from their arrival until the request is answered, answers from their first byte until the caller has them.

Only bytes that arrived count, as a crowd could take all room by lengths that it only states. Where room is short, requests that are still being read give way first, for these certainly have not run; of them the one that has held the most bytes for the longest, so a body that trickles cannot stay. Then answers go that have been unread for a second, then the largest that is being received, as before. A length that cannot be taken now is refused at the head, before a 100 Continue. Requests given up get 503 with Retry-After, not_run; what their callers still send is read for a second, as a reset could lose the answer.

Bodies over 256 KB grow by doubling; in many small pieces each was a call of the kernel. slow.c is intake.c now.

--- a/decide/excess.c
+++ b/decide/excess.c
@@ -1,22 +1,19 @@
 #include "excess.h"
 
-/* Adds an answer of which size bytes of body have been received. */
+/* Adds an item; one without weight is never chosen. */
 void
-excess_add(struct excess *e, size_t size, void *answer)
+excess_add(struct excess *e, size_t size, uint64_t weight, void *item)
 {
 	e->total += size;
-	if (size <= e->largest)
+	if (weight <= e->heaviest)
 		return;
-	e->largest = size;
-	e->answer = answer;
+	e->heaviest = weight;
+	e->item = item;
 }
 
-/*
- * Returns the answer to give up, or NULL if all bodies fit in max bytes.  It is
- * the largest, which frees the most; a body without end soon is that.
- */
+/* Returns the item to give up, or NULL if all of them fit in max. */
 void *
 excess_choose(const struct excess *e, size_t max)
 {
-	return (e->total > max ? e->answer : NULL);
+	return (e->total > max ? e->item : NULL);
 }
--- /dev/null
+++ b/decide/room.h
@@ -0,0 +1,18 @@
+/*
+ * What clients may take of a host: memory for requests and answers, and
+ * connections.  Limits are parts of what the process may use, so that all of
+ * them together leave room for the host's own work.
+ */
+#ifndef ROOM_H
+#define ROOM_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "clock.h"
+
+size_t room_content_max(int memory_mb);
+size_t room_limit(size_t max, size_t size);
+uint64_t room_weight(size_t size, usec age);
+
+#endif
--- a/gspard/call.h
+++ b/gspard/call.h
@@ -22,11 +22,20 @@
 	uint64_t fence;
 };
 
+struct intake;
 struct call {
-	struct call *next; /* in the list of slow.c */
+	/* The members up to claim belong to intake.c. */
+	struct call *next;
 	struct call **link;
-	usec read_deadline; /* the request must be complete by then */
-	int claim;	    /* who answers the call, see slow.c */
+	struct intake *intake;
+	usec since;	    /* when its first line was read */
+	usec read_deadline; /* the request must be complete by then, unless
+			       more of it arrives */
+	usec answered_at;   /* when its answer was complete; 0: not yet */
+	usec linger_until;  /* it was given up, and is closed then; or 0 */
+	size_t held;	    /* bytes of memory that it takes */
+	int yields;	    /* it may be given up for others */
+	int claim;	    /* who answers the call */
 	struct MHD_Connection *conn;
 	int fd;
 	int read_shut; /* this host shut the connection down for reading */
@@ -37,6 +46,9 @@
 	int submitted;
 	int answered;
 	size_t body_max;
+	size_t body_length; /* stated in the head; 0 if it is not */
+	size_t body_read;   /* bytes of the body that have arrived */
+	size_t body_size;   /* of the allocation of body */
 	char method[16];
 	char service[NAME_MAX_GS];
 	char key[KEY_MAX_GS + 1];
@@ -62,6 +74,7 @@
 void call_end(struct call *);
 int call_abandoned(const struct call *);
 int door_inflight(void);
+int door_make_room(struct kernel *, usec now);
 int door_connections(struct kernel *);
 void door_close_listener(struct kernel *);
 void door_close_idle(struct kernel *);
--- a/gspard/callparse.c
+++ b/gspard/callparse.c
@@ -145,7 +145,6 @@
 {
 	const struct catalogue *cat = active;
 	const struct entry *e;
-	const char *length;
 	int code;
 
 	if (strcmp(c->method, "GET") != 0 && strcmp(c->method, "POST") != 0 &&
@@ -159,8 +158,7 @@
 	if (e == NULL)
 		return (GS_NO_SERVICE);
 	c->body_max = (size_t)e->body;
-	length = request_header(c, "Content-Length");
-	if (length != NULL && strtoull(length, NULL, 10) > c->body_max)
+	if (c->body_length > c->body_max)
 		return (GS_TOO_LARGE);
 	if ((code = read_deadline(c, e)) != GS_OK ||
 	    (code = copy_header(
@@ -175,7 +173,14 @@
 	return (GS_OK);
 }
 
-/* Adds the result code and, in whole seconds, when to retry. */
+/* Formats when to retry in whole seconds. */
+static void
+retry_text(char *buf, size_t size, uint32_t ms)
+{
+	snprintf(buf, size, "%u", (ms + 999) / 1000);
+}
+
+/* Adds the result code and when to retry. */
 static void
 error_headers(struct MHD_Response *r, int code, uint32_t ms)
 {
@@ -184,7 +189,7 @@
 	snprintf(num, sizeof(num), "%d", code);
 	MHD_add_response_header(r, "Gspar-Error", num);
 	if (ms > 0) {
-		snprintf(num, sizeof(num), "%u", (ms + 999) / 1000);
+		retry_text(num, sizeof(num), ms);
 		MHD_add_response_header(r, "Retry-After", num);
 	}
 }
@@ -206,4 +211,4 @@
 }
 
 const struct door_ops native_door = {
-    call_parse, error_headers, target_headers, "/health"};
+    call_parse, retry_text, error_headers, target_headers, 1, "/health"};
--- a/gspard/direct_send.c
+++ b/gspard/direct_send.c
@@ -5,6 +5,7 @@
 
 #include "direct.h"
 #include "excess.h"
+#include "held.h"
 
 /* Largest body of an answer, and of one whose length is not stated, which may
  * have no end, in bytes; larger ones are refused. */
@@ -214,21 +215,32 @@
 	}
 }
 
+/* Returns the request with the largest answer that is being received, of those
+ * for which memory is short; NULL if there is none. */
+static struct pending *
+largest_answer(const struct direct *d)
+{
+	struct excess e = {0, 0, NULL};
+	struct pending *p;
+	size_t size;
+
+	for (p = d->first; p != NULL; p = p->next) {
+		size = p->attempt == NULL ? 0 : p->attempt->t.framing.body_size;
+		if (held_is_over(size) || d->answer_bytes > ANSWERS_MAX)
+			excess_add(&e, size, size, p);
+	}
+	return (e.item);
+}
+
 /* Gives up answers until the bodies of the others fit in memory. */
 void
 attempts_limit(struct direct *d, usec now)
 {
-	struct excess e;
 	struct pending *p;
 
-	while (d->answer_bytes > ANSWERS_MAX) {
-		memset(&e, 0, sizeof(e));
-		for (p = d->first; p != NULL; p = p->next) {
-			if (p->attempt != NULL)
-				excess_add(
-				    &e, p->attempt->t.framing.body_size, p);
-		}
-		p = excess_choose(&e, ANSWERS_MAX);
+	while (!door_make_room(d->s->kernel, now) ||
+	    d->answer_bytes > ANSWERS_MAX) {
+		p = largest_answer(d);
 		if (p == NULL)
 			return;
 		flow_attempt_done(d, p, CURLE_WRITE_ERROR, now);
--- a/gspard/door.c
+++ b/gspard/door.c
@@ -17,12 +17,18 @@
 #include "callers.h"
 #include "door_ops.h"
 #include "fields.h"
-#include "slow.h"
+#include "held.h"
+#include "intake.h"
+#include "room.h"
 
 /* Idle timeout of a connection until the site configuration gives one. */
 #define IDLE_TIMEOUT_S 10u
 #define CONNECTIONS_MAX 4096u
 #define LISTEN_BACKLOG 512
+/* Time for the head of a request until the site configuration gives one, and
+ * what the network may add to it. */
+#define HEAD_TIMEOUT MS(6000)
+#define HEAD_TRANSIT MS(1000)
 /* Interval between checks for requests that arrive too slowly. */
 #define SLOW_CHECK_INTERVAL MS(500)
 /*
@@ -38,7 +44,9 @@
 	const struct door_ops *ops;
 	struct shared *active; /* catalogue or site configuration in use */
 	unsigned idle_limit_s;
-	struct slow *slow;
+	_Atomic usec head_time; /* of the site configuration, or 0 */
+	size_t body_max;	/* the same */
+	struct intake *intake;
 	struct callers *callers;
 	int sock;
 	int stop;
@@ -55,6 +63,15 @@
 	return (atomic_load(&inflight));
 }
 
+/* Returns the time that the head of a request may take. */
+static usec
+head_time(const struct door *d)
+{
+	usec set = atomic_load(&d->head_time);
+
+	return (set > 0 ? set + HEAD_TRANSIT : HEAD_TIMEOUT);
+}
+
 /*
  * Called by the library with the raw URI, before decoding.  Allocates the call
  * of the request.
@@ -73,7 +90,7 @@
 	c->conn = conn;
 	info = MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
 	c->fd = info == NULL ? -1 : info->connect_fd;
-	slow_add(d->slow, c, clock_mono());
+	intake_add(d->intake, c, head_time(d), clock_mono());
 	c->read_shut = callers_set_busy(d->callers, conn, 1);
 	return (c);
 }
@@ -90,11 +107,11 @@
 		return;
 	*state = NULL;
 	callers_set_busy(d->callers, conn, 0);
-	slow_remove(d->slow, c);
+	intake_remove(d->intake, c);
 	if (c->submitted && why != MHD_REQUEST_TERMINATED_COMPLETED_OK)
 		count_add(C_CALLER_GONE, 1);
 	/* Aborted by the caller, or malformed and answered by the library. */
-	if (slow_is_reading(c))
+	if (intake_is_reading(c))
 		count_add(why == MHD_REQUEST_TERMINATED_CLIENT_ABORT
 			? C_CALLER_GONE
 			: C_CALLER_BAD,
@@ -180,7 +197,7 @@
 	enum MHD_Result res;
 	int status;
 
-	if (!slow_claim(c))
+	if (!intake_claim(c))
 		return (MHD_NO);
 	count_answer(&c->answer);
 	if (c->answer.code == GS_OK) {
@@ -201,6 +218,8 @@
 static enum MHD_Result
 refuse(struct door *d, struct call *c, int code)
 {
+	if (code == GS_NO_ROOM)
+		c->answer.retry_ms = INTAKE_RETRY_MS;
 	c->answer.code = code;
 	c->answer.outcome = (int)result_outcome(code);
 	return (respond(d, c));
@@ -216,7 +235,7 @@
 	struct MHD_Response *r;
 	enum MHD_Result res;
 
-	if (!slow_claim(c))
+	if (!intake_claim(c))
 		return (MHD_NO);
 	r = MHD_create_response_from_buffer(
 	    strlen(text), text, MHD_RESPMEM_PERSISTENT);
@@ -251,6 +270,7 @@
 parse_head(struct door *d, struct call *c, const char *method)
 {
 	const union MHD_ConnectionInfo *info;
+	const char *length;
 	struct shared *sh;
 	char ip[INET6_ADDRSTRLEN];
 
@@ -263,6 +283,10 @@
 		c->refusal = GS_BAD_REQUEST;
 		return;
 	}
+	length = MHD_lookup_connection_value(
+	    c->conn, MHD_HEADER_KIND, "Content-Length");
+	if (length != NULL)
+		c->body_length = strtoull(length, NULL, 10);
 	apr_thread_mutex_lock(d->lock);
 	sh = d->active == NULL ? NULL : shared_ref(d->active);
 	apr_thread_mutex_unlock(d->lock);
@@ -285,6 +309,8 @@
 		    ip, sizeof(ip));
 		name_copy(c->caller, sizeof(c->caller), ip);
 	}
+	if (c->refusal == GS_OK)
+		c->refusal = intake_head(d->intake, c, clock_mono());
 }
 
 /* Sends a complete request to the router, and suspends its connection. */
@@ -292,9 +318,10 @@
 submit(struct service *s, struct call *c)
 {
 	struct door *d = s->state;
+	int code = intake_accept(d->intake, c, clock_mono());
 
-	if (!slow_claim(c))
-		return (MHD_NO);
+	if (code != GS_OK)
+		return (code < 0 ? MHD_NO : refuse(d, c, code));
 	count_add(C_CALLER_REQUESTS, 1);
 	c->submitted = 1;
 	atomic_fetch_add(&inflight, 1);
@@ -311,6 +338,7 @@
 void
 call_end(struct call *c)
 {
+	intake_answered(c->intake, c, clock_mono());
 	atomic_fetch_sub(&inflight, 1);
 	__atomic_store_n(&c->answered, 1, __ATOMIC_RELEASE);
 	MHD_resume_connection(c->conn);
@@ -380,6 +408,15 @@
 	callers_end_idle(d->callers);
 }
 
+/* Gives calls up until large contents fit into memory; false if they do not. */
+int
+door_make_room(struct kernel *k, usec now)
+{
+	struct door *d = kernel_find(k, "door")->state;
+
+	return (intake_make_room(d->intake, now));
+}
+
 /* Returns the number of open connections of callers. */
 int
 door_connections(struct kernel *k)
@@ -403,6 +440,21 @@
 	__atomic_store_n(&d->refusing, 1, __ATOMIC_RELAXED);
 }
 
+/* Takes a piece of a body; sets *size to 0. */
+static enum MHD_Result
+take_body(struct door *d, struct call *c, const char *data, size_t *size)
+{
+	c->body_read += *size;
+	if (c->body_read > c->body_max)
+		c->too_large = 1;
+	if (c->body_read > c->body_max + OVERSIZE_READ_MAX ||
+	    (!c->too_large &&
+		intake_body(d->intake, c, data, *size, clock_mono()) != 0))
+		return (MHD_NO);
+	*size = 0;
+	return (MHD_YES);
+}
+
 /*
  * Called by the library for a request's head, for each piece of its body, at
  * its end, and after its connection was resumed.
@@ -429,17 +481,8 @@
 			return (refuse(d, c, c->refusal));
 		return (MHD_YES);
 	}
-	if (*size > 0) {
-		if (c->body.n + *size > c->body_max)
-			c->too_large = 1;
-		if (c->too_large &&
-		    c->body.n + *size > c->body_max + OVERSIZE_READ_MAX)
-			return (MHD_NO);
-		if (!c->too_large && str_add(&c->body, data, *size) != 0)
-			return (MHD_NO);
-		*size = 0;
-		return (MHD_YES);
-	}
+	if (*size > 0)
+		return (take_body(d, c, data, size));
 	if (c->too_large)
 		return (refuse(d, c, GS_TOO_LARGE));
 	if (__atomic_load_n(&d->refusing, __ATOMIC_RELAXED))
@@ -480,11 +523,25 @@
 	apr_thread_mutex_unlock(d->lock);
 }
 
-/* Returns the site configuration that a message carries. */
-static const struct site *
-site_of(const struct msg *m)
+/* Takes the limits of a site configuration over. */
+static void
+set_limits(struct service *s, const struct site *site)
 {
-	return (((const struct shared *)m->data)->p);
+	struct door *d = s->state;
+	size_t room = room_limit(
+	    room_content_max(kernel_conf(s->kernel)->memory_mb), SIZE_MAX);
+
+	atomic_store(&d->head_time, site->head_time);
+	/* Rounded up: callers may reuse a connection until the configured time
+	 * is over. */
+	d->idle_limit_s =
+	    (unsigned)((site->idle_time + US_PER_SEC - 1) / US_PER_SEC);
+	if (site->body_max > room && site->body_max != d->body_max)
+		log_line(LOG_WARNING, "door",
+		    "Bodies of %zu bytes are allowed, but this host can hold "
+		    "only %zu.",
+		    site->body_max, room);
+	d->body_max = site->body_max;
 }
 
 /* The service's thread. */
@@ -496,7 +553,7 @@
 
 	while (!d->stop) {
 		m = ring_wait(s->in, SLOW_CHECK_INTERVAL);
-		slow_tick(d->slow, clock_mono());
+		intake_tick(d->intake, clock_mono());
 		if (m == NULL)
 			continue;
 		switch (m->kind) {
@@ -504,11 +561,7 @@
 			set_active(d, m);
 			break;
 		case MSG_SITE:
-			/* Rounded up: callers may reuse a connection until
-			 * the configured time is over. */
-			d->idle_limit_s = (unsigned)((site_of(m)->idle_time +
-							 US_PER_SEC - 1) /
-			    US_PER_SEC);
+			set_limits(s, ((struct shared *)m->data)->p);
 			set_active(d, m);
 			break;
 		case MSG_READY:
@@ -553,7 +606,7 @@
 	if (apr_pool_create(&d->pool, NULL) == APR_SUCCESS &&
 	    apr_thread_mutex_create(
 		&d->lock, APR_THREAD_MUTEX_DEFAULT, d->pool) == APR_SUCCESS &&
-	    (d->slow = slow_new(d->lock)) != NULL &&
+	    (d->intake = intake_new(d->lock, d->ops)) != NULL &&
 	    (d->callers = callers_new(d->lock)) != NULL)
 		return (0);
 	close(d->sock);
@@ -572,7 +625,7 @@
 	else
 		close(d->sock);
 	shared_unref(d->active);
-	slow_free(d->slow);
+	intake_free(d->intake);
 	callers_free(d->callers);
 	apr_pool_destroy(d->pool);
 	free(d);
--- a/gspard/gspard.c
+++ b/gspard/gspard.c
@@ -13,6 +13,8 @@
 
 #include "call.h"
 #include "gspard.h"
+#include "held.h"
+#include "room.h"
 #include "stop_plan.h"
 #include "settings.h"
 
@@ -293,6 +295,7 @@
 		return (1);
 	if (check_only)
 		return (0);
+	held_init(room_content_max(conf.memory_mb));
 	log_open(conf.host, verbose);
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
--- /dev/null
+++ b/gspard/intake.c
@@ -0,0 +1,416 @@
+/*
+ * The requests of callers while they are read, and the memory that they and
+ * their answers take.
+ *
+ * The HTTP library closes a silent connection without an answer, and waits
+ * without limit for one that sends a byte now and then.  Here the head must be
+ * whole within a time, and the body within another.  Bodies and answers of
+ * all calls share one limit.  Where it is exceeded, requests that are still
+ * being read give way, for these have not run; then answers whose callers do
+ * not read them.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "excess.h"
+#include "held.h"
+#include "intake.h"
+#include "room.h"
+
+/* Time that a body has after its head. */
+#define BODY_TIMEOUT MS(6000)
+/* An answer that has not been taken by its caller after this may be cut if its
+ * memory is needed. */
+#define UNREAD_AGE MS(1000)
+/* What a caller still sends after its request was given up is read for this
+ * long: closing with unread bytes resets the connection, and the caller might
+ * lose the answer. */
+#define LINGER MS(1000)
+/* Shortest interval between two lines about requests without room. */
+#define LINE_INTERVAL (10 * US_PER_SEC)
+
+/* Who answers a call: nobody yet, the door, or this module. */
+enum { READING, CLAIMED, GIVEN_UP };
+
+struct intake {
+	apr_thread_mutex_t *lock;
+	const struct door_ops *ops;
+	struct call *first;
+	size_t yielding; /* bytes held by requests that are being read */
+	/* Given up or refused for room since the last line about them, and the
+	 * caller of the last. */
+	unsigned nrefused;
+	char last_caller[128];
+	uint64_t nended; /* of C_CALLER_ENDED, told in that line */
+	usec last_line;
+};
+
+/* Returns an empty list that uses the door's lock; NULL if memory is
+ * exhausted. */
+struct intake *
+intake_new(apr_thread_mutex_t *lock, const struct door_ops *ops)
+{
+	struct intake *l;
+
+	l = calloc(1, sizeof(*l));
+	if (l == NULL)
+		return (NULL);
+	l->lock = lock;
+	l->ops = ops;
+	return (l);
+}
+
+/* Frees the list, but not its calls. */
+void
+intake_free(struct intake *l)
+{
+	free(l);
+}
+
+/* Records that a call holds n more bytes.  The lock is held. */
+static void
+hold(struct intake *l, struct call *c, size_t n)
+{
+	c->held += n;
+	held_add(n);
+	if (c->yields)
+		l->yielding += n;
+}
+
+/* Records that what a call holds gives way to others no more.  The lock is
+ * held. */
+static void
+end_yielding(struct intake *l, struct call *c)
+{
+	if (c->yields)
+		l->yielding -= c->held;
+	c->yields = 0;
+}
+
+/* Records that a call holds nothing any more.  The lock is held. */
+static void
+release(struct intake *l, struct call *c)
+{
+	end_yielding(l, c);
+	held_sub(c->held);
+	c->held = 0;
+}
+
+/* Adds a call whose request line has been read; its head must be whole within
+ * head_time. */
+void
+intake_add(struct intake *l, struct call *c, usec head_time, usec now)
+{
+	c->intake = l;
+	c->since = now;
+	c->read_deadline = now + head_time;
+	c->yields = 1;
+	apr_thread_mutex_lock(l->lock);
+	c->next = l->first;
+	c->link = &l->first;
+	if (c->next != NULL)
+		c->next->link = &c->next;
+	l->first = c;
+	apr_thread_mutex_unlock(l->lock);
+}
+
+/* Removes a call that the library has completed. */
+void
+intake_remove(struct intake *l, struct call *c)
+{
+	apr_thread_mutex_lock(l->lock);
+	release(l, c);
+	*c->link = c->next;
+	if (c->next != NULL)
+		c->next->link = c->link;
+	apr_thread_mutex_unlock(l->lock);
+}
+
+/* Takes a call that is being read for one who answers it; true if that
+ * succeeds. */
+static int
+take(struct call *c, int by)
+{
+	int was = READING;
+
+	return (__atomic_compare_exchange_n(
+	    &c->claim, &was, by, 0, __ATOMIC_ACQ_REL, __ATOMIC_ACQUIRE));
+}
+
+/*
+ * Claims a call for its regular answer; 0 if it has been given up.  Without
+ * this, both answers could be written to the connection, mixed with each other.
+ */
+int
+intake_claim(struct call *c)
+{
+	return (take(c, CLAIMED) ||
+	    __atomic_load_n(&c->claim, __ATOMIC_ACQUIRE) == CLAIMED);
+}
+
+/* True if the call is neither claimed nor given up. */
+int
+intake_is_reading(const struct call *c)
+{
+	return (__atomic_load_n(&c->claim, __ATOMIC_ACQUIRE) == READING);
+}
+
+/*
+ * Answers a call and ends its connection.  The library accepts no answer while
+ * it reads a request, so the answer is written to the socket directly.
+ */
+static void
+send_error(const struct intake *l, const struct call *c, int code)
+{
+	uint32_t ms = result_retryable(code) ? INTAKE_RETRY_MS : 0;
+	char body[300], retry[24], text[700];
+	int n;
+
+	result_json(body, sizeof(body), code, (int)result_outcome(code), ms);
+	l->ops->retry_text(retry, sizeof(retry), ms);
+	n = snprintf(text, sizeof(text),
+	    "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+	    "Gspar-Error: %d\r\n%s%s%sConnection: close\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    result_http_status(code),
+	    code == GS_SLOW ? "Request Timeout" : "Service Unavailable", code,
+	    ms > 0 ? "Retry-After: " : "", ms > 0 ? retry : "",
+	    ms > 0 ? "\r\n" : "", strlen(body), body);
+	send(c->fd, text, (size_t)n, MSG_DONTWAIT | MSG_NOSIGNAL);
+	shutdown(c->fd, SHUT_WR);
+}
+
+/* Counts a request that is refused or given up for room, for the next line
+ * about them.  The lock is held. */
+static void
+note_refused(struct intake *l, const struct call *c)
+{
+	count_add(C_NO_ROOM, 1);
+	l->nrefused++;
+	name_copy(l->last_caller, sizeof(l->last_caller), c->caller);
+}
+
+/* Gives up a call that is being read.  The lock is held. */
+static void
+give_up(struct intake *l, struct call *c, int code, usec now)
+{
+	if (!take(c, GIVEN_UP))
+		return;
+	release(l, c);
+	str_free(&c->body);
+	c->body_size = 0;
+	c->linger_until = now + LINGER;
+	if (code == GS_NO_ROOM)
+		note_refused(l, c);
+	else
+		count_add(C_CALLER_BAD, 1);
+	send_error(l, c, code);
+}
+
+/* True if a call's answer has waited for its caller for long. */
+static int
+is_unread(const struct call *c, usec now)
+{
+	return (c->answered_at != 0 && now - c->answered_at > UNREAD_AGE);
+}
+
+/* Returns the call that gives way, of those being read or of those with unread
+ * answers; NULL if there is none or memory is not short.  The lock is held. */
+static struct call *
+choose(const struct intake *l, int unread, usec now)
+{
+	struct excess e = {0, 0, NULL};
+	struct call *c;
+
+	for (c = l->first; c != NULL; c = c->next) {
+		if (c->held == 0 || c->fd < 0 || !held_is_over(c->held))
+			continue;
+		if (unread && is_unread(c, now))
+			excess_add(&e, c->held,
+			    room_weight(c->held, now - c->answered_at), c);
+		else if (!unread && intake_is_reading(c))
+			excess_add(&e, c->held,
+			    room_weight(c->held, now - c->since), c);
+	}
+	return (e.item);
+}
+
+/* Cuts an answer that its caller does not read.  The lock is held. */
+static void
+cut_answer(struct intake *l, struct call *c)
+{
+	release(l, c);
+	c->answered_at = 0;
+	count_add(C_ANSWER_UNREAD, 1);
+	shutdown(c->fd, SHUT_RDWR);
+}
+
+/* Gives calls up until all that is held fits.  The lock is held. */
+static void
+make_room(struct intake *l, usec now)
+{
+	struct call *c;
+
+	while (held_is_over(SIZE_MAX) && (c = choose(l, 0, now)) != NULL)
+		give_up(l, c, GS_NO_ROOM, now);
+	while (held_is_over(SIZE_MAX) && (c = choose(l, 1, now)) != NULL)
+		cut_answer(l, c);
+}
+
+/* The same for other users of memory; false if it is still short for large
+ * contents. */
+int
+intake_make_room(struct intake *l, usec now)
+{
+	if (!held_is_over(SIZE_MAX))
+		return (1);
+	apr_thread_mutex_lock(l->lock);
+	make_room(l, now);
+	apr_thread_mutex_unlock(l->lock);
+	return (!held_is_over(SIZE_MAX));
+}
+
+/* Gives up the request that has been read for longest, or cuts the answer that
+ * has been unread for longest, as connections are short; false if there is
+ * neither. */
+int
+intake_yield(struct intake *l, usec now)
+{
+	struct excess e = {0, 0, NULL};
+	struct call *c;
+
+	apr_thread_mutex_lock(l->lock);
+	for (c = l->first; c != NULL; c = c->next) {
+		if (c->fd < 0)
+			continue;
+		if (intake_is_reading(c))
+			excess_add(&e, 1, room_weight(1, now - c->since), c);
+		else if (is_unread(c, now))
+			excess_add(
+			    &e, 1, room_weight(1, now - c->answered_at), c);
+	}
+	c = e.item;
+	if (c != NULL && intake_is_reading(c))
+		give_up(l, c, GS_NO_ROOM, now);
+	else if (c != NULL)
+		cut_answer(l, c);
+	apr_thread_mutex_unlock(l->lock);
+	return (c != NULL);
+}
+
+/* Records the head of a request.  Returns GS_OK, or GS_NO_ROOM if a body of the
+ * length that it states cannot be taken now. */
+int
+intake_head(struct intake *l, struct call *c, usec now)
+{
+	size_t want = (size_t)l->ops->copies * c->body_length;
+	int res = GS_OK;
+
+	apr_thread_mutex_lock(l->lock);
+	c->read_deadline = now + BODY_TIMEOUT;
+	if (want > 0 && !held_admits(want, l->yielding)) {
+		note_refused(l, c);
+		res = GS_NO_ROOM;
+	} else if (intake_is_reading(c)) {
+		hold(l, c, sizeof(*c) + c->headers.n);
+		make_room(l, now);
+	}
+	apr_thread_mutex_unlock(l->lock);
+	return (res);
+}
+
+/* Appends a piece of a body.  Returns 0, or -1 if memory is exhausted; a piece
+ * of a request that has been given up is discarded. */
+int
+intake_body(struct intake *l, struct call *c, const char *p, size_t n, usec now)
+{
+	int res = 0;
+
+	apr_thread_mutex_lock(l->lock);
+	if (intake_is_reading(c)) {
+		res = str_append(&c->body, &c->body_size, p, n);
+		hold(l, c, n);
+		make_room(l, now);
+	}
+	apr_thread_mutex_unlock(l->lock);
+	return (res);
+}
+
+/*
+ * Claims a request that has been read whole.  Returns GS_OK, GS_NO_ROOM if it
+ * cannot be held until it is answered, or -1 if it has been given up.
+ */
+int
+intake_accept(struct intake *l, struct call *c, usec now)
+{
+	size_t copies = (size_t)(l->ops->copies - 1) * c->body.n;
+	int res = GS_OK;
+
+	apr_thread_mutex_lock(l->lock);
+	if (!intake_is_reading(c))
+		res = -1;
+	else if (!held_admits(copies + c->held, l->yielding)) {
+		note_refused(l, c);
+		res = GS_NO_ROOM;
+	} else {
+		end_yielding(l, c);
+		take(c, CLAIMED);
+		hold(l, c, copies);
+		make_room(l, now);
+	}
+	apr_thread_mutex_unlock(l->lock);
+	return (res);
+}
+
+/* Records that a call's answer is complete: its request is needed no more. */
+void
+intake_answered(struct intake *l, struct call *c, usec now)
+{
+	apr_thread_mutex_lock(l->lock);
+	release(l, c);
+	str_free(&c->body);
+	c->answered_at = now;
+	hold(l, c, sizeof(*c) + c->answer.body.n + c->answer.headers.n);
+	apr_thread_mutex_unlock(l->lock);
+}
+
+/* Logs how many requests and connections had no room, now and then. */
+static void
+log_refused(struct intake *l, usec now)
+{
+	uint64_t nended = count_get(C_CALLER_ENDED) - l->nended;
+
+	if ((l->nrefused == 0 && nended == 0) ||
+	    (l->last_line != 0 && now - l->last_line < LINE_INTERVAL))
+		return;
+	log_line(LOG_WARNING, "door",
+	    "%u requests refused or given up for room, the last of '%s'; %llu "
+	    "connections without a request closed; %zu bytes held.",
+	    l->nrefused, l->last_caller, (unsigned long long)nended,
+	    held_now());
+	l->nrefused = 0;
+	l->nended += nended;
+	l->last_line = now;
+}
+
+/* Gives up requests that arrive too slowly, and ends the connections of those
+ * that were given up before. */
+void
+intake_tick(struct intake *l, usec now)
+{
+	struct call *c;
+
+	apr_thread_mutex_lock(l->lock);
+	for (c = l->first; c != NULL; c = c->next) {
+		if (now >= c->read_deadline)
+			give_up(l, c, GS_SLOW, now);
+		if (c->linger_until != 0 && now >= c->linger_until) {
+			c->linger_until = 0;
+			shutdown(c->fd, SHUT_RDWR);
+		}
+	}
+	log_refused(l, now);
+	apr_thread_mutex_unlock(l->lock);
+}
--- a/gspard/transfer.c
+++ b/gspard/transfer.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "held.h"
 #include "transfer.h"
 
 /* Keepalive probes of a silent connection: when they start, their interval in
@@ -62,8 +63,10 @@
 
 	if (framing_body(&t->framing, size * n) != 0)
 		return (0);
-	if (t->held != NULL)
+	if (t->held != NULL) {
 		*t->held += size * n;
+		held_add(size * n);
+	}
 	if (t->discards_body)
 		return (size * n);
 	return (str_add(&t->reply.body, p, size * n) == 0 ? size * n : 0);
@@ -226,6 +229,8 @@
 	curl_slist_free_all(t->headers);
 	str_free(&t->reply.headers);
 	str_free(&t->reply.body);
-	if (t->held != NULL)
+	if (t->held != NULL) {
 		*t->held -= t->framing.body_size;
+		held_sub(t->framing.body_size);
+	}
 }
--- a/gspard/transfer.h
+++ b/gspard/transfer.h
@@ -16,7 +16,8 @@
 	int (*is_own)(struct transfer *);
 	struct framing framing; /* of the answer */
 	struct reply reply;
-	size_t *held; /* bytes of all bodies that are being received, or NULL */
+	size_t *held; /* bytes of all bodies that are being received, which then
+			 also count in the account of held.h; or NULL */
 	int discards_body;
 	int is_foreign; /* the answer's head shows that it is not to the request
 			 */
--- a/lib/conf.c
+++ b/lib/conf.c
@@ -12,7 +12,17 @@
 #include "conf.h"
 #include "feature.h"
 
-enum kind { K_NAME, K_ADDR, K_ADDRS, K_IP, K_INT, K_WORD, K_TIME, K_REAL };
+enum kind {
+	K_NAME,
+	K_ADDR,
+	K_ADDRS,
+	K_IP,
+	K_INT,
+	K_COUNT,
+	K_WORD,
+	K_TIME,
+	K_REAL
+};
 
 struct key {
 	const char *section;
@@ -29,6 +39,7 @@
     {"host", "dc", K_NAME, OFFSET(dc), 0, 0},
     {"host", "cores", K_REAL, OFFSET(cores), 0, 4096},
     {"host", "link_mbps", K_REAL, OFFSET(link_mbps), 0, 1000000},
+    {"host", "memory_mb", K_COUNT, OFFSET(memory_mb), 16, 1048576},
     {"host", "source", K_IP, OFFSET(source), 0, 0},
     {"listen", "callers", K_ADDR, OFFSET(callers), 0, 0},
     {"listen", "peers", K_ADDR, OFFSET(peers), 0, 0},
@@ -322,14 +333,15 @@
 		store_ip(r, k, dst, value);
 		break;
 	case K_INT:
+	case K_COUNT:
 		errno = 0;
 		n = strtol(value, &end, 10);
 		if (errno != 0 || end == value || *end != '\0' || n < k->min ||
 		    n > k->max)
 			report_error(r, r->line,
-			    "%s: '%s' is out of range; allowed: %d to %d "
-			    "milliseconds",
-			    k->name, value, k->min, k->max);
+			    "%s: '%s' is out of range; allowed: %d to %d%s",
+			    k->name, value, k->min, k->max,
+			    k->kind == K_INT ? " milliseconds" : "");
 		else
 			memcpy(dst, &(int){(int)n}, sizeof(int));
 		break;
@@ -419,9 +431,9 @@
 		return (0);
 	if (strcmp(k->section, "bounds") == 0 || k->offset == OFFSET(ready))
 		return (c->form == FORM_OBJECTS);
-	return (k->kind != K_INT && k->kind != K_WORD && k->kind != K_REAL &&
-	    k->kind != K_IP && k->offset != OFFSET(advertised) &&
-	    k->offset != OFFSET(tunnel));
+	return (k->kind != K_INT && k->kind != K_COUNT && k->kind != K_WORD &&
+	    k->kind != K_REAL && k->kind != K_IP &&
+	    k->offset != OFFSET(advertised) && k->offset != OFFSET(tunnel));
 }
 
 /*
@@ -466,6 +478,7 @@
 	c->host_lease_ms = 1400;
 	c->renew_ms = 200;
 	c->grant_ms = 900;
+	c->memory_mb = MEMORY_MB_DEFAULT;
 	r.in = fopen(file, "r");
 	if (r.in == NULL) {
 		report_error(&r, 0, "cannot be read: %s", strerror(errno));
--- a/lib/conf.h
+++ b/lib/conf.h
@@ -6,6 +6,10 @@
 
 #define ADDR_MAX_GS 64
 
+/* Memory of the smallest hosts that take a body of 64 MB, in MB; assumed unless
+ * it is set. */
+#define MEMORY_MB_DEFAULT 120
+
 /* Maximum number of platform addresses. */
 #define PLATFORMS_MAX 4
 
@@ -46,6 +50,7 @@
 	char dc[NAME_MAX_GS];
 	double cores;	  /* processor cores; 0 if not set */
 	double link_mbps; /* network bandwidth in Mbit/s; 0 if not set */
+	int memory_mb;	  /* memory that the process may use, in MB */
 	char source[ADDR_MAX_GS]; /* IP address from which targets are
 				     connected to; "" if any */
 	char callers[ADDR_MAX_GS];
--- a/lib/count.h
+++ b/lib/count.h
@@ -13,6 +13,12 @@
 	X(C_CALLER_UNKNOWN, "caller_unknown", "Answers unknown")               \
 	X(C_CALLER_BAD, "caller_bad", "Requests refused at the door")          \
 	X(C_CALLER_GONE, "caller_gone", "Callers that left early")             \
+	X(C_NO_ROOM, "caller_no_room",                                         \
+	    "Requests refused or given up as memory or connections are short") \
+	X(C_ANSWER_UNREAD, "answers_unread",                                   \
+	    "Answers that callers did not read, cut to free memory")           \
+	X(C_CALLER_ENDED, "caller_ended",                                      \
+	    "Connections without a request closed to make room, or too slow")  \
 	X(C_RELAYED, "relayed", "Requests relayed to another host")            \
 	X(C_RETRIES, "retries", "Requests sent again")                         \
 	X(C_RETRY_PAID, "retry_paid", "Retries taken from the budget")         \
--- a/lib/result.h
+++ b/lib/result.h
@@ -37,6 +37,7 @@
 	X(GS_TARGET_LIMIT, 210, 503, OUT_NOT_RUN, 1,                           \
 	    "over the server's own limit")                                     \
 	X(GS_CUT_OFF, 211, 503, OUT_NOT_RUN, 1, "no server can be reached")    \
+	X(GS_NO_ROOM, 212, 503, OUT_NOT_RUN, 1, "no memory for the request")   \
 	X(GS_DEADLINE, 300, 504, OUT_UNKNOWN, 0, "deadline passed")            \
 	X(GS_TARGET_LOST, 301, 502, OUT_UNKNOWN, 0,                            \
 	    "connection to the server lost")                                   \
--- a/lib/str.c
+++ b/lib/str.c
@@ -15,6 +15,39 @@
 	return (str_add(s, p, n));
 }
 
+/* Allocations from this size in bytes on grow by doubling: the operating system
+ * provides their memory only when it is written. */
+#define DOUBLING_MIN (256 * 1024)
+
+/*
+ * Appends n bytes to a string whose allocation has *size bytes, so that many
+ * small pieces make up a long one at little cost.  Returns 0, or -1 without
+ * memory.
+ */
+int
+str_append(struct str *s, size_t *size, const void *p, size_t n)
+{
+	size_t need = s->n + n + 1;
+	char *q;
+
+	if (n > SIZE_MAX / 2 - s->n - 1)
+		return (-1);
+	if (need > *size) {
+		if (need >= DOUBLING_MIN)
+			need *= 2;
+		q = realloc(s->p, need);
+		if (q == NULL)
+			return (-1);
+		s->p = q;
+		*size = need;
+	}
+	if (n > 0)
+		memcpy(s->p + s->n, p, n);
+	s->n += n;
+	s->p[s->n] = '\0';
+	return (0);
+}
+
 /*
  * Appends n bytes.  Returns 0, or -1 without memory.  A NUL always follows the
  * last byte, so that the contents can be passed on as a C string.
--- a/lib/str.h
+++ b/lib/str.h
@@ -14,6 +14,7 @@
 #define NAME_MAX_GS 64
 
 int str_set(struct str *, const void *, size_t);
+int str_append(struct str *, size_t *size, const void *, size_t n);
 int str_add(struct str *, const void *, size_t);
 int str_add_escaped(struct str *, const char *, size_t);
 void str_free(struct str *);
--- a/regress/scenario/crowd_large.lua
+++ b/regress/scenario/crowd_large.lua
@@ -7,9 +7,11 @@
     '"max_header_bytes":16384,"max_body_bytes":' .. SIZE ..
     ',"header_timeout":"3000ms","idle_timeout":"15000ms"')
 local body = ("x"):rep(SIZE)
+local nposts = 0
 local function post(c, n)
+	nposts = nposts + 1
 	send(c, "POST /any/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " ..
-	    "large\r\nX-Deadline-Ms: 20000\r\nContent-Length: " .. SIZE ..
+	    "large-" .. nposts .. "\r\nX-Deadline-Ms: 20000\r\nContent-Length: " .. SIZE ..
 	    "\r\n\r\n")
 	send(c, n == SIZE and body or body:sub(1, n))
 end
--- a/regress/scenario/crowd_queued.lua
+++ b/regress/scenario/crowd_queued.lua
@@ -8,10 +8,10 @@
 await("the limit in force", 5000, function()
 	return s:request("h1", "/any/1", nil, "POST", ("x"):rep(MB)) == 200
 end)
-local bytes = post_head("/any/1", "Content-Length: " .. SIZE .. "\r\n") ..
-    ("x"):rep(SIZE)
+local body = ("x"):rep(SIZE)
 local crowd = open_crowd(s.hosts.h1.callers, CLIENTS, function(c)
-	send(c, bytes)
+	send(c, post_head("/any/1", "Content-Length: " .. SIZE .. "\r\n"))
+	send(c, body)
 end)
 s:await_ordinary("h1", "beside the crowd")
 check_host(s, "h1", "beside the crowd")
--- a/regress/scenario/lib_crowd.lua
+++ b/regress/scenario/lib_crowd.lua
@@ -28,10 +28,14 @@
 	end
 end
 
--- Returns the head of a POST with a body whose header lines are given.
+-- Returns the head of a POST with an id of its own and a body whose header lines
+-- are given.
+local nposts = 0
 function post_head(p, lines)
+	nposts = nposts + 1
 	return "POST " .. p .. " HTTP/1.1\r\nHost: a.example\r\n" ..
-	    "X-Deadline-Ms: 1400\r\n" .. lines .. "\r\n"
+	    "X-Request-Id: p" .. nposts .. "\r\nX-Deadline-Ms: 1400\r\n" ..
+	    lines .. "\r\n"
 end
 
 -- Returns a body of `size` bytes in chunks, with the last one.
--- a/regress/unit/t_conf.c
+++ b/regress/unit/t_conf.c
@@ -54,6 +54,13 @@
 	CU_ASSERT_DOUBLE_EQUAL(c.link_mbps, 10, 1e-9);
 	CU_ASSERT_NOT_EQUAL(read_text(GOOD "[host]\ncores = many\n"), 0);
 	CU_ASSERT_PTR_NOT_NULL(strstr(errors, "cores: 'many'"));
+	CU_ASSERT_EQUAL(read_text(GOOD), 0);
+	CU_ASSERT_EQUAL(c.memory_mb, MEMORY_MB_DEFAULT);
+	CU_ASSERT_EQUAL(read_text(GOOD "[host]\nmemory_mb = 260\n"), 0);
+	CU_ASSERT_EQUAL(c.memory_mb, 260);
+	CU_ASSERT_NOT_EQUAL(read_text(GOOD "[host]\nmemory_mb = 0\n"), 0);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(errors, "memory_mb: '0' is out of range; allowed: 16 to"));
 }
 
 /* Only ablation builds can disable features.  Any other refuses settings that
--- a/regress/unit/t_excess.c
+++ b/regress/unit/t_excess.c
@@ -15,7 +15,7 @@
 
 	memset(&e, 0, sizeof(e));
 	for (i = 0; i < n; i++)
-		excess_add(&e, sizes[i], &at[i]);
+		excess_add(&e, sizes[i], sizes[i], &at[i]);
 	p = excess_choose(&e, max);
 	return (p == NULL ? -1 : (int)((const int *)(const void *)p - at));
 }
