A body may take as long as it goes on arriving

A client that sent a body of 800 KB evenly over 8 s was refused with 408: the whole request had to arrive within 6 s of its first line. No limit of the platform or of a catalogue asks for that.

A body has 6 s after that, and each byte gains it time at 1 KB a second, to at most 6 s from its arrival. Bodies that stop or trickle still get 408.

--- a/gspard/intake.c
+++ b/gspard/intake.c
@@ -4,7 +4,7 @@
  *
  * The HTTP library closes a silent connection without an answer, and waits
  * without limit for one that sends a byte now and then.  Here the head must be
- * whole within a time, and the body within another.  Bodies and answers of
+ * whole within a time, and the body must go on arriving.  Bodies and answers of
  * all calls share one limit.  Where it is exceeded, requests that are still
  * being read give way, for these have not run; then answers whose callers do
  * not read them.
@@ -19,8 +19,10 @@
 #include "intake.h"
 #include "room.h"
 
-/* Time that a body has after its head. */
+/* Time that a body has after its head, and after each time that it stalls. */
 #define BODY_TIMEOUT MS(6000)
+/* Rate below which a body counts as stalled, in bytes a second. */
+#define BODY_RATE_MIN 1024
 /* An answer that has not been taken by its caller after this may be cut if its
  * memory is needed. */
 #define UNREAD_AGE MS(1000)
@@ -321,8 +323,11 @@
 	return (res);
 }
 
-/* Appends a piece of a body.  Returns 0, or -1 if memory is exhausted; a piece
- * of a request that has been given up is discarded. */
+/*
+ * Appends a piece of a body.  Each byte gains time at BODY_RATE_MIN, up to
+ * BODY_TIMEOUT from now.  Returns 0, or -1 if memory is exhausted; a piece of a
+ * request that has been given up is discarded.
+ */
 int
 intake_body(struct intake *l, struct call *c, const char *p, size_t n, usec now)
 {
@@ -331,6 +336,9 @@
 	apr_thread_mutex_lock(l->lock);
 	if (intake_is_reading(c)) {
 		res = str_append(&c->body, &c->body_size, p, n);
+		c->read_deadline += (usec)n * US_PER_SEC / BODY_RATE_MIN;
+		if (c->read_deadline > now + BODY_TIMEOUT)
+			c->read_deadline = now + BODY_TIMEOUT;
 		hold(l, c, n);
 		make_room(l, now);
 	}
--- a/regress/unit/t_intake.c
+++ b/regress/unit/t_intake.c
@@ -169,6 +169,28 @@
 	close_calls();
 }
 
+/* A body that arrives evenly is refused as too slow, or one that trickles never
+ * is. */
+static void
+rate(void)
+{
+	char text[1000];
+	usec now;
+
+	open_calls(&ops);
+	for (now = MS(3000); now < MS(20000); now += MS(500)) {
+		add(0, 10, now);
+		intake_body(l, &calls[1], bytes, 1, now);
+		intake_tick(l, now);
+	}
+	CU_ASSERT(intake_is_reading(&calls[0]));
+	CU_ASSERT_EQUAL(status_of(1, text, sizeof(text)), 408);
+	/* Bytes that came long ago gain no time. */
+	intake_tick(l, MS(19500) + MS(6000));
+	CU_ASSERT(!intake_is_reading(&calls[0]));
+	close_calls();
+}
+
 /* Requests that are being read keep all connections. */
 static void
 yield(void)
@@ -185,6 +207,6 @@
 }
 
 static const struct unit_test tests[] = {{"stalled", stalled}, {"small", small},
-    {"copies", copies}, {"unread", unread}, {"yield", yield}};
+    {"copies", copies}, {"unread", unread}, {"rate", rate}, {"yield", yield}};
 
 UNIT_MAIN("intake", tests)
