Connections of callers leave descriptors and memory to the host

600 clients that sent the first line of a request a byte at a time, or began it and stopped, held all 400 descriptors of a host: targets and the store could not be reached, ordinary requests were refused or waited for seconds, and the connections stayed for ever. 4,096 connections were allowed whatever the process may have, and until a first line had ended only 10 s of silence ended one.

Callers' connections now take three eighths of the descriptors at most, by the new setting "descriptors" and the limit of the operating system, and with their heads a sixth of the memory; never more than 4,096. Beyond that one gives way for each that is opened: the idle one that is oldest, where one that was never used counts eight times its age, as callers reuse the others; if there is none, the request that has been read for longest is given up. A connection without a request is ended after the time that it may be idle and that a head may take.

Such connections are shut down both ways: after a shutdown for reading the HTTP library goes on with callers that send a byte now and then, as it reads once for each event. A request that arrives on one meanwhile is not passed on.

Unit callers, "too many"; unit room, "descriptors".

--- a/decide/room.c
+++ b/decide/room.c
@@ -3,6 +3,11 @@
 #define MB ((size_t)1024 * 1024)
 /* Contents up to this size in bytes are small. */
 #define SMALL_MAX ((size_t)64 * 1024)
+/* Memory of a connection with the longest head, in bytes. */
+#define CONNECTION_SIZE ((size_t)24 * 1024)
+/* Upper limits on connections whatever the process may use. */
+#define CONNECTIONS_MAX 4096
+#define TUNNELS_MAX 512
 
 /*
  * Returns the most bytes of requests and answers that are held at a time, of a
@@ -37,3 +42,39 @@
 {
 	return ((uint64_t)size * (uint64_t)(age > 0 ? age / 1000 + 1 : 1));
 }
+
+/* Returns the least of three numbers as an int. */
+static int
+least(long a, long b, long c)
+{
+	if (b < a)
+		a = b;
+	return ((int)(c < a ? c : a));
+}
+
+/* Returns how many connections of callers may be open: their heads take a sixth
+ * of the memory, and they leave five eighths of the descriptors to targets, the
+ * store and other hosts. */
+int
+room_connections_max(int memory_mb, long descriptors)
+{
+	size_t n = (size_t)memory_mb * MB / 6 / CONNECTION_SIZE;
+
+	return (least((long)n, descriptors / 8 * 3, CONNECTIONS_MAX));
+}
+
+/* Returns how many connections may be open that were opened to the address for
+ * other hosts. */
+int
+room_peers_max(long descriptors)
+{
+	return ((int)(descriptors / 4));
+}
+
+/* Returns how many connections to targets may be relayed, of two descriptors
+ * each. */
+int
+room_tunnels_max(long descriptors)
+{
+	return (least(descriptors / 8, TUNNELS_MAX, TUNNELS_MAX));
+}
--- a/decide/room.h
+++ b/decide/room.h
@@ -14,5 +14,8 @@
 size_t room_content_max(int memory_mb);
 size_t room_limit(size_t max, size_t size);
 uint64_t room_weight(size_t size, usec age);
+int room_connections_max(int memory_mb, long descriptors);
+int room_peers_max(long descriptors);
+int room_tunnels_max(long descriptors);
 
 #endif
--- a/gspard/call.h
+++ b/gspard/call.h
@@ -4,6 +4,7 @@
 
 #include <microhttpd.h>
 
+#include "callers.h"
 #include "gspard.h"
 #include "site.h"
 
@@ -38,7 +39,7 @@
 	int claim;	    /* who answers the call */
 	struct MHD_Connection *conn;
 	int fd;
-	int read_shut; /* this host shut the connection down for reading */
+	enum caller_end ended; /* the connection, by this host */
 	char *uri;
 	int head_parsed; /* the head has been parsed */
 	int refusal;	 /* result code from parsing the head */
--- a/gspard/callers.c
+++ b/gspard/callers.c
@@ -1,5 +1,6 @@
 /*
- * The connections of callers.  When the HTTP library stops, it closes all of
+ * The connections of callers.  Where more are open than may be, one without a
+ * request in progress gives way.  When the HTTP library stops, it closes all of
  * them at once, also those on which a request has just arrived.  So an orderly
  * stop ends the idle ones here, and leaves the others open until their requests
  * are answered.
@@ -8,31 +9,42 @@
 #include <sys/socket.h>
 
 #include "callers.h"
+#include "count.h"
+#include "excess.h"
+
+/* How many times the age of a connection counts that was never used. */
+#define UNUSED_WEIGHT 8
 
 /* A connection of a caller. */
 struct caller {
 	struct caller *next;
 	struct caller **link;
 	int fd;
-	int busy;  /* a request is being read or answered */
-	int ended; /* shut down for reading while it was idle */
+	int busy;	       /* a request is being read or answered */
+	int served;	       /* a request was answered on it */
+	enum caller_end ended; /* by this host while it was idle */
+	usec since; /* when it was opened, or its last request was answered */
 };
 
 struct callers {
 	apr_thread_mutex_t *lock;
 	struct caller *first;
+	int n;
+	int max;
 };
 
-/* Returns an empty list that uses the door's lock; NULL if memory is
- * exhausted. */
+/* Returns an empty list that uses a lock and is full with max connections; NULL
+ * if memory is exhausted. */
 struct callers *
-callers_new(apr_thread_mutex_t *lock)
+callers_new(apr_thread_mutex_t *lock, int max)
 {
 	struct callers *l;
 
 	l = calloc(1, sizeof(*l));
 	if (l != NULL)
 		l->lock = lock;
+	if (l != NULL)
+		l->max = max;
 	return (l);
 }
 
@@ -57,7 +69,9 @@
 		return;
 	}
 	c->fd = info->connect_fd;
+	c->since = clock_mono();
 	apr_thread_mutex_lock(l->lock);
+	l->n++;
 	c->next = l->first;
 	c->link = &l->first;
 	if (c->next != NULL)
@@ -77,6 +91,7 @@
 		return;
 	*state = NULL;
 	apr_thread_mutex_lock(l->lock);
+	l->n--;
 	*c->link = c->next;
 	if (c->next != NULL)
 		c->next->link = c->link;
@@ -95,24 +110,40 @@
 		conn_remove(arg, state);
 }
 
+/* The same, for a server that answers each request at once: a connection is
+ * ended where there are too many. */
+void
+callers_on_notify_limit(void *arg, struct MHD_Connection *conn, void **state,
+    enum MHD_ConnectionNotificationCode what)
+{
+	callers_on_notify(arg, conn, state, what);
+	if (what == MHD_CONNECTION_NOTIFY_STARTED)
+		callers_limit(arg, clock_mono());
+}
+
 /*
- * Records that a request on a connection begins or has been answered.  True
- * if callers_end_idle() has ended the connection just before the request
- * arrived: an end of file on it then doesn't mean that the caller has left.
+ * Records that a request on a connection begins or has been answered.  Returns
+ * whether the connection was ended just before the request arrived: if
+ * callers_end_idle() has done so, an end of file on it doesn't mean that the
+ * caller has left; if it was cut off, the request cannot be answered.
  */
-int
+enum caller_end
 callers_set_busy(struct callers *l, struct MHD_Connection *conn, int busy)
 {
 	const union MHD_ConnectionInfo *info;
 	struct caller *c;
-	int ended;
+	enum caller_end ended;
 
 	info =
 	    MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
 	c = info == NULL ? NULL : info->socket_context;
 	if (c == NULL)
-		return (0);
+		return (CALLER_OPEN);
 	apr_thread_mutex_lock(l->lock);
+	if (c->busy && !busy) {
+		c->served = 1;
+		c->since = clock_mono();
+	}
 	c->busy = busy;
 	ended = c->ended;
 	apr_thread_mutex_unlock(l->lock);
@@ -128,6 +159,17 @@
 	return (recv(c->fd, &b, 1, MSG_PEEK | MSG_DONTWAIT) > 0);
 }
 
+/* Cuts a connection off.  A shutdown for reading would not do: the library goes
+ * on reading from a caller that sends a byte now and then.  The lock is held.
+ */
+static void
+cut(struct caller *c)
+{
+	c->ended = CALLER_CUT;
+	shutdown(c->fd, SHUT_RDWR);
+	count_add(C_CALLER_ENDED, 1);
+}
+
 /*
  * Ends the idle connections.  A caller that has kept one open since before the
  * stop was never asked to close it, and its next request would be refused, or
@@ -145,8 +187,58 @@
 	for (c = l->first; c != NULL; c = c->next) {
 		if (c->ended || c->busy || has_bytes(c))
 			continue;
-		c->ended = 1;
+		c->ended = CALLER_ENDED;
 		shutdown(c->fd, SHUT_RD);
 	}
 	apr_thread_mutex_unlock(l->lock);
 }
+
+/* Returns how much speaks for cutting an idle connection: its age, which counts
+ * several times if no request was answered on it. */
+static uint64_t
+weight(const struct caller *c, usec now)
+{
+	uint64_t age = now > c->since ? (uint64_t)(now - c->since) : 0;
+
+	return (c->served ? age + 1 : age * UNUSED_WEIGHT + 1);
+}
+
+/*
+ * Cuts a connection if there are more than may be: the one that has been idle
+ * for longest; callers reuse those that were used before.  Returns 0 if all
+ * have a request in progress.
+ */
+int
+callers_limit(struct callers *l, usec now)
+{
+	struct excess e = {0, 0, NULL};
+	struct caller *c;
+	int is_full;
+
+	apr_thread_mutex_lock(l->lock);
+	is_full = l->n > l->max;
+	for (c = l->first; c != NULL && is_full; c = c->next) {
+		if (!c->ended && !c->busy && !has_bytes(c))
+			excess_add(&e, 1, weight(c, now), c);
+	}
+	if (e.item != NULL)
+		cut(e.item);
+	apr_thread_mutex_unlock(l->lock);
+	return (!is_full || e.item != NULL);
+}
+
+/* Cuts the connections on which no request has begun for max; their callers may
+ * send part of its first line now and then. */
+void
+callers_tick(struct callers *l, usec max, usec now)
+{
+	struct caller *c;
+
+	apr_thread_mutex_lock(l->lock);
+	for (c = l->first; c != NULL; c = c->next) {
+		if (c->ended || c->busy || now - c->since <= max)
+			continue;
+		cut(c);
+	}
+	apr_thread_mutex_unlock(l->lock);
+}
--- a/gspard/callers.h
+++ b/gspard/callers.h
@@ -1,17 +1,32 @@
-/* The connections of callers, of which an orderly stop ends the idle ones. */
+/* The connections of callers, of which the idle ones are ended by an orderly
+ * stop and where there are too many. */
 #ifndef CALLERS_H
 #define CALLERS_H
 
 #include <apr_thread_mutex.h>
 #include <microhttpd.h>
 
+#include "clock.h"
+
 struct callers;
 
-struct callers *callers_new(apr_thread_mutex_t *);
+/* Whether this host has ended an idle connection. */
+enum caller_end {
+	CALLER_OPEN,
+	CALLER_ENDED, /* what had arrived is still read */
+	CALLER_CUT
+};
+
+struct callers *callers_new(apr_thread_mutex_t *, int max);
 void callers_free(struct callers *);
 void callers_on_notify(void *, struct MHD_Connection *, void **,
     enum MHD_ConnectionNotificationCode);
-int callers_set_busy(struct callers *, struct MHD_Connection *, int busy);
+void callers_on_notify_limit(void *, struct MHD_Connection *, void **,
+    enum MHD_ConnectionNotificationCode);
+enum caller_end callers_set_busy(
+    struct callers *, struct MHD_Connection *, int busy);
 void callers_end_idle(struct callers *);
+int callers_limit(struct callers *, usec now);
+void callers_tick(struct callers *, usec max, usec now);
 
 #endif
--- a/gspard/door.c
+++ b/gspard/door.c
@@ -23,7 +23,8 @@
 
 /* Idle timeout of a connection until the site configuration gives one. */
 #define IDLE_TIMEOUT_S 10u
-#define CONNECTIONS_MAX 4096u
+/* Connections beyond the limit, while others are ended for them. */
+#define CONNECTIONS_SPARE 64
 #define LISTEN_BACKLOG 512
 /* Time for the head of a request until the site configuration gives one, and
  * what the network may add to it. */
@@ -63,6 +64,14 @@
 	return (atomic_load(&inflight));
 }
 
+/* Returns how many connections of callers may be open. */
+static int
+connections_max(const struct kernel *k)
+{
+	return (room_connections_max(
+	    kernel_conf(k)->memory_mb, kernel_descriptors(k)));
+}
+
 /* Returns the time that the head of a request may take. */
 static usec
 head_time(const struct door *d)
@@ -91,7 +100,7 @@
 	info = MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
 	c->fd = info == NULL ? -1 : info->connect_fd;
 	intake_add(d->intake, c, head_time(d), clock_mono());
-	c->read_shut = callers_set_busy(d->callers, conn, 1);
+	c->ended = callers_set_busy(d->callers, conn, 1);
 	return (c);
 }
 
@@ -355,7 +364,7 @@
 {
 	char b;
 
-	return (c->fd >= 0 && !c->read_shut &&
+	return (c->fd >= 0 && c->ended == CALLER_OPEN &&
 	    recv(c->fd, &b, 1, MSG_PEEK | MSG_DONTWAIT) == 0);
 }
 
@@ -468,7 +477,7 @@
 	struct door *d = s->state;
 	struct call *c = *state;
 
-	if (c == NULL)
+	if (c == NULL || c->ended == CALLER_CUT)
 		return (MHD_NO);
 	if (__atomic_load_n(&c->answered, __ATOMIC_ACQUIRE))
 		return (respond(d, c));
@@ -490,6 +499,22 @@
 	return (submit(s, c));
 }
 
+/* Called by the library for each connection that is opened or closed. */
+static void
+on_connection(void *cls, struct MHD_Connection *conn, void **state,
+    enum MHD_ConnectionNotificationCode what)
+{
+	struct door *d = cls;
+	usec now;
+
+	callers_on_notify(d->callers, conn, state, what);
+	if (what != MHD_CONNECTION_NOTIFY_STARTED)
+		return;
+	now = clock_mono();
+	if (!callers_limit(d->callers, now))
+		intake_yield(d->intake, now);
+}
+
 /* Starts the HTTP server on the socket that door_open() bound. */
 static void
 start_server(struct service *s)
@@ -503,9 +528,10 @@
 	    NULL, handle, s, MHD_OPTION_LISTEN_SOCKET, d->sock,
 	    MHD_OPTION_URI_LOG_CALLBACK, on_request_line, d,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, d,
-	    MHD_OPTION_NOTIFY_CONNECTION, callers_on_notify, d->callers,
+	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, d,
 	    MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
-	    MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX,
+	    MHD_OPTION_CONNECTION_LIMIT,
+	    (unsigned)(connections_max(s->kernel) + CONNECTIONS_SPARE),
 	    MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
 	if (d->daemon == NULL)
 		log_line(LOG_ERR, "door",
@@ -544,6 +570,17 @@
 	d->body_max = site->body_max;
 }
 
+/* Ends connections and requests that take too long. */
+static void
+tick(struct door *d, usec now)
+{
+	unsigned idle_s =
+	    d->idle_limit_s > 0 ? d->idle_limit_s : IDLE_TIMEOUT_S;
+
+	intake_tick(d->intake, now);
+	callers_tick(d->callers, idle_s * US_PER_SEC + head_time(d), now);
+}
+
 /* The service's thread. */
 static void
 door_run(struct service *s)
@@ -553,7 +590,7 @@
 
 	while (!d->stop) {
 		m = ring_wait(s->in, SLOW_CHECK_INTERVAL);
-		intake_tick(d->intake, clock_mono());
+		tick(d, clock_mono());
 		if (m == NULL)
 			continue;
 		switch (m->kind) {
@@ -607,7 +644,8 @@
 	    apr_thread_mutex_create(
 		&d->lock, APR_THREAD_MUTEX_DEFAULT, d->pool) == APR_SUCCESS &&
 	    (d->intake = intake_new(d->lock, d->ops)) != NULL &&
-	    (d->callers = callers_new(d->lock)) != NULL)
+	    (d->callers = callers_new(d->lock, connections_max(s->kernel))) !=
+		NULL)
 		return (0);
 	close(d->sock);
 	free(d);
--- a/gspard/gspard.h
+++ b/gspard/gspard.h
@@ -216,6 +216,7 @@
 const struct conf *kernel_conf(const struct kernel *);
 void kernel_set_conf(struct kernel *, const struct conf *);
 uint64_t kernel_boot(const struct kernel *);
+long kernel_descriptors(const struct kernel *);
 int kernel_send(struct kernel *, const char *to, struct msg *);
 void kernel_step_done(struct kernel *, const char *what);
 int kernel_wait_step(struct kernel *, const char *what, int ms);
--- a/gspard/kernel.c
+++ b/gspard/kernel.c
@@ -1,4 +1,6 @@
+#include <limits.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include <apr_general.h>
 #include <apr_pools.h>
@@ -10,6 +12,8 @@
 
 #define SERVICES_MAX 16
 #define STEPS_MAX 16
+/* Assumed if the operating system does not tell its limit. */
+#define DESCRIPTORS_DEFAULT 1024
 
 struct kernel {
 	apr_pool_t *pool;
@@ -180,6 +184,18 @@
 	return (k->boot);
 }
 
+/* Returns how many descriptors this process may have open. */
+long
+kernel_descriptors(const struct kernel *k)
+{
+	long set = kernel_conf(k)->descriptors;
+	struct rlimit r;
+
+	if (getrlimit(RLIMIT_NOFILE, &r) != 0 || r.rlim_cur > LONG_MAX)
+		return (set > 0 ? set : DESCRIPTORS_DEFAULT);
+	return (set > 0 && set < (long)r.rlim_cur ? set : (long)r.rlim_cur);
+}
+
 /*
  * Sends a message to a service by name.  Returns 0, or -1 if there is no such
  * service or its ring is full; then the caller still owns the message.
--- a/lib/conf.c
+++ b/lib/conf.c
@@ -40,6 +40,7 @@
     {"host", "cores", K_REAL, OFFSET(cores), 0, 4096},
     {"host", "link_mbps", K_REAL, OFFSET(link_mbps), 0, 1000000},
     {"host", "memory_mb", K_COUNT, OFFSET(memory_mb), 16, 1048576},
+    {"host", "descriptors", K_COUNT, OFFSET(descriptors), 64, 1048576},
     {"host", "source", K_IP, OFFSET(source), 0, 0},
     {"listen", "callers", K_ADDR, OFFSET(callers), 0, 0},
     {"listen", "peers", K_ADDR, OFFSET(peers), 0, 0},
--- a/lib/conf.h
+++ b/lib/conf.h
@@ -51,6 +51,8 @@
 	double cores;	  /* processor cores; 0 if not set */
 	double link_mbps; /* network bandwidth in Mbit/s; 0 if not set */
 	int memory_mb;	  /* memory that the process may use, in MB */
+	int descriptors;  /* open descriptors that it may have; 0 if not set,
+			     then the operating system's limit holds */
 	char source[ADDR_MAX_GS]; /* IP address from which targets are
 				     connected to; "" if any */
 	char callers[ADDR_MAX_GS];
--- a/regress/unit/t_callers.c
+++ b/regress/unit/t_callers.c
@@ -5,6 +5,7 @@
 #include <apr_general.h>
 
 #include "callers.h"
+#include "clock.h"
 #include "unit.h"
 
 static union MHD_ConnectionInfo info;
@@ -49,7 +50,7 @@
 	apr_initialize();
 	apr_pool_create(&pool, NULL);
 	apr_thread_mutex_create(&lock, APR_THREAD_MUTEX_DEFAULT, pool);
-	l = callers_new(lock);
+	l = callers_new(lock, 8);
 	CU_ASSERT_EQUAL_FATAL(socketpair(AF_UNIX, SOCK_STREAM, 0, sv), 0);
 	fd_now = sv[0];
 	callers_on_notify(l, NULL, &state_now, MHD_CONNECTION_NOTIFY_STARTED);
@@ -75,7 +76,85 @@
 	apr_terminate();
 }
 
+#define MAX 4
+
+/* Opens a connection; returns the caller's end. */
+static int
+open_conn(struct callers *l, void **state, int *fd)
+{
+	int sv[2];
+
+	CU_ASSERT_EQUAL_FATAL(socketpair(AF_UNIX, SOCK_STREAM, 0, sv), 0);
+	*fd = fd_now = sv[0];
+	callers_on_notify(l, NULL, state, MHD_CONNECTION_NOTIFY_STARTED);
+	return (sv[1]);
+}
+
+/* Records a request on a connection. */
+static enum caller_end
+set_busy(struct callers *l, void *state, int busy)
+{
+	state_now = state;
+	return (callers_set_busy(l, NULL, busy));
+}
+
+/*
+ * Connections without a request take all that may be open: the one idle for
+ * longest gives way, a new one before one that is reused, and none with a
+ * request in progress.
+ */
+static void
+too_many(void)
+{
+	apr_thread_mutex_t *lock;
+	apr_pool_t *pool;
+	struct callers *l;
+	void *state[MAX + 2];
+	int fd[MAX + 2], end[MAX + 2], i;
+	usec now = clock_mono() + MS(1000);
+
+	apr_initialize();
+	apr_pool_create(&pool, NULL);
+	apr_thread_mutex_create(&lock, APR_THREAD_MUTEX_DEFAULT, pool);
+	l = callers_new(lock, MAX);
+	for (i = 0; i < MAX; i++)
+		end[i] = open_conn(l, &state[i], &fd[i]);
+	/* The first is busy, the second was used. */
+	set_busy(l, state[0], 1);
+	set_busy(l, state[1], 1);
+	set_busy(l, state[1], 0);
+	CU_ASSERT(callers_limit(l, now));
+	CU_ASSERT(!at_end(end[2]));
+	end[MAX] = open_conn(l, &state[MAX], &fd[MAX]);
+	CU_ASSERT(callers_limit(l, now));
+	CU_ASSERT(!at_end(end[0]));
+	CU_ASSERT(!at_end(end[1]));
+	CU_ASSERT(at_end(end[2]));
+	/* A request that arrives now cannot be answered. */
+	CU_ASSERT_EQUAL(set_busy(l, state[2], 1), CALLER_CUT);
+	for (i = 1; i <= MAX; i++)
+		set_busy(l, state[i], 1);
+	CU_ASSERT(!callers_limit(l, now));
+	/* One whose first line never ends. */
+	set_busy(l, state[1], 0);
+	callers_tick(l, MS(2000), now);
+	CU_ASSERT(!at_end(end[1]));
+	callers_tick(l, MS(2000), now + MS(1500));
+	CU_ASSERT(at_end(end[1]));
+	CU_ASSERT(!at_end(end[0]));
+	for (i = 0; i <= MAX; i++) {
+		callers_on_notify(
+		    l, NULL, &state[i], MHD_CONNECTION_NOTIFY_CLOSED);
+		close(fd[i]);
+		close(end[i]);
+	}
+	callers_free(l);
+	apr_pool_destroy(pool);
+	apr_terminate();
+}
+
 static const struct unit_test tests[] = {
     {"request while ending", request_while_ending},
+    {"too many", too_many},
 };
 UNIT_MAIN("callers", tests)
--- a/regress/unit/t_conf.c
+++ b/regress/unit/t_conf.c
@@ -56,8 +56,11 @@
 	CU_ASSERT_PTR_NOT_NULL(strstr(errors, "cores: 'many'"));
 	CU_ASSERT_EQUAL(read_text(GOOD), 0);
 	CU_ASSERT_EQUAL(c.memory_mb, MEMORY_MB_DEFAULT);
-	CU_ASSERT_EQUAL(read_text(GOOD "[host]\nmemory_mb = 260\n"), 0);
+	CU_ASSERT_EQUAL(c.descriptors, 0);
+	CU_ASSERT_EQUAL(
+	    read_text(GOOD "[host]\nmemory_mb = 260\ndescriptors = 4100\n"), 0);
 	CU_ASSERT_EQUAL(c.memory_mb, 260);
+	CU_ASSERT_EQUAL(c.descriptors, 4100);
 	CU_ASSERT_NOT_EQUAL(read_text(GOOD "[host]\nmemory_mb = 0\n"), 0);
 	CU_ASSERT_PTR_NOT_NULL(
 	    strstr(errors, "memory_mb: '0' is out of range; allowed: 16 to"));
--- a/regress/unit/t_room.c
+++ b/regress/unit/t_room.c
@@ -6,17 +6,19 @@
 #define MB ((size_t)1024 * 1024)
 
 /* A body of the largest size that is allowed by default is refused though
- * nothing else is held, or the limit exceeds the memory. */
+ * nothing else is held, or all limits together exceed the memory. */
 static void
 content(void)
 {
 	static const int sizes[] = {120, 160, 260, 512, 1024};
-	size_t i, max;
+	size_t i, max, heads;
 
 	for (i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
 		max = room_content_max(sizes[i]);
+		heads =
+		    (size_t)room_connections_max(sizes[i], 1 << 20) * 24 * 1024;
 		CU_ASSERT(64 * MB < room_limit(max, 64 * MB));
-		CU_ASSERT(max < (size_t)sizes[i] * MB / 100 * 63);
+		CU_ASSERT(max + heads < (size_t)sizes[i] * MB / 100 * 80);
 	}
 }
 
@@ -50,7 +52,21 @@
 	    room_weight(1024 * MB, 86400 * US_PER_SEC));
 }
 
-static const struct unit_test tests[] = {
-    {"content", content}, {"reserve", reserve}, {"order", order}};
+/* Connections leave no descriptors for targets, the store and other hosts. */
+static void
+descriptors(void)
+{
+	CU_ASSERT_EQUAL(room_connections_max(1024, 400), 150);
+	CU_ASSERT_EQUAL(room_connections_max(4096, 1 << 20), 4096);
+	CU_ASSERT(room_connections_max(120, 3075) > 800);
+	CU_ASSERT(room_connections_max(260, 4100) + room_peers_max(4100) +
+		2 * room_tunnels_max(4100) <
+	    4100);
+	CU_ASSERT_EQUAL(room_tunnels_max(4100), 512);
+	CU_ASSERT_EQUAL(room_tunnels_max(400), 50);
+}
+
+static const struct unit_test tests[] = {{"content", content},
+    {"reserve", reserve}, {"order", order}, {"descriptors", descriptors}};
 
 UNIT_MAIN("room", tests)
