Clients of the probe's and the metrics' address cannot take all connections

40 clients that held connections to the address of the readiness probe and sent a byte now and then kept the probe from being answered: the HTTP library accepts no more than 32 and waits for one to end. The load balancer then takes the host for lost. The metrics' address and the native admin address were the same.

Where more than 24 connections are open, 48 at the native admin address, the oldest gives way for each that is opened, by the list that callers' connections have.

Evidence: crowd_probes failed before, "waited 20000 ms for: ready answered", and holds now.

--- a/gspard/admin.c
+++ b/gspard/admin.c
@@ -8,12 +8,20 @@
 #include <apr_time.h>
 #include <microhttpd.h>
 
+#include "callers.h"
 #include "control.h"
 #include "metrics.h"
 
 #define QUERY_TIMEOUT MS(1000)
+/* Open connections: beyond this one is ended for each that is opened, and the
+ * library accepts some more meanwhile. */
+#define CONNECTIONS_MAX 48
+#define CONNECTIONS_SPARE 16
 
 struct admin {
+	apr_pool_t *pool;
+	apr_thread_mutex_t *lock;
+	struct callers *callers;
 	struct MHD_Daemon *daemon;
 	int stop;
 };
@@ -147,6 +155,20 @@
 	}
 }
 
+/* Stops the HTTP server and closes its connections. */
+static void
+admin_close(struct service *s)
+{
+	struct admin *a = s->state;
+
+	if (a->daemon != NULL)
+		MHD_stop_daemon(a->daemon);
+	callers_free(a->callers);
+	if (a->pool != NULL)
+		apr_pool_destroy(a->pool);
+	free(a);
+}
+
 /* Starts the HTTP server on the admin address. */
 static int
 admin_open(struct service *s)
@@ -160,6 +182,14 @@
 	a = calloc(1, sizeof(*a));
 	if (a == NULL)
 		return (-1);
+	s->state = a;
+	if (apr_pool_create(&a->pool, NULL) != APR_SUCCESS ||
+	    apr_thread_mutex_create(
+		&a->lock, APR_THREAD_MUTEX_DEFAULT, a->pool) != APR_SUCCESS ||
+	    (a->callers = callers_new(a->lock, CONNECTIONS_MAX)) == NULL) {
+		admin_close(s);
+		return (-1);
+	}
 	addr_parse(address, ip, sizeof(ip), &port);
 	inet_pton(AF_INET, ip, &sin.sin_addr);
 	sin.sin_port = htons((uint16_t)port);
@@ -167,26 +197,16 @@
 		MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
 	    (uint16_t)port, NULL, NULL, handle_request, s, MHD_OPTION_SOCK_ADDR,
 	    &sin, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+	    MHD_OPTION_NOTIFY_CONNECTION, callers_on_notify_limit, a->callers,
 	    MHD_OPTION_CONNECTION_TIMEOUT, 10u, MHD_OPTION_CONNECTION_LIMIT,
-	    64u, MHD_OPTION_END);
+	    (unsigned)(CONNECTIONS_MAX + CONNECTIONS_SPARE), MHD_OPTION_END);
 	if (a->daemon == NULL) {
 		log_line(LOG_ERR, "admin", "Cannot listen on %s.", address);
-		free(a);
+		admin_close(s);
 		return (-1);
 	}
-	s->state = a;
 	return (0);
 }
 
-/* Stops the HTTP server and closes its connections. */
-static void
-admin_close(struct service *s)
-{
-	struct admin *a = s->state;
-
-	MHD_stop_daemon(a->daemon);
-	free(a);
-}
-
 const struct service_ops admin_service = {
     "admin", 64, admin_open, admin_run, admin_close};
--- a/gspard/probe.c
+++ b/gspard/probe.c
@@ -8,18 +8,30 @@
 
 #include <microhttpd.h>
 
-#include "sock.h"
+#include "callers.h"
 #include "metrics.h"
+#include "sock.h"
 
 #define BACKLOG 32
 #define IDLE_SECONDS 10u
-#define CONNECTIONS_MAX 32u
+/* Open connections: beyond this one is ended for each that is opened, and the
+ * library accepts some more meanwhile. */
+#define CONNECTIONS_MAX 24
+#define CONNECTIONS_SPARE 8
 /* Buffer of a connection; health checks are small, and memory is limited. */
 #define CONNECTION_BYTES ((size_t)4096)
 
+/* A server for one address. */
+struct probe_server {
+	struct MHD_Daemon *daemon;
+	struct callers *callers;
+};
+
 struct probe {
-	struct MHD_Daemon *ready;
-	struct MHD_Daemon *metrics;
+	apr_pool_t *pool;
+	apr_thread_mutex_t *lock;
+	struct probe_server ready;
+	struct probe_server metrics;
 	int stop;
 	int stopping;
 };
@@ -72,23 +84,36 @@
 	return (answer(conn, 200, text, MHD_RESPMEM_MUST_FREE));
 }
 
-/* Starts a server on one address; NULL on failure. */
-static struct MHD_Daemon *
-serve(struct service *s, const char *at, MHD_AccessHandlerCallback handler)
+/* Starts a server on one address; 0, or -1 on failure. */
+static int
+serve(struct service *s, struct probe_server *v, const char *at,
+    MHD_AccessHandlerCallback handler)
 {
-	struct MHD_Daemon *d;
+	struct probe *p = s->state;
 	int fd = sock_bind(at);
 
-	if (fd < 0 || listen(fd, BACKLOG) != 0) {
+	v->callers = callers_new(p->lock, CONNECTIONS_MAX);
+	if (v->callers == NULL || fd < 0 || listen(fd, BACKLOG) != 0) {
 		log_line(LOG_ERR, "probe", "Cannot listen on %s.", at);
-		return (NULL);
+		return (-1);
 	}
-	d = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL, NULL,
-	    handler, s, MHD_OPTION_LISTEN_SOCKET, fd,
+	v->daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL,
+	    NULL, handler, s, MHD_OPTION_LISTEN_SOCKET, fd,
+	    MHD_OPTION_NOTIFY_CONNECTION, callers_on_notify_limit, v->callers,
 	    MHD_OPTION_CONNECTION_TIMEOUT, IDLE_SECONDS,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_BYTES,
-	    MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, MHD_OPTION_END);
-	return (d);
+	    MHD_OPTION_CONNECTION_LIMIT,
+	    (unsigned)(CONNECTIONS_MAX + CONNECTIONS_SPARE), MHD_OPTION_END);
+	return (v->daemon == NULL ? -1 : 0);
+}
+
+/* Stops a server, if it was started. */
+static void
+end_server(struct probe_server *v)
+{
+	if (v->daemon != NULL)
+		MHD_stop_daemon(v->daemon);
+	callers_free(v->callers);
 }
 
 /* Runs the service's thread, which waits for the messages of a stop. */
@@ -108,6 +133,19 @@
 	}
 }
 
+/* Stops both servers and frees the service's state. */
+static void
+probe_close(struct service *s)
+{
+	struct probe *p = s->state;
+
+	end_server(&p->ready);
+	end_server(&p->metrics);
+	if (p->pool != NULL)
+		apr_pool_destroy(p->pool);
+	free(p);
+}
+
 /* Opens the service; 0, or -1 on failure. */
 static int
 probe_open(struct service *s)
@@ -119,28 +157,15 @@
 	if (p == NULL)
 		return (-1);
 	s->state = p;
-	p->ready = serve(s, conf->ready, on_ready);
-	p->metrics = serve(s, conf->admin, on_metrics);
-	if (p->ready != NULL && p->metrics != NULL)
+	if (apr_pool_create(&p->pool, NULL) == APR_SUCCESS &&
+	    apr_thread_mutex_create(
+		&p->lock, APR_THREAD_MUTEX_DEFAULT, p->pool) == APR_SUCCESS &&
+	    serve(s, &p->ready, conf->ready, on_ready) == 0 &&
+	    serve(s, &p->metrics, conf->admin, on_metrics) == 0)
 		return (0);
-	if (p->ready != NULL)
-		MHD_stop_daemon(p->ready);
-	if (p->metrics != NULL)
-		MHD_stop_daemon(p->metrics);
-	free(p);
+	probe_close(s);
 	return (-1);
 }
 
-/* Stops both servers and frees the service's state. */
-static void
-probe_close(struct service *s)
-{
-	struct probe *p = s->state;
-
-	MHD_stop_daemon(p->ready);
-	MHD_stop_daemon(p->metrics);
-	free(p);
-}
-
 const struct service_ops probe_service = {
     "probe", 16, probe_open, probe_run, probe_close};
