Connections from hosts that nobody knows take no memory and no descriptors

Whoever connected to the address of other hosts could send any part of a frame of 16 MB and stay: 40 connections with 3.7 MB each were held for ever. A fast sender was read until it paused, whatever the length of a frame.

The first frame, by which a host names itself, may have 4 KB, and must be there within 3 s. The frames of one read are passed on before the next read. Parts of frames count in the account of what is held; while it is short, the largest and oldest is given up after the requests of callers, but none up to 64 KB. Accepted connections take a quarter of the descriptors: beyond that, or if no descriptor is free, the oldest that has not named itself is closed. Tunnels take a quarter, and never more than 512 as before.

Not limited: hosts that have named themselves, by any name; who reaches this address is trusted, as before.

--- a/gspard/conn.c
+++ b/gspard/conn.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "conn.h"
+#include "held.h"
 
 #define READ_CHUNK 65536
 /*
@@ -25,6 +26,7 @@
 	c->id = id;
 	c->opened_at = now;
 	c->last_recv = now;
+	c->waits_since = now;
 	apr_socket_opt_set(sock, APR_SO_NONBLOCK, 1);
 	apr_socket_opt_set(sock, APR_TCP_NODELAY, 1);
 	apr_socket_timeout_set(sock, 0);
@@ -35,6 +37,7 @@
 void
 conn_free(struct conn *c)
 {
+	held_sub(c->held);
 	apr_socket_close(c->sock);
 	str_free(&c->in);
 	str_free(&c->out);
@@ -133,7 +136,7 @@
 
 	if (have < FRAME_HEADER_SIZE)
 		return (0);
-	if (frame_size(p, &n) != 0) {
+	if (frame_size(p, &n) != 0 || (!c->hello_received && n > HELLO_MAX)) {
 		count_add(C_PEER_BAD, 1);
 		conn_fail(c, "frame length out of range");
 		return (0);
@@ -156,7 +159,31 @@
 	return (1);
 }
 
-/* Reads available bytes; calls fn for each complete frame, which fn frees. */
+/* Removes from the input what was passed on, and records what is held of the
+ * next frame. */
+static void
+keep_rest(struct conn *c, usec now)
+{
+	if (c->in_pos > 0)
+		c->waits_since = now;
+	if (c->in_pos == c->in.n) {
+		c->in.n = 0;
+		c->in_pos = 0;
+	} else if (c->in_pos > READ_CHUNK) {
+		memmove(c->in.p, c->in.p + c->in_pos, c->in.n - c->in_pos);
+		c->in.n -= c->in_pos;
+		c->in_pos = 0;
+	}
+	held_add(c->in.n);
+	held_sub(c->held);
+	c->held = c->in.n;
+}
+
+/*
+ * Reads available bytes; calls fn for each complete frame, which fn frees.  The
+ * frames of one piece are passed on before the next is read, so that the input
+ * holds little more than one frame.
+ */
 void
 conn_read(struct conn *c, usec now, conn_frame_fn fn, void *arg)
 {
@@ -181,17 +208,10 @@
 			conn_fail(c, "out of memory");
 			break;
 		}
-		if (n < sizeof(buf))
+		while (read_frame(c, fn, arg) && !c->failed)
+			;
+		keep_rest(c, now);
+		if (n < sizeof(buf) || c->failed)
 			break;
 	}
-	while (read_frame(c, fn, arg) && !c->failed)
-		;
-	if (c->in_pos == c->in.n) {
-		c->in.n = 0;
-		c->in_pos = 0;
-	} else if (c->in_pos > READ_CHUNK) {
-		memmove(c->in.p, c->in.p + c->in_pos, c->in.n - c->in_pos);
-		c->in.n -= c->in_pos;
-		c->in_pos = 0;
-	}
 }
--- a/gspard/conn.h
+++ b/gspard/conn.h
@@ -10,6 +10,8 @@
 
 /* Unsent bytes of a connection beyond which frames are refused. */
 #define CONN_OUT_MAX (64u * 1024 * 1024)
+/* Largest first frame, by which the other host names itself, in bytes. */
+#define HELLO_MAX 4096u
 
 struct conn {
 	struct conn *next;
@@ -25,6 +27,8 @@
 	const char *fail_reason;
 	struct str in;
 	size_t in_pos;
+	size_t held;	  /* bytes of in that count as held */
+	usec waits_since; /* when a frame of which part has arrived began */
 	struct str out;
 	size_t out_pos;
 	usec opened_at;
--- a/gspard/peer.c
+++ b/gspard/peer.c
@@ -5,7 +5,11 @@
 #include <apr_hash.h>
 #include <apr_portable.h>
 
+#include "call.h"
 #include "conn.h"
+#include "excess.h"
+#include "held.h"
+#include "room.h"
 
 /* Events that one poll returns at most. */
 #define EVENTS_MAX 2048
@@ -15,6 +19,10 @@
 /* ... and closed after this long. */
 #define SILENT_TIMEOUT MS(700)
 #define CONNECT_TIMEOUT MS(700)
+/* Time for the first frame of a connection that was accepted. */
+#define HELLO_TIMEOUT MS(3000)
+/* Parts of frames up to this size in bytes are small. */
+#define SMALL_INPUT 65536
 /* Delay between connection attempts to one host. */
 #define CONNECT_RETRY_DELAY MS(50)
 /*
@@ -36,6 +44,7 @@
 	apr_socket_t *listener;
 	apr_pollfd_t listen_pfd;
 	struct conn *conns;
+	int naccepted; /* of conns */
 	apr_hash_t *by_id;
 	apr_hash_t *by_host; /* struct peer_host; none is ever removed */
 	uint64_t next_id;
@@ -327,6 +336,25 @@
 	deliver_frame(s->kernel, c->host, c->outgoing ? 0 : c->id, f);
 }
 
+/* Closes the oldest of the accepted connections whose host has not named
+ * itself. */
+static void
+fail_oldest_unknown(struct peer *p, usec now)
+{
+	struct excess e = {0, 0, NULL};
+	struct conn *c;
+
+	for (c = p->conns; c != NULL; c = c->next) {
+		if (!c->failed && !c->outgoing && !c->hello_received)
+			excess_add(
+			    &e, 1, room_weight(1, now - c->opened_at), c);
+	}
+	if (e.item == NULL)
+		return;
+	conn_fail(e.item, "too many connections");
+	p->any_failed = 1;
+}
+
 /* Accepts a connection; returns 0 if none is waiting. */
 static int
 accept_conn(struct service *s, usec now)
@@ -334,20 +362,58 @@
 	struct peer *p = s->state;
 	apr_socket_t *sock;
 	apr_pool_t *pool;
+	apr_status_t st;
 	struct conn *c;
 
 	if (apr_pool_create(&pool, NULL) != APR_SUCCESS)
 		return (0);
-	if (apr_socket_accept(&sock, p->listener, pool) != APR_SUCCESS) {
+	st = apr_socket_accept(&sock, p->listener, pool);
+	if (st != APR_SUCCESS) {
 		apr_pool_destroy(pool);
+		/* No descriptor is free: the listener stays readable. */
+		if (!APR_STATUS_IS_EAGAIN(st))
+			fail_oldest_unknown(p, now);
 		return (0);
 	}
 	c = add(s, sock, pool, now);
-	if (c != NULL)
-		update_events(p, c);
+	if (c == NULL)
+		return (1);
+	update_events(p, c);
+	p->naccepted++;
+	if (p->naccepted > room_peers_max(kernel_descriptors(s->kernel)))
+		fail_oldest_unknown(p, now);
 	return (1);
 }
 
+/*
+ * Closes the connection whose incomplete frame has taken the most memory for
+ * the longest, while memory is short.  Small frames, by which hosts control the
+ * fleet, are left alone.
+ */
+static void
+limit_input(struct service *s, usec now)
+{
+	struct peer *p = s->state;
+	struct excess e;
+	struct conn *c;
+
+	while (held_is_over(SIZE_MAX) && !door_make_room(s->kernel, now)) {
+		memset(&e, 0, sizeof(e));
+		for (c = p->conns; c != NULL; c = c->next) {
+			if (!c->failed && c->held > SMALL_INPUT)
+				excess_add(&e, c->held,
+				    room_weight(c->held, now - c->waits_since),
+				    c);
+		}
+		if ((c = e.item) == NULL)
+			return;
+		held_sub(c->held);
+		c->held = 0;
+		conn_fail(c, "memory is short");
+		p->any_failed = 1;
+	}
+}
+
 /*
  * Detects dead connections by a ping that stays unanswered.  A device on the
  * path may have lost the state of one connection while new ones work.  No error
@@ -363,6 +429,11 @@
 			conn_fail(c, "not connected in time");
 		return;
 	}
+	if (!c->outgoing && !c->hello_received &&
+	    now - c->opened_at > HELLO_TIMEOUT) {
+		conn_fail(c, "no hello in time");
+		return;
+	}
 	if (!c->outgoing || c->first_unanswered == 0)
 		return;
 	since = now - c->first_unanswered;
@@ -445,6 +516,7 @@
 			event_add("peer", 0, "connection with %s lost: %s",
 			    c->host, c->fail_reason);
 		log_lost(c);
+		p->naccepted -= !c->outgoing;
 		*at = c->next;
 		forget_conn(p, c);
 		if (c->pfd.reqevents != 0)
@@ -510,6 +582,7 @@
 		for (i = 0; i < n; i++)
 			handle_ready(s, &d[i], now);
 		handle_messages(s, now);
+		limit_input(s, now);
 		if (p->any_failed || now - last_sweep >= TICK_INTERVAL) {
 			sweep(s, now);
 			last_sweep = now;
--- a/gspard/tunnel.c
+++ b/gspard/tunnel.c
@@ -17,15 +17,14 @@
 #include "gspard.h"
 #include "reach_probe.h"
 #include "reach.h"
+#include "room.h"
 #include "sock.h"
 #include "transfer.h"
 #include "tunnel.h"
 
-/* Each takes two descriptors and up to two buffers.  Beyond this a host that is
- * cut off asks another one. */
-#define TUNNELS_MAX 512
-/* Connections accepted, with those that are still to be refused. */
-#define HOSTS_MAX (TUNNELS_MAX + 64)
+/* Connections accepted beyond the limit on tunnels, which are still to be
+ * refused. */
+#define REFUSED_MAX 64
 #define BACKLOG 256
 /* Unsent bytes of each direction. */
 #define BUFFER_SIZE 16384
@@ -79,6 +78,7 @@
 	apr_pollfd_t listen_poll;
 	struct tunnel *tunnels;
 	int ntunnels;
+	int max; /* a host that is cut off asks another one beyond this */
 	struct shared *fleet;
 	struct reach_path path; /* of this host */
 	int stopping;
@@ -190,8 +190,7 @@
 
 	/* One other host at most relays: two that are cut off would relay to
 	 * each other. */
-	if (v->stopping || v->path.via[0] != '\0' ||
-	    v->ntunnels > TUNNELS_MAX) {
+	if (v->stopping || v->path.via[0] != '\0' || v->ntunnels > v->max) {
 		refuse(t, TUNNEL_UNAVAILABLE, now);
 		return;
 	}
@@ -425,7 +424,8 @@
 
 	while ((fd = accept4(v->listener, NULL, NULL,
 		    SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0) {
-		t = v->ntunnels >= HOSTS_MAX ? NULL : calloc(1, sizeof(*t));
+		t = v->ntunnels >= v->max + REFUSED_MAX ? NULL
+							: calloc(1, sizeof(*t));
 		if (t == NULL ||
 		    apr_pool_create(&t->pool, NULL) != APR_SUCCESS) {
 			free(t);
@@ -620,8 +620,10 @@
 		return (-1);
 	s->state = v;
 	v->listener = -1;
+	v->max = room_tunnels_max(kernel_descriptors(s->kernel));
 	if (apr_pool_create(&v->pool, NULL) == APR_SUCCESS &&
-	    apr_pollset_create(&v->set, 2 * HOSTS_MAX, v->pool,
+	    apr_pollset_create(&v->set,
+		(apr_uint32_t)(2 * (v->max + REFUSED_MAX)), v->pool,
 		APR_POLLSET_WAKEABLE) == APR_SUCCESS &&
 	    listen_hosts(s) == 0) {
 		ring_set_wake(s->in, wake, v->set);
--- a/regress/unit/t_conn.c
+++ b/regress/unit/t_conn.c
@@ -8,6 +8,7 @@
 #include <apr_portable.h>
 
 #include "conn.h"
+#include "held.h"
 #include "unit.h"
 
 #define LARGE_FRAME 1000000u
@@ -83,8 +84,63 @@
 	conn_free(c);
 }
 
+/* Counts the frames that a connection passes on. */
+static void
+count_frame(void *arg, struct conn *c, Gspar__Frame *f)
+{
+	(*(int *)arg)++;
+	frame_free(f);
+}
+
+/* Writes the header of a frame of n bytes, and some of these. */
+static void
+begin_frame(int fd, uint32_t n, size_t sent)
+{
+	uint8_t *p = calloc(1, FRAME_HEADER_SIZE + sent);
+
+	p[0] = (uint8_t)(n >> 24);
+	p[1] = (uint8_t)(n >> 16);
+	p[2] = (uint8_t)(n >> 8);
+	p[3] = (uint8_t)n;
+	CU_ASSERT(write(fd, p, FRAME_HEADER_SIZE + sent) > 0);
+	free(p);
+}
+
+/* Whoever connects can have this host wait for a large frame and keep all of it
+ * in memory that nobody counts. */
+static void
+frame_without_end(void)
+{
+	struct conn *c;
+	int other, n = 0;
+
+	c = open_conn(&other);
+	begin_frame(other, HELLO_MAX + 1, 0);
+	conn_read(c, MS(1000), count_frame, &n);
+	CU_ASSERT(c->failed);
+	close(other);
+	conn_free(c);
+	c = open_conn(&other);
+	begin_frame(other, HELLO_MAX, 0);
+	conn_read(c, MS(1000), count_frame, &n);
+	CU_ASSERT(!c->failed);
+	close(other);
+	conn_free(c);
+	c = open_conn(&other);
+	c->hello_received = 1;
+	begin_frame(other, LARGE_FRAME, 30000);
+	conn_read(c, MS(1000), count_frame, &n);
+	CU_ASSERT(!c->failed);
+	CU_ASSERT_EQUAL(held_now(), FRAME_HEADER_SIZE + 30000);
+	close(other);
+	conn_free(c);
+	CU_ASSERT_EQUAL(held_now(), 0);
+	CU_ASSERT_EQUAL(n, 0);
+}
+
 static const struct unit_test tests[] = {
     {"slow is not silent", slow_link_is_alive},
+    {"frame without end", frame_without_end},
     {"copies do not pile up", state_does_not_accumulate},
 };
 UNIT_MAIN("conn", tests)
