The copies that the native interface makes of a body count

Whole requests with large bodies to a slow target took the memory of a host with the native interface: a request is copied into a frame, and from that into the dispatcher's queue.

The door counts two copies, and the dispatcher the body that it queues, also for requests from other hosts; where there is no room it refuses them with GS_NO_ROOM.

--- a/gspard/callparse.c
+++ b/gspard/callparse.c
@@ -211,4 +211,4 @@
 }
 
 const struct door_ops native_door = {
-    call_parse, retry_text, error_headers, target_headers, 1, "/health"};
+    call_parse, retry_text, error_headers, target_headers, 2, "/health"};
--- a/gspard/dispatch.h
+++ b/gspard/dispatch.h
@@ -37,6 +37,7 @@
 	struct run **link;
 	struct target *target;
 	Gspar__Frame *frame;
+	size_t held;				 /* bytes of the body */
 	struct requester requesters[JOINED_MAX]; /* the first, and repeats */
 	int nrequesters;
 	uint64_t ticket; /* of the once table; 0: none */
--- a/gspard/run.c
+++ b/gspard/run.c
@@ -3,7 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "call.h"
 #include "dispatch.h"
+#include "held.h"
 #include "view.h"
 
 /* Retry delay after a request over the target's rate limit, milliseconds. */
@@ -54,6 +56,7 @@
 	}
 	curl_slist_free_all(r->headers);
 	str_free(&r->body);
+	held_sub(r->held);
 	frame_free(r->frame);
 	free(r);
 }
@@ -187,6 +190,19 @@
 	return (h | 1);
 }
 
+/* Counts the body of a request as held; returns GS_OK, or GS_NO_ROOM if memory
+ * is short. */
+static int
+hold_body(struct service *s, struct run *r, usec now)
+{
+	r->held = r->frame->request->body.len;
+	held_add(r->held);
+	if (!held_is_over(r->held))
+		return (GS_OK);
+	door_make_room(s->kernel, now);
+	return (held_is_over(r->held) ? GS_NO_ROOM : GS_OK);
+}
+
 /* Queues a request for its target, or refuses it.  Takes the frame over. */
 static void
 enqueue(struct service *s, struct target *t, Gspar__Frame *f,
@@ -214,7 +230,9 @@
 	r->job.is_long =
 	    t->class->is_long && q->left_ms > SHORT_DEADLINE_MAX_MS;
 	r->job.shard = (int)(q->shard - t->first);
-	code = queue_add(&t->queue, &r->job, now, &retry);
+	code = hold_body(s, r, now);
+	if (code == GS_OK)
+		code = queue_add(&t->queue, &r->job, now, &retry);
 	if (code != GS_OK) {
 		count_add(C_REFUSED_EARLY, 1);
 		refuse(s, a, code, OUT_NOT_RUN, (uint32_t)(retry / 1000));
