Connections that were cut off do not count, and requests without a body find room

Read again: while the HTTP library had not closed the connections that were cut, more callers were cut, or their requests given up, than was needed; one that had just sent a request could be cut where this host had not read it for seconds; a request without a body was refused while answers that come in fast exceeded the limit for a moment.

--- a/gspard/callers.c
+++ b/gspard/callers.c
@@ -29,7 +29,7 @@
 struct callers {
 	apr_thread_mutex_t *lock;
 	struct caller *first;
-	int n;
+	int n; /* open ones that were not cut off */
 	int max;
 };
 
@@ -41,10 +41,10 @@
 	struct callers *l;
 
 	l = calloc(1, sizeof(*l));
-	if (l != NULL)
-		l->lock = lock;
-	if (l != NULL)
-		l->max = max;
+	if (l == NULL)
+		return (NULL);
+	l->lock = lock;
+	l->max = max;
 	return (l);
 }
 
@@ -91,7 +91,7 @@
 		return;
 	*state = NULL;
 	apr_thread_mutex_lock(l->lock);
-	l->n--;
+	l->n -= c->ended != CALLER_CUT;
 	*c->link = c->next;
 	if (c->next != NULL)
 		c->next->link = c->link;
@@ -163,8 +163,9 @@
  * on reading from a caller that sends a byte now and then.  The lock is held.
  */
 static void
-cut(struct caller *c)
+cut(struct callers *l, struct caller *c)
 {
+	l->n--;
 	c->ended = CALLER_CUT;
 	shutdown(c->fd, SHUT_RDWR);
 	count_add(C_CALLER_ENDED, 1);
@@ -222,7 +223,7 @@
 			excess_add(&e, 1, weight(c, now), c);
 	}
 	if (e.item != NULL)
-		cut(e.item);
+		cut(l, e.item);
 	apr_thread_mutex_unlock(l->lock);
 	return (!is_full || e.item != NULL);
 }
@@ -236,9 +237,9 @@
 
 	apr_thread_mutex_lock(l->lock);
 	for (c = l->first; c != NULL; c = c->next) {
-		if (c->ended || c->busy || now - c->since <= max)
-			continue;
-		cut(c);
+		if (!c->ended && !c->busy && now - c->since > max &&
+		    !has_bytes(c))
+			cut(l, c);
 	}
 	apr_thread_mutex_unlock(l->lock);
 }
--- a/gspard/intake.c
+++ b/gspard/intake.c
@@ -359,7 +359,7 @@
 	apr_thread_mutex_lock(l->lock);
 	if (!intake_is_reading(c))
 		res = -1;
-	else if (!held_admits(copies + c->held, l->yielding)) {
+	else if (c->body.n > 0 && !held_admits(copies + c->held, l->yielding)) {
 		note_refused(l, c);
 		res = GS_NO_ROOM;
 	} else {
--- a/regress/unit/t_callers.c
+++ b/regress/unit/t_callers.c
@@ -130,9 +130,13 @@
 	CU_ASSERT(!at_end(end[0]));
 	CU_ASSERT(!at_end(end[1]));
 	CU_ASSERT(at_end(end[2]));
-	/* A request that arrives now cannot be answered. */
+	/* It does not count any more. */
+	CU_ASSERT(callers_limit(l, now));
+	CU_ASSERT(!at_end(end[3]));
+	/* A request that arrives on it now cannot be answered. */
 	CU_ASSERT_EQUAL(set_busy(l, state[2], 1), CALLER_CUT);
-	for (i = 1; i <= MAX; i++)
+	end[MAX + 1] = open_conn(l, &state[MAX + 1], &fd[MAX + 1]);
+	for (i = 1; i <= MAX + 1; i++)
 		set_busy(l, state[i], 1);
 	CU_ASSERT(!callers_limit(l, now));
 	/* One whose first line never ends. */
@@ -142,7 +146,7 @@
 	callers_tick(l, MS(2000), now + MS(1500));
 	CU_ASSERT(at_end(end[1]));
 	CU_ASSERT(!at_end(end[0]));
-	for (i = 0; i <= MAX; i++) {
+	for (i = 0; i <= MAX + 1; i++) {
 		callers_on_notify(
 		    l, NULL, &state[i], MHD_CONNECTION_NOTIFY_CLOSED);
 		close(fd[i]);
