A new connection is never the one that gives way

Connections on which bytes had arrived were left alone where there were too many, for a request that had just come. When all of them had such bytes, as clients sent one after the other, the newest was the only one left to choose: the probe's own.

Bytes do not protect a connection any more; a request on one that was cut is not passed on, and its client may send it elsewhere. The newest is never chosen.

--- a/gspard/callers.c
+++ b/gspard/callers.c
@@ -205,9 +205,11 @@
 }
 
 /*
- * Cuts a connection if there are more than may be: the one that has been idle
- * for longest; callers reuse those that were used before.  Returns 0 if all
- * have a request in progress.
+ * Cuts a connection if there are more than may be since the newest was opened:
+ * of the others the one that has been idle for longest; callers reuse those
+ * that were used before.  Bytes that have arrived on it do not matter, or
+ * callers that send one now and then would stay.  Returns 0 if all others have
+ * a request in progress.
  */
 int
 callers_limit(struct callers *l, usec now)
@@ -218,8 +220,9 @@
 
 	apr_thread_mutex_lock(l->lock);
 	is_full = l->n > l->max;
-	for (c = l->first; c != NULL && is_full; c = c->next) {
-		if (!c->ended && !c->busy && !has_bytes(c))
+	c = is_full ? l->first->next : NULL;
+	for (; c != NULL; c = c->next) {
+		if (!c->ended && !c->busy)
 			excess_add(&e, 1, weight(c, now), c);
 	}
 	if (e.item != NULL)
--- a/regress/unit/t_callers.c
+++ b/regress/unit/t_callers.c
@@ -135,10 +135,17 @@
 	CU_ASSERT(!at_end(end[3]));
 	/* A request that arrives on it now cannot be answered. */
 	CU_ASSERT_EQUAL(set_busy(l, state[2], 1), CALLER_CUT);
-	end[MAX + 1] = open_conn(l, &state[MAX + 1], &fd[MAX + 1]);
-	for (i = 1; i <= MAX + 1; i++)
+	for (i = 1; i <= MAX; i++)
 		set_busy(l, state[i], 1);
+	end[MAX + 1] = open_conn(l, &state[MAX + 1], &fd[MAX + 1]);
 	CU_ASSERT(!callers_limit(l, now));
+	CU_ASSERT(!at_end(end[MAX + 1]));
+	/* Bytes that have arrived do not keep an older one. */
+	set_busy(l, state[3], 0);
+	CU_ASSERT_EQUAL(write(end[3], "G", 1), 1);
+	CU_ASSERT(callers_limit(l, now));
+	CU_ASSERT(!at_end(end[MAX + 1]));
+	CU_ASSERT(set_busy(l, state[3], 1) == CALLER_CUT);
 	/* One whose first line never ends. */
 	set_busy(l, state[1], 0);
 	callers_tick(l, MS(2000), now);
