--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -364,7 +364,13 @@
 without headers-of-interim-answers-are-left-out framing framing.c \
     's/f->status < 200 ? FRAMING_IGNORED : FRAMING_FIELD/FRAMING_FIELD/'
 without the-largest-answer-is-given-up excess excess.c \
-    's/if (size <= e->largest)/if (0)/'
+    's/if (weight <= e->heaviest)/if (0)/'
+without small-requests-find-room room room.c \
+    's/size > SMALL_MAX ? max - max \/ 16 : max/max/'
+without what-stands-still-gives-way room room.c \
+    's/age > 0 ? age \/ 1000 + 1 : 1/1/'
+without connections-leave-descriptors room room.c \
+    's/descriptors \/ 8 \* 3/CONNECTIONS_MAX/'
 without requests-have-one-length fields fields.c \
     's/f->lengths + f->codings <= 1/1/'
 without values-have-no-control-characters fields fields.c \
