Reading of the limits: names of callers, ages of frames, one way to choose

The line about requests without room read the name of a caller while it was being written, if its head had not been read yet. A frame that began after all earlier ones had been handled was as old as the last of them, so its connection could be given up for one that had waited longer. The choice of excess.h is asked for by its function everywhere. Found by reading; units intake, callers, conn and excess hold.

--- a/gspard/callers.c
+++ b/gspard/callers.c
@@ -225,10 +225,11 @@
 		if (!c->ended && !c->busy)
 			excess_add(&e, 1, weight(c, now), c);
 	}
-	if (e.item != NULL)
-		cut(l, e.item);
+	c = excess_choose(&e, 0);
+	if (c != NULL)
+		cut(l, c);
 	apr_thread_mutex_unlock(l->lock);
-	return (!is_full || e.item != NULL);
+	return (!is_full || c != NULL);
 }
 
 /* Cuts the connections on which no request has begun for max; their callers may
--- a/gspard/conn.c
+++ b/gspard/conn.c
@@ -164,7 +164,7 @@
 static void
 keep_rest(struct conn *c, usec now)
 {
-	if (c->in_pos > 0)
+	if (c->in_pos > 0 || c->held == 0)
 		c->waits_since = now;
 	if (c->in_pos == c->in.n) {
 		c->in.n = 0;
--- a/gspard/direct_send.c
+++ b/gspard/direct_send.c
@@ -229,7 +229,7 @@
 		if (held_is_over(size) || d->answer_bytes > ANSWERS_MAX)
 			excess_add(&e, size, size, p);
 	}
-	return (e.item);
+	return (excess_choose(&e, 0));
 }
 
 /* Gives up answers until the bodies of the others fit in memory. */
--- a/gspard/intake.c
+++ b/gspard/intake.c
@@ -184,14 +184,14 @@
 	shutdown(c->fd, SHUT_WR);
 }
 
-/* Counts a request that is refused or given up for room, for the next line
- * about them.  The lock is held. */
+/* Counts a request of a caller that is refused or given up for room, for the
+ * next line about them.  The lock is held. */
 static void
-note_refused(struct intake *l, const struct call *c)
+note_refused(struct intake *l, const char *caller)
 {
 	count_add(C_NO_ROOM, 1);
 	l->nrefused++;
-	name_copy(l->last_caller, sizeof(l->last_caller), c->caller);
+	name_copy(l->last_caller, sizeof(l->last_caller), caller);
 }
 
 /* Gives up a call that is being read.  The lock is held. */
@@ -200,14 +200,15 @@
 {
 	if (!take(c, GIVEN_UP))
 		return;
+	/* The caller is known once the head has been recorded. */
+	if (code == GS_NO_ROOM)
+		note_refused(l, c->held > 0 ? c->caller : "");
+	else
+		count_add(C_CALLER_BAD, 1);
 	release(l, c);
 	str_free(&c->body);
 	c->body_size = 0;
 	c->linger_until = now + LINGER;
-	if (code == GS_NO_ROOM)
-		note_refused(l, c);
-	else
-		count_add(C_CALLER_BAD, 1);
 	send_error(l, c, code);
 }
 
@@ -236,7 +237,7 @@
 			excess_add(&e, c->held,
 			    room_weight(c->held, now - c->since), c);
 	}
-	return (e.item);
+	return (excess_choose(&e, 0));
 }
 
 /* Cuts an answer that its caller does not read.  The lock is held. */
@@ -293,7 +294,7 @@
 			excess_add(
 			    &e, 1, room_weight(1, now - c->answered_at), c);
 	}
-	c = e.item;
+	c = excess_choose(&e, 0);
 	if (c != NULL && intake_is_reading(c))
 		give_up(l, c, GS_NO_ROOM, now);
 	else if (c != NULL)
@@ -313,7 +314,7 @@
 	apr_thread_mutex_lock(l->lock);
 	c->read_deadline = now + BODY_TIMEOUT;
 	if (want > 0 && !held_admits(want, l->yielding)) {
-		note_refused(l, c);
+		note_refused(l, c->caller);
 		res = GS_NO_ROOM;
 	} else if (intake_is_reading(c)) {
 		hold(l, c, sizeof(*c) + c->headers.n);
@@ -360,7 +361,7 @@
 	if (!intake_is_reading(c))
 		res = -1;
 	else if (c->body.n > 0 && !held_admits(copies + c->held, l->yielding)) {
-		note_refused(l, c);
+		note_refused(l, c->caller);
 		res = GS_NO_ROOM;
 	} else {
 		end_yielding(l, c);
--- a/gspard/peer.c
+++ b/gspard/peer.c
@@ -349,9 +349,10 @@
 			excess_add(
 			    &e, 1, room_weight(1, now - c->opened_at), c);
 	}
-	if (e.item == NULL)
+	c = excess_choose(&e, 0);
+	if (c == NULL)
 		return;
-	conn_fail(e.item, "too many connections");
+	conn_fail(c, "too many connections");
 	p->any_failed = 1;
 }
 
@@ -405,7 +406,7 @@
 				    room_weight(c->held, now - c->waits_since),
 				    c);
 		}
-		if ((c = e.item) == NULL)
+		if ((c = excess_choose(&e, 0)) == NULL)
 			return;
 		held_sub(c->held);
 		c->held = 0;
--- a/lib/str.c
+++ b/lib/str.c
@@ -7,6 +7,10 @@
 
 #include "str.h"
 
+/* Allocations from this size in bytes on grow by doubling: the operating system
+ * provides their memory only when it is written. */
+#define DOUBLING_MIN (256 * 1024)
+
 /* Replaces the contents of s by n bytes.  Returns 0, or -1 without memory. */
 int
 str_set(struct str *s, const void *p, size_t n)
@@ -15,10 +19,6 @@
 	return (str_add(s, p, n));
 }
 
-/* Allocations from this size in bytes on grow by doubling: the operating system
- * provides their memory only when it is written. */
-#define DOUBLING_MIN (256 * 1024)
-
 /*
  * Appends n bytes to a string whose allocation has *size bytes, so that many
  * small pieces make up a long one at little cost.  Returns 0, or -1 without
