One place appends to a string

str_append() repeated the end of str_add(); both use the same two steps now. No change of behaviour; units intake, transfer, platform and conn hold.

--- a/lib/str.c
+++ b/lib/str.c
@@ -19,6 +19,30 @@
 	return (str_add(s, p, n));
 }
 
+/* Appends n bytes, for which there is room, and a NUL, so that the contents can
+ * be passed on as a C string. */
+static void
+put(struct str *s, const void *p, size_t n)
+{
+	if (n > 0)
+		memcpy(s->p + s->n, p, n);
+	s->n += n;
+	s->p[s->n] = '\0';
+}
+
+/* Changes the allocation to size bytes.  Returns 0, or -1 without memory. */
+static int
+resize(struct str *s, size_t size)
+{
+	char *q;
+
+	q = realloc(s->p, size);
+	if (q == NULL)
+		return (-1);
+	s->p = q;
+	return (0);
+}
+
 /*
  * Appends n bytes to a string whose allocation has *size bytes, so that many
  * small pieces make up a long one at little cost.  Returns 0, or -1 without
@@ -27,46 +51,30 @@
 int
 str_append(struct str *s, size_t *size, const void *p, size_t n)
 {
-	size_t need = s->n + n + 1;
-	char *q;
+	size_t need;
 
 	if (n > SIZE_MAX / 2 - s->n - 1)
 		return (-1);
+	need = s->n + n + 1;
 	if (need > *size) {
 		if (need >= DOUBLING_MIN)
 			need *= 2;
-		q = realloc(s->p, need);
-		if (q == NULL)
+		if (resize(s, need) != 0)
 			return (-1);
-		s->p = q;
 		*size = need;
 	}
-	if (n > 0)
-		memcpy(s->p + s->n, p, n);
-	s->n += n;
-	s->p[s->n] = '\0';
+	put(s, p, n);
 	return (0);
 }
 
-/*
- * Appends n bytes.  Returns 0, or -1 without memory.  A NUL always follows the
- * last byte, so that the contents can be passed on as a C string.
- */
+/* Appends n bytes.  Returns 0, or -1 without memory.  A NUL always follows the
+ * last byte. */
 int
 str_add(struct str *s, const void *p, size_t n)
 {
-	char *q;
-
-	if (n > SIZE_MAX - s->n - 1)
-		return (-1);
-	q = realloc(s->p, s->n + n + 1);
-	if (q == NULL)
+	if (n > SIZE_MAX - s->n - 1 || resize(s, s->n + n + 1) != 0)
 		return (-1);
-	s->p = q;
-	if (n > 0)
-		memcpy(s->p + s->n, p, n);
-	s->n += n;
-	s->p[s->n] = '\0';
+	put(s, p, n);
 	return (0);
 }
 
