Limits on clients: what stood twice is one piece, and off the hot path

No change of behaviour is meant:

- the lists of callers' connections have a lock of their own, so the probe's and the admin server need none;
- the two loops that choose a call to give up share which calls may be chosen, and what is then done; the latter goes by the answer's time, which only changes under the lock;
- what is a small frame is asked of the unit that knows what a small request is;
- the retry delay of a refusal for room is set where it is refused, not by the door;
- whether memory is short is looked at before the door is searched by its name, which the router did in each turn of its loop, and the limit on accepted connections of other hosts is worked out once, not by a call of the kernel for each;
- the lesser of two numbers, not of three.

--- a/decide/room.c
+++ b/decide/room.c
@@ -20,6 +20,13 @@
 	return ((size_t)memory_mb * MB / 8 * 5);
 }
 
+/* True for the size of a small request, answer or frame. */
+int
+room_is_small(size_t size)
+{
+	return (size <= SMALL_MAX);
+}
+
 /*
  * Returns the limit on all contents that holds for one of a size.  Large ones
  * leave a sixteenth to small ones, so that an ordinary request finds room while
@@ -28,7 +35,7 @@
 size_t
 room_limit(size_t max, size_t size)
 {
-	return (size > SMALL_MAX ? max - max / 16 : max);
+	return (room_is_small(size) ? max : max - max / 16);
 }
 
 /*
@@ -43,13 +50,11 @@
 	return ((uint64_t)size * (uint64_t)(age > 0 ? age / 1000 + 1 : 1));
 }
 
-/* Returns the least of three numbers as an int. */
-static int
-least(long a, long b, long c)
+/* Returns the lesser of two numbers. */
+static long
+least(long a, long b)
 {
-	if (b < a)
-		a = b;
-	return ((int)(c < a ? c : a));
+	return (a < b ? a : b);
 }
 
 /* Returns how many connections of callers may be open: their heads take a sixth
@@ -60,7 +65,8 @@
 {
 	size_t n = (size_t)memory_mb * MB / 6 / CONNECTION_SIZE;
 
-	return (least((long)n, descriptors / 8 * 3, CONNECTIONS_MAX));
+	return (
+	    (int)least(least((long)n, descriptors / 8 * 3), CONNECTIONS_MAX));
 }
 
 /* Returns how many connections may be open that were opened to the address for
@@ -76,5 +82,5 @@
 int
 room_tunnels_max(long descriptors)
 {
-	return (least(descriptors / 8, TUNNELS_MAX, TUNNELS_MAX));
+	return ((int)least(descriptors / 8, TUNNELS_MAX));
 }
--- a/decide/room.h
+++ b/decide/room.h
@@ -12,6 +12,7 @@
 #include "clock.h"
 
 size_t room_content_max(int memory_mb);
+int room_is_small(size_t size);
 size_t room_limit(size_t max, size_t size);
 uint64_t room_weight(size_t size, usec age);
 int room_connections_max(int memory_mb, long descriptors);
--- a/gspard/admin.c
+++ b/gspard/admin.c
@@ -19,8 +19,6 @@
 #define CONNECTIONS_SPARE 16
 
 struct admin {
-	apr_pool_t *pool;
-	apr_thread_mutex_t *lock;
 	struct callers *callers;
 	struct MHD_Daemon *daemon;
 	int stop;
@@ -164,8 +162,6 @@
 	if (a->daemon != NULL)
 		MHD_stop_daemon(a->daemon);
 	callers_free(a->callers);
-	if (a->pool != NULL)
-		apr_pool_destroy(a->pool);
 	free(a);
 }
 
@@ -183,10 +179,8 @@
 	if (a == NULL)
 		return (-1);
 	s->state = a;
-	if (apr_pool_create(&a->pool, NULL) != APR_SUCCESS ||
-	    apr_thread_mutex_create(
-		&a->lock, APR_THREAD_MUTEX_DEFAULT, a->pool) != APR_SUCCESS ||
-	    (a->callers = callers_new(a->lock, CONNECTIONS_MAX)) == NULL) {
+	a->callers = callers_new(CONNECTIONS_MAX);
+	if (a->callers == NULL) {
 		admin_close(s);
 		return (-1);
 	}
--- a/gspard/callers.c
+++ b/gspard/callers.c
@@ -8,6 +8,8 @@
 #include <stdlib.h>
 #include <sys/socket.h>
 
+#include <apr_thread_mutex.h>
+
 #include "callers.h"
 #include "count.h"
 #include "excess.h"
@@ -27,31 +29,38 @@
 };
 
 struct callers {
+	apr_pool_t *pool;
 	apr_thread_mutex_t *lock;
 	struct caller *first;
 	int n; /* open ones that were not cut off */
 	int max;
 };
 
-/* Returns an empty list that uses a lock and is full with max connections; NULL
- * if memory is exhausted. */
+/* Returns an empty list that is full with max connections; NULL if memory is
+ * exhausted. */
 struct callers *
-callers_new(apr_thread_mutex_t *lock, int max)
+callers_new(int max)
 {
 	struct callers *l;
 
 	l = calloc(1, sizeof(*l));
 	if (l == NULL)
 		return (NULL);
-	l->lock = lock;
 	l->max = max;
-	return (l);
+	if (apr_pool_create(&l->pool, NULL) == APR_SUCCESS &&
+	    apr_thread_mutex_create(
+		&l->lock, APR_THREAD_MUTEX_DEFAULT, l->pool) == APR_SUCCESS)
+		return (l);
+	callers_free(l);
+	return (NULL);
 }
 
 /* Frees the list, after the library has closed all connections. */
 void
 callers_free(struct callers *l)
 {
+	if (l != NULL && l->pool != NULL)
+		apr_pool_destroy(l->pool);
 	free(l);
 }
 
--- a/gspard/callers.h
+++ b/gspard/callers.h
@@ -3,7 +3,6 @@
 #ifndef CALLERS_H
 #define CALLERS_H
 
-#include <apr_thread_mutex.h>
 #include <microhttpd.h>
 
 #include "clock.h"
@@ -17,7 +16,7 @@
 	CALLER_CUT
 };
 
-struct callers *callers_new(apr_thread_mutex_t *, int max);
+struct callers *callers_new(int max);
 void callers_free(struct callers *);
 void callers_on_notify(void *, struct MHD_Connection *, void **,
     enum MHD_ConnectionNotificationCode);
--- a/gspard/door.c
+++ b/gspard/door.c
@@ -227,8 +227,6 @@
 static enum MHD_Result
 refuse(struct door *d, struct call *c, int code)
 {
-	if (code == GS_NO_ROOM)
-		c->answer.retry_ms = INTAKE_RETRY_MS;
 	c->answer.code = code;
 	c->answer.outcome = (int)result_outcome(code);
 	return (respond(d, c));
@@ -421,8 +419,11 @@
 int
 door_make_room(struct kernel *k, usec now)
 {
-	struct door *d = kernel_find(k, "door")->state;
+	struct door *d;
 
+	if (!held_is_over(SIZE_MAX))
+		return (1);
+	d = kernel_find(k, "door")->state;
 	return (intake_make_room(d->intake, now));
 }
 
@@ -644,8 +645,7 @@
 	    apr_thread_mutex_create(
 		&d->lock, APR_THREAD_MUTEX_DEFAULT, d->pool) == APR_SUCCESS &&
 	    (d->intake = intake_new(d->lock, d->ops)) != NULL &&
-	    (d->callers = callers_new(d->lock, connections_max(s->kernel))) !=
-		NULL)
+	    (d->callers = callers_new(connections_max(s->kernel))) != NULL)
 		return (0);
 	close(d->sock);
 	free(d);
--- a/gspard/intake.c
+++ b/gspard/intake.c
@@ -30,6 +30,9 @@
  * long: closing with unread bytes resets the connection, and the caller might
  * lose the answer. */
 #define LINGER MS(1000)
+/* Retry delay for requests that are refused for room, in milliseconds: another
+ * host may have room at once. */
+#define RETRY_MS 300
 /* Shortest interval between two lines about requests without room. */
 #define LINE_INTERVAL (10 * US_PER_SEC)
 
@@ -166,7 +169,7 @@
 static void
 send_error(const struct intake *l, const struct call *c, int code)
 {
-	uint32_t ms = result_retryable(code) ? INTAKE_RETRY_MS : 0;
+	uint32_t ms = result_retryable(code) ? RETRY_MS : 0;
 	char body[300], retry[24], text[700];
 	int n;
 
@@ -194,6 +197,16 @@
 	name_copy(l->last_caller, sizeof(l->last_caller), caller);
 }
 
+/* Notes that the door is to refuse a call for room; returns GS_NO_ROOM.  The
+ * lock is held. */
+static int
+refuse(struct intake *l, struct call *c)
+{
+	note_refused(l, c->caller);
+	c->answer.retry_ms = RETRY_MS;
+	return (GS_NO_ROOM);
+}
+
 /* Gives up a call that is being read.  The lock is held. */
 static void
 give_up(struct intake *l, struct call *c, int code, usec now)
@@ -219,27 +232,6 @@
 	return (c->answered_at != 0 && now - c->answered_at > UNREAD_AGE);
 }
 
-/* Returns the call that gives way, of those being read or of those with unread
- * answers; NULL if there is none or memory is not short.  The lock is held. */
-static struct call *
-choose(const struct intake *l, int unread, usec now)
-{
-	struct excess e = {0, 0, NULL};
-	struct call *c;
-
-	for (c = l->first; c != NULL; c = c->next) {
-		if (c->held == 0 || c->fd < 0 || !held_is_over(c->held))
-			continue;
-		if (unread && is_unread(c, now))
-			excess_add(&e, c->held,
-			    room_weight(c->held, now - c->answered_at), c);
-		else if (!unread && intake_is_reading(c))
-			excess_add(&e, c->held,
-			    room_weight(c->held, now - c->since), c);
-	}
-	return (excess_choose(&e, 0));
-}
-
 /* Cuts an answer that its caller does not read.  The lock is held. */
 static void
 cut_answer(struct intake *l, struct call *c)
@@ -250,16 +242,61 @@
 	shutdown(c->fd, SHUT_RDWR);
 }
 
-/* Gives calls up until all that is held fits.  The lock is held. */
+/* Adds a call of a size to those of which one gives way, if it may. */
 static void
-make_room(struct intake *l, usec now)
+add_candidate(struct excess *e, struct call *c, size_t size, usec now)
 {
-	struct call *c;
+	usec since;
 
-	while (held_is_over(SIZE_MAX) && (c = choose(l, 0, now)) != NULL)
-		give_up(l, c, GS_NO_ROOM, now);
-	while (held_is_over(SIZE_MAX) && (c = choose(l, 1, now)) != NULL)
+	if (intake_is_reading(c))
+		since = c->since;
+	else if (is_unread(c, now))
+		since = c->answered_at;
+	else
+		return;
+	if (c->fd >= 0)
+		excess_add(e, size, room_weight(size, now - since), c);
+}
+
+/* Gives up the request that was chosen, or cuts its answer.  Returns false if
+ * none was.  The lock is held. */
+static int
+end_chosen(struct intake *l, const struct excess *e, usec now)
+{
+	struct call *c = excess_choose(e, 0);
+
+	if (c == NULL)
+		return (0);
+	if (c->answered_at != 0)
 		cut_answer(l, c);
+	else
+		give_up(l, c, GS_NO_ROOM, now);
+	return (1);
+}
+
+/* Ends one call to free memory: a request that is being read if there is any,
+ * else an unread answer.  Returns false if there is neither, or memory is not
+ * short.  The lock is held. */
+static int
+free_memory(struct intake *l, usec now)
+{
+	struct excess reading = {0, 0, NULL}, unread = {0, 0, NULL};
+	struct call *c;
+
+	for (c = l->first; c != NULL; c = c->next) {
+		if (held_is_over(c->held))
+			add_candidate(c->answered_at == 0 ? &reading : &unread,
+			    c, c->held, now);
+	}
+	return (end_chosen(l, &reading, now) || end_chosen(l, &unread, now));
+}
+
+/* Gives calls up until all that is held fits.  The lock is held. */
+static void
+make_room(struct intake *l, usec now)
+{
+	while (held_is_over(SIZE_MAX) && free_memory(l, now))
+		;
 }
 
 /* The same for other users of memory; false if it is still short for large
@@ -267,8 +304,6 @@
 int
 intake_make_room(struct intake *l, usec now)
 {
-	if (!held_is_over(SIZE_MAX))
-		return (1);
 	apr_thread_mutex_lock(l->lock);
 	make_room(l, now);
 	apr_thread_mutex_unlock(l->lock);
@@ -283,24 +318,14 @@
 {
 	struct excess e = {0, 0, NULL};
 	struct call *c;
+	int ended;
 
 	apr_thread_mutex_lock(l->lock);
-	for (c = l->first; c != NULL; c = c->next) {
-		if (c->fd < 0)
-			continue;
-		if (intake_is_reading(c))
-			excess_add(&e, 1, room_weight(1, now - c->since), c);
-		else if (is_unread(c, now))
-			excess_add(
-			    &e, 1, room_weight(1, now - c->answered_at), c);
-	}
-	c = excess_choose(&e, 0);
-	if (c != NULL && intake_is_reading(c))
-		give_up(l, c, GS_NO_ROOM, now);
-	else if (c != NULL)
-		cut_answer(l, c);
+	for (c = l->first; c != NULL; c = c->next)
+		add_candidate(&e, c, 1, now);
+	ended = end_chosen(l, &e, now);
 	apr_thread_mutex_unlock(l->lock);
-	return (c != NULL);
+	return (ended);
 }
 
 /* Records the head of a request.  Returns GS_OK, or GS_NO_ROOM if a body of the
@@ -313,10 +338,9 @@
 
 	apr_thread_mutex_lock(l->lock);
 	c->read_deadline = now + BODY_TIMEOUT;
-	if (want > 0 && !held_admits(want, l->yielding)) {
-		note_refused(l, c->caller);
-		res = GS_NO_ROOM;
-	} else if (intake_is_reading(c)) {
+	if (want > 0 && !held_admits(want, l->yielding))
+		res = refuse(l, c);
+	else if (intake_is_reading(c)) {
 		hold(l, c, sizeof(*c) + c->headers.n);
 		make_room(l, now);
 	}
@@ -360,10 +384,9 @@
 	apr_thread_mutex_lock(l->lock);
 	if (!intake_is_reading(c))
 		res = -1;
-	else if (c->body.n > 0 && !held_admits(copies + c->held, l->yielding)) {
-		note_refused(l, c->caller);
-		res = GS_NO_ROOM;
-	} else {
+	else if (c->body.n > 0 && !held_admits(copies + c->held, l->yielding))
+		res = refuse(l, c);
+	else {
 		end_yielding(l, c);
 		take(c, CLAIMED);
 		hold(l, c, copies);
--- a/gspard/intake.h
+++ b/gspard/intake.h
@@ -6,10 +6,6 @@
 
 #include "door_ops.h"
 
-/* Retry delay for requests that are refused for room, in milliseconds: another
- * host may have room at once. */
-#define INTAKE_RETRY_MS 300
-
 struct intake;
 
 struct intake *intake_new(apr_thread_mutex_t *, const struct door_ops *);
--- a/gspard/peer.c
+++ b/gspard/peer.c
@@ -21,8 +21,6 @@
 #define CONNECT_TIMEOUT MS(700)
 /* Time for the first frame of a connection that was accepted. */
 #define HELLO_TIMEOUT MS(3000)
-/* Parts of frames up to this size in bytes are small. */
-#define SMALL_INPUT 65536
 /* Delay between connection attempts to one host. */
 #define CONNECT_RETRY_DELAY MS(50)
 /*
@@ -45,6 +43,7 @@
 	apr_pollfd_t listen_pfd;
 	struct conn *conns;
 	int naccepted; /* of conns */
+	int max_accepted;
 	apr_hash_t *by_id;
 	apr_hash_t *by_host; /* struct peer_host; none is ever removed */
 	uint64_t next_id;
@@ -381,7 +380,7 @@
 		return (1);
 	update_events(p, c);
 	p->naccepted++;
-	if (p->naccepted > room_peers_max(kernel_descriptors(s->kernel)))
+	if (p->naccepted > p->max_accepted)
 		fail_oldest_unknown(p, now);
 	return (1);
 }
@@ -398,10 +397,10 @@
 	struct excess e;
 	struct conn *c;
 
-	while (held_is_over(SIZE_MAX) && !door_make_room(s->kernel, now)) {
+	while (!door_make_room(s->kernel, now)) {
 		memset(&e, 0, sizeof(e));
 		for (c = p->conns; c != NULL; c = c->next) {
-			if (!c->failed && c->held > SMALL_INPUT)
+			if (!c->failed && !room_is_small(c->held))
 				excess_add(&e, c->held,
 				    room_weight(c->held, now - c->waits_since),
 				    c);
@@ -613,6 +612,7 @@
 	if (p == NULL)
 		return (-1);
 	s->state = p;
+	p->max_accepted = room_peers_max(kernel_descriptors(s->kernel));
 	if (apr_pool_create(&p->pool, NULL) != APR_SUCCESS ||
 	    apr_pollset_create(&p->set, EVENTS_MAX, p->pool,
 		APR_POLLSET_WAKEABLE) != APR_SUCCESS)
--- a/gspard/probe.c
+++ b/gspard/probe.c
@@ -28,8 +28,6 @@
 };
 
 struct probe {
-	apr_pool_t *pool;
-	apr_thread_mutex_t *lock;
 	struct probe_server ready;
 	struct probe_server metrics;
 	int stop;
@@ -89,10 +87,9 @@
 serve(struct service *s, struct probe_server *v, const char *at,
     MHD_AccessHandlerCallback handler)
 {
-	struct probe *p = s->state;
 	int fd = sock_bind(at);
 
-	v->callers = callers_new(p->lock, CONNECTIONS_MAX);
+	v->callers = callers_new(CONNECTIONS_MAX);
 	if (v->callers == NULL || fd < 0 || listen(fd, BACKLOG) != 0) {
 		log_line(LOG_ERR, "probe", "Cannot listen on %s.", at);
 		return (-1);
@@ -141,8 +138,6 @@
 
 	end_server(&p->ready);
 	end_server(&p->metrics);
-	if (p->pool != NULL)
-		apr_pool_destroy(p->pool);
 	free(p);
 }
 
@@ -157,10 +152,7 @@
 	if (p == NULL)
 		return (-1);
 	s->state = p;
-	if (apr_pool_create(&p->pool, NULL) == APR_SUCCESS &&
-	    apr_thread_mutex_create(
-		&p->lock, APR_THREAD_MUTEX_DEFAULT, p->pool) == APR_SUCCESS &&
-	    serve(s, &p->ready, conf->ready, on_ready) == 0 &&
+	if (serve(s, &p->ready, conf->ready, on_ready) == 0 &&
 	    serve(s, &p->metrics, conf->admin, on_metrics) == 0)
 		return (0);
 	probe_close(s);
--- a/regress/safeguards.sh
+++ b/regress/safeguards.sh
@@ -366,7 +366,7 @@
 without the-largest-answer-is-given-up excess excess.c \
     's/if (weight <= e->heaviest)/if (0)/'
 without small-requests-find-room room room.c \
-    's/size > SMALL_MAX ? max - max \/ 16 : max/max/'
+    's/room_is_small(size) ? max : max - max \/ 16/max/'
 without what-stands-still-gives-way room room.c \
     's/age > 0 ? age \/ 1000 + 1 : 1/1/'
 without connections-leave-descriptors room room.c \
--- a/regress/unit/t_callers.c
+++ b/regress/unit/t_callers.c
@@ -42,15 +42,11 @@
 static void
 request_while_ending(void)
 {
-	apr_thread_mutex_t *lock;
-	apr_pool_t *pool;
 	struct callers *l;
 	int sv[2];
 
 	apr_initialize();
-	apr_pool_create(&pool, NULL);
-	apr_thread_mutex_create(&lock, APR_THREAD_MUTEX_DEFAULT, pool);
-	l = callers_new(lock, 8);
+	l = callers_new(8);
 	CU_ASSERT_EQUAL_FATAL(socketpair(AF_UNIX, SOCK_STREAM, 0, sv), 0);
 	fd_now = sv[0];
 	callers_on_notify(l, NULL, &state_now, MHD_CONNECTION_NOTIFY_STARTED);
@@ -72,7 +68,6 @@
 	callers_free(l);
 	close(sv[0]);
 	close(sv[1]);
-	apr_pool_destroy(pool);
 	apr_terminate();
 }
 
@@ -106,17 +101,13 @@
 static void
 too_many(void)
 {
-	apr_thread_mutex_t *lock;
-	apr_pool_t *pool;
 	struct callers *l;
 	void *state[MAX + 2];
 	int fd[MAX + 2], end[MAX + 2], i;
 	usec now = clock_mono() + MS(1000);
 
 	apr_initialize();
-	apr_pool_create(&pool, NULL);
-	apr_thread_mutex_create(&lock, APR_THREAD_MUTEX_DEFAULT, pool);
-	l = callers_new(lock, MAX);
+	l = callers_new(MAX);
 	for (i = 0; i < MAX; i++)
 		end[i] = open_conn(l, &state[i], &fd[i]);
 	/* The first is busy, the second was used. */
@@ -160,7 +151,6 @@
 		close(end[i]);
 	}
 	callers_free(l);
-	apr_pool_destroy(pool);
 	apr_terminate();
 }
 
