Scenarios with crowds share what they check and configure

No check is dropped; some that had the memory's bound only once have it beside and after the crowd. crowd_peers and crowd_native check in another order and stay.

--- a/regress/scenario/crowd_heads.lua
+++ b/regress/scenario/crowd_heads.lua
@@ -38,11 +38,8 @@
 		local n = descriptors(s, "h1")
 		check(n < DESCRIPTORS_MAX, "heads %s: %d descriptors", name, n)
 	end
-	s:await_ordinary("h1", name, more)
 	await_new_target(name, more)
-	check_host(s, "h1", name)
-	hang_up_all(crowd)
-	s:await_ordinary("h1", name .. ", afterwards")
+	s:check_crowd(crowd, name, more)
 	say("heads %s: descriptors left, an ordinary request served", name)
 end
 s:stop_all()
--- a/regress/scenario/crowd_refused.lua
+++ b/regress/scenario/crowd_refused.lua
@@ -3,13 +3,9 @@
 dofile("regress/scenario/lib_crowd.lua")
 local SIZE, WORK_MS = 8 * MB, 1500
 local s = standard_site { hosts = 1 }
-s:configure({ route("r1", "/any/", "safe", "plain", { timeout = "20s" }),
-    route("r2", "/once/", "unsafe", "plain", { timeout = "20s" }) }, nil,
-    '"max_header_bytes":16384,"max_body_bytes":67108864,' ..
-    '"header_timeout":"3000ms","idle_timeout":"15000ms"')
-await("the limit in force", 5000, function()
-	return s:request("h1", "/any/1", nil, "POST", ("x"):rep(MB)) == 200
-end)
+s:limit_bodies(64 * MB,
+    { route("r1", "/any/", "safe", "plain", { timeout = "20s" }),
+    route("r2", "/once/", "unsafe", "plain", { timeout = "20s" }) })
 local function set_work(ms)
 	for _, id in ipairs(s.sorder) do
 		s:server_fault(id, "work=" .. ms)
--- a/regress/scenario/crowd_silent.lua
+++ b/regress/scenario/crowd_silent.lua
@@ -11,10 +11,7 @@
 		check(n < DESCRIPTORS_MAX, "%s: %d descriptors", door, n)
 		sleep_ms(50)
 	end
-	s:await_ordinary("h1", door)
-	check_host(s, "h1", door)
-	hang_up_all(crowd)
-	s:await_ordinary("h1", door .. ", afterwards")
+	s:check_crowd(crowd, door)
 	say("%s: descriptors left, an ordinary request served", door)
 end
 s:stop_all()
--- a/regress/scenario/lib_crowd.lua
+++ b/regress/scenario/lib_crowd.lua
@@ -59,6 +59,18 @@
 	return n
 end
 
+-- Puts a configuration with a limit on bodies in force, with other routes if they
+-- are given.
+function Site:limit_bodies(size, routes)
+	self:configure(routes, nil, '"max_header_bytes":16384,' ..
+	    '"max_body_bytes":' .. size ..
+	    ',"header_timeout":"3000ms","idle_timeout":"15000ms"')
+	await("the limit in force", 5000, function()
+		return self:request("h1", "/any/1", nil, "POST",
+		    ("x"):rep(MB)) == 200
+	end)
+end
+
 -- Waits until an ordinary request is answered; each() is called before a try.
 function Site:await_ordinary(name, what, each)
 	await(what .. ": an ordinary request served", 20000, function()
@@ -68,3 +80,12 @@
 		return self:request(name, "/any/1") == 200
 	end)
 end
+
+-- Checks h1 beside a crowd and after it has gone; each() as above.
+function Site:check_crowd(crowd, what, each)
+	self:await_ordinary("h1", what, each)
+	check_host(self, "h1", what)
+	hang_up_all(crowd)
+	self:await_ordinary("h1", what .. ", afterwards")
+	check_host(self, "h1", what .. ", afterwards")
+end
