--- a/review/5/case.c
+++ b/review/5/case.c
@@ -140,13 +140,15 @@
 	for (i = 0; i < CLIENTS; i++) {
 		c = &clients[i];
 		have = first_answer(c, &length, &status, &closes);
-		for (k = 0; k < 3 && !file_has(kit.servers[k].journal,
-			c->id[0]); k++)
+		for (k = 0;
+		     k < 3 && !file_has(kit.servers[k].journal, c->id[0]); k++)
 			;
 		record("%s: status %d, %ld of %ld bytes, close announced %s, "
 		       "connection %s, ran at %s",
 		    c->id[0], status, have, length, closes ? "yes" : "no",
-		    !c->ended ? "open" : c->error ? "reset" : "closed",
+		    !c->ended	   ? "open"
+			: c->error ? "reset"
+				   : "closed",
 		    k < 3 ? kit.servers[k].id : "none");
 		if (status == 200 && have >= length)
 			whole++;
--- a/review/stand-2/kit.c
+++ b/review/stand-2/kit.c
@@ -98,8 +98,8 @@
 	signal(SIGPIPE, SIG_IGN);
 	signal(SIGALRM, on_alarm);
 	alarm(SCRIPT_SECONDS);
-	record("%s", kit.trouble ? "with the disruption"
-				 : "without the disruption");
+	record("%s",
+	    kit.trouble ? "with the disruption" : "without the disruption");
 }
 
 /* Ends all processes that were started, and the script. */
@@ -289,8 +289,8 @@
 	    "\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
 	    "\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}}}",
 	    (unsigned)version, routes, services);
-	status = http_call(
-	    "PUT", kit.store, "/objects/config/main", body, NULL, 0);
+	status =
+	    http_call("PUT", kit.store, "/objects/config/main", body, NULL, 0);
 	if (status == 404)
 		status = http_call(
 		    "POST", kit.store, "/objects/config", body, NULL, 0);
@@ -312,8 +312,8 @@
 	int i;
 
 	snprintf(s->id, sizeof(s->id), "i-%d", kit.nservers);
-	snprintf(s->journal, sizeof(s->journal), "%s/%s.journal", kit.dir,
-	    s->id);
+	snprintf(
+	    s->journal, sizeof(s->journal), "%s/%s.journal", kit.dir, s->id);
 	snprintf(nslots, sizeof(nslots), "%d", slots);
 	snprintf(work, sizeof(work), "%d", work_ms);
 	snprintf(log, sizeof(log), "%s.log", s->id);
