--- a/review/stand-2/kit.c
+++ b/review/stand-2/kit.c
@@ -90,6 +90,7 @@
 		exit(NOT_RUN);
 	}
 	began = now_ms();
+	kit.memory_mb = 260;
 	kit.trouble = trouble == NULL || strcmp(trouble, "0") != 0;
 	snprintf(kit.dir, sizeof(kit.dir), "%s/gspar-review.XXXXXX",
 	    tmp == NULL ? "/tmp" : tmp);
@@ -370,7 +371,7 @@
 		kit_end(NOT_RUN, "settings are not written");
 	fprintf(f,
 	    "[host]\nname = %s\ndc = %s\nsource = %s\ncores = 0.2\n"
-	    "link_mbps = 1000.0\nmemory_mb = 260\ndescriptors = 4100\n"
+	    "link_mbps = 1000.0\nmemory_mb = %d\ndescriptors = 4100\n"
 	    "[listen]\ncallers = %s\nready = %s\npeers = %s\ntunnel = %s\n"
 	    "admin = %s\n[platform]\nform = objects\naddress = %s\n"
 	    "[leases]\ncontrol_ms = 1500\nrenew_ms = 500\nhost_ms = 1500\n"
@@ -381,8 +382,8 @@
 	    "max_stretch = 5000ms\nretry_budget_ratio = 0.2\n"
 	    "budget_window = 10s\nretry_budget_slack = 64\nrecovery = 15s\n"
 	    "max_hold = 10000ms\nthaw_slack = 300ms\n%s",
-	    h->name, zone, h->ip, h->front, h->ready, peers, tunnel, admin,
-	    kit.store, bounds);
+	    h->name, zone, h->ip, kit.memory_mb, h->front, h->ready, peers,
+	    tunnel, admin, kit.store, bounds);
 	fclose(f);
 	return (h);
 }
--- a/review/stand-2/kit.h
+++ b/review/stand-2/kit.h
@@ -36,7 +36,8 @@
 };
 
 struct kit {
-	int trouble; /* 0: the same without the disruption */
+	int trouble;   /* 0: the same without the disruption */
+	int memory_mb; /* of a host */
 	char dir[200];
 	char store[ADDR_SIZE];
 	char store_control[ADDR_SIZE];
